--- /dev/null
+++ b/internal/base/settings/settings.go
@@ -0,0 +1,148 @@
+// Package settings reads a VM's own settings: where it is and which addresses
+// it listens on. They are checked whole before any port opens.
+package settings
+
+import (
+	"net/netip"
+	"net/url"
+	"os"
+	"regexp"
+	"strings"
+
+	"github.com/joomcode/errorx"
+	"gopkg.in/ini.v1"
+
+	"baobabladder.example/baobabladder/internal/base/fault"
+)
+
+var (
+	errorNamespace = errorx.NewNamespace("settings")
+	// ErrInvalid says that a setting is missing or not allowed.
+	ErrInvalid = errorNamespace.NewType("invalid")
+)
+
+// Settings is what an entry VM is told at its start.
+type Settings struct {
+	// Name is the VM's name in the platform's list.
+	Name       string
+	Region     string
+	DataCentre string
+	// Store is the URL of the platform's store, ending with a slash.
+	Store string
+	// CallerAddress, PeerAddress and OperatorAddress are IP:port to listen on.
+	CallerAddress   string
+	PeerAddress     string
+	OperatorAddress string
+	// LogLevel is a logrus level.
+	LogLevel string
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+// Load reads the settings file at path.
+func Load(path string) (settings Settings, err error) {
+	defer fault.Annotate(&err, "reading the settings file %s", path)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, ErrInvalid.Wrap(err, "the file cannot be read")
+	}
+	return Parse(text)
+}
+
+// Parse reads and checks settings.
+func Parse(text []byte) (settings Settings, err error) {
+	file, err := ini.Load(text)
+	if err != nil {
+		return Settings{}, ErrInvalid.Wrap(err, "the text is not INI")
+	}
+	section := file.Section("vm")
+	fields := []field{
+		{"name", &settings.Name, "", checkName},
+		{"region", &settings.Region, "", checkName},
+		{"data_centre", &settings.DataCentre, "", checkName},
+		{"store", &settings.Store, "", checkURL},
+		{"caller_address", &settings.CallerAddress, "", checkAddress},
+		{"peer_address", &settings.PeerAddress, "", checkAddress},
+		{"operator_address", &settings.OperatorAddress, "", checkAddress},
+		{"log_level", &settings.LogLevel, "info", checkLevel},
+	}
+	for _, s := range file.Sections() {
+		if s.Name() != "vm" && (s.Name() != ini.DefaultSection || len(s.Keys()) > 0) {
+			return Settings{}, ErrInvalid.New("section [%s] is not allowed: the only section is [vm]", s.Name())
+		}
+	}
+	if err := rejectUnknown(section, fields); err != nil {
+		return Settings{}, err
+	}
+	for _, f := range fields {
+		if err := f.read(section); err != nil {
+			return Settings{}, err
+		}
+	}
+	return settings, nil
+}
+
+// field is one key of the [vm] section. An empty fallback makes it required.
+type field struct {
+	key      string
+	into     *string
+	fallback string
+	// check returns what is allowed, or nothing if the value is.
+	check func(value string) (allowed string)
+}
+
+func (f field) read(section *ini.Section) error {
+	*f.into = f.fallback
+	if section.HasKey(f.key) {
+		*f.into = section.Key(f.key).String()
+	}
+	if allowed := f.check(*f.into); allowed != "" {
+		return ErrInvalid.New("section [vm], key %s: %q is not allowed: %s", f.key, *f.into, allowed)
+	}
+	return nil
+}
+
+func rejectUnknown(section *ini.Section, fields []field) error {
+	known := map[string]bool{}
+	names := make([]string, 0, len(fields))
+	for _, f := range fields {
+		known[f.key] = true
+		names = append(names, f.key)
+	}
+	for _, key := range section.KeyStrings() {
+		if !known[key] {
+			return ErrInvalid.New("section [vm], key %s is not allowed: known keys are %s", key, strings.Join(names, ", "))
+		}
+	}
+	return nil
+}
+
+func checkName(value string) string {
+	if namePattern.MatchString(value) {
+		return ""
+	}
+	return "a name of 1 to 63 of a-z, 0-9, dot, dash, underscore"
+}
+
+func checkURL(value string) string {
+	parsed, err := url.Parse(value)
+	if err == nil && parsed.Scheme == "http" && parsed.Host != "" && strings.HasSuffix(parsed.Path, "/") {
+		return ""
+	}
+	return "a URL such as http://10.1.2.3:7000/ with a slash at its end"
+}
+
+func checkAddress(value string) string {
+	if _, err := netip.ParseAddrPort(value); err == nil {
+		return ""
+	}
+	return "an IP number and a port such as 10.1.2.3:8080"
+}
+
+func checkLevel(value string) string {
+	switch value {
+	case "debug", "info", "warning", "error":
+		return ""
+	}
+	return "one of debug, info, warning, error"
+}
