--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -120,9 +120,8 @@
 // value is ready.
 type Client struct {
 	bytes atomic.Int64
-	// Block, when set, makes calls to the addresses it reports fail at once. It
-	// stands for a cut link in tests and in the demo.
-	Block func(address string) bool
+	// Dial, when set, takes the place of a plain TCP dial.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu sync.Mutex
 	// conns maps an address to its connection. Guarded by mu.
@@ -133,9 +132,6 @@
 // the end of ctx. A call that ends with ctx closes the connection, so that a
 // frozen peer's late reply can never be taken for another's.
 func (c *Client) Call(ctx context.Context, address, method string, args, reply any) (err error) {
-	if c.Block != nil && c.Block(address) {
-		return ErrUnreachable.New("calling %s at %s: the link is cut", method, address)
-	}
 	client, err := c.client(ctx, address)
 	if err != nil {
 		return ErrUnreachable.Wrap(err, "calling %s at %s", method, address)
@@ -177,8 +173,11 @@
 	if client != nil {
 		return client, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout.Duration()}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	dial := c.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout.Duration()}).DialContext
+	}
+	conn, err := dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
