--- /dev/null
+++ b/internal/control/lease/lease_test.go
@@ -0,0 +1,196 @@
+package lease_test
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/control/lease"
+	"baobabladder.example/baobabladder/internal/wire/store"
+	"baobabladder.example/baobabladder/internal/world/vm"
+)
+
+// TestMain fixes the seed, so that the verdict is always the same.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "41")
+	}
+	os.Exit(m.Run())
+}
+
+// fakeStore is one object with a fault for the next call.
+type fakeStore struct {
+	object store.Object
+	calls  int
+	// fault is what befalls the next call.
+	fault string
+	// during runs while a call is under way, after its effect.
+	during func()
+	// late is a write that reaches the store later.
+	late func()
+}
+
+func (s *fakeStore) begin() string {
+	s.calls++
+	fault := s.fault
+	s.fault = ""
+	return fault
+}
+
+func (s *fakeStore) end() {
+	if during := s.during; during != nil {
+		s.during = nil
+		during()
+	}
+}
+
+func (s *fakeStore) Get(context.Context, string) (store.Object, error) {
+	fault := s.begin()
+	object := s.object
+	s.end()
+	switch {
+	case fault != "":
+		return store.Object{}, store.ErrUnavailable.New("down")
+	case object.Version == 0:
+		return store.Object{}, store.ErrNotFound.New("absent")
+	}
+	return object, nil
+}
+
+func (s *fakeStore) Put(_ context.Context, key string, value []byte, ifVersion int64) (int64, error) {
+	fault := s.begin()
+	apply := func() bool {
+		if s.object.Version != ifVersion {
+			return false
+		}
+		s.object = store.Object{Key: key, Version: ifVersion + 1, Value: value}
+		return true
+	}
+	switch fault {
+	case "down":
+		return 0, store.ErrUnavailable.New("down")
+	case "late":
+		s.late = func() { apply() }
+		s.end()
+		return 0, store.ErrOutcomeUnknown.New("lost")
+	}
+	applied := apply()
+	s.end()
+	switch {
+	case fault == "lost":
+		return 0, store.ErrOutcomeUnknown.New("lost")
+	case !applied:
+		return 0, store.ErrConflict.New("conflict")
+	}
+	return ifVersion + 1, nil
+}
+
+func TestOneHolderAtATimeAndTermsOnlyGrow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		manual := &clock.Manual{}
+		manual.Advance(1)
+		fake := &fakeStore{}
+		var vms []*lease.Lease
+		for _, name := range []string{"a", "b", "c"} {
+			vms = append(vms, &lease.Lease{Duty: "divider", Self: vm.ID{Name: name, Incarnation: 1}, Store: fake, Clock: manual.Clock()})
+		}
+		holders := map[int64]string{}
+		newest := int64(0)
+		check := func() {
+			held := ""
+			for _, v := range vms {
+				term, holds := v.Term()
+				if !holds {
+					continue
+				}
+				if held != "" {
+					t.Fatalf("%s and %s both hold the lease", held, v.Self.Name)
+				}
+				held = v.Self.Name
+				if other := holders[term]; other != "" && other != held {
+					t.Fatalf("term %d was %s's and is %s's", term, other, held)
+				}
+				holders[term] = held
+				if term < newest {
+					t.Fatalf("term fell from %d to %d", newest, term)
+				}
+				newest = term
+			}
+		}
+		millis := func(label string) clock.Millis { return clock.Millis(rapid.IntRange(0, 12000).Draw(t, label)) }
+		busy := map[int]bool{}
+		step := func(i int) {
+			if busy[i] {
+				return
+			}
+			busy[i] = true
+			_ = vms[i].Step(context.Background())
+			busy[i] = false
+			check()
+		}
+		one := rapid.IntRange(0, len(vms)-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"step":    func(t *rapid.T) { step(one.Draw(t, "vm")) },
+			"advance": func(*rapid.T) { manual.Advance(millis("by")); check() },
+			"release": func(t *rapid.T) {
+				if i := one.Draw(t, "vm"); !busy[i] {
+					_ = vms[i].Release(context.Background())
+				}
+			},
+			"fault": func(t *rapid.T) { fake.fault = rapid.SampledFrom([]string{"down", "lost", "late"}).Draw(t, "fault") },
+			"late": func(*rapid.T) {
+				if fake.late != nil {
+					fake.late()
+					fake.late = nil
+				}
+			},
+			"pause": func(t *rapid.T) {
+				by, others := millis("by"), rapid.SliceOfN(one, 0, 4).Draw(t, "others")
+				fake.during = func() {
+					manual.Advance(by)
+					for _, i := range others {
+						step(i)
+					}
+				}
+			},
+			"": func(*rapid.T) {
+				var record lease.Record
+				if fake.object.Version > 0 {
+					_ = json.Unmarshal(fake.object.Value, &record)
+				}
+				if record.Term < newest {
+					t.Fatalf("the store's term %d is below %d", record.Term, newest)
+				}
+			},
+		})
+	})
+}
+
+func TestVMsThatHearTheHolderMakeNoStoreCalls(t *testing.T) {
+	manual := &clock.Manual{}
+	manual.Advance(1)
+	fake := &fakeStore{}
+	holder := &lease.Lease{Duty: "divider", Self: vm.ID{Name: "a", Incarnation: 1}, Store: fake, Clock: manual.Clock()}
+	other := &lease.Lease{Duty: "divider", Self: vm.ID{Name: "b", Incarnation: 1}, Store: fake, Clock: manual.Clock()}
+	other.Heard = func(string) (lease.Claim, clock.Millis, bool) {
+		claim, held := holder.Claim()
+		return claim, 0, held
+	}
+	for range 600 {
+		_ = holder.Step(context.Background())
+		_ = other.Step(context.Background())
+		manual.Advance(100)
+	}
+	if fake.calls > 25 {
+		t.Fatalf("%d store calls in a minute at rest, want at most 25", fake.calls)
+	}
+	if _, held := holder.Term(); !held {
+		t.Fatal("the holder lost the lease at rest")
+	}
+}
