Let the store's stand-in count its budget and fail on command

Calls are counted by kind for each second; a waiting watch counts as one read in each second in which it waits. Over the budget the answer is 429. Faults: down, slow, answers lost after the change took effect, watches stalled, late or reordered, single callers cut off.

A late watch does not claim revisions whose objects it hides: a copy that took the claim at its word would never ask for them again.

--- /dev/null
+++ b/internal/standin/store/calls.go
@@ -0,0 +1,151 @@
+package store
+
+import (
+	"sync"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+)
+
+// Kind is a kind of call.
+type Kind string
+
+// The kinds of calls. Put and Remove are writes, the others reads.
+const (
+	Get    Kind = "get"
+	List   Kind = "list"
+	Watch  Kind = "watch"
+	VMs    Kind = "vms"
+	Put    Kind = "put"
+	Remove Kind = "remove"
+)
+
+func (k Kind) isWrite() bool { return k == Put || k == Remove }
+
+// Budget is how many calls a second the store takes.
+type Budget struct {
+	Reads  int `json:"reads"`
+	Writes int `json:"writes"`
+}
+
+// DefaultBudget is what the platform's store takes.
+var DefaultBudget = Budget{Reads: 2000, Writes: 400}
+
+// keptSeconds is how many past seconds Calls shows one by one.
+const keptSeconds = 120
+
+// Second is what was called within one second. A watch that waits counts as one
+// read in each second in which it waits.
+type Second struct {
+	// At is the second's start on the store's clock.
+	At     clock.Millis   `json:"at"`
+	Reads  int            `json:"reads"`
+	Writes int            `json:"writes"`
+	Calls  map[Kind]int64 `json:"calls"`
+}
+
+// Calls is the account of the calls so far.
+type Calls struct {
+	Total map[Kind]int64 `json:"total"`
+	// Refused counts calls over the budget; they are not in Total.
+	Refused int64 `json:"refused"`
+	// Held is how many watches wait now, MaxHeld the most at one time.
+	Held    int `json:"held"`
+	MaxHeld int `json:"max_held"`
+	// Worst is the second with the most reads and writes together.
+	Worst Second `json:"worst"`
+	// WorstReads and WorstWrites are the most of each in any one second.
+	WorstReads  int `json:"worst_reads"`
+	WorstWrites int `json:"worst_writes"`
+	// Seconds holds the last seconds with calls, oldest first.
+	Seconds []Second `json:"seconds"`
+}
+
+// meter counts calls and enforces a budget. Its zero value is ready.
+type meter struct {
+	mu sync.Mutex
+	// calls.Seconds ends with the current second. Guarded by mu.
+	calls Calls
+}
+
+// admit counts a call, or refuses it if its second's budget is spent.
+func (m *meter) admit(now clock.Millis, kind Kind, budget Budget) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	second := m.second(now)
+	used, limit := &second.Reads, budget.Reads
+	if kind.isWrite() {
+		used, limit = &second.Writes, budget.Writes
+	}
+	if limit > 0 && *used >= limit {
+		m.calls.Refused++
+		return false
+	}
+	*used++
+	second.Calls[kind]++
+	if m.calls.Total == nil {
+		m.calls.Total = map[Kind]int64{}
+	}
+	m.calls.Total[kind]++
+	m.noteWorst(second)
+	return true
+}
+
+// second returns the current second. Callers hold mu.
+func (m *meter) second(now clock.Millis) *Second {
+	at := now - now%clock.Second
+	seconds := m.calls.Seconds
+	if len(seconds) == 0 || seconds[len(seconds)-1].At != at {
+		if len(seconds) >= keptSeconds {
+			seconds = append([]Second{}, seconds[1:]...)
+		}
+		m.calls.Seconds = append(seconds, Second{At: at, Reads: m.calls.Held, Calls: map[Kind]int64{}})
+	}
+	return &m.calls.Seconds[len(m.calls.Seconds)-1]
+}
+
+// noteWorst keeps the largest figures. Callers hold mu.
+func (m *meter) noteWorst(second *Second) {
+	m.calls.WorstReads = max(m.calls.WorstReads, second.Reads)
+	m.calls.WorstWrites = max(m.calls.WorstWrites, second.Writes)
+	if second.Reads+second.Writes > m.calls.Worst.Reads+m.calls.Worst.Writes {
+		m.calls.Worst = second.copy()
+	}
+}
+
+// hold notes that a watch begins (1) or ends (-1) to wait.
+func (m *meter) hold(change int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls.Held += change
+	m.calls.MaxHeld = max(m.calls.MaxHeld, m.calls.Held)
+}
+
+// snapshot returns a copy of the account.
+func (m *meter) snapshot() Calls {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	calls := m.calls
+	calls.Total = copyCounts(m.calls.Total)
+	calls.Seconds = make([]Second, 0, len(m.calls.Seconds))
+	for i := range m.calls.Seconds {
+		calls.Seconds = append(calls.Seconds, m.calls.Seconds[i].copy())
+	}
+	return calls
+}
+
+func (s *Second) copy() Second {
+	second := *s
+	second.Calls = copyCounts(s.Calls)
+	return second
+}
+
+func copyCounts(counts map[Kind]int64) map[Kind]int64 {
+	copied := make(map[Kind]int64, len(counts))
+	for kind, count := range counts {
+		copied[kind] = count
+	}
+	return copied
+}
+
+// Calls returns the account of the calls so far.
+func (s *Store) Calls() Calls { return s.meter.snapshot() }
--- /dev/null
+++ b/internal/standin/store/handler.go
@@ -0,0 +1,197 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"sort"
+	"strconv"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	wire "baobabladder.example/baobabladder/internal/wire/store"
+	"baobabladder.example/baobabladder/internal/world/vm"
+)
+
+// latePoll is how often a watch looks for changes that were not to show yet.
+const latePoll = 10 * clock.Millis(1)
+
+// Handler returns the store's HTTP calls and, under /standin/, its control calls.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/objects/{key...}", s.call(Get, s.serveGet))
+	mux.HandleFunc("PUT /v1/objects/{key...}", s.call(Put, s.servePut))
+	mux.HandleFunc("DELETE /v1/objects/{key...}", s.call(Remove, s.serveRemove))
+	mux.HandleFunc("GET /v1/objects", s.call(List, s.serveList))
+	mux.HandleFunc("GET /v1/watch", s.call(Watch, s.serveWatch))
+	mux.HandleFunc("GET /v1/vms", s.call(VMs, s.serveVMs))
+	mux.HandleFunc("PUT /standin/vms/{name}", s.controlListVM)
+	mux.HandleFunc("DELETE /standin/vms/{name}", func(_ http.ResponseWriter, request *http.Request) {
+		s.DropVM(request.PathValue("name"))
+	})
+	mux.HandleFunc("PUT /standin/faults", s.controlFaults)
+	mux.HandleFunc("GET /standin/faults", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Faults()) })
+	mux.HandleFunc("GET /standin/calls", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Calls()) })
+	return mux
+}
+
+// call applies faults and budget before serve.
+func (s *Store) call(kind Kind, serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, request *http.Request) {
+		faults := s.Faults()
+		if slices.Contains(faults.CutOff, callerOf(request)) {
+			panic(http.ErrAbortHandler)
+		}
+		if faults.Delay > 0 && clock.Sleep(request.Context(), faults.Delay) != nil {
+			return
+		}
+		if faults.Down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if !s.meter.admit(s.Clock.Now(), kind, s.Budget) {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		serve(w, request)
+	}
+}
+
+func (s *Store) serveGet(w http.ResponseWriter, request *http.Request) {
+	object, found := s.get(request.PathValue("key"))
+	if !found {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.Header().Set(wire.VersionHeader, strconv.FormatInt(object.Version, 10))
+	_, _ = w.Write(object.Value)
+}
+
+func (s *Store) servePut(w http.ResponseWriter, request *http.Request) {
+	value, err := io.ReadAll(io.LimitReader(request.Body, wire.MaxValueBytes+1))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if len(value) > wire.MaxValueBytes {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
+	s.serveChange(w, request, wire.Object{Key: request.PathValue("key"), Value: value})
+}
+
+func (s *Store) serveRemove(w http.ResponseWriter, request *http.Request) {
+	s.serveChange(w, request, wire.Object{Key: request.PathValue("key"), Deleted: true})
+}
+
+func (s *Store) serveChange(w http.ResponseWriter, request *http.Request, object wire.Object) {
+	ifVersion, err := strconv.ParseInt(request.Header.Get(wire.VersionHeader), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	version, done := s.change(object, ifVersion)
+	if !done {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
+	if s.takeLostAnswer(object.Key) {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(wire.VersionHeader, strconv.FormatInt(version, 10))
+}
+
+func (s *Store) serveList(w http.ResponseWriter, request *http.Request) {
+	listing, _ := s.since([]string{request.URL.Query().Get("prefix")}, 0, 0)
+	listing.Objects = slices.DeleteFunc(listing.Objects, func(object wire.Object) bool { return object.Deleted })
+	sort.Slice(listing.Objects, func(i, j int) bool { return listing.Objects[i].Key < listing.Objects[j].Key })
+	writeJSON(w, listing)
+}
+
+func (s *Store) serveWatch(w http.ResponseWriter, request *http.Request) {
+	s.meter.hold(1)
+	defer s.meter.hold(-1)
+	query := request.URL.Query()
+	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
+	waitMillis, _ := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
+	wait, cancel := context.WithTimeout(request.Context(), clock.Millis(waitMillis).Duration())
+	defer cancel()
+	for {
+		faults := s.Faults()
+		if faults.Down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if slices.Contains(faults.CutOff, callerOf(request)) {
+			panic(http.ErrAbortHandler)
+		}
+		listing, changed := s.since(query["prefix"], after, faults.WatchDelay)
+		if !faults.WatchStall && (len(listing.Objects) > 0 || wait.Err() != nil) {
+			if faults.WatchReorder && len(listing.Objects) > 0 {
+				listing = s.reorder(listing)
+			}
+			writeJSON(w, listing)
+			return
+		}
+		if !s.awaitChange(request.Context(), wait, changed, faults) {
+			return
+		}
+	}
+}
+
+// awaitChange waits for a reason to look again. It returns false when the
+// caller has given up.
+func (s *Store) awaitChange(ctx, wait context.Context, changed chan struct{}, faults Faults) bool {
+	var late <-chan struct{}
+	if faults.WatchDelay > 0 {
+		poll, cancel := context.WithTimeout(ctx, latePoll.Duration())
+		defer cancel()
+		late = poll.Done()
+	}
+	waitDone := wait.Done()
+	if faults.WatchStall {
+		waitDone = nil
+	}
+	select {
+	case <-changed:
+	case <-late:
+	case <-waitDone:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
+func (s *Store) serveVMs(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, wire.VMList{VMs: s.VMs()})
+}
+
+func (s *Store) controlListVM(w http.ResponseWriter, request *http.Request) {
+	var v vm.VM
+	if readJSON(w, request, &v) {
+		v.Name = request.PathValue("name")
+		s.ListVM(v)
+	}
+}
+
+func (s *Store) controlFaults(w http.ResponseWriter, request *http.Request) {
+	var faults Faults
+	if readJSON(w, request, &faults) {
+		s.SetFaults(faults)
+	}
+}
+
+func readJSON(w http.ResponseWriter, request *http.Request, into any) bool {
+	decoder := json.NewDecoder(request.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
