Let the endpoint's stand-in fail in the ways endpoints do

Slots and connections with their limits, seeded service times, cold start, shedding, leaving, load reports that lag, freeze or lie, deadlines and cancellation. Faults: a version that fails or slows down at once, later, under load or on one route; answers late, crossed, cut or double. It counts the runs of each order id and looks at every received byte for a key.

--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -1,71 +1,185 @@
 // Package endpoint stands in for a firm's endpoint: an HTTP server with a fixed
-// number of slots and a service time, that echoes the request's id.
+// number of slots and connections, a seeded service time, a cold start and load
+// reports, that echoes the request's id. It goes wrong on command and counts
+// what reached it.
 package endpoint
 
 import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
-	"sync/atomic"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	wire "baobabladder.example/baobabladder/internal/wire/endpoint"
 )
 
-// Endpoint is the stand-in. Its zero value answers at once without a limit.
+// DigestHeader in an answer holds the SHA-256 of the request's body, in
+// hexadecimal.
+const DigestHeader = "Body-Digest"
+
+// ReportPath is where an endpoint reports its load.
+const ReportPath = "/-/report"
+
+// Endpoint is the stand-in. Its zero value answers at once without a limit. Its
+// exported fields are set before the first request.
 type Endpoint struct {
+	Clock   clock.Clock
 	Name    string
 	Version string
 	// Slots is how many requests run at once; 0 is without limit.
 	Slots int
-	// ServiceTime is how long each request takes.
+	// ServiceTime is how long a request takes, give or take Spread percent.
 	ServiceTime clock.Millis
-
-	running atomic.Int64
+	Spread      int
+	// Seed starts the sequence of service times.
+	Seed uint64
+	// ColdRuns is how many requests it takes to warm up. The first is slower by
+	// ColdPercent; the surcharge falls evenly to nothing.
+	ColdRuns    int
+	ColdPercent int
+	// MaxConnections is how many connections are held; 0 is without limit.
+	MaxConnections int
+	// ConnectionCost is the time that each new connection takes, one by one.
+	ConnectionCost clock.Millis
 
 	mu sync.Mutex
-	// orders counts the runs of each order id. Guarded by mu.
-	orders map[string]int
+	// counts is what happened so far. Guarded by mu.
+	counts Counts
+	// running is how many requests hold a slot. Guarded by mu.
+	running int
+	// service draws service times; nil before the first. Guarded by mu.
+	service *rand.Rand
+	// faults are in force since faultsAt. Guarded by mu.
+	faults   Faults
+	faultsAt clock.Millis
+	// leavingAt is when the endpoint began to leave. Guarded by mu.
+	leavingAt clock.Millis
+	// answered counts answers to requests that ran; lastID and lastBody are of
+	// the last one. Guarded by mu.
+	answered int
+	lastID   string
+	lastBody string
+	// reports holds past loads, oldest first. Guarded by mu.
+	reports []loadAt
 }
 
+var errDeadline = errors.New("the deadline passed")
+
 // ServeHTTP implements http.Handler.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	running := e.running.Add(1)
-	defer e.running.Add(-1)
+	e.noteHead(request)
+	switch {
+	case request.URL.Path == ReportPath:
+		writeJSON(w, e.Report())
+	case e.isControl(w, request):
+	default:
+		e.serve(w, request)
+	}
+}
+
+func (e *Endpoint) serve(w http.ResponseWriter, request *http.Request) {
+	admitted := e.acquire()
 	w.Header().Set(wire.RequestIDHeader, request.Header.Get(wire.RequestIDHeader))
-	w.Header().Set(wire.LoadHeader, fmt.Sprintf("%d/%d", running, e.Slots))
-	if e.Slots > 0 && running > int64(e.Slots) {
-		w.Header().Set(wire.NotRunHeader, "shed")
-		w.WriteHeader(http.StatusServiceUnavailable)
+	w.Header().Set(wire.LoadHeader, e.loadHeader())
+	if !admitted {
+		refuse(w, "shed")
 		return
 	}
-	size, err := io.Copy(io.Discard, request.Body)
+	defer e.release()
+	ctx, cancel, inTime := withDeadline(request)
+	defer cancel()
+	if !inTime {
+		e.count(func(c *Counts) { c.Late++ })
+		refuse(w, "deadline")
+		return
+	}
+	size, digest, err := e.readBody(request)
 	if err != nil {
+		e.count(func(c *Counts) { c.CutUploads++ })
+		return
+	}
+	e.countRun(request, size, digest)
+	fault := e.versionFault(request.URL.Path)
+	if err := clock.Sleep(ctx, e.serviceTime(fault)); err != nil {
+		e.count(func(c *Counts) { c.Cancelled++ })
+		if errors.Is(err, context.DeadlineExceeded) {
+			http.Error(w, errDeadline.Error(), http.StatusGatewayTimeout)
+		}
 		return
 	}
-	e.count(request.Header.Get(wire.OrderIDHeader))
-	if clock.Sleep(request.Context(), e.ServiceTime) != nil {
+	if fault.Fail {
+		e.count(func(c *Counts) { c.Failed++ })
+		http.Error(w, "the version is broken", http.StatusInternalServerError)
 		return
 	}
-	fmt.Fprintf(w, "%s %s %s %d\n", e.Name, e.Version, request.URL.Path, size)
+	w.Header().Set(DigestHeader, digest)
+	e.answer(w, request, fmt.Sprintf("%s %s %s %d\n", e.Name, e.Version, request.URL.Path, size))
+}
+
+// refuse answers that the request did not run.
+func refuse(w http.ResponseWriter, why string) {
+	w.Header().Set(wire.NotRunHeader, why)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// acquire takes a slot.
+func (e *Endpoint) acquire() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.Slots > 0 && e.running >= e.Slots {
+		e.counts.Shed++
+		return false
+	}
+	e.running++
+	e.counts.PeakRunning = max(e.counts.PeakRunning, e.running)
+	e.noteLoad()
+	return true
 }
 
-// Orders returns how often the order with the given id ran.
-func (e *Endpoint) Orders(id string) int {
+func (e *Endpoint) release() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.orders[id]
+	e.running--
+	e.noteLoad()
 }
 
-func (e *Endpoint) count(order string) {
-	if order == "" {
-		return
+// withDeadline bounds the request's context by its deadline header.
+func withDeadline(request *http.Request) (ctx context.Context, cancel context.CancelFunc, inTime bool) {
+	left, err := strconv.ParseInt(request.Header.Get(wire.DeadlineHeader), 10, 64)
+	if err != nil {
+		return request.Context(), func() {}, true
 	}
+	ctx, cancel = context.WithTimeout(request.Context(), clock.Millis(left).Duration())
+	return ctx, cancel, left > 0
+}
+
+// readBody takes the whole body and returns its size and digest.
+func (e *Endpoint) readBody(request *http.Request) (size int64, digest string, err error) {
+	hash := sha256.New()
+	size, err = io.Copy(hash, request.Body)
+	return size, hex.EncodeToString(hash.Sum(nil)), err
+}
+
+// serviceTime draws the next service time.
+func (e *Endpoint) serviceTime(fault VersionFault) clock.Millis {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.orders == nil {
-		e.orders = map[string]int{}
+	if e.service == nil {
+		e.service = rand.New(rand.NewPCG(e.Seed, 0))
+	}
+	percent := 100 + fault.SlowPercent
+	if e.Spread > 0 {
+		percent += e.service.IntN(2*e.Spread+1) - e.Spread
+	}
+	if run := int(e.counts.Runs); run <= e.ColdRuns {
+		percent += e.ColdPercent * (e.ColdRuns - run + 1) / e.ColdRuns
 	}
-	e.orders[order]++
+	return e.ServiceTime * clock.Millis(percent) / 100
 }
