Learn of VMs by heartbeats, and of changes from the store or from peers

Each VM asks every peer twice a second; answers carry the peer's run, the age and a digest of its knowledge, its leases and the platform's list. One VM in each data centre watches the store; every VM fetches from peers what it misses. Knowledge is complete as of the earliest time at which each listed VM was heard and its content merged, which holds in a total outage of the store too.

Parsed values are now kept beside the objects, so a change no longer parses every document again either.

--- /dev/null
+++ b/internal/control/follower/follower.go
@@ -0,0 +1,361 @@
+// Package follower keeps a VM's copy of the configuration up to date. In each
+// data centre one VM watches the store and reads the platform's list of VMs; it
+// pushes changes to the other VMs there. Every VM also compares its copy with
+// its peers' at each heartbeat and fetches what it misses.
+package follower
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/fault"
+	"baobabladder.example/baobabladder/internal/control/freshness"
+	"baobabladder.example/baobabladder/internal/control/heartbeat"
+	"baobabladder.example/baobabladder/internal/wire/store"
+	"baobabladder.example/baobabladder/internal/world/membership"
+	"baobabladder.example/baobabladder/internal/world/replica"
+	"baobabladder.example/baobabladder/internal/world/vm"
+)
+
+// Times of following the store.
+const (
+	// watchWait bounds one watch. An answer is word from the store even if nothing
+	// changed, so it bounds the age of knowledge too.
+	watchWait    = 1 * clock.Second
+	listInterval = 1 * clock.Second
+	// callGrace is how much longer than its wait a call may take.
+	callGrace = 1500 * clock.Millis(1)
+	// retryDelay is the least delay after a failed call; as much again is random.
+	retryDelay = 700 * clock.Millis(1)
+	// idleDelay is how often a VM that does not watch looks whether it should.
+	idleDelay = 200 * clock.Millis(1)
+	// takeoverSpread is how much random delay each VM of a data centre adds before
+	// it takes over the watch, so that not all do at once.
+	takeoverSpread = 50 * clock.Millis(1)
+	pageTimeout    = 2 * clock.Second
+	pushTimeout    = 2 * clock.Second
+	pushRetryDelay = 200 * clock.Millis(1)
+	// maxPushes bounds the pushes under way at once.
+	maxPushes = 32
+)
+
+// ReceiverName is the name under which peers call a Receiver.
+const ReceiverName = "Follower"
+
+// Store is the part of the store's client that a Follower uses.
+type Store interface {
+	Watch(ctx context.Context, prefixes []string, after int64, wait clock.Millis) (store.Listing, error)
+	VMs(ctx context.Context) (store.VMList, error)
+}
+
+// Fetch asks for what changed after a revision.
+type Fetch struct{ After int64 }
+
+// Push offers changes to a peer.
+type Push struct {
+	// After is the revision that Page's objects follow.
+	After int64
+	Page  replica.Page
+}
+
+// Pushed is the reply to a Push.
+type Pushed struct{ Summary replica.Summary }
+
+// Follower is one VM's part in following the store. All exported fields must be
+// set, but for Jitter.
+type Follower struct {
+	Replica   *replica.Replica
+	Freshness *freshness.Freshness
+	Heartbeat *heartbeat.Heartbeat
+	Store     Store
+	Peers     heartbeat.Caller
+	Clock     clock.Clock
+	Log       logrus.FieldLogger
+	// Jitter returns a number from 0 up to below n; optional.
+	Jitter func(n clock.Millis) clock.Millis
+
+	// ready never goes back to false.
+	ready atomic.Bool
+	// first lets one fetch of the whole content run at a time.
+	first sync.Mutex
+
+	mu sync.Mutex
+	// merged holds, by address, the last summary of a peer whose content is all in
+	// the copy. Guarded by mu.
+	merged map[string]replica.Summary
+}
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { f.repeat(ctx, f.Watch, 0) })
+	group.Go(func() { f.repeat(ctx, f.List, listInterval) })
+	group.Wait()
+}
+
+// repeat calls step while this VM is its data centre's watcher.
+func (f *Follower) repeat(ctx context.Context, step func(ctx context.Context) error, pause clock.Millis) {
+	watching := false
+	for ctx.Err() == nil {
+		if !f.IsWatcher() {
+			watching = false
+			_ = clock.Sleep(ctx, idleDelay)
+			continue
+		}
+		members := f.localMembers()
+		if !watching {
+			watching = true
+			_ = clock.Sleep(ctx, f.jitter(takeoverSpread*clock.Millis(members)))
+			continue
+		}
+		wait := pause
+		if err := step(ctx); err != nil {
+			f.Log.WithError(err).Debug("following the store failed")
+			// In an outage all VMs of a data centre try, so the delay grows with them.
+			delay := retryDelay * clock.Millis((members+3)/4)
+			wait = delay + f.jitter(delay)
+		}
+		_ = clock.Sleep(ctx, wait)
+	}
+}
+
+// IsWatcher says whether this VM is to follow the store for its data centre: no
+// VM there with a lesser name has contact with the store.
+func (f *Follower) IsWatcher() bool {
+	self := f.Heartbeat.Self
+	for _, member := range f.Heartbeat.View().Members {
+		if member.DataCentre == self.DataCentre && member.Name < self.Name && member.Reachable && member.HasContact && !member.Stopping {
+			return false
+		}
+	}
+	return true
+}
+
+// Watch waits once for changes in the store and passes them on.
+func (f *Follower) Watch(ctx context.Context) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, (watchWait + callGrace).Duration())
+	defer cancel()
+	after := f.Replica.Summary().Revision
+	sent := f.Clock.Now()
+	listing, err := f.Store.Watch(ctx, replica.Prefixes(), after, watchWait)
+	if err != nil {
+		f.Heartbeat.LoseContact()
+		return err
+	}
+	if _, err := f.Replica.Merge(listing); err != nil {
+		f.Log.WithError(err).Error("an object in the store can't be read; its older value stays in force")
+	}
+	f.Heartbeat.SetContact(sent)
+	f.Freshness.Learn(sent)
+	f.setReady("the store answered")
+	// A first listing is not pushed: peers fetch what they miss from it.
+	if after > 0 && len(listing.Objects) > 0 {
+		f.pushLocal(ctx, after)
+	}
+	return nil
+}
+
+// List reads the platform's list of VMs once.
+func (f *Follower) List(ctx context.Context) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, callGrace.Duration())
+	defer cancel()
+	sent := f.Clock.Now()
+	list, err := f.Store.VMs(ctx)
+	if err != nil {
+		return err
+	}
+	f.Heartbeat.SetList(list.VMs, sent)
+	f.Heartbeat.Refresh()
+	return nil
+}
+
+// Ready says whether this VM knows enough to serve, and why not. During an
+// outage of the store that takes the content of every peer that can be reached.
+func (f *Follower) Ready() (ready bool, why string) {
+	if f.ready.Load() {
+		return true, ""
+	}
+	caughtUp, heard := f.Heartbeat.CaughtUp()
+	switch {
+	case caughtUp && heard > 0:
+		f.setReady("all reachable peers answered")
+		return true, ""
+	case heard > 0:
+		return false, "the store gives no answer, and not every reachable peer has been heard yet"
+	}
+	return false, "neither the store nor a peer that knows its content gives an answer"
+}
+
+func (f *Follower) setReady(why string) {
+	if f.ready.CompareAndSwap(false, true) {
+		f.Heartbeat.SetReady()
+		f.Log.WithField("revision", f.Replica.Summary().Revision).Info("ready to serve: " + why)
+	}
+}
+
+// CatchUp fetches what the peer at address holds and this VM misses; it serves
+// as heartbeat.CatchUp.
+func (f *Follower) CatchUp(ctx context.Context, address string, answer *heartbeat.Answer) (whole bool, err error) {
+	defer fault.Annotate(&err, "catching up with %s", answer.ID.Name)
+	if f.holds(address, answer.Summary) {
+		return true, nil
+	}
+	if f.Replica.Summary().Revision == 0 {
+		f.first.Lock()
+		defer f.first.Unlock()
+		if f.holds(address, answer.Summary) {
+			return true, nil
+		}
+	}
+	if err := f.fetch(ctx, address); err != nil {
+		return false, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.merged == nil {
+		f.merged = map[string]replica.Summary{}
+	}
+	f.merged[address] = answer.Summary
+	return true, nil
+}
+
+// holds says whether the copy has all of a peer's content.
+func (f *Follower) holds(address string, theirs replica.Summary) bool {
+	ours := f.Replica.Summary()
+	if theirs.Digest == ours.Digest && theirs.Revision <= ours.Revision {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.merged[address] == theirs && theirs != replica.Summary{}
+}
+
+// fetch takes over all that the peer at address holds above this copy's
+// revision, page by page.
+func (f *Follower) fetch(ctx context.Context, address string) (err error) {
+	// A heartbeat's time is for one small answer; pages may take longer.
+	ctx = context.WithoutCancel(ctx)
+	for after := f.Replica.Summary().Revision; ; {
+		page, err := f.fetchPage(ctx, address, after)
+		if err != nil {
+			return err
+		}
+		if _, err := f.Replica.MergePage(page, after); err != nil {
+			f.Log.WithError(err).Error("a peer's object can't be read; its older value stays in force")
+		}
+		if page.Next == 0 {
+			return nil
+		}
+		after = page.Next
+	}
+}
+
+func (f *Follower) fetchPage(ctx context.Context, address string, after int64) (page replica.Page, err error) {
+	ctx, cancel := context.WithTimeout(ctx, pageTimeout.Duration())
+	defer cancel()
+	err = f.Peers.Call(ctx, address, ReceiverName+".Fetch", Fetch{After: after}, &page)
+	return page, err
+}
+
+// pushLocal sends what changed after a revision to the peers in this VM's data
+// centre. Peers that miss it fetch it after their next heartbeat.
+func (f *Follower) pushLocal(ctx context.Context, after int64) {
+	var local []membership.Member
+	for _, member := range f.Heartbeat.View().Peers() {
+		if member.DataCentre == f.Heartbeat.Self.DataCentre && member.Reachable {
+			local = append(local, member)
+		}
+	}
+	push := Push{After: after, Page: f.Replica.Page(after)}
+	f.pushTo(ctx, local, push)
+}
+
+// PushAll sends the given objects and the pending withdrawals to all other
+// members. It tries until each has confirmed or ctx ends, and returns the names
+// of those that did and of the rest, sorted; this VM confirms by itself.
+func (f *Follower) PushAll(ctx context.Context, objects []store.Object) (confirmed, rest []string) {
+	push := Push{Page: replica.Page{Listing: store.Listing{Objects: objects}, Pending: f.Replica.Pending()}}
+	confirmed = []string{f.Heartbeat.ID.Name}
+	rest = []string{}
+	left := f.Heartbeat.View().Peers()
+	for len(left) > 0 {
+		done := f.pushTo(ctx, left, push)
+		confirmed = append(confirmed, done...)
+		left = slices.DeleteFunc(left, func(m membership.Member) bool { return slices.Contains(done, m.Name) })
+		if len(left) == 0 || clock.Sleep(ctx, pushRetryDelay) != nil {
+			break
+		}
+	}
+	for _, member := range left {
+		rest = append(rest, member.Name)
+	}
+	slices.Sort(confirmed)
+	return confirmed, rest
+}
+
+// pushTo pushes once to each member and returns the names of those that took it.
+func (f *Follower) pushTo(ctx context.Context, members []membership.Member, push Push) (done []string) {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	slots := make(chan struct{}, maxPushes)
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout.Duration())
+	defer cancel()
+	for _, member := range members {
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			var reply Pushed
+			if err := f.Peers.Call(ctx, member.PeerAddress, ReceiverName+".Push", push, &reply); err != nil {
+				f.Log.WithError(err).WithField("peer", member.Name).Debug("pushing changes failed")
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			done = append(done, member.Name)
+		})
+	}
+	group.Wait()
+	return done
+}
+
+func (f *Follower) localMembers() (n int) {
+	for _, member := range f.Heartbeat.View().Members {
+		if member.DataCentre == f.Heartbeat.Self.DataCentre && member.State != vm.Leaving {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+func (f *Follower) jitter(n clock.Millis) clock.Millis {
+	if f.Jitter == nil {
+		return 0
+	}
+	return f.Jitter(n)
+}
+
+// Receiver serves peers over net/rpc.
+type Receiver struct{ follower *Follower }
+
+// NewReceiver returns what to register under ReceiverName.
+func NewReceiver(follower *Follower) *Receiver { return &Receiver{follower: follower} }
+
+// Fetch returns what changed after a revision.
+func (r *Receiver) Fetch(fetch Fetch, page *replica.Page) error {
+	*page = r.follower.Replica.Page(fetch.After)
+	return nil
+}
+
+// Push merges offered changes. A reply without error says that they are in force.
+func (r *Receiver) Push(push Push, pushed *Pushed) error {
+	if _, err := r.follower.Replica.MergePage(push.Page, push.After); err != nil {
+		return err
+	}
+	pushed.Summary = r.follower.Replica.Summary()
+	return nil
+}
--- /dev/null
+++ b/internal/control/heartbeat/heartbeat.go
@@ -0,0 +1,565 @@
+// Package heartbeat asks every other entry VM, again and again, how it is. The
+// answers and the platform's list, which they relay, make up the VM's view of
+// the membership.
+package heartbeat
+
+import (
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/fault"
+	"baobabladder.example/baobabladder/internal/control/freshness"
+	"baobabladder.example/baobabladder/internal/control/lease"
+	"baobabladder.example/baobabladder/internal/world/membership"
+	"baobabladder.example/baobabladder/internal/world/replica"
+	"baobabladder.example/baobabladder/internal/world/vm"
+)
+
+// Times of heartbeats.
+const (
+	// Interval is how often each peer is asked.
+	Interval = 500 * clock.Millis(1)
+
+	callTimeout = 1 * clock.Second
+	// reachableTime is how long an answer counts.
+	reachableTime = 1700 * clock.Millis(1)
+	// contactTime is how long an answer of the store counts.
+	contactTime     = 3 * clock.Second
+	refreshInterval = 100 * clock.Millis(1)
+	// unlistedTime is how long a VM that the platform does not list yet counts as
+	// a peer after it last called.
+	unlistedTime = 10 * clock.Second
+)
+
+// ReceiverName is the name under which peers call a Receiver.
+const ReceiverName = "Heartbeat"
+
+// Caller calls peers; see peer.Client.
+type Caller interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// CatchUp brings this VM's copy up to what an answer tells of, and reports
+// whether the copy then holds all that the peer held.
+type CatchUp func(ctx context.Context, address string, answer *Answer) (whole bool, err error)
+
+// Heartbeat is one VM's part in the heartbeats. The exported fields must be set
+// before use, but for those said to be optional.
+type Heartbeat struct {
+	Self      vm.VM
+	ID        vm.ID
+	Replica   *replica.Replica
+	Freshness *freshness.Freshness
+	Peers     Caller
+	Clock     clock.Clock
+	// Seeds holds peer addresses to ask while the platform's list is not known;
+	// optional.
+	Seeds []string
+	// CatchUp is optional; without it, answers don't count for freshness.
+	CatchUp CatchUp
+	// Claims returns the leases that this VM holds; optional.
+	Claims func() []lease.Claim
+	// Jitter returns a number from 0 up to below n; optional.
+	Jitter func(n clock.Millis) clock.Millis
+
+	view     atomic.Pointer[membership.View]
+	ready    atomic.Bool
+	stopping atomic.Bool
+
+	mu sync.Mutex
+	// peers holds every other entry VM heard or heard of, by name. Guarded by mu.
+	peers map[string]*peerState
+	// list is the platform's list, or nil; listAsOf is the time as of which this
+	// VM knows it. Guarded by mu.
+	list       []vm.VM
+	listAsOf   clock.Millis
+	listDigest uint64
+	// gone holds VMs that the list has dropped, by name. Guarded by mu.
+	gone map[string]vm.ID
+	// contactAt is when the last question was sent that the store answered.
+	// Guarded by mu.
+	contactAt  clock.Millis
+	hasContact bool
+}
+
+// peerState is what is known of one other entry VM.
+type peerState struct {
+	// vm is what the platform's list says, with the addresses of the newest run.
+	vm     vm.VM
+	listed bool
+	// calledAt is when the VM last called.
+	calledAt clock.Millis
+	called   bool
+	// incarnation is the newest one heard of.
+	incarnation vm.Incarnation
+	// answer is the newest answer, or nil; sentAt is when its question was sent
+	// and heardAt when it came.
+	answer  *Answer
+	sentAt  clock.Millis
+	heardAt clock.Millis
+	// caughtUp says that this VM's copy once held all that the peer held.
+	caughtUp bool
+	// failures counts questions without an answer since the last answer.
+	failures int
+	// roundTrip is smoothed, in microseconds.
+	roundTrip int64
+}
+
+// View returns the current view; it is never nil.
+func (h *Heartbeat) View() *membership.View {
+	if view := h.view.Load(); view != nil {
+		return view
+	}
+	return &membership.View{Self: h.ID.Name, Members: []membership.Member{{VM: h.Self, Incarnation: h.ID.Incarnation, Reachable: true}}}
+}
+
+// Stop makes the answers say that this VM is stopping.
+func (h *Heartbeat) Stop() {
+	h.stopping.Store(true)
+	h.Refresh()
+}
+
+// SetReady makes the answers say that this VM can serve.
+func (h *Heartbeat) SetReady() { h.ready.Store(true) }
+
+// SetContact notes an answer of the store to a question sent at a time.
+func (h *Heartbeat) SetContact(sent clock.Millis) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.contactAt, h.hasContact = max(h.contactAt, sent), true
+}
+
+// LoseContact notes that the store gave no answer.
+func (h *Heartbeat) LoseContact() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hasContact = false
+}
+
+// SetList takes over the platform's list as of a time, unless a newer one is
+// known.
+func (h *Heartbeat) SetList(list []vm.VM, asOf clock.Millis) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.list != nil && asOf <= h.listAsOf {
+		return
+	}
+	h.listAsOf = asOf
+	digest := listDigest(list)
+	if digest == h.listDigest {
+		return
+	}
+	h.list, h.listDigest = append([]vm.VM{}, list...), digest
+	listed := map[string]bool{}
+	for _, v := range list {
+		if v.Role == vm.Entry && v.Name != h.ID.Name {
+			listed[v.Name] = true
+			h.addListed(v)
+		}
+	}
+	for name, state := range h.peers {
+		if state.listed && !listed[name] {
+			h.gone[name] = vm.ID{Name: name, Incarnation: state.incarnation}
+			delete(h.peers, name)
+		}
+	}
+}
+
+// Heard returns the newest claim that a peer made of a duty, and its age.
+func (h *Heartbeat) Heard(duty string) (newest lease.Claim, age clock.Millis, found bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, state := range h.peers {
+		if state.answer == nil {
+			continue
+		}
+		for _, claim := range state.answer.Leases {
+			if claim.Duty == duty && (!found || claim.Term > newest.Term) {
+				newest, age, found = claim, h.Clock.Now()-state.sentAt, true
+			}
+		}
+	}
+	return newest, age, found
+}
+
+// CaughtUp reports whether this VM's copy has held all that every listed peer
+// held, but for those that gave no answer to several questions. heard counts the
+// peers that answered and were ready to serve.
+func (h *Heartbeat) CaughtUp() (caughtUp bool, heard int) {
+	const enoughFailures = 3
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.list == nil {
+		return false, 0
+	}
+	for _, state := range h.peers {
+		switch {
+		case state.caughtUp && state.answer.Ready:
+			heard++
+		case !state.caughtUp && state.failures < enoughFailures:
+			return false, heard
+		}
+	}
+	return true, heard
+}
+
+// Targets returns the addresses to ask, by name. A seed goes by its address as
+// long as no list is known.
+func (h *Heartbeat) Targets() map[string]string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	targets := map[string]string{}
+	known := map[string]bool{h.Self.PeerAddress: true}
+	for name, state := range h.peers {
+		targets[name] = state.vm.PeerAddress
+		known[state.vm.PeerAddress] = true
+	}
+	if h.list == nil {
+		for _, seed := range h.Seeds {
+			if !known[seed] {
+				targets[seed] = seed
+			}
+		}
+	}
+	return targets
+}
+
+// Run asks all peers until ctx ends. Each peer has a goroutine of its own, so a
+// frozen one delays no other.
+func (h *Heartbeat) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	asking := map[string]context.CancelFunc{}
+	for ctx.Err() == nil {
+		targets := h.Targets()
+		for name := range targets {
+			if asking[name] == nil {
+				peerCtx, cancel := context.WithCancel(ctx)
+				asking[name] = cancel
+				group.Go(func() { h.askRepeatedly(peerCtx, name) })
+			}
+		}
+		for name, cancel := range asking {
+			if _, found := targets[name]; !found {
+				cancel()
+				delete(asking, name)
+			}
+		}
+		h.Refresh()
+		_ = clock.Sleep(ctx, refreshInterval)
+	}
+	for _, cancel := range asking {
+		cancel()
+	}
+}
+
+func (h *Heartbeat) askRepeatedly(ctx context.Context, name string) {
+	for ctx.Err() == nil {
+		if address := h.Targets()[name]; address != "" {
+			callCtx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+			_ = h.Ask(callCtx, address)
+			cancel()
+		}
+		_ = clock.Sleep(ctx, Interval*9/10+h.jitter(Interval/5))
+	}
+}
+
+// Ask sends one question to the peer at address and takes in the answer.
+func (h *Heartbeat) Ask(ctx context.Context, address string) (err error) {
+	defer fault.Annotate(&err, "asking the peer at %s", address)
+	h.mu.Lock()
+	question := Question{From: h.Self, ID: h.ID, ListDigest: h.listDigest}
+	h.mu.Unlock()
+	sent, sentMicros := h.Clock.Now(), h.Clock.Micros()
+	var answer Answer
+	if err := h.Peers.Call(ctx, address, ReceiverName+".Ask", question, &answer); err != nil {
+		h.fail(address)
+		return err
+	}
+	h.take(&answer, sent, h.Clock.Micros()-sentMicros)
+	switch {
+	case answer.ListSame:
+		h.confirmList(question.ListDigest, sent-answer.ListAge)
+	case answer.ListKnown:
+		h.SetList(answer.List, sent-answer.ListAge)
+	}
+	return h.catchUp(ctx, address, &answer, sent)
+}
+
+// catchUp merges what the peer holds and counts the answer for freshness.
+func (h *Heartbeat) catchUp(ctx context.Context, address string, answer *Answer, sent clock.Millis) (err error) {
+	if h.CatchUp == nil {
+		return nil
+	}
+	whole, err := h.CatchUp(ctx, address, answer)
+	if err != nil || !whole {
+		return err
+	}
+	h.mu.Lock()
+	state := h.peers[answer.ID.Name]
+	if state != nil && state.answer != nil {
+		state.caughtUp = true
+	}
+	h.mu.Unlock()
+	h.Freshness.Hear(answer.ID.Name, sent)
+	if answer.Known {
+		h.Freshness.Learn(sent - answer.Age)
+	}
+	return nil
+}
+
+// Answer answers a peer's question.
+func (h *Heartbeat) Answer(question Question) (answer Answer) {
+	h.noteCaller(question)
+	answer.VM, answer.ID = h.Self, h.ID
+	answer.Age, answer.Known = h.Freshness.Age()
+	answer.Summary = h.Replica.Summary()
+	answer.Ready, answer.Stopping = h.ready.Load(), h.stopping.Load()
+	if h.Claims != nil {
+		answer.Leases = h.Claims()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	answer.HasContact = h.contact()
+	for _, name := range slices.Sorted(maps.Keys(h.peers)) {
+		if h.isReachable(h.peers[name]) {
+			answer.Reachable = append(answer.Reachable, name)
+		}
+	}
+	if h.list != nil {
+		answer.ListKnown, answer.ListAge = true, h.Clock.Now()-h.listAsOf
+		answer.ListSame = h.listDigest == question.ListDigest
+		if !answer.ListSame {
+			answer.List = h.list
+		}
+	}
+	return answer
+}
+
+// Refresh rebuilds the view.
+func (h *Heartbeat) Refresh() {
+	age, known := h.Freshness.Age()
+	self := membership.Member{
+		VM: h.Self, Incarnation: h.ID.Incarnation, Reachable: true, Stopping: h.stopping.Load(),
+		Ready: h.ready.Load(), Revision: h.Replica.Summary().Revision,
+	}
+	if known {
+		self.StoreAge = age
+	}
+	if h.Claims != nil {
+		self.Leases = duties(h.Claims())
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	self.HasContact = h.contact()
+	view := &membership.View{Self: h.ID.Name, Members: []membership.Member{self}, Endpoints: map[string]vm.State{}}
+	peers := []string{}
+	for _, name := range slices.Sorted(maps.Keys(h.peers)) {
+		state := h.peers[name]
+		if !state.listed && !h.calledLately(state) {
+			delete(h.peers, name)
+			continue
+		}
+		peers = append(peers, name)
+		view.Members = append(view.Members, h.member(state))
+	}
+	slices.SortFunc(view.Members, func(a, b membership.Member) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	for _, v := range h.list {
+		if v.Role == vm.Endpoint {
+			view.Endpoints[v.Name] = v.State
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(h.gone)) {
+		view.Gone = append(view.Gone, h.gone[name])
+	}
+	// A VM that the platform does not list, or not any more, can't conclude from
+	// hearing the listed ones that it misses nothing.
+	if !h.isListed() {
+		peers = nil
+	}
+	h.Freshness.SetPeers(peers)
+	h.view.Store(view)
+}
+
+// member describes a peer. Callers hold mu.
+func (h *Heartbeat) member(state *peerState) membership.Member {
+	member := membership.Member{
+		VM: state.vm, Incarnation: state.incarnation,
+		Reachable: h.isReachable(state), RoundTrip: state.roundTrip,
+	}
+	if answer := state.answer; answer != nil {
+		age := h.Clock.Now() - state.sentAt
+		member.Stopping, member.Ready = answer.Stopping, answer.Ready
+		member.StoreAge, member.Revision = answer.Age+age, answer.Summary.Revision
+		member.HasContact = answer.HasContact && age < contactTime
+		member.Leases = duties(answer.Leases)
+	}
+	return member
+}
+
+// noteCaller makes a VM that calls before the platform lists it a peer, so that
+// it is reached and asked at once.
+func (h *Heartbeat) noteCaller(question Question) {
+	name := question.ID.Name
+	if name == "" || name == h.ID.Name {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if gone, found := h.gone[name]; found && question.ID.Incarnation <= gone.Incarnation {
+		return
+	}
+	state := h.state(name)
+	state.calledAt, state.called = h.Clock.Now(), true
+	state.learnRun(question.From, question.ID)
+}
+
+// take notes an answer.
+func (h *Heartbeat) take(answer *Answer, sent clock.Millis, roundTrip int64) {
+	name := answer.ID.Name
+	if name == "" || name == h.ID.Name {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if gone, found := h.gone[name]; found && answer.ID.Incarnation <= gone.Incarnation {
+		return
+	}
+	state := h.state(name)
+	if answer.ID.Incarnation < state.incarnation || (state.answer != nil && sent < state.sentAt) {
+		return
+	}
+	if !state.listed {
+		state.calledAt, state.called = h.Clock.Now(), true
+	}
+	state.learnRun(answer.VM, answer.ID)
+	state.answer, state.sentAt, state.heardAt, state.failures = answer, sent, h.Clock.Now(), 0
+	if state.roundTrip == 0 {
+		state.roundTrip = roundTrip
+	}
+	state.roundTrip += (roundTrip - state.roundTrip) / 8
+}
+
+func (h *Heartbeat) fail(address string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, state := range h.peers {
+		if state.vm.PeerAddress == address {
+			state.failures++
+		}
+	}
+}
+
+// learnRun takes over the addresses that the newest run of a VM tells of itself,
+// which the platform's list may not know yet.
+func (s *peerState) learnRun(told vm.VM, id vm.ID) {
+	if id.Incarnation < s.incarnation {
+		return
+	}
+	if id.Incarnation > s.incarnation {
+		s.caughtUp = false
+	}
+	s.incarnation = id.Incarnation
+	state := s.vm.State
+	s.vm = told
+	if s.listed {
+		s.vm.State = state
+	}
+}
+
+// state returns the peer's state, made if need be. Callers hold mu.
+func (h *Heartbeat) state(name string) *peerState {
+	if h.peers == nil {
+		h.peers = map[string]*peerState{}
+	}
+	if h.gone == nil {
+		h.gone = map[string]vm.ID{}
+	}
+	if h.peers[name] == nil {
+		h.peers[name] = &peerState{}
+	}
+	return h.peers[name]
+}
+
+// addListed takes over an entry of the platform's list. Callers hold mu.
+func (h *Heartbeat) addListed(v vm.VM) {
+	state := h.state(v.Name)
+	if state.incarnation == 0 {
+		state.vm = v
+	}
+	state.vm.State = v.State
+	state.listed = true
+	delete(h.gone, v.Name)
+}
+
+// confirmList notes that the list with the given digest was right at a time.
+func (h *Heartbeat) confirmList(digest uint64, asOf clock.Millis) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if digest == h.listDigest {
+		h.listAsOf = max(h.listAsOf, asOf)
+	}
+}
+
+// isListed says whether the platform's list has this VM. Callers hold mu.
+func (h *Heartbeat) isListed() bool {
+	return slices.ContainsFunc(h.list, func(v vm.VM) bool { return v.Role == vm.Entry && v.Name == h.ID.Name })
+}
+
+// contact says whether the store answered this VM lately. Callers hold mu.
+func (h *Heartbeat) contact() bool {
+	return h.hasContact && h.Clock.Now()-h.contactAt < contactTime
+}
+
+func (h *Heartbeat) isReachable(state *peerState) bool {
+	return state.answer != nil && h.Clock.Now()-state.sentAt < reachableTime
+}
+
+func (h *Heartbeat) calledLately(state *peerState) bool {
+	return state.called && h.Clock.Now()-state.calledAt < unlistedTime
+}
+
+func (h *Heartbeat) jitter(n clock.Millis) clock.Millis {
+	if h.Jitter == nil {
+		return 0
+	}
+	return h.Jitter(n)
+}
+
+func duties(claims []lease.Claim) (names []string) {
+	for _, claim := range claims {
+		names = append(names, claim.Duty)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// listDigest returns a hash of the list that is not 0.
+func listDigest(list []vm.VM) uint64 {
+	hash := fnv.New64a()
+	_ = json.NewEncoder(hash).Encode(list)
+	return hash.Sum64() | 1
+}
+
+// Receiver serves the questions of peers over net/rpc.
+type Receiver struct{ heartbeat *Heartbeat }
+
+// NewReceiver returns what to register under ReceiverName.
+func NewReceiver(heartbeat *Heartbeat) *Receiver { return &Receiver{heartbeat: heartbeat} }
+
+// Ask answers one question.
+func (r *Receiver) Ask(question Question, answer *Answer) error {
+	*answer = r.heartbeat.Answer(question)
+	return nil
+}
--- a/internal/world/membership/membership.go
+++ b/internal/world/membership/membership.go
@@ -18,9 +18,17 @@
 	// Stopping says that the VM has begun a planned stop: it is not named to new
 	// callers, but still serves those that come.
 	Stopping bool
-	// StoreAge is how long the VM has had no answer from the store, as it said
-	// itself, plus the age of that word.
+	// StoreAge is how old the VM's knowledge is, as it said itself, plus the age of
+	// that word; see package freshness.
 	StoreAge clock.Millis
+	// HasContact says that the VM itself had an answer from the store lately.
+	HasContact bool
+	// Ready says that the VM knows enough to serve callers.
+	Ready bool
+	// Revision is the store's revision that the VM's copy is complete up to.
+	Revision int64
+	// Leases holds the duties that the VM holds, sorted.
+	Leases []string
 	// RoundTrip is the smoothed heartbeat round trip, in microseconds.
 	RoundTrip int64
 }
--- a/internal/world/replica/replica.go
+++ b/internal/world/replica/replica.go
@@ -6,7 +6,11 @@
 
 import (
 	"encoding/json"
+	"hash/fnv"
+	"maps"
+	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,6 +25,10 @@
 // MovePrefix starts the store keys of the states of version moves.
 const MovePrefix = "moves/"
 
+// PageBytes bounds the keys and values in one Page; a single larger object makes
+// a page of its own.
+const PageBytes = 1 << 20
+
 // Prefixes lists what a replica holds.
 func Prefixes() []string {
 	return []string{document.ObjectPrefix, key.ObjectPrefix, MovePrefix}
@@ -41,7 +49,8 @@
 	// Fleet is nil until a fleet document is known.
 	Fleet         *document.Fleet
 	FleetRevision int64
-	Keys          map[key.Digest]key.Key
+	// Keys holds a key as withdrawn also while its withdrawal is pending.
+	Keys map[key.Digest]key.Key
 	// Moves holds the raw state of each service's move, by service name.
 	Moves map[string]json.RawMessage
 }
@@ -67,6 +76,27 @@
 	return service, route
 }
 
+// Summary tells two replicas apart without their objects.
+type Summary struct {
+	// Revision is the store's revision up to which the replica is complete.
+	Revision int64 `json:"revision"`
+	// Digest covers key and version of every object and the pending withdrawals.
+	// Equal digests mean equal content.
+	Digest uint64 `json:"digest"`
+}
+
+// Page is a part of a replica's content, in order of version.
+type Page struct {
+	// Listing's Revision says up to where the receiver is complete, if it was
+	// complete up to the revision that it asked after.
+	Listing store.Listing `json:"listing"`
+	// Next is what to ask after for the next page; 0 on the last page.
+	Next int64 `json:"next"`
+	// Pending holds the ids of keys whose withdrawal was asked for while its
+	// outcome in the store is not known here.
+	Pending []string `json:"pending,omitempty"`
+}
+
 // Replica is a copy that only moves forward. Its zero value is empty.
 type Replica struct {
 	snapshot atomic.Pointer[Snapshot]
@@ -75,8 +105,26 @@
 	// objects holds the newest known version of each object, removals included.
 	// Guarded by mu.
 	objects map[string]store.Object
+	// documents holds the last readable text of each live document, by object
+	// key. Guarded by mu.
+	documents map[string]parsedDocument
+	// keys holds the last readable value of each live key, by object key.
+	// Guarded by mu.
+	keys map[string]key.Key
+	// pending holds the ids of keys to treat as withdrawn. An id never leaves.
+	// Guarded by mu.
+	pending map[string]bool
 	// revision never falls. Guarded by mu.
 	revision int64
+	// digest is the exclusive or of the hashes of all objects and pending ids.
+	// Guarded by mu.
+	digest uint64
+}
+
+// parsedDocument is a document that was read from an object.
+type parsedDocument struct {
+	document *document.Document
+	revision int64
 }
 
 // Snapshot returns the current view; it is never nil.
@@ -87,97 +135,228 @@
 	return &Snapshot{}
 }
 
+// Summary returns the replica's current summary.
+func (r *Replica) Summary() Summary {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Summary{Revision: r.revision, Digest: r.digest}
+}
+
 // Merge takes over objects that are newer than the copy's, and notes that the
 // copy is then complete up to revision. It reports whether anything changed. An
-// object that can't be read leaves its older version in force.
+// object that can't be read leaves its older value in force.
 func (r *Replica) Merge(listing store.Listing) (changed bool, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.objects == nil {
-		r.objects = map[string]store.Object{}
-	}
-	for _, object := range listing.Objects {
-		if object.Version > r.objects[object.Key].Version {
-			r.objects[object.Key] = object
-			changed = true
-		}
-	}
-	if listing.Revision > r.revision {
-		r.revision = listing.Revision
+	changed, err = r.merge(listing.Objects)
+	r.revision = max(r.revision, listing.Revision)
+	r.publish(changed)
+	return changed, err
+}
+
+// MergePage merges a peer's page that was asked for after the given revision. A
+// page after a revision that the copy is not complete up to leaves the copy's
+// revision as it is.
+func (r *Replica) MergePage(page Page, after int64) (changed bool, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed, err = r.merge(page.Listing.Objects)
+	if after <= r.revision {
+		r.revision = max(r.revision, page.Listing.Revision)
 	}
-	old := r.Snapshot()
-	if !changed && old.Revision == r.revision {
-		return false, nil
+	if r.withdraw(page.Pending) {
+		changed = true
 	}
-	next, err := r.build(old, changed)
-	r.snapshot.Store(next)
+	r.publish(changed)
 	return changed, err
 }
 
+// Withdraw treats the keys with the given ids as withdrawn from now on, before
+// the store says so, and for as long as the process runs.
+func (r *Replica) Withdraw(ids ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.withdraw(ids) {
+		r.publish(true)
+	}
+}
+
 // Since returns the objects changed after revision, with what the copy is
 // complete up to.
 func (r *Replica) Since(revision int64) (listing store.Listing) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return store.Listing{Revision: r.revision, Objects: r.after(revision)}
+}
+
+// Page returns the objects changed after revision, up to PageBytes of them.
+func (r *Replica) Page(revision int64) (page Page) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	objects := r.after(revision)
+	size := 0
+	for i, object := range objects {
+		size += len(object.Key) + len(object.Value)
+		if size > PageBytes && i > 0 {
+			objects = objects[:i]
+			page.Next = objects[i-1].Version
+			break
+		}
+	}
+	page.Listing = store.Listing{Revision: r.revision, Objects: objects}
+	if page.Next > 0 {
+		page.Listing.Revision = min(r.revision, page.Next)
+	}
+	page.Pending = slices.Sorted(maps.Keys(r.pending))
+	return page
+}
+
+// Pending returns the ids of the keys that are treated as withdrawn, sorted.
+func (r *Replica) Pending() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Sorted(maps.Keys(r.pending))
+}
+
+// Object returns the newest known version of the object at key.
+func (r *Replica) Object(key string) (object store.Object, found bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	object, found = r.objects[key]
+	return object, found && !object.Deleted
+}
+
+// after returns the objects changed after revision in order of version. Callers
+// hold mu.
+func (r *Replica) after(revision int64) (objects []store.Object) {
 	for _, object := range r.objects {
 		if object.Version > revision {
-			listing.Objects = append(listing.Objects, object)
+			objects = append(objects, object)
 		}
 	}
-	sort.Slice(listing.Objects, func(i, j int) bool { return listing.Objects[i].Version < listing.Objects[j].Version })
-	listing.Revision = r.revision
-	return listing
+	sort.Slice(objects, func(i, j int) bool { return objects[i].Version < objects[j].Version })
+	return objects
 }
 
-// build derives a snapshot from the objects. Callers hold mu.
-func (r *Replica) build(old *Snapshot, changed bool) (next *Snapshot, err error) {
-	if !changed {
-		same := *old
-		same.Revision = r.revision
-		return &same, nil
+// merge takes over newer objects. Callers hold mu.
+func (r *Replica) merge(objects []store.Object) (changed bool, err error) {
+	if r.objects == nil {
+		r.objects = map[string]store.Object{}
+		r.documents = map[string]parsedDocument{}
+		r.keys = map[string]key.Key{}
 	}
-	next = &Snapshot{Revision: r.revision, Keys: map[key.Digest]key.Key{}, Moves: map[string]json.RawMessage{}}
-	for objectKey, object := range r.objects {
-		if object.Deleted {
+	for _, object := range objects {
+		old := r.objects[object.Key]
+		if object.Version <= old.Version {
 			continue
 		}
-		if e := next.add(objectKey, object.Value); e != nil {
-			err = errorx.Decorate(e, "reading object %s at version %d", objectKey, object.Version)
+		changed = true
+		if old.Version > 0 {
+			r.digest ^= hash(old.Key, old.Version)
+		}
+		r.digest ^= hash(object.Key, object.Version)
+		r.objects[object.Key] = object
+		if e := r.read(object); e != nil {
+			err = errorx.Decorate(e, "reading object %s at version %d", object.Key, object.Version)
 		}
 	}
-	sort.Slice(next.Services, func(i, j int) bool { return next.Services[i].Name < next.Services[j].Name })
-	return next, err
+	return changed, err
+}
+
+// withdraw adds pending ids. Callers hold mu.
+func (r *Replica) withdraw(ids []string) (changed bool) {
+	for _, id := range ids {
+		if r.pending[id] {
+			continue
+		}
+		if r.pending == nil {
+			r.pending = map[string]bool{}
+		}
+		r.pending[id] = true
+		r.digest ^= hash("pending/"+id, 0)
+		changed = true
+	}
+	return changed
 }
 
-func (s *Snapshot) add(objectKey string, value []byte) error {
+// read parses an object's value. Callers hold mu.
+func (r *Replica) read(object store.Object) error {
 	switch {
-	case strings.HasPrefix(objectKey, document.ObjectPrefix):
-		return s.addDocument(value)
-	case strings.HasPrefix(objectKey, key.ObjectPrefix):
+	case object.Deleted:
+		delete(r.documents, object.Key)
+		delete(r.keys, object.Key)
+	case strings.HasPrefix(object.Key, document.ObjectPrefix):
+		var record document.Record
+		if err := json.Unmarshal(object.Value, &record); err != nil {
+			return err
+		}
+		parsed, err := document.Parse([]byte(record.Text))
+		if err != nil {
+			return err
+		}
+		r.documents[object.Key] = parsedDocument{document: parsed, revision: record.Revision}
+	case strings.HasPrefix(object.Key, key.ObjectPrefix):
 		var k key.Key
-		if err := json.Unmarshal(value, &k); err != nil {
+		if err := json.Unmarshal(object.Value, &k); err != nil {
 			return err
 		}
-		s.Keys[k.Digest] = k
-	case strings.HasPrefix(objectKey, MovePrefix):
-		s.Moves[strings.TrimPrefix(objectKey, MovePrefix)] = value
+		r.keys[object.Key] = k
 	}
 	return nil
 }
 
-func (s *Snapshot) addDocument(value []byte) error {
-	var record document.Record
-	if err := json.Unmarshal(value, &record); err != nil {
-		return err
+// publish replaces the snapshot if there is something new to show. Callers hold
+// mu.
+func (r *Replica) publish(changed bool) {
+	old := r.Snapshot()
+	if !changed {
+		if old.Revision != r.revision {
+			same := *old
+			same.Revision = r.revision
+			r.snapshot.Store(&same)
+		}
+		return
 	}
-	parsed, err := document.Parse([]byte(record.Text))
-	if err != nil {
-		return err
+	next := &Snapshot{Revision: r.revision, Keys: make(map[key.Digest]key.Key, len(r.keys)), Moves: map[string]json.RawMessage{}}
+	for _, parsed := range r.documents {
+		next.addDocument(parsed)
 	}
-	if parsed.Fleet != nil {
-		s.Fleet, s.FleetRevision = parsed.Fleet, record.Revision
-		return nil
+	sort.Slice(next.Services, func(i, j int) bool { return next.Services[i].Name < next.Services[j].Name })
+	for _, k := range r.keys {
+		k.Withdrawn = k.Withdrawn || r.pending[k.ID]
+		next.Keys[k.Digest] = k
 	}
-	s.Services = append(s.Services, Service{Service: parsed.Service, Revision: record.Revision})
-	return nil
+	for objectKey, object := range r.objects {
+		if service, found := strings.CutPrefix(objectKey, MovePrefix); found && !object.Deleted {
+			next.Moves[service] = object.Value
+		}
+	}
+	r.snapshot.Store(next)
+}
+
+func (s *Snapshot) addDocument(parsed parsedDocument) {
+	if parsed.document.Fleet != nil {
+		s.Fleet, s.FleetRevision = parsed.document.Fleet, parsed.revision
+		return
+	}
+	s.Services = append(s.Services, Service{Service: parsed.document.Service, Revision: parsed.revision})
+}
+
+// hash maps an object's key and version to 64 bits.
+func hash(objectKey string, version int64) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(objectKey))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write(strconv.AppendInt(nil, version, 10))
+	return mix(h.Sum64())
+}
+
+// mix spreads the bits of a hash, so that the exclusive or of many does not
+// cancel regular differences.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
 }
