--- /dev/null
+++ b/internal/standin/link/link.go
@@ -0,0 +1,233 @@
+// Package link stands in for the network between the firm's regions: its Dial
+// hooks add each pair's round trip and bandwidth to connections over loopback,
+// count what passes, and cut pairs of regions or single VMs on command.
+package link
+
+import (
+	"context"
+	"net"
+	"sort"
+	"sync"
+	"time"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/document"
+	"baobabladder.example/baobabladder/internal/base/fault"
+)
+
+// Place is where a process runs. The zero Place is next to everything.
+type Place struct {
+	VM         string
+	Region     string
+	DataCentre string
+	// Client says that the process is a caller outside the data centres.
+	Client bool
+}
+
+// Network is the links between places. Its zero value adds nothing; set its
+// fields before the first connection.
+type Network struct {
+	Clock clock.Clock
+	// Fleet gives each pair of regions its round trip and bandwidth; nil is a
+	// network without delay or limit.
+	Fleet *document.Fleet
+	// BetweenDataCentres is the round trip within a region, ToClients that
+	// between a client and its nearest region, both in microseconds.
+	BetweenDataCentres int64
+	ToClients          int64
+
+	mu sync.Mutex
+	// places maps a listening address to where it is. Guarded by mu.
+	places map[string]Place
+	// lanes holds each direction between two regions. Guarded by mu.
+	lanes map[direction]*lane
+	// cutPairs and cutVMs are what no byte passes. Pairs stand sorted. Guarded by mu.
+	cutPairs map[direction]bool
+	cutVMs   map[string]bool
+	// changed is closed and replaced at each change of the cuts; nil before the
+	// first wait. Guarded by mu.
+	changed chan struct{}
+}
+
+// direction is an ordered pair of regions.
+type direction struct{ from, to string }
+
+// Traffic is what passed from one region to another.
+type Traffic struct {
+	From  string `json:"from"`
+	To    string `json:"to"`
+	Bytes int64  `json:"bytes"`
+	// WorstSecond is the most bytes in any one second.
+	WorstSecond int64 `json:"worst_second"`
+}
+
+// Locate says where the process that listens at address is.
+func (n *Network) Locate(address string, place Place) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.places == nil {
+		n.places = map[string]Place{}
+	}
+	n.places[address] = place
+}
+
+// CutPair cuts or heals the link between two regions. Bytes under way wait until
+// it heals, as over a network that loses every packet.
+func (n *Network) CutPair(a, b string, isCut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cutPairs == nil {
+		n.cutPairs = map[direction]bool{}
+	}
+	n.cutPairs[sorted(a, b)] = isCut
+	n.announce()
+}
+
+// CutVM cuts a VM off from everything, or heals it.
+func (n *Network) CutVM(name string, isCut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cutVMs == nil {
+		n.cutVMs = map[string]bool{}
+	}
+	n.cutVMs[name] = isCut
+	n.announce()
+}
+
+// Traffic returns what passed between regions, sorted by direction.
+func (n *Network) Traffic() []Traffic {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	list := make([]Traffic, 0, len(n.lanes))
+	for between, lane := range n.lanes {
+		if between.from != between.to {
+			list = append(list, Traffic{between.from, between.to, lane.bytes, lane.worst})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		return list[i].From+" "+list[i].To < list[j].From+" "+list[j].To
+	})
+	return list
+}
+
+// Dialer returns a Dial hook for a process at from.
+func (n *Network) Dialer(from Place) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (conn net.Conn, err error) {
+		defer fault.Annotate(&err, "dialling %s from %s", address, from.VM)
+		to := n.place(address)
+		if err := n.awaitOpen(ctx.Done(), from, to); err != nil {
+			return nil, err
+		}
+		trip := n.roundTrip(from, to)
+		if err := sleepMicros(ctx.Done(), trip); err != nil {
+			return nil, err
+		}
+		raw, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return n.connect(raw, from, to, trip), nil
+	}
+}
+
+func (n *Network) place(address string) Place {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.places[address]
+}
+
+// roundTrip returns the round trip between two places in microseconds.
+func (n *Network) roundTrip(a, b Place) (micros int64) {
+	if a.Client || b.Client {
+		micros += n.ToClients
+	}
+	switch {
+	case a.Region == "" || b.Region == "":
+	case a.Region != b.Region && n.Fleet != nil:
+		if link := n.Fleet.Link(a.Region, b.Region); link != nil {
+			micros += int64(link.Latency) * 1000
+		}
+	case a.DataCentre != b.DataCentre && !a.Client && !b.Client:
+		micros += n.BetweenDataCentres
+	}
+	return micros
+}
+
+// lane returns the lane from one region to another.
+func (n *Network) lane(from, to Place) *lane {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	between := direction{from.Region, to.Region}
+	if found := n.lanes[between]; found != nil {
+		return found
+	}
+	if n.lanes == nil {
+		n.lanes = map[direction]*lane{}
+	}
+	made := &lane{}
+	if n.Fleet != nil && from.Region != to.Region {
+		if link := n.Fleet.Link(from.Region, to.Region); link != nil {
+			made.bytesPerSecond = int64(link.Mbit) * bytesPerMbit
+		}
+	}
+	n.lanes[between] = made
+	return made
+}
+
+// pass books size bytes on a lane and returns when they have passed, in
+// microseconds of the network's clock.
+func (n *Network) pass(l *lane, size int) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return l.book(n.Clock.Micros(), int64(size))
+}
+
+// awaitOpen waits until no cut lies between two places, or until done closes.
+func (n *Network) awaitOpen(done <-chan struct{}, from, to Place) error {
+	for {
+		n.mu.Lock()
+		if n.changed == nil {
+			n.changed = make(chan struct{})
+		}
+		changed := n.changed
+		isCut := n.cutVMs[from.VM] || n.cutVMs[to.VM] || n.cutPairs[sorted(from.Region, to.Region)]
+		n.mu.Unlock()
+		if !isCut {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-done:
+			return errGaveUp
+		}
+	}
+}
+
+// announce wakes those who wait for a cut to heal. Callers hold mu.
+func (n *Network) announce() {
+	if n.changed != nil {
+		close(n.changed)
+	}
+	n.changed = make(chan struct{})
+}
+
+func sorted(a, b string) direction {
+	if a > b {
+		a, b = b, a
+	}
+	return direction{a, b}
+}
+
+func sleepMicros(done <-chan struct{}, micros int64) error {
+	if micros <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(time.Duration(micros) * time.Microsecond)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-done:
+		return errGaveUp
+	}
+}
--- /dev/null
+++ b/internal/standin/link/link_test.go
@@ -0,0 +1,110 @@
+package link
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/document"
+)
+
+var (
+	lothian = Place{VM: "entry-1", Region: "lothian", DataCentre: "lothian-1"}
+	clyde   = Place{VM: "endpoint-1", Region: "clyde", DataCentre: "clyde-1"}
+)
+
+func fleet() *document.Fleet {
+	return &document.Fleet{Links: []document.Link{{A: "clyde", B: "lothian", Mbit: 8, Latency: 30}}}
+}
+
+// echo serves a copy of what comes at an address in clyde.
+func echo(t *testing.T, network *Network) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, _ = io.Copy(conn, conn)
+			}()
+		}
+	}()
+	network.Locate(listener.Addr().String(), clyde)
+	return listener.Addr().String()
+}
+
+func TestRoundTripsAddUp(t *testing.T) {
+	g := NewWithT(t)
+	network := &Network{Fleet: fleet(), BetweenDataCentres: 1000, ToClients: 3000}
+	neighbour := Place{Region: "lothian", DataCentre: "lothian-2"}
+	client := Place{Region: "lothian", Client: true}
+	g.Expect(network.roundTrip(lothian, clyde)).To(Equal(int64(30_000)))
+	g.Expect(network.roundTrip(lothian, neighbour)).To(Equal(int64(1000)))
+	g.Expect(network.roundTrip(lothian, lothian)).To(BeZero())
+	g.Expect(network.roundTrip(client, lothian)).To(Equal(int64(3000)))
+	g.Expect(network.roundTrip(client, clyde)).To(Equal(int64(33_000)))
+}
+
+func TestLaneQueuesAndCountsTheWorstSecond(t *testing.T) {
+	g := NewWithT(t)
+	l := &lane{bytesPerSecond: 1000}
+	g.Expect(l.book(0, 500)).To(Equal(int64(500_000)))
+	g.Expect(l.book(0, 1000)).To(Equal(int64(1_500_000)), "behind the first")
+	g.Expect(l.book(5_000_000, 100)).To(Equal(int64(5_100_000)), "an idle lane saves nothing up")
+	g.Expect(l.bytes).To(Equal(int64(1600)))
+	g.Expect(l.worst).To(Equal(int64(1000)))
+}
+
+func TestConnectionTakesLatencyAndBandwidthAndIsCounted(t *testing.T) {
+	g := NewWithT(t)
+	network := &Network{Fleet: fleet()}
+	address := echo(t, network)
+	began := network.Clock.Now()
+	conn, err := network.Dialer(lothian)(context.Background(), "tcp", address)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	const size = 100_000
+	go func() { _, _ = conn.Write(make([]byte, size)) }()
+	_, err = io.ReadFull(conn, make([]byte, size))
+	g.Expect(err).NotTo(HaveOccurred())
+	// A round trip to dial, one for the echo, and 100 ms for 100 kB at 8 Mbit/s.
+	// Only a lower bound holds on any machine.
+	g.Expect(network.Clock.Now() - began).To(BeNumerically(">=", 30+30+100-2*clock.Millis(1)))
+	g.Expect(network.Traffic()).To(HaveExactElements(
+		And(HaveField("From", "clyde"), HaveField("Bytes", int64(size))),
+		And(HaveField("From", "lothian"), HaveField("Bytes", int64(size)))))
+}
+
+func TestCutHoldsBytesAndDialsUntilItHeals(t *testing.T) {
+	g := NewWithT(t)
+	network := &Network{Fleet: fleet()}
+	address := echo(t, network)
+	conn, err := network.Dialer(lothian)(context.Background(), "tcp", address)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	network.CutPair("lothian", "clyde", true)
+	_, err = conn.Write([]byte("late"))
+	g.Expect(err).NotTo(HaveOccurred())
+	given, cancel := context.WithTimeout(context.Background(), (100 * clock.Millis(1)).Duration())
+	defer cancel()
+	_, err = network.Dialer(lothian)(given, "tcp", address)
+	g.Expect(err).To(MatchError(ContainSubstring("given up")))
+	network.CutVM("endpoint-1", true)
+	network.CutPair("clyde", "lothian", false)
+	network.CutVM("endpoint-1", false)
+	content := make([]byte, 4)
+	_, err = io.ReadFull(conn, content)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(content)).To(Equal("late"))
+}
