Refuse INI that the library would merge or rewrite without a word

The library unquotes keys, cuts comments off headers, joins lines that end with a backslash, expands %(name)s, and lets [workspace a.b] take its missing keys from [workspace a]. By each of these a document could mean something else than it says. Settings refuse a key that stands twice and two listeners on one address.

A rapid machine drives four VMs over a faulty store and network against an oracle: revisions never fall, and a withdrawn key works nowhere 5 s after.

--- a/internal/base/document/parse.go
+++ b/internal/base/document/parse.go
@@ -22,6 +22,9 @@
 	ErrInvalid = errorNamespace.NewType("invalid")
 )
 
+// ReservedPrefix starts the paths that the system answers itself.
+const ReservedPrefix = "/-/"
+
 // Limits and defaults of documents.
 const (
 	// MaxBytes is the largest text of a document.
@@ -54,7 +57,7 @@
 	if err := rejectRepeats(text); err != nil {
 		return nil, err
 	}
-	file, err := ini.LoadSources(ini.LoadOptions{SpaceBeforeInlineComment: true, AllowNonUniqueSections: false}, text)
+	file, err := ini.LoadSources(loadOptions, text)
 	if err != nil {
 		return nil, ErrInvalid.Wrap(err, "the text is not INI")
 	}
@@ -73,6 +76,24 @@
 	return document, nil
 }
 
+// Lines as they may stand in a document. The INI library takes more: it unquotes
+// names and cuts comments off headers, by which a section or key could stand
+// twice unseen.
+var (
+	headerPattern = regexp.MustCompile(`^\[([a-z_]+(?: [^\s\[\]"'` + "`" + `;#]+)*)\]$`)
+	keyPattern    = regexp.MustCompile(`^[a-z_]+$`)
+)
+
+// loadOptions switches off what the INI library does beyond sections and keys: a
+// section whose name has a dot would take missing keys from another one, and a
+// backslash would join lines.
+var loadOptions = ini.LoadOptions{
+	SpaceBeforeInlineComment: true,
+	IgnoreContinuation:       true,
+	KeyValueDelimiters:       "=",
+	ChildSectionDelimiter:    "\x00",
+}
+
 // rejectRepeats refuses a section or key that stands twice: the INI library
 // would merge them and let the last one win without a word.
 func rejectRepeats(text []byte) error {
@@ -84,7 +105,11 @@
 		switch {
 		case line == "" || line[0] == '#' || line[0] == ';':
 		case line[0] == '[':
-			section = strings.Trim(line, "[] ")
+			header := headerPattern.FindStringSubmatch(line)
+			if header == nil {
+				return ErrInvalid.New("line %d: %q is not allowed: a section is [kind] or [kind name], with single spaces and no comment behind it", i+1, line)
+			}
+			section = header[1]
 			if sections[section] {
 				return ErrInvalid.New("line %d: section [%s] stands twice", i+1, section)
 			}
@@ -92,7 +117,7 @@
 		default:
 			key, _, found := strings.Cut(line, "=")
 			key = strings.TrimSpace(key)
-			if !found {
+			if !found || !keyPattern.MatchString(key) {
 				return ErrInvalid.New("line %d: %q is neither a section nor key = value", i+1, line)
 			}
 			if keys[section+"\n"+key] {
@@ -125,7 +150,7 @@
 			found = found || k == key
 		}
 		if !found {
-			r.fail(section.Name(), key, section.Key(key).String(), "known keys are "+strings.Join(known, ", "))
+			r.fail(section.Name(), key, section.Key(key).Value(), "known keys are "+strings.Join(known, ", "))
 		}
 	}
 }
@@ -137,7 +162,15 @@
 		}
 		return fallback
 	}
-	return section.Key(key).String()
+	return section.Key(key).Value()
+}
+
+// list reads a value of names parted by commas.
+func (r *reader) list(section *ini.Section, key string) (values []string) {
+	for _, value := range strings.Split(r.text(section, key, "", true), ",") {
+		values = append(values, strings.TrimSpace(value))
+	}
+	return values
 }
 
 func (r *reader) name(section *ini.Section, key string) string {
@@ -220,6 +253,9 @@
 		for _, k := range known {
 			found = found || k == kind
 		}
+		if single := kind == "service" || kind == "fleet"; single && section.Name() != kind {
+			found = false
+		}
 		if !found && r.err == nil {
 			r.err = ErrInvalid.New("section [%s] is not allowed: known sections are %s", section.Name(), strings.Join(known, ", "))
 		}
@@ -263,6 +299,9 @@
 	if !strings.HasPrefix(prefix, "/") || !strings.HasSuffix(prefix, "/") || strings.ContainsAny(prefix, "?#%") {
 		r.fail(section.Name(), "(prefix)", prefix, "a path that starts and ends with a slash")
 	}
+	if strings.HasPrefix(prefix, ReservedPrefix) || strings.Contains(prefix, "//") || strings.Contains(prefix, "/.") {
+		r.fail(section.Name(), "(prefix)", prefix, "a path outside "+ReservedPrefix+" without empty parts or parts that start with a dot")
+	}
 	route := Route{
 		Prefix:   prefix,
 		Work:     Work(r.choice(section, "work", "", true, string(Catalogue), string(Order), string(Upload))),
@@ -325,7 +364,7 @@
 		SlowPercent: int(r.whole(section, "slow_percent", defaultSlowPercent, false, 1, maxSlowPercent)),
 	}
 	if move.Start != 0 && move.Start >= move.By {
-		r.fail(section.Name(), "start", section.Key("start").String(), "a time before that of the key by")
+		r.fail(section.Name(), "start", section.Key("start").Value(), "a time before that of the key by")
 	}
 	return move
 }
@@ -417,10 +456,7 @@
 }
 
 func (r *reader) dataCentres(section *ini.Section) []string {
-	names := section.Key("data_centres").Strings(",")
-	if len(names) == 0 {
-		r.fail(section.Name(), "data_centres", "", "at least one name")
-	}
+	names := r.list(section, "data_centres")
 	for _, name := range names {
 		if !namePattern.MatchString(name) {
 			r.fail(section.Name(), "data_centres", name, "names of 1 to 63 of a-z, 0-9, dot, dash, underscore")
@@ -451,7 +487,7 @@
 	if !known[region] {
 		r.fail(section.Name(), "(region)", region, "a region that has a section of its own above")
 	}
-	for _, text := range section.Key("blocks").Strings(",") {
+	for _, text := range r.list(section, "blocks") {
 		prefix, err := netip.ParsePrefix(text)
 		if err != nil || prefix != prefix.Masked() {
 			r.fail(section.Name(), "blocks", text, "blocks such as 10.1.0.0/16, with no bits beyond the mask")
--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -33,6 +33,9 @@
 	CallerAddress   string
 	PeerAddress     string
 	OperatorAddress string
+	// Peers holds the peer addresses of some entry VMs, as IP:port, which are asked
+	// as long as the store has not told which VMs there are.
+	Peers []string
 	// LogLevel is a logrus level.
 	LogLevel string
 }
@@ -51,11 +54,15 @@
 
 // Parse reads and checks settings.
 func Parse(text []byte) (settings Settings, err error) {
-	file, err := ini.Load(text)
+	if err := rejectRepeats(text); err != nil {
+		return Settings{}, err
+	}
+	file, err := ini.LoadSources(ini.LoadOptions{SpaceBeforeInlineComment: true, IgnoreContinuation: true, KeyValueDelimiters: "="}, text)
 	if err != nil {
 		return Settings{}, ErrInvalid.Wrap(err, "the text is not INI")
 	}
 	section := file.Section("vm")
+	peers := ""
 	fields := []field{
 		{"name", &settings.Name, "", checkName},
 		{"region", &settings.Region, "", checkName},
@@ -64,6 +71,7 @@
 		{"caller_address", &settings.CallerAddress, "", checkAddress},
 		{"peer_address", &settings.PeerAddress, "", checkAddress},
 		{"operator_address", &settings.OperatorAddress, "", checkAddress},
+		{"peers", &peers, noPeers, checkPeers},
 		{"log_level", &settings.LogLevel, "info", checkLevel},
 	}
 	for _, s := range file.Sections() {
@@ -79,7 +87,37 @@
 			return Settings{}, err
 		}
 	}
-	return settings, nil
+	settings.Peers = splitPeers(peers)
+	return settings, settings.checkAddresses()
+}
+
+// checkAddresses refuses two listeners on one address.
+func (s *Settings) checkAddresses() error {
+	if s.CallerAddress == s.PeerAddress || s.CallerAddress == s.OperatorAddress {
+		return ErrInvalid.New("section [vm], key caller_address: %q is not allowed: an address of its own", s.CallerAddress)
+	}
+	if s.PeerAddress == s.OperatorAddress {
+		return ErrInvalid.New("section [vm], key peer_address: %q is not allowed: an address of its own", s.PeerAddress)
+	}
+	return nil
+}
+
+// rejectRepeats refuses what the INI library would merge without a word.
+func rejectRepeats(text []byte) error {
+	seen := map[string]bool{}
+	for i, line := range strings.Split(string(text), "\n") {
+		line = strings.TrimSpace(line)
+		if line == "" || line[0] == '#' || line[0] == ';' {
+			continue
+		}
+		key, _, _ := strings.Cut(line, "=")
+		key = strings.TrimSpace(key)
+		if seen[key] {
+			return ErrInvalid.New("line %d: %s stands twice", i+1, key)
+		}
+		seen[key] = true
+	}
+	return nil
 }
 
 // field is one key of the [vm] section. An empty fallback makes it required.
@@ -94,7 +132,7 @@
 func (f field) read(section *ini.Section) error {
 	*f.into = f.fallback
 	if section.HasKey(f.key) {
-		*f.into = section.Key(f.key).String()
+		*f.into = section.Key(f.key).Value()
 	}
 	if allowed := f.check(*f.into); allowed != "" {
 		return ErrInvalid.New("section [vm], key %s: %q is not allowed: %s", f.key, *f.into, allowed)
@@ -146,3 +184,25 @@
 	}
 	return "one of debug, info, warning, error"
 }
+
+// noPeers is the default of the key peers.
+const noPeers = "none"
+
+func splitPeers(value string) (peers []string) {
+	if value == noPeers {
+		return nil
+	}
+	for _, peer := range strings.Split(value, ",") {
+		peers = append(peers, strings.TrimSpace(peer))
+	}
+	return peers
+}
+
+func checkPeers(value string) string {
+	for _, peer := range splitPeers(value) {
+		if checkAddress(peer) != "" {
+			return "none, or IP numbers and ports such as 10.1.2.3:7002, 10.1.2.4:7002"
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/control/follower/machine_test.go
@@ -0,0 +1,447 @@
+package follower_test
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/document"
+	"baobabladder.example/baobabladder/internal/control/follower"
+	"baobabladder.example/baobabladder/internal/control/freshness"
+	"baobabladder.example/baobabladder/internal/control/heartbeat"
+	"baobabladder.example/baobabladder/internal/wire/peer"
+	"baobabladder.example/baobabladder/internal/wire/store"
+	"baobabladder.example/baobabladder/internal/world/key"
+	"baobabladder.example/baobabladder/internal/world/replica"
+	"baobabladder.example/baobabladder/internal/world/vm"
+)
+
+// TestMain fixes the seed, so that the verdict is always the same.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "43")
+	}
+	os.Exit(m.Run())
+}
+
+// fleet is a store, a network and some entry VMs on one manual clock.
+type fleet struct {
+	manual  *clock.Manual
+	objects map[string]store.Object
+	// revision counts the store's changes.
+	revision int64
+	down     bool
+	// noStore holds the VMs that don't reach the store.
+	noStore map[string]bool
+	// cut holds pairs "a b" of VMs that don't reach each other.
+	cut  map[string]bool
+	runs map[string]*run
+	// accepted holds the newest accepted revision of the document, and floor, for
+	// each VM name, the newest revision that was in force there.
+	accepted int64
+	// withdrawnAt is the time at which each withdrawn key was withdrawn.
+	withdrawnAt map[string]clock.Millis
+	next        vm.Incarnation
+}
+
+// run is one run of one VM's process.
+type run struct {
+	fleet     *fleet
+	name      string
+	replica   *replica.Replica
+	fresh     *freshness.Freshness
+	heartbeat *heartbeat.Heartbeat
+	follower  *follower.Follower
+	// inForce is the newest revision of the document seen in force.
+	inForce int64
+	// delay is added to the next answer's way.
+	delay clock.Millis
+	// kept is an answer of a watch that comes later than a newer one.
+	kept *store.Listing
+}
+
+var names = []string{"a1", "a2", "b1", "b2"}
+
+func newFleet() *fleet {
+	f := &fleet{
+		manual: &clock.Manual{}, objects: map[string]store.Object{}, noStore: map[string]bool{},
+		cut: map[string]bool{}, runs: map[string]*run{}, withdrawnAt: map[string]clock.Millis{},
+	}
+	f.manual.Advance(1)
+	f.accept()
+	for _, name := range names {
+		f.start(name)
+	}
+	return f
+}
+
+func (f *fleet) vmOf(name string) vm.VM {
+	return vm.VM{Name: name, Role: vm.Entry, State: vm.Live, Region: name[:1], DataCentre: name[:1] + "-1", PeerAddress: name}
+}
+
+func (f *fleet) list() (list []vm.VM) {
+	for _, name := range names {
+		list = append(list, f.vmOf(name))
+	}
+	return list
+}
+
+func (f *fleet) start(name string) {
+	f.next++
+	r := &run{fleet: f, name: name, replica: &replica.Replica{}, fresh: &freshness.Freshness{Clock: f.manual.Clock()}}
+	r.heartbeat = &heartbeat.Heartbeat{
+		Self: f.vmOf(name), ID: vm.ID{Name: name, Incarnation: f.next}, Replica: r.replica,
+		Freshness: r.fresh, Peers: r, Clock: f.manual.Clock(), Seeds: names,
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r.follower = &follower.Follower{
+		Replica: r.replica, Freshness: r.fresh, Heartbeat: r.heartbeat, Store: r, Peers: r, Clock: f.manual.Clock(), Log: log,
+	}
+	r.heartbeat.CatchUp = r.follower.CatchUp
+	f.runs[name] = r
+}
+
+func (f *fleet) put(objectKey string, value any) store.Object {
+	text, _ := json.Marshal(value)
+	f.revision++
+	object := store.Object{Key: objectKey, Version: f.revision, Value: text}
+	f.objects[objectKey] = object
+	return object
+}
+
+const documentText = "[service]\nname = catalogue\n[route /c/]\nwork = catalogue\n"
+
+// accept writes the next revision of the document.
+func (f *fleet) accept() store.Object {
+	f.accepted++
+	return f.put("documents/catalogue", document.Record{Name: "catalogue", Revision: f.accepted, Text: documentText})
+}
+
+func pair(a, b string) string {
+	if a > b {
+		a, b = b, a
+	}
+	return a + " " + b
+}
+
+// Call implements heartbeat.Caller over the fleet's network.
+func (r *run) Call(_ context.Context, address, method string, args, reply any) error {
+	other := r.fleet.runs[address]
+	if other == nil || r.fleet.cut[pair(r.name, address)] {
+		return peer.ErrUnreachable.New("cut")
+	}
+	var err error
+	switch method {
+	case "Heartbeat.Ask":
+		err = heartbeat.NewReceiver(other.heartbeat).Ask(args.(heartbeat.Question), reply.(*heartbeat.Answer))
+	case "Follower.Fetch":
+		err = follower.NewReceiver(other.follower).Fetch(args.(follower.Fetch), reply.(*replica.Page))
+	case "Follower.Push":
+		err = follower.NewReceiver(other.follower).Push(args.(follower.Push), reply.(*follower.Pushed))
+	}
+	r.late()
+	return err
+}
+
+// late lets the chosen delay pass, as if the answer were that long on its way.
+func (r *run) late() {
+	delay := r.delay
+	r.delay = 0
+	r.fleet.manual.Advance(delay)
+}
+
+func (r *run) reachesStore() bool { return !r.fleet.down && !r.fleet.noStore[r.name] }
+
+// Watch implements follower.Store; it never waits.
+func (r *run) Watch(_ context.Context, _ []string, after int64, _ clock.Millis) (store.Listing, error) {
+	if !r.reachesStore() {
+		return store.Listing{}, store.ErrUnavailable.New("down")
+	}
+	listing := store.Listing{Revision: r.fleet.revision}
+	for _, object := range r.fleet.objects {
+		if object.Version > after {
+			listing.Objects = append(listing.Objects, object)
+		}
+	}
+	r.late()
+	if r.kept != nil {
+		_, _ = r.replica.Merge(listing)
+		listing = *r.kept
+		r.kept = nil
+	}
+	return listing, nil
+}
+
+// VMs implements follower.Store.
+func (r *run) VMs(context.Context) (store.VMList, error) {
+	if !r.reachesStore() {
+		return store.VMList{}, store.ErrUnavailable.New("down")
+	}
+	return store.VMList{VMs: r.fleet.list()}, nil
+}
+
+// round lets a VM do what it does about twice a second.
+func (r *run) round() {
+	ctx := context.Background()
+	r.heartbeat.Refresh()
+	if r.follower.IsWatcher() {
+		_ = r.follower.Watch(ctx)
+		_ = r.follower.List(ctx)
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.heartbeat.Targets())) {
+		_ = r.heartbeat.Ask(ctx, r.heartbeat.Targets()[name])
+	}
+	r.heartbeat.Refresh()
+}
+
+func (f *fleet) rounds(n int) {
+	for range n {
+		for _, name := range names {
+			if r := f.runs[name]; r != nil {
+				r.round()
+			}
+		}
+		f.manual.Advance(heartbeat.Interval)
+	}
+}
+
+// revisionInForce is the document's revision that the run serves by.
+func (r *run) revisionInForce() int64 {
+	if service := r.replica.Snapshot().Service("catalogue"); service != nil {
+		return service.Revision
+	}
+	return 0
+}
+
+// works says whether the run would let a request with the key through.
+func (r *run) works(k key.Key) bool {
+	ready, _ := r.follower.Ready()
+	known, found := r.replica.Snapshot().Keys[k.Digest]
+	return ready && r.fresh.Fresh() && found && !known.Withdrawn
+}
+
+// seconds after which a withdrawal must be in force wherever keyed work is done.
+const inForceWithin = 5 * clock.Second
+
+type machine struct {
+	*fleet
+	keys []key.Key
+}
+
+func (m *machine) check(t *rapid.T) {
+	for _, name := range names {
+		r := m.runs[name]
+		if r == nil {
+			continue
+		}
+		if now := r.revisionInForce(); now < r.inForce {
+			t.Fatalf("revision at %s fell from %d to %d", name, r.inForce, now)
+		}
+		r.inForce = r.revisionInForce()
+		for _, k := range m.keys {
+			at, withdrawn := m.withdrawnAt[k.ID]
+			if withdrawn && m.manual.Clock().Now()-at > inForceWithin && r.works(k) {
+				t.Fatalf("key %s works at %s %d ms after its withdrawal was accepted", k.ID, name, m.manual.Clock().Now()-at)
+			}
+		}
+	}
+}
+
+func TestAcceptedChangesHoldUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{fleet: newFleet()}
+		m.rounds(3)
+		anyName := rapid.SampledFrom(names)
+		alive := func(t *rapid.T) *run { return m.runs[anyName.Draw(t, "vm")] }
+		// accepting returns a VM through which an operator's change can be accepted.
+		accepting := func(t *rapid.T) *run {
+			r := alive(t)
+			if r == nil || !r.reachesStore() {
+				t.Skip("no store")
+			}
+			if ready, _ := r.follower.Ready(); !ready {
+				t.Skip("not ready")
+			}
+			return r
+		}
+		push := func(r *run, object store.Object) {
+			_, _ = r.replica.Merge(store.Listing{Objects: []store.Object{object}})
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			_, _ = r.follower.PushAll(ctx, []store.Object{object})
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"accept": func(t *rapid.T) {
+				r := accepting(t)
+				push(r, m.accept())
+			},
+			"issue": func(t *rapid.T) {
+				r := accepting(t)
+				if len(m.keys) > 4 {
+					t.Skip("enough keys")
+				}
+				k := key.Key{ID: fmt.Sprint(len(m.keys)), Digest: key.Digest(fmt.Sprint(len(m.keys))), Workspace: "w"}
+				m.keys = append(m.keys, k)
+				push(r, m.put("keys/"+k.ID, k))
+			},
+			"withdraw": func(t *rapid.T) {
+				r := accepting(t)
+				if len(m.keys) == 0 {
+					t.Skip("no key")
+				}
+				k := rapid.SampledFrom(m.keys).Draw(t, "key")
+				r.replica.Withdraw(k.ID)
+				k.Withdrawn = true
+				object := m.put("keys/"+k.ID, k)
+				if rapid.Bool().Draw(t, "pushed") {
+					push(r, object)
+				}
+				if _, done := m.withdrawnAt[k.ID]; !done {
+					m.withdrawnAt[k.ID] = m.manual.Clock().Now()
+				}
+			},
+			"outage":  func(t *rapid.T) { m.down = rapid.Bool().Draw(t, "down") },
+			"noStore": func(t *rapid.T) { m.noStore[anyName.Draw(t, "vm")] = rapid.Bool().Draw(t, "no store") },
+			"cut": func(t *rapid.T) {
+				m.cut[pair(anyName.Draw(t, "a"), anyName.Draw(t, "b"))] = rapid.Bool().Draw(t, "cut")
+			},
+			"region": func(t *rapid.T) {
+				cut := rapid.Bool().Draw(t, "cut")
+				for _, a := range names[:2] {
+					for _, b := range names[2:] {
+						m.cut[pair(a, b)] = cut
+					}
+				}
+			},
+			"kill": func(t *rapid.T) {
+				name := anyName.Draw(t, "vm")
+				r := m.runs[name]
+				if r == nil {
+					t.Skip("dead")
+				}
+				// A change that reached no other VM dies with its VM if the store is
+				// lost too; see the design note.
+				if m.down || m.noStore[name] {
+					for _, other := range m.runs {
+						if other != r && other.replica.Summary().Digest == r.replica.Summary().Digest {
+							delete(m.runs, name)
+							return
+						}
+					}
+					t.Skip("would lose the last copy")
+				}
+				delete(m.runs, name)
+			},
+			"start": func(t *rapid.T) {
+				if name := anyName.Draw(t, "vm"); m.runs[name] == nil {
+					m.start(name)
+				}
+			},
+			"delay": func(t *rapid.T) {
+				if r := alive(t); r != nil {
+					r.delay = clock.Millis(rapid.IntRange(0, 8000).Draw(t, "delay"))
+				}
+			},
+			"reorder": func(t *rapid.T) {
+				if r := alive(t); r != nil && r.reachesStore() {
+					listing, _ := r.Watch(context.Background(), nil, r.replica.Summary().Revision, 0)
+					r.kept = &listing
+				}
+			},
+			"frozen": func(t *rapid.T) { m.manual.Advance(clock.Millis(rapid.IntRange(0, 30000).Draw(t, "for"))) },
+			"round": func(t *rapid.T) {
+				if r := alive(t); r != nil {
+					r.round()
+				}
+			},
+			"rounds": func(t *rapid.T) { m.rounds(rapid.IntRange(1, 6).Draw(t, "rounds")) },
+			"":       m.check,
+		})
+	})
+}
+
+func TestTotalOutageKeepsAllFresh(t *testing.T) {
+	f := newFleet()
+	f.rounds(3)
+	f.down = true
+	for range 200 {
+		f.rounds(1)
+		for _, name := range names {
+			if !f.runs[name].fresh.Fresh() {
+				t.Fatalf("%s is not fresh in a total outage", name)
+			}
+		}
+	}
+}
+
+func TestCutOffVMTurnsStaleAndAgainFresh(t *testing.T) {
+	f := newFleet()
+	f.rounds(3)
+	f.noStore["a1"] = true
+	for _, name := range names {
+		f.cut[pair("a1", name)] = true
+	}
+	f.rounds(int(freshness.MaxAge/heartbeat.Interval) + 1)
+	if f.runs["a1"].fresh.Fresh() {
+		t.Fatal("a VM without any word is fresh after the bound")
+	}
+	clear(f.cut)
+	f.rounds(2)
+	if !f.runs["a1"].fresh.Fresh() {
+		t.Fatal("a VM that hears its peers again is stale")
+	}
+}
+
+func TestRegionsCutFromEachOtherStayFreshThroughTheStore(t *testing.T) {
+	f := newFleet()
+	f.rounds(3)
+	f.noStore["b1"] = true
+	for _, name := range names[:2] {
+		f.cut[pair("b1", name)] = true
+	}
+	f.rounds(20)
+	if !f.runs["b1"].fresh.Fresh() {
+		t.Fatal("b1 is stale though b2 reaches the store")
+	}
+}
+
+func TestVMStartedInAnOutageTakesWhatItsPeersHold(t *testing.T) {
+	f := newFleet()
+	f.rounds(3)
+	f.down = true
+	delete(f.runs, "b2")
+	f.start("b2")
+	if ready, why := f.runs["b2"].follower.Ready(); ready || why == "" {
+		t.Fatalf("ready = %v (%q) before any word", ready, why)
+	}
+	f.rounds(4)
+	if ready, why := f.runs["b2"].follower.Ready(); !ready {
+		t.Fatalf("not ready: %s", why)
+	}
+	if got := f.runs["b2"].revisionInForce(); got != f.accepted {
+		t.Fatalf("revision in force is %d, want %d", got, f.accepted)
+	}
+}
+
+func TestVMStartedAloneInAnOutageIsNotReady(t *testing.T) {
+	f := newFleet()
+	f.down = true
+	f.runs = map[string]*run{}
+	f.start("b2")
+	f.rounds(30)
+	if ready, _ := f.runs["b2"].follower.Ready(); ready {
+		t.Fatal("ready without store or peers")
+	}
+}
