Hold the fleet's limits as standing shares

A ledger under the lease's term counts the most that each VM may hold and raises a share only when the count leaves room. VMs admit from their own share, then from a peer's; slots are lent for one request.

--- /dev/null
+++ b/internal/control/divider/neighbours.go
@@ -0,0 +1,74 @@
+package divider
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/policy/limit"
+	"baobabladder.example/baobabladder/internal/world/contract"
+	"baobabladder.example/baobabladder/internal/world/membership"
+	"baobabladder.example/baobabladder/internal/world/vm"
+)
+
+// askTimeout bounds one question to a peer while a request waits.
+const askTimeout = 250 * clock.Millis(1)
+
+// Neighbours reaches the other VMs for requests that wait. It implements
+// limit.Peers and limit.Lenders.
+type Neighbours struct {
+	Caller Caller
+	// View returns the membership as this VM sees it, never nil.
+	View func() *membership.View
+}
+
+// Near implements limit.Peers.
+func (n *Neighbours) Near() []string {
+	near := n.near()
+	names := make([]string, len(near))
+	for i := range near {
+		names[i] = near[i].Name
+	}
+	return names
+}
+
+// Lenders implements limit.Lenders.
+func (n *Neighbours) Lenders() []vm.ID {
+	near := n.near()
+	ids := make([]vm.ID, len(near))
+	for i := range near {
+		ids[i] = near[i].ID()
+	}
+	return ids
+}
+
+// near returns the reachable peers by round trip.
+func (n *Neighbours) near() []membership.Member {
+	peers := n.View().Peers()
+	peers = slices.DeleteFunc(peers, func(m membership.Member) bool { return !m.Reachable })
+	slices.SortStableFunc(peers, func(a, b membership.Member) int { return cmp.Compare(a.RoundTrip, b.RoundTrip) })
+	return peers
+}
+
+// Take implements limit.Peers.
+func (n *Neighbours) Take(ctx context.Context, peer string, request limit.TakeRequest) (reply limit.TakeReply, err error) {
+	err = n.ask(ctx, peer, "Take", &request, &reply)
+	return reply, err
+}
+
+// Lend implements limit.Lenders.
+func (n *Neighbours) Lend(ctx context.Context, lender string, request *contract.LoanRequest) (reply contract.LoanReply, err error) {
+	err = n.ask(ctx, lender, "Lend", request, &reply)
+	return reply, err
+}
+
+func (n *Neighbours) ask(ctx context.Context, name, method string, args, reply any) error {
+	member := n.View().Member(name)
+	if member == nil {
+		return ErrNotListed.New("%s is not listed", name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
+	defer cancel()
+	return n.Caller.Call(ctx, member.PeerAddress, ReceiverName+"."+method, args, reply)
+}
--- /dev/null
+++ b/internal/policy/divide/ledger.go
@@ -0,0 +1,424 @@
+// Package divide decides how the limits of the whole fleet are divided among its
+// entry VMs. Its Ledger counts for each VM the most that it may hold, and gives
+// a part to one VM only when the others' count leaves room for it. It does no
+// input or output: a driver carries its offers to the VMs and their reports back.
+package divide
+
+import (
+	"slices"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/world/contract"
+	"baobabladder.example/baobabladder/internal/world/vm"
+)
+
+// Member is a listed VM.
+type Member struct {
+	vm.ID
+	Place
+}
+
+// Ledger is the account of one term. Create it with New; it is not safe for use
+// by several goroutines.
+type Ledger struct {
+	term  int64
+	clock clock.Clock
+	// round grows with each Plan.
+	round int64
+	// names holds the listed VMs, sorted.
+	names     []string
+	holders   map[string]*holder
+	resources []contract.Resource
+	entries   map[contract.Resource]*entry
+	ghosts    []*ghost
+	// gone counts VMs that were dropped from the list.
+	gone int
+	// moved holds the resources that the last Plan dealt anew, sorted.
+	moved []contract.Resource
+	// membershipChanged says that the parts must be dealt anew.
+	membershipChanged bool
+}
+
+// holder is a listed VM as the ledger knows it.
+type holder struct {
+	id    vm.ID
+	place Place
+	// reported says that the VM has reported in this term, and so refuses older
+	// terms. Until then nobody knows what it holds.
+	reported bool
+	// answered is the last round that the VM answered.
+	answered int64
+	borrowed []contract.Borrowed
+}
+
+// entry is the account of one resource.
+type entry struct {
+	total Total
+	// dealtFor is the total for which the parts were last dealt.
+	dealtFor Total
+	dealt    bool
+	parts    map[string]*part
+}
+
+// part is one VM's part of a resource.
+type part struct {
+	// fenced is what the VM held when it first reported in this term.
+	fenced contract.Share
+	// counted is the most that the VM may hold: the maximum of what it reported
+	// for acked and of every later grant.
+	counted contract.Share
+	// want is what dealing gave; target is the last grant, between it and counted.
+	want, target contract.Share
+	// seq is the last grant's number, acked the last that the VM confirmed.
+	seq, acked int64
+	asked      meter
+	unmet      meter
+	inUse      int64
+}
+
+// ghost is a VM that is gone, until every VM that was listed then has said which
+// of the ghost's slots it still borrows.
+type ghost struct {
+	id      vm.ID
+	round   int64
+	waiting map[string]vm.Incarnation
+	counted map[contract.Resource]int64
+}
+
+// New returns the ledger of a term in which nobody has reported.
+func New(term int64, clock clock.Clock) *Ledger {
+	return &Ledger{
+		term: term, clock: clock,
+		holders: map[string]*holder{}, entries: map[contract.Resource]*entry{},
+	}
+}
+
+// Term returns the ledger's term.
+func (l *Ledger) Term() int64 { return l.term }
+
+// Moved returns the resources that the last Plan dealt anew, sorted.
+func (l *Ledger) Moved() []contract.Resource { return l.moved }
+
+// Unreported returns the listed VMs that have not reported in this term, sorted.
+func (l *Ledger) Unreported() []string {
+	var names []string
+	for _, name := range l.names {
+		if !l.holders[name].reported {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Members takes over the platform's list. A VM that was listed and is not any
+// more is gone. gone counts the VMs that the list dropped before this term.
+func (l *Ledger) Members(members []Member, gone int) {
+	l.gone = max(l.gone, gone)
+	listed := map[string]bool{}
+	for i := range members {
+		member := &members[i]
+		listed[member.Name] = true
+		known := l.holders[member.Name]
+		if known == nil {
+			known = &holder{}
+			l.holders[member.Name] = known
+			l.membershipChanged = true
+		}
+		known.place = member.Place
+	}
+	for _, name := range l.names {
+		if !listed[name] {
+			l.bury(name)
+			delete(l.holders, name)
+			l.gone++
+		}
+	}
+	l.names = l.names[:0]
+	for name := range l.holders {
+		l.names = append(l.names, name)
+	}
+	slices.Sort(l.names)
+}
+
+// bury frees what a VM that is gone held. Its slots stay counted while others
+// may still borrow them.
+func (l *Ledger) bury(name string) {
+	left := &ghost{id: l.holders[name].id, round: l.round + 1, waiting: map[string]vm.Incarnation{}, counted: map[contract.Resource]int64{}}
+	for resource, entry := range l.entries {
+		if size := l.mostHeld(resource, entry, name).Size; size > 0 && resource.Kind() == contract.KindSlots {
+			left.counted[resource] = size
+		}
+	}
+	for _, entry := range l.entries {
+		delete(entry.parts, name)
+	}
+	for other, holder := range l.holders {
+		if other != name {
+			left.waiting[other] = holder.id.Incarnation
+		}
+	}
+	if len(left.counted) > 0 && len(left.waiting) > 0 {
+		l.ghosts = append(l.ghosts, left)
+	}
+	l.membershipChanged = true
+}
+
+// mostHeld returns the most that one listed VM may hold of a resource.
+func (l *Ledger) mostHeld(resource contract.Resource, entry *entry, name string) contract.Share {
+	if !l.holders[name].reported {
+		return l.unknown(resource, entry)
+	}
+	if part := entry.parts[name]; part != nil {
+		return part.counted
+	}
+	return contract.Share{}
+}
+
+// Totals takes over the limits in force.
+func (l *Ledger) Totals(totals map[contract.Resource]Total) {
+	for resource, total := range totals {
+		l.entry(resource).total = total
+	}
+	for resource, entry := range l.entries {
+		if _, inForce := totals[resource]; !inForce {
+			entry.total = Total{Place: entry.total.Place}
+		}
+	}
+}
+
+func (l *Ledger) entry(resource contract.Resource) *entry {
+	known := l.entries[resource]
+	if known == nil {
+		known = &entry{parts: map[string]*part{}}
+		l.entries[resource] = known
+		at, _ := slices.BinarySearch(l.resources, resource)
+		l.resources = slices.Insert(l.resources, at, resource)
+	}
+	return known
+}
+
+func (e *entry) part(name string) *part {
+	known := e.parts[name]
+	if known == nil {
+		known = &part{}
+		e.parts[name] = known
+	}
+	return known
+}
+
+// Apply takes over a VM's report.
+func (l *Ledger) Apply(report *contract.Report) {
+	known := l.holders[report.VM.Name]
+	if known == nil || report.Term != l.term || report.VM.Incarnation < known.id.Incarnation {
+		return
+	}
+	if report.VM.Incarnation > known.id.Incarnation {
+		if known.reported {
+			l.bury(report.VM.Name)
+		}
+		*known = holder{id: report.VM, place: known.place}
+	}
+	if !known.reported && !report.Full {
+		return
+	}
+	for i := range report.Holdings {
+		l.applyHolding(known, &report.Holdings[i])
+	}
+	if !known.reported {
+		known.reported = true
+		l.membershipChanged = true
+	}
+	if report.Round >= known.answered {
+		known.answered = report.Round
+		known.borrowed = report.Borrowed
+	}
+	l.settleGhosts(report)
+}
+
+func (l *Ledger) applyHolding(holder *holder, holding *contract.Holding) {
+	entry := l.entry(holding.Resource)
+	part := entry.part(holder.id.Name)
+	now := l.clock.Now()
+	part.asked.observe(now, holding.Asked)
+	part.unmet.observe(now, holding.Unmet)
+	part.inUse = holding.InUse
+	if !holder.reported {
+		part.fenced, part.counted = holding.Share, holding.Share
+		part.target = holding.Share
+		part.want = holding.Share
+		return
+	}
+	if holding.Seq == part.seq && part.seq > 0 {
+		part.acked = holding.Seq
+		part.counted = holding.Share.Max(part.target)
+	}
+}
+
+func (l *Ledger) settleGhosts(report *contract.Report) {
+	for _, ghost := range l.ghosts {
+		if report.Round >= ghost.round {
+			delete(ghost.waiting, report.VM.Name)
+		}
+	}
+	l.ghosts = slices.DeleteFunc(l.ghosts, func(g *ghost) bool { return len(g.waiting) == 0 })
+}
+
+// dropGhostsOfUnlisted lets ghosts no longer wait for VMs that are gone too.
+func (l *Ledger) dropGhostsOfUnlisted() {
+	for _, ghost := range l.ghosts {
+		for name, incarnation := range ghost.waiting {
+			holder := l.holders[name]
+			if holder == nil || holder.id.Incarnation > incarnation && incarnation > 0 {
+				delete(ghost.waiting, name)
+			}
+		}
+	}
+	l.ghosts = slices.DeleteFunc(l.ghosts, func(g *ghost) bool { return len(g.waiting) == 0 })
+}
+
+// Offers is what Plan asks the driver to send to one VM.
+type Offers struct {
+	VM    vm.ID
+	Offer contract.Offer
+}
+
+// Plan moves shares and returns one offer for each listed VM, sorted by name.
+// The offers repeat each grant that is not confirmed.
+func (l *Ledger) Plan() []Offers {
+	l.round++
+	l.moved = nil
+	l.dropGhostsOfUnlisted()
+	plan := make([]Offers, len(l.names))
+	for i, name := range l.names {
+		holder := l.holders[name]
+		plan[i] = Offers{VM: holder.id, Offer: contract.Offer{Term: l.term, Round: l.round, To: holder.id.Incarnation}}
+		plan[i].Offer.Full = !holder.reported || holder.answered < l.round-1
+	}
+	for _, resource := range l.resources {
+		l.planEntry(resource, l.entries[resource])
+		for i, name := range l.names {
+			part := l.entries[resource].parts[name]
+			if part != nil && l.holders[name].reported && part.acked < part.seq {
+				plan[i].Offer.Grants = append(plan[i].Offer.Grants, contract.Grant{Resource: resource, Seq: part.seq, Share: part.target})
+			}
+		}
+	}
+	l.membershipChanged = false
+	return plan
+}
+
+func (l *Ledger) planEntry(resource contract.Resource, entry *entry) {
+	if l.isDealDue(resource, entry) {
+		l.deal(resource, entry)
+	}
+	for _, name := range l.names {
+		if part := entry.parts[name]; part != nil {
+			part.lower()
+		}
+	}
+	if !l.hasQuorum() {
+		return
+	}
+	room := entry.total.Share.Minus(l.counted(resource, entry)).Minus(l.unknown(resource, entry))
+	if room == (contract.Share{}) {
+		return
+	}
+	for _, name := range l.names {
+		if part := entry.parts[name]; part != nil {
+			room = part.raise(room)
+		}
+	}
+}
+
+// hasQuorum reports whether enough VMs refuse older terms that every new
+// incarnation hears of this term from one of them, before it takes a grant.
+func (l *Ledger) hasQuorum() bool {
+	return 2*(len(l.names)-len(l.Unreported())) > len(l.names)
+}
+
+// FenceQuorum returns how many peers of a fleet a new incarnation must have asked
+// for the newest term. Together with the majority that must have reported before
+// a ledger raises any share, that makes one of them know it.
+func FenceQuorum(listed int) int {
+	return min(listed-1, listed/2+1)
+}
+
+// lower sends the VM a smaller grant where it holds more than it is to. The
+// first grant of a term is always sent: what the VM reported before may include
+// slots in use above its share, and only a confirmed grant shows when they end.
+func (p *part) lower() {
+	lowered := p.target.Min(p.want)
+	if lowered != p.target || p.seq == 0 {
+		p.target = lowered
+		p.seq++
+	}
+}
+
+// raise grants the VM more, as far as there is room, and returns what room is
+// left. What is already counted for the VM needs no room.
+func (p *part) raise(room contract.Share) (left contract.Share) {
+	raised := p.want.Min(p.counted.Plus(room)).Max(p.target)
+	if raised == p.target {
+		return room
+	}
+	p.target = raised
+	p.seq++
+	before := p.counted
+	p.counted = p.counted.Max(raised)
+	return room.Minus(p.counted.Minus(before))
+}
+
+// counted sums what all known holders may hold of a resource.
+func (l *Ledger) counted(resource contract.Resource, entry *entry) (sum contract.Share) {
+	for _, part := range entry.parts {
+		sum = sum.Plus(part.counted)
+	}
+	if resource.Kind() == contract.KindSlots {
+		for _, ghost := range l.ghosts {
+			sum.Size += ghost.counted[resource]
+		}
+		sum.Size += l.orphaned(resource)
+	}
+	return sum
+}
+
+// orphaned counts slots that are borrowed from lenders that no longer run. A
+// loan whose reply is awaited may be of any resource.
+func (l *Ledger) orphaned(resource contract.Resource) (sum int64) {
+	for _, holder := range l.holders {
+		for _, borrowed := range holder.borrowed {
+			lender := l.holders[borrowed.Lender.Name]
+			if lender != nil && lender.reported && lender.id == borrowed.Lender {
+				continue
+			}
+			if borrowed.Resource == resource || borrowed.Resource == "" {
+				sum += borrowed.Count
+			}
+		}
+	}
+	return sum
+}
+
+// unknown returns the most that listed VMs may hold that have not reported in
+// this term: what the others did not hold when they were fenced, and for each VM
+// no more than the cap. They may also have borrowed slots of VMs that are gone.
+func (l *Ledger) unknown(resource contract.Resource, entry *entry) contract.Share {
+	count := 0
+	for _, holder := range l.holders {
+		if !holder.reported {
+			count++
+		}
+	}
+	if count == 0 {
+		return contract.Share{}
+	}
+	if resource.Kind() == contract.KindSlots {
+		count += l.gone
+	}
+	rest := entry.total.Share
+	for _, part := range entry.parts {
+		rest = rest.Minus(part.fenced)
+	}
+	limit := capOf(resource.Kind(), entry.total.Share, len(l.names))
+	return rest.Min(contract.Share{Rate: limit.Rate * int64(count), Size: limit.Size * int64(count)})
+}
--- /dev/null
+++ b/internal/policy/divide/totals.go
@@ -0,0 +1,82 @@
+package divide
+
+import (
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/document"
+	"baobabladder.example/baobabladder/internal/world/contract"
+	"baobabladder.example/baobabladder/internal/world/vm"
+)
+
+const (
+	// bytesPerMbit is a link's bytes per second for each Mbit/s.
+	bytesPerMbit = 1_000_000 / 8
+	// linkBurst is how long a link's burst lasts at its full rate.
+	linkBurst = 250 * clock.Millis(1)
+)
+
+// Place is where a VM or an endpoint stands.
+type Place struct {
+	Region     string
+	DataCentre string
+}
+
+// Total is a whole limit.
+type Total struct {
+	contract.Share
+	// Place is where the endpoint of a KindSlots resource stands.
+	Place Place
+}
+
+// Totals returns the limits that the documents state. An endpoint that is
+// drained, or leaving according to the platform's list, has no slots. A nil
+// fleet has no links.
+func Totals(services []*document.Service, fleet *document.Fleet, endpoints map[string]vm.State) map[contract.Resource]Total {
+	totals := map[contract.Resource]Total{}
+	for _, service := range services {
+		addWorkspaces(totals, service)
+		addEndpoints(totals, service, endpoints)
+	}
+	if fleet != nil {
+		addLinks(totals, fleet)
+	}
+	return totals
+}
+
+func addWorkspaces(totals map[contract.Resource]Total, service *document.Service) {
+	for _, workspace := range service.Workspaces {
+		share := contract.Share{Rate: workspace.Rate, Size: workspace.Burst * contract.Request}
+		totals[contract.RateOf(service.Name, workspace.Name)] = Total{Share: share}
+	}
+}
+
+func addEndpoints(totals map[contract.Resource]Total, service *document.Service, endpoints map[string]vm.State) {
+	for i := range service.Endpoints {
+		endpoint := &service.Endpoints[i]
+		total := Total{Place: Place{Region: endpoint.Region, DataCentre: endpoint.DataCentre}}
+		if endpoints[endpoint.Name] != vm.Leaving && !isDrained(service, endpoint) {
+			total.Size = int64(endpoint.Slots)
+		}
+		totals[contract.SlotsOf(service.Name, endpoint.Name)] = total
+	}
+}
+
+func isDrained(service *document.Service, endpoint *document.Endpoint) bool {
+	for _, drain := range service.Drains {
+		switch {
+		case drain.Kind == document.DrainEndpoint && drain.Name == endpoint.Name,
+			drain.Kind == document.DrainDataCentre && drain.Name == endpoint.DataCentre,
+			drain.Kind == document.DrainRegion && drain.Name == endpoint.Region:
+			return true
+		}
+	}
+	return false
+}
+
+func addLinks(totals map[contract.Resource]Total, fleet *document.Fleet) {
+	for _, link := range fleet.Links {
+		rate := int64(link.Mbit) * bytesPerMbit
+		share := contract.Share{Rate: rate, Size: rate * int64(linkBurst) / int64(clock.Second)}
+		totals[contract.LinkOf(link.A, link.B)] = Total{Share: share}
+		totals[contract.LinkOf(link.B, link.A)] = Total{Share: share}
+	}
+}
--- /dev/null
+++ b/internal/world/contract/holder.go
@@ -0,0 +1,287 @@
+package contract
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/joomcode/errorx"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/world/vm"
+)
+
+var (
+	errorNamespace = errorx.NewNamespace("contract")
+	// ErrStale says that an offer is of an older term, or for another incarnation.
+	ErrStale = errorNamespace.NewType("stale")
+	// ErrNotFenced says that the VM does not yet know the fleet's newest term.
+	ErrNotFenced = errorNamespace.NewType("not_fenced")
+)
+
+// Part is one VM's share of one resource, ready for use. Its methods may be
+// called from any goroutine.
+type Part struct {
+	clock clock.Clock
+
+	mu sync.Mutex
+	// bucket holds the tokens; for slots only its share is used. Guarded by mu.
+	bucket bucket
+	// inUse and lent count own slots. A slot is given out only while their sum is
+	// below the share, and it stays counted until it is free. Guarded by mu.
+	inUse, lent int64
+	// term and seq name the last grant taken over. Guarded by mu.
+	term, seq int64
+	// asked and unmet only grow. Guarded by mu.
+	asked, unmet int64
+	// running counts slots in use by own requests, borrowed ones included.
+	// Guarded by mu.
+	running int64
+	// changed says that the part differs from its last report. Guarded by mu.
+	changed bool
+}
+
+// Take removes amount tokens if the share has them.
+func (p *Part) Take(amount int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked += amount
+	p.changed = true
+	if p.bucket.take(p.clock.Now(), amount) {
+		return true
+	}
+	p.unmet += amount
+	return false
+}
+
+// TakeFor removes up to want times amount for a peer's callers and returns how
+// many times it could, with the wait until it can again.
+func (p *Part) TakeFor(want, amount int64) (taken int64, wait clock.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	for taken < want && p.bucket.take(now, amount) {
+		taken++
+	}
+	return taken, p.bucket.wait(now, amount)
+}
+
+// Wait returns how long it takes until the share has amount tokens.
+func (p *Part) Wait(amount int64) clock.Millis {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.bucket.wait(p.clock.Now(), amount)
+}
+
+// Share returns the granted share.
+func (p *Part) Share() Share {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.bucket.share
+}
+
+// FreeSlots returns how many own slots are free.
+func (p *Part) FreeSlots() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return int(max(0, p.bucket.share.Size-p.inUse-p.lent))
+}
+
+// TakeSlot takes an own free slot.
+func (p *Part) TakeSlot() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked++
+	p.changed = true
+	if p.inUse+p.lent >= p.bucket.share.Size {
+		p.unmet++
+		return false
+	}
+	p.inUse++
+	p.running++
+	return true
+}
+
+// ReleaseSlot gives back an own slot.
+func (p *Part) ReleaseSlot() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inUse--
+	p.running--
+	p.changed = true
+}
+
+// NoteUnmet counts a slot that was wanted and not free.
+func (p *Part) NoteUnmet() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked++
+	p.unmet++
+	p.changed = true
+}
+
+// NoteRunning counts requests that began (or, negative, ended) on a borrowed slot.
+func (p *Part) NoteRunning(change int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running += change
+	p.changed = true
+}
+
+func (p *Part) lend() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.inUse+p.lent >= p.bucket.share.Size {
+		return false
+	}
+	p.lent++
+	p.changed = true
+	return true
+}
+
+func (p *Part) takeBack() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lent--
+	p.changed = true
+}
+
+// grant takes over a grant that is newer than the last one.
+func (p *Part) grant(term int64, grant *Grant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if term < p.term || (term == p.term && grant.Seq <= p.seq) {
+		return
+	}
+	p.term, p.seq = term, grant.Seq
+	p.bucket.set(p.clock.Now(), grant.Share)
+	p.changed = true
+}
+
+// holding describes the part in a report of the term.
+func (p *Part) holding(resource Resource, term int64) (holding Holding, changed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	holding = Holding{Resource: resource, Share: p.bucket.share, Asked: p.asked, Unmet: p.unmet, InUse: p.running}
+	if p.term == term {
+		holding.Seq = p.seq
+	}
+	holding.Share.Size = max(holding.Share.Size, p.inUse+p.lent)
+	changed = p.changed
+	p.changed = false
+	return holding, changed
+}
+
+// Holder is one incarnation's shares of all resources. It starts with nothing
+// and takes no grant before Fence. Self must be set.
+type Holder struct {
+	Self  vm.ID
+	Clock clock.Clock
+
+	// parts is replaced, never changed, under mu.
+	parts atomic.Pointer[map[Resource]*Part]
+
+	mu sync.Mutex
+	// term is the newest seen; older offers are refused. Guarded by mu.
+	term int64
+	// fenced says that term is what the fleet knew when the process began.
+	// Guarded by mu.
+	fenced bool
+	// lent holds what each borrower has of this VM's slots. Guarded by mu.
+	lent map[string]*lending
+	// loans holds the loans from each lender that are not settled. Guarded by mu.
+	loans map[string]*borrowing
+}
+
+// Part returns the part of a resource, made at first use.
+func (h *Holder) Part(resource Resource) *Part {
+	if parts := h.parts.Load(); parts != nil {
+		if part := (*parts)[resource]; part != nil {
+			return part
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.partLocked(resource)
+}
+
+func (h *Holder) partLocked(resource Resource) *Part {
+	grown := map[Resource]*Part{}
+	if parts := h.parts.Load(); parts != nil {
+		if part := (*parts)[resource]; part != nil {
+			return part
+		}
+		grown = maps.Clone(*parts)
+	}
+	part := &Part{clock: h.Clock}
+	grown[resource] = part
+	h.parts.Store(&grown)
+	return part
+}
+
+// Term returns the newest term seen.
+func (h *Holder) Term() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.term
+}
+
+// Fence refuses terms before term from now on. A new incarnation is fenced with
+// the newest term that its peers know; without that a divider that was paused
+// through a change of term could grant it what its successor has given away.
+func (h *Holder) Fence(term int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.term = max(h.term, term)
+	h.fenced = true
+}
+
+// Accept takes over an offer's grants and reports.
+func (h *Holder) Accept(offer *Offer) (report *Report, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case !h.fenced:
+		return nil, ErrNotFenced.New("%s does not know the newest term yet", h.Self.Name)
+	case offer.Term < h.term:
+		return nil, ErrStale.New("term %d is older than %d", offer.Term, h.term)
+	case len(offer.Grants) > 0 && offer.To != h.Self.Incarnation:
+		return nil, ErrStale.New("the grants are for incarnation %d, not %d", offer.To, h.Self.Incarnation)
+	}
+	h.term = offer.Term
+	for i := range offer.Grants {
+		h.partLocked(offer.Grants[i].Resource).grant(offer.Term, &offer.Grants[i])
+	}
+	return h.reportLocked(offer), nil
+}
+
+func (h *Holder) reportLocked(offer *Offer) *Report {
+	report := &Report{VM: h.Self, Term: offer.Term, Round: offer.Round, Full: offer.Full, Borrowed: h.borrowedLocked()}
+	parts := h.parts.Load()
+	if parts == nil {
+		return report
+	}
+	granted := map[Resource]bool{}
+	for i := range offer.Grants {
+		granted[offer.Grants[i].Resource] = true
+	}
+	for resource, part := range *parts {
+		holding, changed := part.holding(resource, offer.Term)
+		if changed || offer.Full || granted[resource] {
+			report.Holdings = append(report.Holdings, holding)
+		}
+	}
+	slices.SortFunc(report.Holdings, func(a, b Holding) int { return compare(a.Resource, b.Resource) })
+	return report
+}
+
+func compare(a, b Resource) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
