Let operators drive the system over HTTP and from the command line

A change is accepted once it is written in the store; a lost answer is settled by reading its write id back, and the answer names the VMs that confirmed. A key's withdrawal is told to all VMs before it is written.

The store's client called an unexpected status of a change "changed nothing", and a refused connection "outcome unknown"; both were the wrong way round.

--- a/cmd/baobabladder/main.go
+++ b/cmd/baobabladder/main.go
@@ -3,27 +3,11 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
-	"github.com/alecthomas/kingpin/v2"
-	"github.com/sirupsen/logrus"
-
-	"baobabladder.example/baobabladder/internal/base/settings"
-	"baobabladder.example/baobabladder/internal/entry/process"
+	"baobabladder.example/baobabladder/internal/entry/command"
 )
 
 func main() {
-	app := kingpin.New("baobabladder", "Steers print customers' requests to endpoints across regions.")
-	entry := app.Command("entry", "Run an entry VM.")
-	file := entry.Flag("settings", "The VM's settings file.").Required().ExistingFile()
-	kingpin.MustParse(app.Parse(os.Args[1:]))
-
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	read, err := settings.Load(*file)
-	app.FatalIfError(err, "")
-	app.FatalIfError((&process.Process{Settings: read, Log: logrus.StandardLogger()}).Run(ctx), "")
+	os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr))
 }
--- /dev/null
+++ b/internal/entry/command/operate.go
@@ -0,0 +1,271 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/document"
+	"baobabladder.example/baobabladder/internal/base/fault"
+	"baobabladder.example/baobabladder/internal/base/settings"
+	"baobabladder.example/baobabladder/internal/wire/operator"
+)
+
+// checked is the output of check.
+type checked struct {
+	Name  string `json:"name"`
+	Valid bool   `json:"valid"`
+}
+
+func (c *commands) check(context.Context) int {
+	_, parsed, err := c.readDocument()
+	if err != nil {
+		return c.fail(err)
+	}
+	return c.print(checked{Name: parsed.Name, Valid: true}, func(w *tabwriter.Writer) {
+		fmt.Fprintf(w, "the document of %s is valid\n", parsed.Name)
+	})
+}
+
+func (c *commands) apply(ctx context.Context) int {
+	text, parsed, err := c.readDocument()
+	if err != nil {
+		return c.fail(err)
+	}
+	applied, err := c.client().Apply(ctx, parsed.Name, operator.ApplyRequest{Text: text, BasedOn: c.basedOn, Author: c.author})
+	if err != nil {
+		return c.fail(err)
+	}
+	code := c.print(applied, func(w *tabwriter.Writer) {
+		word := "accepted"
+		if applied.Unchanged {
+			word = "unchanged"
+		}
+		fmt.Fprintf(w, "%s: revision %d %s\n", applied.Name, applied.Revision, word)
+		writeSpread(w, applied.Spread)
+	})
+	return codeOf(code, applied.Spread)
+}
+
+func (c *commands) show(ctx context.Context) int {
+	shown, err := c.client().Show(ctx, c.name, c.revision)
+	if err != nil {
+		return c.fail(err)
+	}
+	if c.output == outputJSON {
+		return c.print(shown, nil)
+	}
+	// The text goes out as it is, so that it can be edited and applied again.
+	fmt.Fprintf(c.stdout, "# revision %d, accepted %s, by %s\n%s", shown.Revision, wallTime(shown.AcceptedAt), shown.Author, shown.Text)
+	return ExitOK
+}
+
+func (c *commands) compare(ctx context.Context) int {
+	comparison, err := c.client().Compare(ctx, c.name, c.from, c.to)
+	if err != nil {
+		return c.fail(err)
+	}
+	return c.print(comparison, func(w *tabwriter.Writer) {
+		fmt.Fprintf(w, "%s: revision %d to %d\n", comparison.Name, comparison.From, comparison.To)
+		for _, line := range comparison.Lines {
+			fmt.Fprintln(w, strings.ReplaceAll(line, "\t", "    "))
+		}
+	})
+}
+
+func (c *commands) history(ctx context.Context) int {
+	history, err := c.client().History(ctx, c.name)
+	if err != nil {
+		return c.fail(err)
+	}
+	return c.print(history, func(w *tabwriter.Writer) {
+		fmt.Fprintln(w, "revision\taccepted\tauthor")
+		for _, revision := range history.Revisions {
+			fmt.Fprintf(w, "%d\t%s\t%s\n", revision.Revision, wallTime(revision.AcceptedAt), revision.Author)
+		}
+	})
+}
+
+func (c *commands) issue(ctx context.Context) int {
+	issued, err := c.client().Issue(ctx, operator.IssueRequest{Workspace: c.space, Author: c.author})
+	if err != nil {
+		return c.fail(err)
+	}
+	code := c.print(issued, func(w *tabwriter.Writer) {
+		fmt.Fprintf(w, "id:\t%s\nworkspace:\t%s\nkey:\t%s\n", issued.ID, issued.Workspace, issued.Text)
+		writeSpread(w, issued.Spread)
+	})
+	return codeOf(code, issued.Spread)
+}
+
+func (c *commands) withdraw(ctx context.Context) int {
+	withdrawn, err := c.client().Withdraw(ctx, c.key, c.author)
+	if err != nil {
+		return c.fail(err)
+	}
+	code := c.print(withdrawn, func(w *tabwriter.Writer) {
+		fmt.Fprintf(w, "key %s is withdrawn\n", withdrawn.ID)
+		writeSpread(w, withdrawn.Spread)
+	})
+	return codeOf(code, withdrawn.Spread)
+}
+
+func (c *commands) listKeys(ctx context.Context) int {
+	list, err := c.client().Keys(ctx)
+	if err != nil {
+		return c.fail(err)
+	}
+	return c.print(list, func(w *tabwriter.Writer) {
+		fmt.Fprintln(w, "id\tworkspace\tstate")
+		for _, key := range list.Keys {
+			state := "valid"
+			if key.Withdrawn {
+				state = "withdrawn"
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\n", key.ID, key.Workspace, state)
+		}
+	})
+}
+
+func (c *commands) status(ctx context.Context) int {
+	status, err := c.client().Status(ctx)
+	if err != nil {
+		return c.fail(err)
+	}
+	return c.print(status, func(w *tabwriter.Writer) { writeStatus(w, status) })
+}
+
+func writeStatus(w *tabwriter.Writer, status operator.Status) {
+	fmt.Fprintf(w, "seen by %s: ready %t%s, keyed work %t, knowledge %d ms old at revision %d\n",
+		status.VM, status.Ready, bracketed(status.NotReady), status.Fresh, status.Age, status.Revision)
+	fmt.Fprintln(w, "\nvm\tdata centre\tstate\treachable\tready\tstore\tage ms\trevision\tleases")
+	for _, member := range status.Members {
+		state := member.State
+		if member.Stopping {
+			state = "stopping"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%t\t%t\t%d\t%d\t%s\n", member.Name, member.DataCentre, state, member.Reachable,
+			member.Ready, member.HasContact, member.Age, member.Revision, strings.Join(member.Leases, " "))
+	}
+	fmt.Fprintln(w, "\ndocument\trevision")
+	for _, document := range status.Documents {
+		fmt.Fprintf(w, "%s\t%d\n", document.Name, document.Revision)
+	}
+	if len(status.Shares) > 0 {
+		fmt.Fprintln(w, "\nshare of\trate\tsize")
+	}
+	for _, share := range status.Shares {
+		fmt.Fprintf(w, "%s\t%d\t%d\n", share.Resource, share.Share.Rate, share.Share.Size)
+	}
+}
+
+func (c *commands) moves(ctx context.Context) int {
+	moves, err := c.client().Moves(ctx)
+	if err != nil {
+		return c.fail(err)
+	}
+	return c.print(moves, func(w *tabwriter.Writer) {
+		for _, service := range sortedKeys(moves.Moves) {
+			fmt.Fprintf(w, "%s\t%s\n", service, moves.Moves[service])
+		}
+	})
+}
+
+func (c *commands) account(ctx context.Context) int {
+	account, err := c.client().Account(ctx)
+	if err != nil {
+		return c.fail(err)
+	}
+	return c.print(account, func(w *tabwriter.Writer) {
+		for _, line := range account.Lines {
+			fmt.Fprintf(w, "%s\t%s\tterm %d\t%s\t%s\t%s\n", wallTime(line.At), line.VM, line.Term, line.What, line.Subject, line.Why)
+		}
+		for _, vm := range account.Missing {
+			fmt.Fprintf(w, "%s gave no answer\n", vm)
+		}
+	})
+}
+
+// print writes a command's result in the asked form.
+func (c *commands) print(result any, text func(w *tabwriter.Writer)) int {
+	if c.output == outputJSON {
+		encoder := json.NewEncoder(c.stdout)
+		encoder.SetIndent("", "  ")
+		_ = encoder.Encode(result)
+		return ExitOK
+	}
+	w := tabwriter.NewWriter(c.stdout, 0, 4, 2, ' ', 0)
+	text(w)
+	_ = w.Flush()
+	return ExitOK
+}
+
+// fail prints an error and returns its exit code.
+func (c *commands) fail(err error) int {
+	failure, failed := fault.As[*operator.Failure](err)
+	if failed && c.output == outputJSON {
+		_ = json.NewEncoder(c.stdout).Encode(failure)
+	}
+	fmt.Fprintln(c.stderr, "baobabladder:", err)
+	switch {
+	case failed:
+		for _, line := range failure.Difference {
+			fmt.Fprintln(c.stderr, line)
+		}
+		return failureCode(failure)
+	case errorx.IsOfType(err, operator.ErrUnreachable):
+		return ExitUnreachable
+	case errorx.IsOfType(err, operator.ErrNoAnswer):
+		return ExitUnknown
+	case errorx.IsOfType(err, document.ErrInvalid), errorx.IsOfType(err, settings.ErrInvalid):
+		return ExitInvalid
+	}
+	return ExitRefused
+}
+
+func failureCode(failure *operator.Failure) int {
+	switch failure.Word {
+	case operator.Invalid:
+		return ExitInvalid
+	case operator.Unavailable:
+		return ExitUnreachable
+	case operator.OutcomeUnknown, operator.Internal:
+		return ExitUnknown
+	}
+	return ExitRefused
+}
+
+func codeOf(code int, spread operator.Spread) int {
+	if len(spread.Rest) > 0 {
+		return ExitUnconfirmed
+	}
+	return code
+}
+
+func writeSpread(w *tabwriter.Writer, spread operator.Spread) {
+	fmt.Fprintf(w, "in force at:\t%s\n", strings.Join(spread.Confirmed, " "))
+	if len(spread.Rest) > 0 {
+		fmt.Fprintf(w, "not confirmed by:\t%s\n", strings.Join(spread.Rest, " "))
+	}
+}
+
+func wallTime(at clock.Millis) string {
+	return time.UnixMilli(int64(at)).UTC().Format(time.RFC3339)
+}
+
+func bracketed(text string) string {
+	if text == "" {
+		return ""
+	}
+	return " (" + text + ")"
+}
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/internal/wire/operator/client.go
@@ -0,0 +1,182 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/dghubble/sling"
+	"github.com/joomcode/errorx"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/fault"
+)
+
+// callTimeout bounds one command at one VM.
+const callTimeout = 15 * clock.Second
+
+var (
+	errorNamespace = errorx.NewNamespace("operator")
+	// ErrUnreachable says that no VM took the command; nothing was changed.
+	ErrUnreachable = errorNamespace.NewType("unreachable")
+	// ErrNoAnswer says that a VM took a change and gave no answer: it may stand.
+	ErrNoAnswer = errorNamespace.NewType("no_answer")
+)
+
+// Client sends operators' commands to the first VM that takes them. Both fields
+// must be set; see NewClient.
+type Client struct {
+	// Bases holds the URLs of VMs' operator addresses, each ending with a slash.
+	Bases []string
+	HTTP  *http.Client
+}
+
+// NewClient returns a Client of the VMs at the given URLs.
+func NewClient(urls []string) *Client {
+	client := &Client{HTTP: &http.Client{Timeout: callTimeout.Duration()}}
+	for _, u := range urls {
+		client.Bases = append(client.Bases, strings.TrimSuffix(u, "/")+"/")
+	}
+	return client
+}
+
+// Apply asks to accept a document.
+func (c *Client) Apply(ctx context.Context, name string, asked ApplyRequest) (applied Applied, err error) {
+	defer fault.Annotate(&err, "applying document %s", name)
+	err = c.call(ctx, sling.New().Put("v1/documents/"+url.PathEscape(name)).BodyJSON(asked), &applied)
+	return applied, err
+}
+
+// Show returns a document's revision; 0 stands for the newest.
+func (c *Client) Show(ctx context.Context, name string, revision int64) (shown Revision, err error) {
+	defer fault.Annotate(&err, "reading document %s", name)
+	query := url.Values{}
+	if revision > 0 {
+		query.Set("revision", strconv.FormatInt(revision, 10))
+	}
+	err = c.call(ctx, sling.New().Get("v1/documents/"+url.PathEscape(name)+"?"+query.Encode()), &shown)
+	return shown, err
+}
+
+// Compare returns the difference between two revisions; 0 stands for the newest
+// as to and for the one before to as from.
+func (c *Client) Compare(ctx context.Context, name string, from, to int64) (comparison Comparison, err error) {
+	defer fault.Annotate(&err, "comparing revisions of document %s", name)
+	query := url.Values{}
+	if from > 0 {
+		query.Set("from", strconv.FormatInt(from, 10))
+	}
+	if to > 0 {
+		query.Set("to", strconv.FormatInt(to, 10))
+	}
+	err = c.call(ctx, sling.New().Get("v1/documents/"+url.PathEscape(name)+"/compare?"+query.Encode()), &comparison)
+	return comparison, err
+}
+
+// History lists a document's revisions.
+func (c *Client) History(ctx context.Context, name string) (history History, err error) {
+	defer fault.Annotate(&err, "reading the history of document %s", name)
+	err = c.call(ctx, sling.New().Get("v1/documents/"+url.PathEscape(name)+"/history"), &history)
+	return history, err
+}
+
+// Issue makes a key.
+func (c *Client) Issue(ctx context.Context, asked IssueRequest) (issued Issued, err error) {
+	defer fault.Annotate(&err, "issuing a key for workspace %s", asked.Workspace)
+	err = c.call(ctx, sling.New().Post("v1/keys").BodyJSON(asked), &issued)
+	return issued, err
+}
+
+// Withdraw withdraws a key.
+func (c *Client) Withdraw(ctx context.Context, id, author string) (withdrawn Withdrawn, err error) {
+	defer fault.Annotate(&err, "withdrawing key %s", id)
+	query := url.Values{"author": {author}}
+	err = c.call(ctx, sling.New().Post("v1/keys/"+url.PathEscape(id)+"/withdraw?"+query.Encode()), &withdrawn)
+	return withdrawn, err
+}
+
+// Keys lists the keys.
+func (c *Client) Keys(ctx context.Context) (list KeyList, err error) {
+	defer fault.Annotate(&err, "listing keys")
+	err = c.call(ctx, sling.New().Get("v1/keys"), &list)
+	return list, err
+}
+
+// Status shows the fleet as one VM sees it.
+func (c *Client) Status(ctx context.Context) (status Status, err error) {
+	defer fault.Annotate(&err, "reading the status")
+	err = c.call(ctx, sling.New().Get("v1/status"), &status)
+	return status, err
+}
+
+// Moves shows the version moves.
+func (c *Client) Moves(ctx context.Context) (moves Moves, err error) {
+	defer fault.Annotate(&err, "reading the version moves")
+	err = c.call(ctx, sling.New().Get("v1/moves"), &moves)
+	return moves, err
+}
+
+// Account returns the decisions of all VMs.
+func (c *Client) Account(ctx context.Context) (account Account, err error) {
+	defer fault.Annotate(&err, "reading the account")
+	err = c.call(ctx, sling.New().Get("v1/account"), &account)
+	return account, err
+}
+
+// call tries one VM after the other. A change goes to the next one only if this
+// one certainly changed nothing.
+func (c *Client) call(ctx context.Context, command *sling.Sling, into any) (err error) {
+	err = ErrUnreachable.New("no operator URL was given")
+	for _, base := range c.Bases {
+		var request *http.Request
+		request, err = command.New().Base(base).Request()
+		if err != nil {
+			return ErrUnreachable.Wrap(err, "the operator URL %s can't be used", base)
+		}
+		err = c.send(request.WithContext(ctx), into)
+		failure, failed := fault.As[*Failure](err)
+		if failed && failure.Word != NotReady && failure.Word != Unavailable {
+			return err
+		}
+		if err == nil || errorx.IsOfType(err, ErrNoAnswer) {
+			return err
+		}
+	}
+	return err
+}
+
+func (c *Client) send(request *http.Request, into any) error {
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return noAnswer(request, err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return noAnswer(request, err)
+	}
+	if response.StatusCode == http.StatusOK {
+		return json.Unmarshal(body, into)
+	}
+	failure := &Failure{}
+	if err := json.Unmarshal(body, failure); err != nil || failure.Word == "" {
+		return noAnswer(request, ErrUnreachable.New("unexpected status %d", response.StatusCode))
+	}
+	return failure
+}
+
+// noAnswer tells a call that certainly changed nothing from one that may have.
+func noAnswer(request *http.Request, err error) error {
+	var operation *net.OpError
+	notSent := errors.As(err, &operation) && operation.Op == "dial"
+	if notSent || request.Method == http.MethodGet {
+		return ErrUnreachable.Wrap(err, "no answer from %s", request.URL.Host)
+	}
+	return ErrNoAnswer.Wrap(err, "no answer from %s", request.URL.Host)
+}
--- /dev/null
+++ b/internal/wire/operator/key.go
@@ -0,0 +1,201 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/joomcode/errorx"
+
+	"baobabladder.example/baobabladder/internal/base/account"
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/wire/store"
+	"baobabladder.example/baobabladder/internal/world/key"
+)
+
+// settleInterval is how often an unsettled withdrawal is tried again.
+const settleInterval = 2 * clock.Second
+
+// settler holds withdrawals that this VM was asked for and that the store does
+// not show yet.
+type settler struct {
+	mu sync.Mutex
+	// authors maps the id of a key to who asked. Guarded by mu.
+	authors map[string]string
+}
+
+// issue makes a key for a workspace.
+func (s *Server) issue(request *http.Request) (issued Issued, err error) {
+	var asked IssueRequest
+	if err := readJSON(request, &asked); err != nil {
+		return Issued{}, err
+	}
+	if err := checkAuthor(asked.Author); err != nil {
+		return Issued{}, err
+	}
+	if err := s.requireReady(); err != nil {
+		return Issued{}, err
+	}
+	if !s.hasWorkspace(asked.Workspace) {
+		return Issued{}, invalid("workspace: %q is not allowed: a workspace that a service's document has", asked.Workspace)
+	}
+	made, text, err := key.Issue(asked.Workspace)
+	if err != nil {
+		return Issued{}, err
+	}
+	made.WriteID = newWriteID()
+	ctx, cancel := s.writeContext(request)
+	defer cancel()
+	object, err := s.writeKey(ctx, made, 0)
+	if err != nil {
+		return Issued{}, failureOf(err)
+	}
+	s.Account.Add(account.Line{What: "key_issued", Subject: made.ID, Why: fmt.Sprintf("%s asked for a key for workspace %s", asked.Author, asked.Workspace)})
+	return Issued{ID: made.ID, Workspace: made.Workspace, Text: text, Spread: s.spread(ctx, object)}, nil
+}
+
+func (s *Server) hasWorkspace(name string) bool {
+	for _, service := range s.Replica.Snapshot().Services {
+		if service.Workspace(name) != nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Server) writeKey(ctx context.Context, k key.Key, version int64) (object store.Object, err error) {
+	value, err := json.Marshal(k)
+	if err != nil {
+		return store.Object{}, err
+	}
+	return store.Write(ctx, s.Store, key.ObjectPrefix+k.ID, value, version, func(value []byte) bool {
+		var read key.Key
+		return json.Unmarshal(value, &read) == nil && read.WriteID == k.WriteID
+	})
+}
+
+// withdraw withdraws a key. All VMs are told before the store is written, so
+// that a lost answer or a crash leaves no VM that goes on with the key while the
+// operator has been told that it is withdrawn.
+func (s *Server) withdraw(request *http.Request) (withdrawn Withdrawn, err error) {
+	id, author := request.PathValue("id"), request.URL.Query().Get("author")
+	if err := checkAuthor(author); err != nil {
+		return Withdrawn{}, err
+	}
+	if err := s.requireReady(); err != nil {
+		return Withdrawn{}, err
+	}
+	ctx, cancel := s.writeContext(request)
+	defer cancel()
+	if _, copied := s.Replica.Object(key.ObjectPrefix + id); !copied {
+		if err := s.requireKey(ctx, id); err != nil {
+			return Withdrawn{}, err
+		}
+	}
+	s.Replica.Withdraw(id)
+	early := make(chan Spread, 1)
+	go func() { early <- s.spread(ctx) }()
+	object, err := s.withdrawInStore(ctx, id)
+	if err != nil {
+		s.settleLater(id, author)
+		told := <-early
+		return Withdrawn{}, &Failure{
+			Word:      OutcomeUnknown,
+			Detail:    "the key is treated as withdrawn by the VMs named, but the store has not confirmed it; this VM keeps trying: " + err.Error(),
+			Confirmed: told.Confirmed,
+			Rest:      told.Rest,
+		}
+	}
+	s.noteWithdrawal(id, author)
+	return Withdrawn{ID: id, Spread: s.spread(ctx, object)}, nil
+}
+
+func (s *Server) noteWithdrawal(id, author string) {
+	s.Account.Add(account.Line{What: "key_withdrawn", Subject: id, Why: author + " withdrew the key"})
+}
+
+// requireKey refuses the id of a key that neither the copy nor the store has.
+func (s *Server) requireKey(ctx context.Context, id string) error {
+	_, err := s.Store.Get(ctx, key.ObjectPrefix+id)
+	if errorx.IsOfType(err, store.ErrNotFound) {
+		return notFound("no key %s", id)
+	}
+	return failureOf(err)
+}
+
+// withdrawInStore writes the withdrawal, whatever else is written to the key at
+// the same time. A key that is withdrawn already is left as it is.
+func (s *Server) withdrawInStore(ctx context.Context, id string) (object store.Object, err error) {
+	for {
+		object, err = s.Store.Get(ctx, key.ObjectPrefix+id)
+		if err != nil {
+			return store.Object{}, err
+		}
+		var k key.Key
+		if err := json.Unmarshal(object.Value, &k); err != nil {
+			return store.Object{}, err
+		}
+		if k.Withdrawn {
+			return object, nil
+		}
+		k.Withdrawn, k.WriteID = true, newWriteID()
+		object, err = s.writeKey(ctx, k, object.Version)
+		if !errorx.IsOfType(err, store.ErrConflict) {
+			return object, err
+		}
+	}
+}
+
+func (s *Server) settleLater(id, author string) {
+	s.settler.mu.Lock()
+	defer s.settler.mu.Unlock()
+	if s.settler.authors == nil {
+		s.settler.authors = map[string]string{}
+	}
+	s.settler.authors[id] = author
+}
+
+// Run writes withdrawals that the store has not confirmed, until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	for clock.Sleep(ctx, settleInterval) == nil {
+		s.settler.mu.Lock()
+		waiting := make(map[string]string, len(s.settler.authors))
+		for id, author := range s.settler.authors {
+			waiting[id] = author
+		}
+		s.settler.mu.Unlock()
+		for id, author := range waiting {
+			s.settle(ctx, id, author)
+		}
+	}
+}
+
+func (s *Server) settle(ctx context.Context, id, author string) {
+	ctx, cancel := context.WithTimeout(ctx, writeTime.Duration())
+	defer cancel()
+	object, err := s.withdrawInStore(ctx, id)
+	if err != nil {
+		return
+	}
+	s.settler.mu.Lock()
+	delete(s.settler.authors, id)
+	s.settler.mu.Unlock()
+	s.noteWithdrawal(id, author)
+	s.spread(ctx, object)
+}
+
+// listKeys lists the keys that this VM knows.
+func (s *Server) listKeys(*http.Request) (list KeyList, err error) {
+	list.Keys = []KeyLine{}
+	for _, k := range s.Replica.Snapshot().Keys {
+		list.Keys = append(list.Keys, KeyLine{ID: k.ID, Workspace: k.Workspace, Withdrawn: k.Withdrawn})
+	}
+	slices.SortFunc(list.Keys, func(a, b KeyLine) int {
+		return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.ID, b.ID))
+	})
+	return list, nil
+}
--- /dev/null
+++ b/internal/wire/operator/status.go
@@ -0,0 +1,106 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+
+	"baobabladder.example/baobabladder/internal/base/account"
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/world/membership"
+)
+
+// ReceiverName is the name under which peers call a Receiver.
+const ReceiverName = "Operator"
+
+// accountTimeout bounds one peer's answer.
+const accountTimeout = 2 * clock.Second
+
+// status shows the fleet as this VM sees it.
+func (s *Server) status(*http.Request) (status Status, err error) {
+	snapshot, view := s.Replica.Snapshot(), s.Viewer.View()
+	status = Status{
+		VM: s.Name, Revision: snapshot.Revision, Fresh: s.Freshness.Fresh(), Documents: []DocumentLine{},
+		Members: []MemberLine{}, Gone: []string{}, Shares: []ShareLine{}, Endpoints: []EndpointLine{}, Moves: snapshot.Moves,
+	}
+	status.Ready, status.NotReady = s.Spreader.Ready()
+	status.Age, _ = s.Freshness.Age()
+	if snapshot.Fleet != nil {
+		status.Documents = append(status.Documents, DocumentLine{Name: "fleet", Revision: snapshot.FleetRevision})
+	}
+	for _, service := range snapshot.Services {
+		status.Documents = append(status.Documents, DocumentLine{Name: service.Name, Revision: service.Revision})
+	}
+	for _, member := range view.Members {
+		status.Members = append(status.Members, memberLine(member))
+	}
+	for _, gone := range view.Gone {
+		status.Gone = append(status.Gone, gone.Name)
+	}
+	for name, state := range view.Endpoints {
+		status.Endpoints = append(status.Endpoints, EndpointLine{Name: name, State: string(state)})
+	}
+	slices.SortFunc(status.Endpoints, func(a, b EndpointLine) int { return cmp.Compare(a.Name, b.Name) })
+	if s.Shares != nil {
+		status.Shares = s.Shares()
+	}
+	return status, nil
+}
+
+// moves shows the state of every version move.
+func (s *Server) moves(*http.Request) (moves Moves, err error) {
+	return Moves{Moves: s.Replica.Snapshot().Moves}, nil
+}
+
+// account merges the accounts of all VMs.
+func (s *Server) account(request *http.Request) (merged Account, err error) {
+	merged = Account{Lines: s.Account.Lines(), Missing: []string{}}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for _, member := range s.Viewer.View().Peers() {
+		group.Go(func() {
+			lines, err := s.accountOf(request.Context(), member)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				merged.Missing = append(merged.Missing, member.Name)
+				return
+			}
+			merged.Lines = append(merged.Lines, lines...)
+		})
+	}
+	group.Wait()
+	slices.Sort(merged.Missing)
+	slices.SortStableFunc(merged.Lines, func(a, b account.Line) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.VM, b.VM), cmp.Compare(a.What, b.What), cmp.Compare(a.Subject, b.Subject))
+	})
+	return merged, nil
+}
+
+func (s *Server) accountOf(ctx context.Context, member membership.Member) (lines []account.Line, err error) {
+	ctx, cancel := context.WithTimeout(ctx, accountTimeout.Duration())
+	defer cancel()
+	var reply AccountReply
+	err = s.Peers.Call(ctx, member.PeerAddress, ReceiverName+".Account", AccountQuestion{}, &reply)
+	return reply.Lines, err
+}
+
+// AccountQuestion asks a peer for its account.
+type AccountQuestion struct{}
+
+// AccountReply holds a VM's account.
+type AccountReply struct{ Lines []account.Line }
+
+// Receiver serves peers over net/rpc.
+type Receiver struct{ account *account.Account }
+
+// NewReceiver returns what to register under ReceiverName.
+func NewReceiver(account *account.Account) *Receiver { return &Receiver{account: account} }
+
+// Account returns the VM's account.
+func (r *Receiver) Account(_ AccountQuestion, reply *AccountReply) error {
+	reply.Lines = r.account.Lines()
+	return nil
+}
--- a/internal/wire/store/store.go
+++ b/internal/wire/store/store.go
@@ -8,7 +8,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -153,7 +155,10 @@
 	if err != nil {
 		return err
 	}
-	return json.Unmarshal(body, into)
+	if err := json.Unmarshal(body, into); err != nil {
+		return ErrUnavailable.Wrap(err, "the store's answer can't be read")
+	}
+	return nil
 }
 
 func (c *Client) read(ctx context.Context, request *http.Request) (response *http.Response, body []byte, err error) {
@@ -166,13 +171,40 @@
 
 func (c *Client) change(ctx context.Context, request *http.Request) (int64, error) {
 	response, _, err := c.do(ctx, request)
+	if err != nil && isDialError(err) {
+		return 0, ErrUnavailable.Wrap(err, "the store can't be reached")
+	}
 	if err != nil {
 		return 0, ErrOutcomeUnknown.Wrap(err, "the store gave no answer to a change")
 	}
+	if !isSettled(response.StatusCode) {
+		return 0, ErrOutcomeUnknown.New("unexpected status %d of a change", response.StatusCode)
+	}
 	if err := statusError(response.StatusCode); err != nil {
 		return 0, err
 	}
-	return parseVersion(response)
+	version, err := parseVersion(response)
+	if err != nil {
+		return 0, ErrOutcomeUnknown.Wrap(err, "the store's answer to a change can't be read")
+	}
+	return version, nil
+}
+
+// isDialError says whether no connection was made, so that nothing was sent.
+func isDialError(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
+// isSettled says whether a status tells what became of a change. Any other one
+// may come from something on the way to the store.
+func isSettled(status int) bool {
+	switch status {
+	case http.StatusOK, http.StatusBadRequest, http.StatusNotFound, http.StatusPreconditionFailed,
+		http.StatusRequestEntityTooLarge, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
 }
 
 func (c *Client) do(ctx context.Context, request *http.Request) (*http.Response, []byte, error) {
