Carry a request whole, once and without its key

The caller's listener bounds heads, bodies, slowness and connections, and stops without cutting a request. Endpoints are spoken to over connections of our own: net/http.Transport repeats requests on a dead kept-alive connection and does not tell whether a byte went out. Orders are claimed in the store before their first byte is sent.

--- a/internal/base/reason/reason.go
+++ b/internal/base/reason/reason.go
@@ -16,6 +16,7 @@
 const (
 	BadRequest         Reason = "bad_request"
 	HeadTooLarge       Reason = "head_too_large"
+	HeadTooSlow        Reason = "head_too_slow"
 	BodyTooLarge       Reason = "body_too_large"
 	BodyTooSlow        Reason = "body_too_slow"
 	BodyShort          Reason = "body_short"
@@ -35,6 +36,8 @@
 	OrderIDMissing     Reason = "order_id_missing"
 	OrderIDReused      Reason = "order_id_reused"
 	OrderRunning       Reason = "order_running"
+	OrderDone          Reason = "order_done"
+	CallerGone         Reason = "caller_gone"
 	StoreUnavailable   Reason = "store_unavailable"
 	EndpointFailed     Reason = "endpoint_failed"
 	EndpointShed       Reason = "endpoint_shed"
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -11,17 +11,13 @@
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/fault"
+	"baobabladder.example/baobabladder/internal/base/reason"
 	"baobabladder.example/baobabladder/internal/base/settings"
 	"baobabladder.example/baobabladder/internal/entry/router"
 	"baobabladder.example/baobabladder/internal/policy/placement"
+	"baobabladder.example/baobabladder/internal/wire/caller"
 	"baobabladder.example/baobabladder/internal/wire/endpoint"
-	"baobabladder.example/baobabladder/internal/wire/store"
-	"baobabladder.example/baobabladder/internal/world/replica"
-)
-
-const (
-	watchWait  = 10 * clock.Second
-	watchRetry = 200 * clock.Millis(1)
+	"baobabladder.example/baobabladder/internal/world/order"
 )
 
 // Process is one run of an entry VM.
@@ -30,39 +26,73 @@
 	Log      logrus.FieldLogger
 }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends, and then stops as planned: peers learn that the VM
+// is stopping and name it no more, callers that still come are served, and the
+// duties end after the last request.
 func (p *Process) Run(ctx context.Context) (err error) {
 	defer fault.Annotate(&err, "running entry VM %s", p.Settings.Name)
-	copied := &replica.Replica{}
-	client := store.New(p.Settings.Store)
+	known, err := newKnowledge(p.Settings, p.Log)
+	if err != nil {
+		return err
+	}
 	listener, err := net.Listen("tcp", p.Settings.CallerAddress)
 	if err != nil {
 		return err
 	}
-	go p.follow(ctx, client, copied)
-	handler := &router.Router{Replica: copied, Placer: &placement.Placer{}, Client: endpoint.New(), Log: p.Log}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: (10 * clock.Second).Duration()}
+	if err := known.listen(p.Settings); err != nil {
+		_ = listener.Close()
+		return err
+	}
+	duties, endDuties := context.WithCancel(context.WithoutCancel(ctx))
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		known.run(duties)
+	}()
+	defer func() {
+		endDuties()
+		<-ended
+	}()
+	server := p.callerServer(known)
 	go func() {
 		<-ctx.Done()
+		known.heartbeat.Stop()
 		_ = server.Shutdown(context.Background())
 	}()
 	p.Log.WithField("address", listener.Addr()).Info("serving callers")
-	if err := server.Serve(listener); err != http.ErrServerClosed {
-		return err
+	return server.Serve(listener)
+}
+
+// callerServer puts together what serves callers.
+func (p *Process) callerServer(known *knowledge) *caller.Server {
+	refuser := caller.Refuser{Log: p.Log}
+	handler := &router.Router{
+		Replica:   known.replica,
+		Freshness: known.freshness,
+		Placer:    &placement.Placer{Region: p.Settings.Region, DataCentre: p.Settings.DataCentre},
+		Client:    endpoint.New(),
+		Claims:    &order.Claims{Store: known.store},
+		Region:    p.Settings.Region,
+		Refuser:   refuser,
 	}
-	return nil
+	return &caller.Server{Handler: readyGate{known: known, next: handler, refuser: refuser}, Refuser: refuser, Ready: known.isReady}
+}
+
+// notReadyRetry is when a refused caller may try again.
+const notReadyRetry = 1 * clock.Second
+
+// readyGate refuses callers until the VM knows enough to serve them.
+type readyGate struct {
+	known   *knowledge
+	next    http.Handler
+	refuser caller.Refuser
 }
 
-// follow keeps copied up to date with the store until ctx ends.
-func (p *Process) follow(ctx context.Context, client *store.Client, copied *replica.Replica) {
-	for ctx.Err() == nil {
-		listing, err := client.Watch(ctx, replica.Prefixes(), copied.Snapshot().Revision, watchWait)
-		if err == nil {
-			_, err = copied.Merge(listing)
-		}
-		if err != nil {
-			p.Log.WithError(err).Warn("following the store failed")
-			_ = clock.Sleep(ctx, watchRetry)
-		}
+// ServeHTTP implements http.Handler.
+func (g readyGate) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	if ready, why := g.known.follower.Ready(); !ready {
+		g.refuser.Refuse(w, reason.NotRun(reason.NotReady, notReadyRetry, "%s", why), nil)
+		return
 	}
+	g.next.ServeHTTP(w, request)
 }
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -1,102 +1,153 @@
 // Package router answers one caller's request: it finds the route, checks the
 // key, the limits and the deadline, places the request on an endpoint, sends it
-// there and passes the answer back. Serve can be read from top to bottom in the
-// order in which a request goes.
+// there and passes the answer back. Router.serve can be read from top to bottom
+// in the order in which a request goes.
 package router
 
 import (
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"io"
 	"net/http"
-	"strings"
 
 	"github.com/sirupsen/logrus"
 
+	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/document"
+	"baobabladder.example/baobabladder/internal/base/metric"
 	"baobabladder.example/baobabladder/internal/base/reason"
 	"baobabladder.example/baobabladder/internal/policy/placement"
 	"baobabladder.example/baobabladder/internal/wire/caller"
 	"baobabladder.example/baobabladder/internal/wire/endpoint"
-	"baobabladder.example/baobabladder/internal/world/key"
+	"baobabladder.example/baobabladder/internal/world/contract"
+	"baobabladder.example/baobabladder/internal/world/order"
 	"baobabladder.example/baobabladder/internal/world/replica"
 )
 
-// Router answers callers' requests. All fields must be set.
+// Snapshots gives the configuration in force.
+type Snapshots interface {
+	Snapshot() *replica.Snapshot
+}
+
+// Freshness says whether this VM's knowledge is new enough for keyed work.
+type Freshness interface {
+	Fresh() bool
+}
+
+// Limiter holds workspaces to their rate and burst.
+type Limiter interface {
+	Admit(ctx context.Context, service, workspace string) error
+}
+
+// Claims claims orders before they are sent; see order.Claims.
+type Claims interface {
+	Claim(ctx context.Context, order order.Order) (*order.Claim, *order.Answer, error)
+}
+
+// Placer chooses endpoints; see placement.Placer.
+type Placer interface {
+	Place(ctx context.Context, request placement.Request) (*placement.Grant, error)
+}
+
+// RetryPolicy says whether a request that failed for a reason may be tried again
+// after its given number of tries, and after how long.
+type RetryPolicy interface {
+	Retry(tries int, why reason.Reason) (wait clock.Millis, ok bool)
+}
+
+// Links paces what goes over the links between regions.
+type Links interface {
+	Wait(ctx context.Context, resource contract.Resource, bytes int64) error
+}
+
+// Sender sends requests to endpoints; see endpoint.Client.
+type Sender interface {
+	Send(ctx context.Context, address string, request *endpoint.Request) (*endpoint.Answer, error)
+}
+
+// Router answers callers' requests. Replica, Placer and Client must be set.
 type Router struct {
-	Replica *replica.Replica
-	Placer  *placement.Placer
-	Client  *endpoint.Client
-	Log     logrus.FieldLogger
+	Replica Snapshots
+	Placer  Placer
+	Client  Sender
+	// Freshness is nil for a VM that is always fresh.
+	Freshness Freshness
+	// Limiter is nil for no limits.
+	Limiter Limiter
+	// Claims is nil where no orders are taken.
+	Claims Claims
+	// Retry is nil for a fixed small number of tries.
+	Retry RetryPolicy
+	// Links is nil for links without limits.
+	Links Links
+	// Region is this VM's.
+	Region  string
+	Refuser caller.Refuser
+	// Retries is the metric "retries".
+	Retries *metric.Reasons
+	Clock   clock.Clock
 }
 
 // ServeHTTP implements http.Handler.
 func (r *Router) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	if err := r.serve(w, request); err != nil {
-		r.Log.WithError(err).Info("request refused")
-		caller.Refuse(w, err)
+	c := &call{router: r, w: w, request: request, id: newRequestID()}
+	err := r.serve(c)
+	switch {
+	case err == nil:
+	case c.answering:
+		// The caller must see that its answer is cut.
+		r.Refuser.Note(caller.AsRefusal(err), c.fields())
+		panic(http.ErrAbortHandler)
+	default:
+		w.Header().Set(endpoint.RequestIDHeader, c.id)
+		r.Refuser.Refuse(w, err, c.fields())
 	}
 }
 
-func (r *Router) serve(w http.ResponseWriter, request *http.Request) error {
-	snapshot := r.Replica.Snapshot()
-	service, route := snapshot.Match(request.URL.Path)
-	if route == nil {
-		return reason.NotRun(reason.RouteUnknown, 0, "no route for %s", request.URL.Path)
+func (r *Router) serve(c *call) (err error) {
+	if c.head, err = caller.ReadHead(c.request); err != nil {
+		return err
 	}
-	if err := authenticate(snapshot, service, route, request); err != nil {
+	if err := c.findRoute(); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(request.Context(), route.Deadline.Duration())
-	defer cancel()
-	chosen, err := r.Placer.Place(service.Service)
-	if err != nil {
+	if err := c.authenticate(); err != nil {
 		return err
 	}
-	defer r.Placer.Release(chosen)
-	request.Header.Set(endpoint.RequestIDHeader, newRequestID())
-	response, err := r.Client.Send(ctx, chosen.Address, request, request.Body)
-	if err != nil {
+	if err := c.checkFresh(); err != nil {
 		return err
 	}
-	defer response.Body.Close()
-	return pass(w, response)
-}
-
-func authenticate(snapshot *replica.Snapshot, service *replica.Service, route *document.Route, request *http.Request) error {
-	if route.Open {
-		return nil
+	ctx, cancel := c.startDeadline()
+	defer cancel()
+	if err := c.takeBody(ctx); err != nil {
+		return err
 	}
-	text, found := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
-	if !found {
-		return reason.NotRun(reason.KeyMissing, 0, "the route needs a key")
+	if err := c.admit(ctx); err != nil {
+		return err
 	}
-	known, found := snapshot.Keys[key.DigestOf(text)]
-	switch {
-	case !found:
-		return reason.NotRun(reason.KeyUnknown, 0, "no such key")
-	case known.Withdrawn:
-		return reason.NotRun(reason.KeyWithdrawn, 0, "key %s is withdrawn", known.ID)
-	case service.Workspace(known.Workspace) == nil:
-		return reason.NotRun(reason.WorkspaceUnknown, 0, "workspace %s has no part in %s", known.Workspace, service.Name)
+	if c.route.Work == document.Order {
+		return c.runOrder(ctx)
 	}
-	return nil
+	return c.run(ctx, c.pass)
 }
 
-func pass(w http.ResponseWriter, response *http.Response) error {
-	for name, values := range response.Header {
-		w.Header()[name] = values
+// fields are what a log line says of a call.
+func (c *call) fields() logrus.Fields {
+	fields := logrus.Fields{"request_id": c.id}
+	if c.service != nil {
+		fields["service"] = c.service.Name
+		fields["route"] = c.route.Prefix
 	}
-	w.WriteHeader(response.StatusCode)
-	if _, err := io.Copy(w, response.Body); err != nil {
-		panic(http.ErrAbortHandler)
+	if c.workspace != "" {
+		fields["workspace"] = c.workspace
 	}
-	return nil
+	return fields
 }
 
+const requestIDBytes = 16
+
 func newRequestID() string {
-	id := make([]byte, 16)
-	_, _ = rand.Read(id)
-	return hex.EncodeToString(id)
+	var id [requestIDBytes]byte
+	_, _ = rand.Read(id[:])
+	return hex.EncodeToString(id[:])
 }
--- /dev/null
+++ b/internal/wire/endpoint/head.go
@@ -0,0 +1,121 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+
+	"baobabladder.example/baobabladder/internal/base/reason"
+)
+
+// hopByHop lists headers that concern one connection only, and those that an
+// exchange sets itself. Authorization and Proxy-Authorization stand here too:
+// the caller's key ends at the entry VM.
+var hopByHop = map[string]bool{
+	"Authorization":       true,
+	"Connection":          true,
+	"Content-Length":      true,
+	"Expect":              true,
+	"Host":                true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	RequestIDHeader:       true,
+	DeadlineHeader:        true,
+}
+
+// entryHeaders lists headers that only an entry VM may set in an answer.
+var entryHeaders = map[string]bool{
+	"Order-Replayed": true,
+	"Refusal-Reason": true,
+	"Request-Ran":    true,
+	NotRunHeader:     true,
+	LoadHeader:       true,
+}
+
+// check refuses what can't be passed on in one well-formed head.
+func check(request *Request) *reason.Refusal {
+	switch request.Method {
+	case http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions:
+	default:
+		return reason.NotRun(reason.BadRequest, 0, "the method is not passed on")
+	}
+	if !strings.HasPrefix(request.Target, "/") || strings.ContainsFunc(request.Target, func(r rune) bool { return r <= ' ' || r == 0x7f }) {
+		return reason.NotRun(reason.BadRequest, 0, "the path is not passed on")
+	}
+	return nil
+}
+
+// formatHead returns the head that goes to the endpoint.
+func formatHead(ctx context.Context, address string, request *Request) []byte {
+	buffer := &bytes.Buffer{}
+	line := func(parts ...string) {
+		for _, part := range parts {
+			buffer.WriteString(part)
+		}
+		buffer.WriteString("\r\n")
+	}
+	line(request.Method, " ", request.Target, " HTTP/1.1")
+	line("Host: ", address)
+	_ = request.Header.WriteSubset(buffer, withConnectionTokens(request.Header))
+	line(RequestIDHeader, ": ", request.ID)
+	if left, ok := remaining(ctx); ok {
+		line(DeadlineHeader, ": ", left)
+	}
+	switch {
+	case request.Body == nil && mayHaveBody(request.Method):
+		line("Content-Length: 0")
+	case request.Body == nil:
+	case request.Length >= 0:
+		line("Content-Length: ", strconv.FormatInt(request.Length, 10))
+	default:
+		line("Transfer-Encoding: chunked")
+	}
+	if request.AskFirst && request.Body != nil {
+		line("Expect: 100-continue")
+	}
+	line()
+	return buffer.Bytes()
+}
+
+func mayHaveBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
+// withConnectionTokens returns the headers to leave out: hopByHop and those that
+// the Connection header names.
+func withConnectionTokens(header http.Header) map[string]bool {
+	named := header.Values("Connection")
+	if len(named) == 0 {
+		return hopByHop
+	}
+	exclude := make(map[string]bool, len(hopByHop)+len(named))
+	for name := range hopByHop {
+		exclude[name] = true
+	}
+	for _, value := range named {
+		for token := range strings.SplitSeq(value, ",") {
+			exclude[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(token))] = true
+		}
+	}
+	return exclude
+}
+
+// answerHeader returns what the caller may see of an answer's headers.
+func answerHeader(header http.Header) http.Header {
+	exclude := withConnectionTokens(header)
+	for name := range header {
+		if (exclude[name] && name != RequestIDHeader) || entryHeaders[name] {
+			delete(header, name)
+		}
+	}
+	return header
+}
--- a/internal/world/key/key.go
+++ b/internal/world/key/key.go
@@ -9,7 +9,6 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/hex"
-	"strings"
 
 	"baobabladder.example/baobabladder/internal/base/fault"
 )
@@ -65,9 +64,3 @@
 	sum := sha256.Sum256([]byte(text))
 	return Digest(hex.EncodeToString(sum[:]))
 }
-
-// Contains reports whether a text holds what looks like a key.
-func Contains(text string) bool {
-	_, rest, found := strings.Cut(text, Prefix)
-	return found && len(rest) >= TextLength-len(Prefix)
-}
