Count word from the store by a plain read, not by a watch's answer

An earlier answer of a watch may come late, so it does not tell as of when the copy is complete. A call a second reads the store's revision; it counts once the copy has reached it. The operators' commands get a machine that races edits and loses answers and writes: each edit is written at most once and answered truly.

--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -24,9 +24,9 @@
 
 // Times of following the store.
 const (
-	// watchWait bounds one watch. An answer is word from the store even if nothing
-	// changed, so it bounds the age of knowledge too.
-	watchWait    = 1 * clock.Second
+	// watchWait bounds one watch. A probe counts once a watch has caught up with
+	// it, so watchWait bounds the age of knowledge too.
+	watchWait    = 2 * clock.Second
 	listInterval = 1 * clock.Second
 	// callGrace is how much longer than its wait a call may take.
 	callGrace = 1500 * clock.Millis(1)
@@ -42,8 +42,13 @@
 	pushRetryDelay = 200 * clock.Millis(1)
 	// maxPushes bounds the pushes under way at once.
 	maxPushes = 32
+	// maxProbes bounds the probes that wait for a watch to catch up.
+	maxProbes = 16
 )
 
+// probePrefix starts no key: a listing under it is the store's revision alone.
+const probePrefix = "probe/"
+
 // ReceiverName is the name under which peers call a Receiver.
 const ReceiverName = "Follower"
 
@@ -51,6 +56,13 @@
 type Store interface {
 	Watch(ctx context.Context, prefixes []string, after int64, wait clock.Millis) (store.Listing, error)
 	VMs(ctx context.Context) (store.VMList, error)
+	List(ctx context.Context, prefix string) (store.Listing, error)
+}
+
+// probe is the store's revision at some moment after sent.
+type probe struct {
+	sent     clock.Millis
+	revision int64
 }
 
 // Fetch asks for what changed after a revision.
@@ -88,6 +100,10 @@
 	// merged holds, by address, the last summary of a peer whose content is all in
 	// the copy. Guarded by mu.
 	merged map[string]replica.Summary
+	// probes holds those that the copy has not caught up with. Guarded by mu.
+	probes []probe
+	// watchFailed says that the last watch got no answer. Guarded by mu.
+	watchFailed bool
 }
 
 // Run follows the store until ctx ends.
@@ -141,8 +157,8 @@
 	ctx, cancel := context.WithTimeout(ctx, (watchWait + callGrace).Duration())
 	defer cancel()
 	after := f.Replica.Summary().Revision
-	sent := f.Clock.Now()
 	listing, err := f.Store.Watch(ctx, replica.Prefixes(), after, watchWait)
+	f.setWatchFailed(err != nil)
 	if err != nil {
 		f.Heartbeat.LoseContact()
 		return err
@@ -150,9 +166,7 @@
 	if _, err := f.Replica.Merge(listing); err != nil {
 		f.Log.WithError(err).Error("an object in the store can't be read; its older value stays in force")
 	}
-	f.Heartbeat.SetContact(sent)
-	f.Freshness.Learn(sent)
-	f.setReady("the store answered")
+	f.settleProbes()
 	// A first listing is not pushed: peers fetch what they miss from it.
 	if after > 0 && len(listing.Objects) > 0 {
 		f.pushLocal(ctx, after)
@@ -160,10 +174,56 @@
 	return nil
 }
 
-// List reads the platform's list of VMs once.
+// Probe reads the store's revision. A watch's answer may be an earlier one that
+// comes late, so it does not tell as of when the copy is complete: that is known
+// once the copy has reached a revision that was read by a plain call.
+func (f *Follower) Probe(ctx context.Context) (err error) {
+	sent := f.Clock.Now()
+	listing, err := f.Store.List(ctx, probePrefix)
+	if err != nil {
+		f.Heartbeat.LoseContact()
+		return err
+	}
+	f.mu.Lock()
+	f.probes = append(f.probes, probe{sent: sent, revision: listing.Revision})
+	f.probes = f.probes[max(0, len(f.probes)-maxProbes):]
+	watchFailed := f.watchFailed
+	f.mu.Unlock()
+	if !watchFailed {
+		f.Heartbeat.SetContact(sent)
+	}
+	f.settleProbes()
+	return nil
+}
+
+// settleProbes counts the probes that the copy has caught up with.
+func (f *Follower) settleProbes() {
+	revision := f.Replica.Summary().Revision
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.probes = slices.DeleteFunc(f.probes, func(p probe) bool {
+		if p.revision > revision {
+			return false
+		}
+		f.Freshness.Learn(p.sent)
+		f.setReady("the store answered")
+		return true
+	})
+}
+
+func (f *Follower) setWatchFailed(failed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.watchFailed = failed
+}
+
+// List reads the platform's list of VMs and the store's revision once.
 func (f *Follower) List(ctx context.Context) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, callGrace.Duration())
 	defer cancel()
+	if err := f.Probe(ctx); err != nil {
+		return err
+	}
 	sent := f.Clock.Now()
 	list, err := f.Store.VMs(ctx)
 	if err != nil {
--- a/internal/control/follower/machine_test.go
+++ b/internal/control/follower/machine_test.go
@@ -67,7 +67,8 @@
 	inForce int64
 	// delay is added to the next answer's way.
 	delay clock.Millis
-	// kept is an answer of a watch that comes later than a newer one.
+	// kept is what the next watch is answered with: each answer then is an earlier
+	// one.
 	kept *store.Listing
 }
 
@@ -177,13 +178,21 @@
 	}
 	r.late()
 	if r.kept != nil {
-		_, _ = r.replica.Merge(listing)
-		listing = *r.kept
-		r.kept = nil
+		listing, *r.kept = *r.kept, listing
 	}
 	return listing, nil
 }
 
+// List implements follower.Store.
+func (r *run) List(context.Context, string) (store.Listing, error) {
+	if !r.reachesStore() {
+		return store.Listing{}, store.ErrUnavailable.New("down")
+	}
+	listing := store.Listing{Revision: r.fleet.revision}
+	r.late()
+	return listing, nil
+}
+
 // VMs implements follower.Store.
 func (r *run) VMs(context.Context) (store.VMList, error) {
 	if !r.reachesStore() {
@@ -197,8 +206,8 @@
 	ctx := context.Background()
 	r.heartbeat.Refresh()
 	if r.follower.IsWatcher() {
-		_ = r.follower.Watch(ctx)
 		_ = r.follower.List(ctx)
+		_ = r.follower.Watch(ctx)
 	}
 	for _, name := range slices.Sorted(maps.Keys(r.heartbeat.Targets())) {
 		_ = r.heartbeat.Ask(ctx, r.heartbeat.Targets()[name])
@@ -355,7 +364,12 @@
 				}
 			},
 			"reorder": func(t *rapid.T) {
-				if r := alive(t); r != nil && r.reachesStore() {
+				r := alive(t)
+				if r != nil && r.kept != nil {
+					r.kept = nil
+					return
+				}
+				if r != nil && r.reachesStore() {
 					listing, _ := r.Watch(context.Background(), nil, r.replica.Summary().Revision, 0)
 					r.kept = &listing
 				}
--- a/internal/wire/operator/key.go
+++ b/internal/wire/operator/key.go
@@ -175,7 +175,7 @@
 }
 
 func (s *Server) settle(ctx context.Context, id, author string) {
-	ctx, cancel := context.WithTimeout(ctx, writeTime.Duration())
+	ctx, cancel := context.WithTimeout(ctx, s.writeTime().Duration())
 	defer cancel()
 	object, err := s.withdrawInStore(ctx, id)
 	if err != nil {
--- /dev/null
+++ b/internal/wire/operator/operator_test.go
@@ -0,0 +1,269 @@
+package operator_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"baobabladder.example/baobabladder/internal/base/account"
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/document"
+	"baobabladder.example/baobabladder/internal/control/freshness"
+	"baobabladder.example/baobabladder/internal/wire/operator"
+	"baobabladder.example/baobabladder/internal/wire/store"
+	"baobabladder.example/baobabladder/internal/world/key"
+	"baobabladder.example/baobabladder/internal/world/membership"
+	"baobabladder.example/baobabladder/internal/world/replica"
+)
+
+// TestMain fixes the seed, so that the verdict is always the same.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "47")
+	}
+	os.Exit(m.Run())
+}
+
+// fakeStore loses answers and lets something happen before a write.
+type fakeStore struct {
+	objects  map[string]store.Object
+	revision int64
+	// lose and drop count the next answers to lose and the next writes to lose
+	// before they take effect.
+	lose, drop int
+	down       bool
+	// before runs once, before the next write of a document takes effect.
+	before func()
+	texts  []string
+}
+
+func (f *fakeStore) Get(_ context.Context, key string) (store.Object, error) {
+	object, found := f.objects[key]
+	switch {
+	case f.down:
+		return store.Object{}, store.ErrUnavailable.New("down")
+	case !found:
+		return store.Object{}, store.ErrNotFound.New("absent")
+	}
+	return object, nil
+}
+
+func (f *fakeStore) List(_ context.Context, prefix string) (listing store.Listing, err error) {
+	for objectKey, object := range f.objects {
+		if strings.HasPrefix(objectKey, prefix) {
+			listing.Objects = append(listing.Objects, object)
+		}
+	}
+	return listing, nil
+}
+
+func (f *fakeStore) Put(_ context.Context, objectKey string, value []byte, ifVersion int64) (int64, error) {
+	if f.down {
+		return 0, store.ErrUnavailable.New("down")
+	}
+	isDocument := strings.HasPrefix(objectKey, document.ObjectPrefix)
+	if before := f.before; before != nil && isDocument {
+		f.before = nil
+		before()
+	}
+	if f.drop > 0 {
+		f.drop--
+		return 0, store.ErrOutcomeUnknown.New("lost on the way")
+	}
+	if f.objects[objectKey].Version != ifVersion {
+		return 0, store.ErrConflict.New("conflict")
+	}
+	f.revision++
+	f.objects[objectKey] = store.Object{Key: objectKey, Version: f.revision, Value: value}
+	if isDocument {
+		var record document.Record
+		_ = json.Unmarshal(value, &record)
+		f.texts = append(f.texts, record.Text)
+	}
+	if f.lose > 0 {
+		f.lose--
+		return 0, store.ErrOutcomeUnknown.New("answer lost")
+	}
+	return f.revision, nil
+}
+
+type fakeSpreader struct{ pushed int }
+
+func (f *fakeSpreader) PushAll(context.Context, []store.Object) (confirmed, rest []string) {
+	f.pushed++
+	return []string{"entry-1"}, []string{"entry-2"}
+}
+func (f *fakeSpreader) Ready() (ready bool, why string) { return true, "" }
+
+type fakeViewer struct{}
+
+func (fakeViewer) View() *membership.View { return &membership.View{Self: "entry-1"} }
+
+func newServer(objects *fakeStore) (*operator.Server, *fakeSpreader) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	spreader := &fakeSpreader{}
+	return &operator.Server{
+		Name: "entry-1", Store: objects, Replica: &replica.Replica{}, Spreader: spreader, Viewer: fakeViewer{},
+		Freshness: &freshness.Freshness{}, Account: &account.Account{VM: "entry-1"}, Log: log, WriteTime: 300 * clock.Millis(1),
+	}, spreader
+}
+
+func call(server *operator.Server, method, path string, body, into any) int {
+	text, _ := json.Marshal(body)
+	recorder := httptest.NewRecorder()
+	server.Handler().ServeHTTP(recorder, httptest.NewRequest(method, path, bytes.NewReader(text)))
+	_ = json.Unmarshal(recorder.Body.Bytes(), into)
+	return recorder.Code
+}
+
+func textOf(n int) string {
+	return fmt.Sprintf("# edit %d\n[service]\nname = c\n[route /c/]\nwork = catalogue\n[workspace w]\nrate = 1\nburst = 1\n", n)
+}
+
+func TestRacingEditsHaveOneWinnerEach(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		objects := &fakeStore{objects: map[string]store.Object{}}
+		server, _ := newServer(objects)
+		edits := 0
+		// apply sends an edit and checks the answer against what the store took.
+		var apply func(t *rapid.T, basedOn int64, race bool)
+		apply = func(t *rapid.T, basedOn int64, race bool) {
+			edits++
+			text := textOf(edits)
+			if race {
+				objects.before = func() { apply(t, basedOn, false) }
+			}
+			var answer struct {
+				operator.Applied
+				operator.Failure
+			}
+			status := call(server, http.MethodPut, "/v1/documents/c", operator.ApplyRequest{Text: text, BasedOn: basedOn, Author: "a"}, &answer)
+			taken := 0
+			for _, written := range objects.texts {
+				if written == text {
+					taken++
+				}
+			}
+			switch {
+			case taken > 1:
+				t.Fatalf("edit %d was written %d times", edits, taken)
+			case status == http.StatusOK && taken != 1:
+				t.Fatalf("edit answered as accepted was written %d times", taken)
+			case status == http.StatusConflict && taken != 0:
+				t.Fatal("edit answered as refused was written")
+			case status == http.StatusConflict && len(answer.Difference) == 0:
+				t.Fatal("the loser is not told the difference")
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"apply": func(t *rapid.T) {
+				basedOn := int64(len(objects.texts)) - rapid.Int64Range(0, 1).Draw(t, "behind")
+				apply(t, max(0, basedOn), rapid.Bool().Draw(t, "race"))
+			},
+			"lose": func(t *rapid.T) { objects.lose = rapid.IntRange(0, 2).Draw(t, "answers") },
+			"drop": func(t *rapid.T) { objects.drop = rapid.IntRange(0, 2).Draw(t, "writes") },
+			"": func(t *rapid.T) {
+				if got := server.Replica.Snapshot().Service("c"); got != nil && got.Revision > int64(len(objects.texts)) {
+					t.Fatalf("revision %d in force, only %d were written", got.Revision, len(objects.texts))
+				}
+			},
+		})
+	})
+}
+
+func TestLostAnswerStaysRecognisedUnderALaterEdit(t *testing.T) {
+	g := NewWithT(t)
+	first := document.Record{Name: "c", Revision: 1, WriteID: "one"}
+	second := first.Next("text", "b", 0)
+	second.WriteID = "two"
+	g.Expect(second.HasWrite("one")).To(BeTrue())
+	g.Expect(second.HasWrite("three")).To(BeFalse())
+	g.Expect(second.HasWrite("")).To(BeFalse())
+}
+
+func TestKeysAreShownOnceAndWithdrawnForGood(t *testing.T) {
+	g := NewWithT(t)
+	objects := &fakeStore{objects: map[string]store.Object{}}
+	server, spreader := newServer(objects)
+	g.Expect(call(server, http.MethodPut, "/v1/documents/c", operator.ApplyRequest{Text: textOf(1), Author: "a"}, nil)).To(Equal(http.StatusOK))
+
+	var failure operator.Failure
+	g.Expect(call(server, http.MethodPost, "/v1/keys", operator.IssueRequest{Workspace: "unknown", Author: "a"}, &failure)).To(Equal(http.StatusBadRequest))
+	var issued operator.Issued
+	objects.lose = 1
+	g.Expect(call(server, http.MethodPost, "/v1/keys", operator.IssueRequest{Workspace: "w", Author: "a"}, &issued)).To(Equal(http.StatusOK))
+	g.Expect(issued.Text).To(HavePrefix(key.Prefix))
+	g.Expect(issued.Rest).To(Equal([]string{"entry-2"}))
+	for _, object := range objects.objects {
+		g.Expect(string(object.Value)).NotTo(ContainSubstring(issued.Text))
+	}
+
+	objects.down = true
+	pushed := spreader.pushed
+	g.Expect(call(server, http.MethodPost, "/v1/keys/"+issued.ID+"/withdraw?author=a", nil, &failure)).To(Equal(http.StatusGatewayTimeout))
+	g.Expect(failure.Confirmed).To(Equal([]string{"entry-1"}))
+	g.Expect(spreader.pushed).To(BeNumerically(">", pushed))
+	g.Expect(server.Replica.Snapshot().Keys[key.DigestOf(issued.Text)].Withdrawn).To(BeTrue())
+
+	objects.down, objects.lose = false, 1
+	var withdrawn operator.Withdrawn
+	g.Expect(call(server, http.MethodPost, "/v1/keys/"+issued.ID+"/withdraw?author=a", nil, &withdrawn)).To(Equal(http.StatusOK))
+	var stored key.Key
+	g.Expect(json.Unmarshal(objects.objects[key.ObjectPrefix+issued.ID].Value, &stored)).To(Succeed())
+	g.Expect(stored.Withdrawn).To(BeTrue())
+	g.Expect(call(server, http.MethodPost, "/v1/keys/none/withdraw?author=a", nil, &failure)).To(Equal(http.StatusNotFound))
+}
+
+func TestApplyRefusesBadInput(t *testing.T) {
+	g := NewWithT(t)
+	server, _ := newServer(&fakeStore{objects: map[string]store.Object{}})
+	g.Expect(call(server, http.MethodPut, "/v1/documents/c", operator.ApplyRequest{Text: textOf(1), Author: "a"}, nil)).To(Equal(http.StatusOK))
+	for cause, test := range map[string]struct {
+		name  string
+		asked any
+		want  string
+	}{
+		"another name":       {"d", operator.ApplyRequest{Text: textOf(1), Author: "a"}, "not of d"},
+		"no author":          {"c", operator.ApplyRequest{Text: textOf(1)}, "author"},
+		"a bad value":        {"c", operator.ApplyRequest{Text: strings.Replace(textOf(1), "burst = 1", "burst = 0", 1), Author: "a"}, "section [workspace w], key burst"},
+		"a route elsewhere":  {"d", operator.ApplyRequest{Text: strings.Replace(textOf(1), "name = c", "name = d", 1), Author: "a"}, "route /c/"},
+		"an unknown field":   {"c", map[string]string{"texts": ""}, "unknown field"},
+		"a body over limits": {"c", operator.ApplyRequest{Text: strings.Repeat("#\n", 2*document.MaxBytes), Author: "a"}, "can't be read"},
+	} {
+		var failure operator.Failure
+		g.Expect(call(server, http.MethodPut, "/v1/documents/"+test.name, test.asked, &failure)).To(Equal(http.StatusBadRequest), cause)
+		g.Expect(failure.Detail).To(ContainSubstring(test.want), cause)
+	}
+}
+
+func TestHistoryAndCompare(t *testing.T) {
+	g := NewWithT(t)
+	server, _ := newServer(&fakeStore{objects: map[string]store.Object{}})
+	for n := range 3 {
+		g.Expect(call(server, http.MethodPut, "/v1/documents/c", operator.ApplyRequest{Text: textOf(n), BasedOn: int64(n), Author: "a"}, nil)).To(Equal(http.StatusOK))
+	}
+	var history operator.History
+	g.Expect(call(server, http.MethodGet, "/v1/documents/c/history", nil, &history)).To(Equal(http.StatusOK))
+	g.Expect(history.Revisions).To(HaveLen(3))
+	g.Expect(history.Revisions[0].Revision).To(BeEquivalentTo(3))
+	var old operator.Revision
+	g.Expect(call(server, http.MethodGet, "/v1/documents/c?revision=1", nil, &old)).To(Equal(http.StatusOK))
+	g.Expect(old.Text).To(Equal(textOf(0)))
+	var comparison operator.Comparison
+	g.Expect(call(server, http.MethodGet, "/v1/documents/c/compare?from=1", nil, &comparison)).To(Equal(http.StatusOK))
+	g.Expect(comparison.Lines).To(Equal([]string{"-# edit 0", "+# edit 2", " [service]"}))
+}
--- a/internal/wire/operator/server.go
+++ b/internal/wire/operator/server.go
@@ -20,8 +20,8 @@
 
 // Bounds of a command.
 const (
-	// writeTime is how long the outcome of a write is asked for.
-	writeTime = 4 * clock.Second
+	// defaultWriteTime is how long the outcome of a write is asked for.
+	defaultWriteTime = 4 * clock.Second
 	// spreadTime is how long VMs' confirmations are waited for.
 	spreadTime = 2 * clock.Second
 	// maxBodyBytes leaves room for the escapes of JSON around a document.
@@ -75,6 +75,8 @@
 	Metrics http.Handler
 	// Shares returns the shares that this VM holds, sorted; optional.
 	Shares func() []ShareLine
+	// WriteTime takes the place of the default time for a write, if it is not 0.
+	WriteTime clock.Millis
 
 	settler settler
 }
@@ -201,7 +203,14 @@
 }
 
 func (s *Server) writeContext(request *http.Request) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(context.WithoutCancel(request.Context()), writeTime.Duration())
+	return context.WithTimeout(context.WithoutCancel(request.Context()), s.writeTime().Duration())
+}
+
+func (s *Server) writeTime() clock.Millis {
+	if s.WriteTime > 0 {
+		return s.WriteTime
+	}
+	return defaultWriteTime
 }
 
 func checkAuthor(author string) error {
--- a/internal/wire/store/write.go
+++ b/internal/wire/store/write.go
@@ -8,8 +8,11 @@
 	"baobabladder.example/baobabladder/internal/base/clock"
 )
 
-// settleDelay is the pause between tries to learn a change's outcome.
-const settleDelay = 100 * clock.Millis(1)
+// Pauses between tries to learn a change's outcome; each is twice the last.
+const (
+	minSettleDelay = 5 * clock.Millis(1)
+	maxSettleDelay = 200 * clock.Millis(1)
+)
 
 // Changer is the part of a Client that Write uses.
 type Changer interface {
@@ -32,7 +35,7 @@
 		return Object{}, err
 	}
 	unknown := err
-	for clock.Sleep(ctx, settleDelay) == nil {
+	for delay := minSettleDelay; clock.Sleep(ctx, delay) == nil; delay = min(2*delay, maxSettleDelay) {
 		object, err = client.Get(ctx, key)
 		if errorx.IsOfType(err, ErrNotFound) {
 			object, err = Object{}, nil
