--- a/internal/wire/operator/client.go
+++ b/internal/wire/operator/client.go
@@ -49,7 +49,7 @@
 // Apply asks to accept a document.
 func (c *Client) Apply(ctx context.Context, name string, asked ApplyRequest) (applied Applied, err error) {
 	defer fault.Annotate(&err, "applying document %s", name)
-	err = c.call(ctx, sling.New().Put("v1/documents/"+url.PathEscape(name)).BodyJSON(asked), &applied)
+	err = c.call(ctx, httpCall{method: http.MethodPut, path: "v1/documents/" + url.PathEscape(name), body: asked}, &applied)
 	return applied, err
 }
 
@@ -60,7 +60,7 @@
 	if revision > 0 {
 		query.Set("revision", strconv.FormatInt(revision, 10))
 	}
-	err = c.call(ctx, sling.New().Get("v1/documents/"+url.PathEscape(name)+"?"+query.Encode()), &shown)
+	err = c.call(ctx, httpCall{method: http.MethodGet, path: "v1/documents/" + url.PathEscape(name) + "?" + query.Encode()}, &shown)
 	return shown, err
 }
 
@@ -75,21 +75,21 @@
 	if to > 0 {
 		query.Set("to", strconv.FormatInt(to, 10))
 	}
-	err = c.call(ctx, sling.New().Get("v1/documents/"+url.PathEscape(name)+"/compare?"+query.Encode()), &comparison)
+	err = c.call(ctx, httpCall{method: http.MethodGet, path: "v1/documents/" + url.PathEscape(name) + "/compare?" + query.Encode()}, &comparison)
 	return comparison, err
 }
 
 // History lists a document's revisions.
 func (c *Client) History(ctx context.Context, name string) (history History, err error) {
 	defer fault.Annotate(&err, "reading the history of document %s", name)
-	err = c.call(ctx, sling.New().Get("v1/documents/"+url.PathEscape(name)+"/history"), &history)
+	err = c.call(ctx, httpCall{method: http.MethodGet, path: "v1/documents/" + url.PathEscape(name) + "/history"}, &history)
 	return history, err
 }
 
 // Issue makes a key.
 func (c *Client) Issue(ctx context.Context, asked IssueRequest) (issued Issued, err error) {
 	defer fault.Annotate(&err, "issuing a key for workspace %s", asked.Workspace)
-	err = c.call(ctx, sling.New().Post("v1/keys").BodyJSON(asked), &issued)
+	err = c.call(ctx, httpCall{method: http.MethodPost, path: "v1/keys", body: asked}, &issued)
 	return issued, err
 }
 
@@ -97,45 +97,65 @@
 func (c *Client) Withdraw(ctx context.Context, id, author string) (withdrawn Withdrawn, err error) {
 	defer fault.Annotate(&err, "withdrawing key %s", id)
 	query := url.Values{"author": {author}}
-	err = c.call(ctx, sling.New().Post("v1/keys/"+url.PathEscape(id)+"/withdraw?"+query.Encode()), &withdrawn)
+	err = c.call(ctx, httpCall{method: http.MethodPost, path: "v1/keys/" + url.PathEscape(id) + "/withdraw?" + query.Encode()}, &withdrawn)
 	return withdrawn, err
 }
 
 // Keys lists the keys.
 func (c *Client) Keys(ctx context.Context) (list KeyList, err error) {
 	defer fault.Annotate(&err, "listing keys")
-	err = c.call(ctx, sling.New().Get("v1/keys"), &list)
+	err = c.call(ctx, httpCall{method: http.MethodGet, path: "v1/keys"}, &list)
 	return list, err
 }
 
 // Status shows the fleet as one VM sees it.
 func (c *Client) Status(ctx context.Context) (status Status, err error) {
 	defer fault.Annotate(&err, "reading the status")
-	err = c.call(ctx, sling.New().Get("v1/status"), &status)
+	err = c.call(ctx, httpCall{method: http.MethodGet, path: "v1/status"}, &status)
 	return status, err
 }
 
 // Moves shows the version moves.
 func (c *Client) Moves(ctx context.Context) (moves Moves, err error) {
 	defer fault.Annotate(&err, "reading the version moves")
-	err = c.call(ctx, sling.New().Get("v1/moves"), &moves)
+	err = c.call(ctx, httpCall{method: http.MethodGet, path: "v1/moves"}, &moves)
 	return moves, err
 }
 
 // Account returns the decisions of all VMs.
 func (c *Client) Account(ctx context.Context) (account Account, err error) {
 	defer fault.Annotate(&err, "reading the account")
-	err = c.call(ctx, sling.New().Get("v1/account"), &account)
+	err = c.call(ctx, httpCall{method: http.MethodGet, path: "v1/account"}, &account)
 	return account, err
 }
 
+// httpCall is one command, for whichever VM takes it.
+type httpCall struct {
+	method string
+	path   string
+	// body is sent as JSON unless it is nil.
+	body any
+}
+
+func (h httpCall) request(base string) (*http.Request, error) {
+	made := sling.New().Base(base).Path(h.path)
+	if h.body != nil {
+		made = made.BodyJSON(h.body)
+	}
+	request, err := made.Request()
+	if err == nil {
+		request.Method = h.method
+	}
+	return request, err
+}
+
 // call tries one VM after the other. A change goes to the next one only if this
 // one certainly changed nothing.
-func (c *Client) call(ctx context.Context, command *sling.Sling, into any) (err error) {
+func (c *Client) call(ctx context.Context, command httpCall, into any) (err error) {
 	err = ErrUnreachable.New("no operator URL was given")
 	for _, base := range c.Bases {
 		var request *http.Request
-		request, err = command.New().Base(base).Request()
+		request, err = command.request(base)
 		if err != nil {
 			return ErrUnreachable.Wrap(err, "the operator URL %s can't be used", base)
 		}
