Take version moves on under a lease, and back at any VM's word

The mover's state goes to moves/SERVICE by conditional update with term and write id; a lost answer is read back. Words of faults go from VM to VM until each run of each peer has confirmed them, so a VM that restarts in an outage is told as well.

--- /dev/null
+++ b/internal/control/mover/mover_test.go
@@ -0,0 +1,421 @@
+package mover
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"baobabladder.example/baobabladder/internal/base/account"
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/document"
+	"baobabladder.example/baobabladder/internal/policy/move"
+	"baobabladder.example/baobabladder/internal/wire/peer"
+	"baobabladder.example/baobabladder/internal/wire/store"
+	"baobabladder.example/baobabladder/internal/world/membership"
+	"baobabladder.example/baobabladder/internal/world/replica"
+	"baobabladder.example/baobabladder/internal/world/vm"
+)
+
+// TestMain fixes rapid's seed, so that the verdict is the same each time. A
+// longer run passes its own -rapid.seed and -rapid.checks.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "200", "rapid.steps": "100", "rapid.nofailfile": "true"} {
+		if !given[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// fakeStore is one object with versions, which may be out or lose answers.
+type fakeStore struct {
+	object     store.Object
+	revision   int64
+	isDown     bool
+	loseAnswer bool
+	// before, when set, runs between a Put's arrival and its effect, once.
+	before func()
+}
+
+func (f *fakeStore) Get(context.Context, string) (store.Object, error) {
+	if f.isDown {
+		return store.Object{}, store.ErrUnavailable.New("down")
+	}
+	if f.object.Version == 0 {
+		return store.Object{}, store.ErrNotFound.New("absent")
+	}
+	return f.object, nil
+}
+
+func (f *fakeStore) Put(_ context.Context, key string, value []byte, ifVersion int64) (int64, error) {
+	if before := f.before; before != nil {
+		f.before = nil
+		before()
+	}
+	if f.isDown {
+		return 0, store.ErrUnavailable.New("down")
+	}
+	if ifVersion != f.object.Version {
+		return 0, store.ErrConflict.New("at %d", f.object.Version)
+	}
+	f.revision++
+	f.object = store.Object{Key: key, Version: f.revision, Value: value}
+	if f.loseAnswer {
+		f.loseAnswer = false
+		return 0, store.ErrOutcomeUnknown.New("lost")
+	}
+	return f.revision, nil
+}
+
+func (f *fakeStore) state() *move.State {
+	state, _ := parse(f.object.Value)
+	return state
+}
+
+// fakeLease is held or not as a test says.
+type fakeLease struct {
+	term int64
+	held bool
+}
+
+func (f *fakeLease) Term() (int64, bool) { return f.term, f.held }
+
+// fleet is some movers that call each other's receivers directly.
+type fleet struct {
+	manual   clock.Manual
+	store    fakeStore
+	service  replica.Service
+	movers   []*Mover
+	leases   []*fakeLease
+	accounts []*account.Account
+	// cut VMs neither call nor are called, and their copies are not updated.
+	cut map[string]bool
+	// copies is each VM's copy of the state.
+	copies []json.RawMessage
+}
+
+func newFleet(vms int) *fleet {
+	f := &fleet{cut: map[string]bool{}, copies: make([]json.RawMessage, vms)}
+	f.service = replica.Service{Revision: 1, Service: &document.Service{
+		Name: "orders", ShiftCap: 1000, Routes: []document.Route{{Prefix: "/"}},
+		Moves: []document.Move{{From: "v1", To: "v2", By: 10 * clock.Minute, SlowPercent: 50}},
+	}}
+	for i := range vms {
+		f.add(i, 1)
+	}
+	return f
+}
+
+// add starts VM i as the given run.
+func (f *fleet) add(i int, incarnation vm.Incarnation) {
+	name := fmt.Sprintf("vm%d", i)
+	lease := &fakeLease{}
+	mover := &Mover{
+		Self: vm.ID{Name: name, Incarnation: incarnation}, Clock: f.manual.Clock(),
+		Guard:    &move.Guard{Clock: f.manual.Clock(), VM: name},
+		Lease:    lease,
+		Caller:   &fakeCaller{fleet: f, from: name},
+		Store:    &f.store,
+		Account:  &account.Account{VM: name, Clock: f.manual.Clock()},
+		View:     func() *membership.View { return f.view(name) },
+		Snapshot: func() *replica.Snapshot { return f.snapshot(i) },
+		Written:  func(_ context.Context, object store.Object) { f.copies[i] = object.Value },
+	}
+	mover.Guard.Peers = mover
+	if i < len(f.movers) {
+		f.movers[i], f.leases[i] = mover, lease
+		return
+	}
+	f.movers = append(f.movers, mover)
+	f.leases = append(f.leases, lease)
+}
+
+func (f *fleet) view(self string) *membership.View {
+	view := &membership.View{Self: self}
+	for _, m := range f.movers {
+		view.Members = append(view.Members, membership.Member{
+			VM:          vm.VM{Name: m.Self.Name, PeerAddress: m.Self.Name},
+			Incarnation: m.Self.Incarnation, Reachable: !f.cut[self] && !f.cut[m.Self.Name],
+		})
+	}
+	return view
+}
+
+func (f *fleet) snapshot(i int) *replica.Snapshot {
+	snapshot := &replica.Snapshot{Services: []replica.Service{f.service}, Moves: map[string]json.RawMessage{}}
+	if f.copies[i] != nil {
+		snapshot.Moves["orders"] = f.copies[i]
+	}
+	return snapshot
+}
+
+type fakeCaller struct {
+	fleet *fleet
+	from  string
+}
+
+func (c *fakeCaller) Call(_ context.Context, address, method string, args, reply any) error {
+	if c.fleet.cut[c.from] || c.fleet.cut[address] {
+		return peer.ErrUnreachable.New("cut")
+	}
+	for _, m := range c.fleet.movers {
+		if m.Self.Name != address {
+			continue
+		}
+		receiver := &Receiver{Mover: m}
+		if method == ReceiverName+".Collect" {
+			return receiver.Collect(args.(*CollectRequest), reply.(*CollectReply))
+		}
+		return receiver.Report(args.(*Report), reply.(*ReportReply))
+	}
+	return peer.ErrUnreachable.New("no such VM")
+}
+
+// watch brings the store's object to the VMs that have contact.
+func (f *fleet) watch() {
+	if f.store.isDown {
+		return
+	}
+	for i, m := range f.movers {
+		if !f.cut[m.Self.Name] {
+			f.copies[i] = f.store.object.Value
+		}
+	}
+}
+
+// round lets each VM do what Run does in a second.
+func (f *fleet) round() {
+	f.watch()
+	for _, m := range f.movers {
+		m.Sync()
+		m.Tell(context.Background())
+	}
+	for _, m := range f.movers {
+		_ = m.Judge(context.Background())
+	}
+	f.watch()
+	for _, m := range f.movers {
+		m.Sync()
+	}
+}
+
+func (f *fleet) hold(i int, term int64) {
+	for _, lease := range f.leases {
+		lease.held = false
+	}
+	f.leases[i].term, f.leases[i].held = term, true
+}
+
+// request plays one request and says whether the new version had it.
+func (f *fleet) request(i int, isBad bool) bool {
+	guard, route := f.movers[i].Guard, &f.service.Routes[0]
+	choice := guard.Choose(f.service.Service, route)
+	if choice.Refuse {
+		return false
+	}
+	outcome := move.Good
+	if choice.New && isBad {
+		outcome = move.Bad
+	}
+	guard.Record(f.service.Service, route, choice, outcome, 20_000)
+	return choice.New
+}
+
+// A move taken back is never resumed, whoever holds the lease and whatever the
+// store and the links do; and with contact nobody uses it 3 s after its fault
+// showed.
+func TestMoverFuzz(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(3)
+		term, incarnation := int64(1), vm.Incarnation(1)
+		f.hold(0, term)
+		isBad := false
+		var takenBack, lastTerm int64
+		// rounds counts rounds with contact since a fault showed at some VM.
+		rounds := -1
+		check := func(t *rapid.T) {
+			state := f.store.state()
+			if state == nil {
+				return
+			}
+			if state.Term < lastTerm {
+				t.Fatalf("the term fell from %d to %d", lastTerm, state.Term)
+			}
+			lastTerm = state.Term
+			if state.Attempt == takenBack && state.Stage != move.TakenBack {
+				t.Fatalf("attempt %d was taken back and is %s", takenBack, state.Stage)
+			}
+			if state.Stage == move.TakenBack {
+				takenBack = state.Attempt
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"requests": func(t *rapid.T) {
+				i := rapid.IntRange(0, 2).Draw(t, "vm")
+				for range rapid.IntRange(1, 300).Draw(t, "count") {
+					if f.request(i, isBad) && rounds >= 2 {
+						t.Fatalf("vm%d uses a version %d rounds after its fault showed", i, rounds)
+					}
+				}
+				if rounds < 0 && len(f.movers[i].Guard.Suspensions()) > 0 && isBad {
+					rounds = 0
+				}
+			},
+			"round": func(t *rapid.T) {
+				f.manual.Advance(clock.Millis(rapid.IntRange(1000, 30_000).Draw(t, "millis")))
+				f.round()
+				if rounds >= 0 && len(f.cut) == 0 {
+					rounds++
+				}
+			},
+			"turn bad":   func(_ *rapid.T) { isBad = true },
+			"store out":  func(_ *rapid.T) { f.store.isDown = true },
+			"store back": func(_ *rapid.T) { f.store.isDown = false },
+			"lose the next answer": func(_ *rapid.T) {
+				f.store.loseAnswer = true
+			},
+			"cut": func(t *rapid.T) {
+				f.cut[fmt.Sprintf("vm%d", rapid.IntRange(0, 2).Draw(t, "vm"))] = true
+				rounds = min(rounds, 0)
+			},
+			"heal": func(_ *rapid.T) { f.cut = map[string]bool{} },
+			"lease": func(t *rapid.T) {
+				term++
+				f.hold(rapid.IntRange(0, 2).Draw(t, "vm"), term)
+			},
+			"paused holder": func(t *rapid.T) {
+				// A holder is paused between its check and its write, while another takes
+				// over and judges.
+				i := rapid.IntRange(0, 2).Draw(t, "vm")
+				f.leases[i].held = true
+				f.store.before = func() {
+					term++
+					f.hold((i+1)%3, term)
+					f.leases[i].held = true
+					_ = f.movers[(i+1)%3].Judge(context.Background())
+				}
+				_ = f.movers[i].Judge(context.Background())
+				f.store.before = nil
+				f.hold((i+1)%3, term+1)
+				term++
+			},
+			"restart": func(t *rapid.T) {
+				incarnation++
+				i := rapid.IntRange(0, 2).Draw(t, "vm")
+				held := *f.leases[i]
+				f.add(i, incarnation)
+				f.leases[i].term, f.leases[i].held = held.term, held.held
+				rounds = min(rounds, 0)
+			},
+			"new document": func(_ *rapid.T) {
+				next := *f.service.Service
+				next.Moves = append([]document.Move(nil), next.Moves...)
+				next.Moves[0].SlowPercent++
+				f.service = replica.Service{Service: &next, Revision: f.service.Revision + 1}
+				isBad = false
+				rounds = -1
+			},
+			"": check,
+		})
+	})
+}
+
+func TestLostAnswerIsReadBack(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(3)
+	f.hold(0, 1)
+	f.store.loseAnswer = true
+	g.Expect(f.movers[0].Judge(context.Background())).To(Succeed())
+	g.Expect(f.copies[0]).NotTo(BeNil(), "the write that stands was not taken over")
+	g.Expect(f.store.state().Stage).To(Equal(move.Waiting))
+}
+
+// A mover that was paused until its lease was another's does not undo what the
+// other wrote.
+func TestOldTermChangesNothing(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(3)
+	f.hold(1, 7)
+	f.round()
+	f.round()
+	written := f.store.object
+	f.leases[0].term, f.leases[0].held = 3, true
+	f.manual.Advance(10 * clock.Minute)
+	_ = f.movers[0].Judge(context.Background())
+	g.Expect(f.store.object).To(Equal(written))
+	receiver := &Receiver{Mover: f.movers[2]}
+	g.Expect(receiver.Collect(&CollectRequest{Term: 3}, &CollectReply{})).To(MatchError(ContainSubstring("term 3")))
+}
+
+// With the store out nothing advances, but a fault stops the version at all VMs.
+func TestStoreOutage(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(3)
+	f.hold(0, 1)
+	f.round()
+	f.round()
+	f.store.isDown = true
+	for range 60 {
+		f.manual.Advance(10 * clock.Second)
+		f.round()
+		for i := range 30 {
+			f.request(i%3, false)
+		}
+	}
+	g.Expect(f.store.state().Stage).To(Equal(move.Canary))
+	for range 500 {
+		f.request(0, true)
+	}
+	f.round()
+	for i := range 600 {
+		g.Expect(f.request(i%3, true)).To(BeFalse())
+	}
+	f.add(2, 2)
+	f.round()
+	for range 600 {
+		g.Expect(f.request(2, true)).To(BeFalse(), "a VM that restarted was not told")
+	}
+	f.store.isDown = false
+	f.round()
+	g.Expect(f.store.state().Stage).To(Equal(move.TakenBack))
+	var told []string
+	for _, line := range f.movers[1].Account.Lines() {
+		told = append(told, line.What)
+	}
+	g.Expect(told).To(ContainElements("version_suspended", "move_taken_back"))
+}
+
+// The messages pass through net/rpc with all that they carry.
+func TestMessagesOverTheWire(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1)
+	f.hold(0, 1)
+	f.round()
+	f.round()
+	for range 40 {
+		f.request(0, false)
+	}
+	server := peer.NewServer()
+	g.Expect(server.Register(ReceiverName, &Receiver{Mover: f.movers[0]})).To(Succeed())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	client := &peer.Client{}
+	defer client.Close()
+	var reply CollectReply
+	request := &CollectRequest{Term: 5, Suspensions: []move.Suspension{{Service: "orders", Attempt: 1, To: "v2", Why: "seen elsewhere"}}}
+	g.Expect(client.Call(context.Background(), listener.Addr().String(), ReceiverName+".Collect", request, &reply)).To(Succeed())
+	g.Expect(reply.Evidence).To(Equal(f.movers[0].Guard.Evidence()))
+	g.Expect(reply.Suspensions).To(Equal(request.Suspensions))
+}
--- a/internal/policy/move/guard.go
+++ b/internal/policy/move/guard.go
@@ -401,14 +401,14 @@
 	}
 }
 
-// Evidence returns what this VM saw in the attempts that it knows, sorted by
-// service and route.
+// Evidence returns what this VM saw in the attempts under way, sorted by service
+// and route.
 func (g *Guard) Evidence() (all []Evidence) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
 	for _, w := range g.services {
-		if w.state != nil {
+		if w.state != nil && !w.state.Final() {
 			all = append(all, g.evidence(w, now)...)
 		}
 	}
--- a/internal/policy/move/judge.go
+++ b/internal/policy/move/judge.go
@@ -26,6 +26,8 @@
 	// Service is the document in force, and Revision its revision.
 	Service  *document.Service
 	Revision int64
+	// VM is the mover's.
+	VM string
 	// Term is the mover's lease term.
 	Term int64
 	// Now is the wall time.
@@ -247,7 +249,7 @@
 		s.Since = input.Now
 	}
 	s.Stage, s.Step, s.Share = stage, step, share
-	s.History = append(s.History, Change{At: input.Now, Term: input.Term, Stage: stage, Share: share, Why: why})
+	s.History = append(s.History, Change{At: input.Now, VM: input.VM, Term: input.Term, Stage: stage, Share: share, Why: why})
 	if extra := len(s.History) - maxHistory; extra > 0 {
 		s.History = s.History[extra:]
 	}
--- a/internal/policy/move/move.go
+++ b/internal/policy/move/move.go
@@ -69,11 +69,13 @@
 
 // Change is one change of a move's stage.
 type Change struct {
-	At    clock.Millis `json:"at"`
-	Term  int64        `json:"term"`
-	Stage Stage        `json:"stage"`
-	Share int          `json:"share"`
-	Why   string       `json:"why"`
+	At clock.Millis `json:"at"`
+	// VM is the mover that made the change.
+	VM    string `json:"vm"`
+	Term  int64  `json:"term"`
+	Stage Stage  `json:"stage"`
+	Share int    `json:"share"`
+	Why   string `json:"why"`
 }
 
 // Final says that the attempt has come to its end.
