--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -49,9 +49,12 @@
 	Place(ctx context.Context, request placement.Request) (*placement.Grant, error)
 }
 
-// RetryPolicy says whether a request that failed for a reason may be tried again
-// after its given number of tries, and after how long.
+// RetryPolicy bounds retries as a part of all traffic; see retry.Budget.
 type RetryPolicy interface {
+	// First counts a request's first try.
+	First()
+	// Retry says whether a request that failed for a reason may be tried again
+	// after its given number of tries, and after how long.
 	Retry(tries int, why reason.Reason) (wait clock.Millis, ok bool)
 }
 
--- a/internal/entry/router/run.go
+++ b/internal/entry/router/run.go
@@ -14,6 +14,7 @@
 	"baobabladder.example/baobabladder/internal/base/fault"
 	"baobabladder.example/baobabladder/internal/base/reason"
 	"baobabladder.example/baobabladder/internal/policy/placement"
+	"baobabladder.example/baobabladder/internal/policy/retry"
 	"baobabladder.example/baobabladder/internal/wire/caller"
 	"baobabladder.example/baobabladder/internal/wire/endpoint"
 	"baobabladder.example/baobabladder/internal/world/contract"
@@ -32,6 +33,9 @@
 
 // run sends the request until an answer was taken or no try is left.
 func (c *call) run(ctx context.Context, take take) error {
+	if c.router.Retry != nil {
+		c.router.Retry.First()
+	}
 	for tries := 1; ; tries++ {
 		placed, err := c.try(ctx, take)
 		if err == nil {
@@ -69,7 +73,7 @@
 		return 0, false
 	}
 	if c.router.Retry == nil {
-		ok = tries < fixedTries
+		ok = tries < fixedTries && retry.IsTransient(refusal.Reason)
 	} else {
 		wait, ok = c.router.Retry.Retry(tries, refusal.Reason)
 	}
