Keep short deadlines from making endpoints and versions look bad

A request that its own deadline ended counted as a failure: a caller that allows a millisecond could have ejected endpoints, lost a region and taken back a version. It counts now only after far longer than usual. The least latency, not the average, says that a deadline can't be met, so small uploads among large ones are not refused. The index of endpoints is kept over heartbeats that change nothing.

--- a/internal/control/mover/mover_test.go
+++ b/internal/control/mover/mover_test.go
@@ -92,12 +92,11 @@
 
 // fleet is some movers that call each other's receivers directly.
 type fleet struct {
-	manual   clock.Manual
-	store    fakeStore
-	service  replica.Service
-	movers   []*Mover
-	leases   []*fakeLease
-	accounts []*account.Account
+	manual  clock.Manual
+	store   fakeStore
+	service replica.Service
+	movers  []*Mover
+	leases  []*fakeLease
 	// cut VMs neither call nor are called, and their copies are not updated.
 	cut map[string]bool
 	// copies is each VM's copy of the state.
--- a/internal/policy/move/guard.go
+++ b/internal/policy/move/guard.go
@@ -267,9 +267,7 @@
 	r := w.route(prefix)
 	r.giveBack(choice, outcome)
 	now := g.Clock.Now()
-	if outcome == Abandoned {
-		outcome = r.abandoned(micros, w.state.SlowPercent)
-	}
+	outcome = r.settled(outcome, micros, w.state.SlowPercent)
 	if outcome == Unused {
 		return nil, nil
 	}
@@ -304,14 +302,23 @@
 	}
 }
 
-// abandoned says what a given-up request tells: nothing, unless it had already
-// taken too long.
-func (r *routeWatch) abandoned(micros int64, slowPercent int) Outcome {
+// settled says what a request tells that ended without an answer. One that was
+// given up tells nothing, unless it had already taken too long: then it counts as
+// a slow answer. One that met its deadline early tells nothing either.
+func (r *routeWatch) settled(outcome Outcome, micros int64, slowPercent int) Outcome {
+	if outcome != Abandoned && outcome != Late {
+		return outcome
+	}
 	at, known := slowBucket(&r.whole.Old, slowPercent)
-	if known && bucket(micros) > at {
+	isSlow := known && bucket(micros) > at
+	switch {
+	case outcome == Late && (isSlow || !known):
+		return Bad
+	case outcome == Abandoned && isSlow:
 		return Good
+	default:
+		return Unused
 	}
-	return Unused
 }
 
 // check suspends the version if the evidence of this VM, with what the peers
--- a/internal/policy/move/guard_test.go
+++ b/internal/policy/move/guard_test.go
@@ -192,6 +192,8 @@
 		{"fails at two a minute", 30 * clock.Second, clock.Hour, 0, Bad, 0},
 		{"slow at two a minute", 30 * clock.Second, clock.Hour, 0, Good, 60_000},
 		{"fails late at two a minute", 30 * clock.Second, clock.Hour, 50 * clock.Minute, Bad, 0},
+		{"hangs", 20, 10 * clock.Minute, 0, Late, 2_000_000},
+		{"hangs at two a minute", 30 * clock.Second, clock.Hour, 0, Late, 2_000_000},
 		{"callers give up on it", 20, 10 * clock.Minute, 0, Abandoned, 60_000},
 	}
 	for _, c := range cases {
@@ -206,6 +208,45 @@
 	}
 }
 
+// A version that fails only when much of it runs passes the first steps and is
+// taken back at the one that loads it.
+func TestVersionThatFailsUnderLoadIsTakenBack(t *testing.T) {
+	f := newFleet(testService(10*clock.Minute, 250, "/a/"), 9)
+	running, second := 0, clock.Millis(0)
+	exposed, total := f.play(10*clock.Minute, 10, func(isNew bool, _ int) (Outcome, int64) {
+		if now := f.manual.Clock().Now() / clock.Second; now != second {
+			running, second = 0, now
+		}
+		if isNew {
+			running++
+		}
+		if isNew && running > 30 {
+			return Bad, 0
+		}
+		return Good, 20_000
+	})
+	if f.state.Stage != TakenBack {
+		t.Fatalf("stage %s at %d, history %v", f.state.Stage, f.state.Share, f.state.History)
+	}
+	t.Logf("taken back at %d s after %d of %d requests: %s", f.state.Since/clock.Second, exposed, total, f.state.History[len(f.state.History)-1].Why)
+}
+
+// A caller with very short deadlines must not make a version look bad.
+func TestShortDeadlinesDoNotTakeBack(t *testing.T) {
+	f := newFleet(testService(10*clock.Minute, 250, "/a/"), 9)
+	calls := 0
+	f.play(10*clock.Minute, 20, func(bool, int) (Outcome, int64) {
+		calls++
+		if calls%3 == 0 {
+			return Late, 2000
+		}
+		return Good, 20_000
+	})
+	if f.state.Stage != Done {
+		t.Fatalf("stage %s, history %v", f.state.Stage, f.state.History)
+	}
+}
+
 // A fault of both versions, such as a lost region, is not the new one's.
 func TestCommonFaultDoesNotTakeBack(t *testing.T) {
 	f := newFleet(testService(10*clock.Minute, 250, "/a/"), 9)
--- a/internal/policy/move/move.go
+++ b/internal/policy/move/move.go
@@ -141,6 +141,9 @@
 	// Abandoned is a request that its caller gave up: its time counts if it was
 	// already too long.
 	Abandoned Outcome = "abandoned"
+	// Late is a request that its deadline ended: a failure, unless less time than
+	// the old version needs had passed.
+	Late Outcome = "late"
 	// Unused is a request that was sent nowhere.
 	Unused Outcome = "unused"
 )
--- a/internal/policy/placement/grant.go
+++ b/internal/policy/placement/grant.go
@@ -45,8 +45,9 @@
 	if result.Outcome == Answered {
 		g.plan.observe(g.route.Prefix, result.Micros)
 	}
+	isOverdue := g.node.isOverdue(result.Micros)
 	g.node.note(result, now)
-	g.health.note(result, now)
+	g.health.note(result, isOverdue, now)
 }
 
 // moveOutcome says what an outcome tells about a version.
@@ -56,6 +57,8 @@
 		return move.Good
 	case Cancelled:
 		return move.Abandoned
+	case Late:
+		return move.Late
 	default:
 		return move.Bad
 	}
--- a/internal/policy/placement/health.go
+++ b/internal/policy/placement/health.go
@@ -41,12 +41,16 @@
 }
 
 // note learns from a request's end.
-func (h *health) note(result Result, now clock.Millis) {
+func (h *health) note(result Result, isOverdue bool, now clock.Millis) {
 	h.running--
 	switch result.Outcome {
 	case Answered:
 		h.answered()
-	case Cancelled, Shed:
+	case Late, Cancelled:
+		if isOverdue {
+			h.failed(now)
+		}
+	case Shed:
 	default:
 		h.failed(now)
 	}
--- a/internal/policy/placement/node.go
+++ b/internal/policy/placement/node.go
@@ -20,6 +20,8 @@
 	// frozenReports is how many equal reports in a row, while the VM's own count
 	// changed, make a report source untrusted.
 	frozenReports = 8
+	// overdueFactor is how many times an endpoint's usual latency shows a hang.
+	overdueFactor = 8
 	// defaultMicros stands for the latency of an endpoint not yet used.
 	defaultMicros = 10_000
 	// latencyWeight is the divisor of the latency average's new part.
@@ -109,7 +111,10 @@
 	switch result.Outcome {
 	case Answered:
 		n.answered(result.Micros)
-	case Cancelled:
+	case Late, Cancelled:
+		if n.isOverdue(result.Micros) {
+			n.failed(now)
+		}
 	case Shed:
 		n.pausedUntil = max(n.pausedUntil, now+shedPause)
 	default:
@@ -117,6 +122,13 @@
 	}
 }
 
+// isOverdue says that a request which ended without an answer had waited far
+// longer than the endpoint takes. A caller's short deadlines must not make its
+// endpoints look bad.
+func (n *node) isOverdue(micros int64) bool {
+	return micros > overdueFactor*max(n.micros, defaultMicros)
+}
+
 func (n *node) answered(micros int64) {
 	n.failures = 0
 	if n.micros == 0 {
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
@@ -14,6 +15,7 @@
 	"baobabladder.example/baobabladder/internal/policy/move"
 	"baobabladder.example/baobabladder/internal/world/contract"
 	"baobabladder.example/baobabladder/internal/world/membership"
+	"baobabladder.example/baobabladder/internal/world/vm"
 )
 
 const (
@@ -105,22 +107,42 @@
 	Region, DataCentre string
 
 	mu sync.Mutex
-	// fleet and view are the newest given to Update. Guarded by mu.
+	// fleet is the newest given to Update. Guarded by mu.
 	fleet *document.Fleet
-	view  *membership.View
+	// leaving names the endpoints that the platform says are leaving. Guarded by mu.
+	leaving map[string]bool
+	// entries is how many entry VMs there are. Guarded by mu.
+	entries int
+	// generation grows when fleet or leaving changes. Guarded by mu.
+	generation int
 	// plans holds the index of each service. Guarded by mu.
 	plans map[string]*plan
 	// random is the state of a small generator for sampling. Guarded by mu.
 	random uint64
 }
 
-// Update gives the placer the fleet document and the membership in force. It
-// holds for every later Place; waiting requests see it at once.
+// Update gives the placer the fleet document and the membership in force, either
+// of which may be nil. It holds for every later Place; waiting requests see it at
+// once.
 func (p *Placer) Update(fleet *document.Fleet, view *membership.View) {
+	leaving := map[string]bool{}
+	entries := 0
+	if view != nil {
+		entries = len(view.Members)
+		for name, state := range view.Endpoints {
+			if state == vm.Leaving {
+				leaving[name] = true
+			}
+		}
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.fleet = fleet
-	p.view = view
+	p.entries = entries
+	if fleet == p.fleet && maps.Equal(leaving, p.leaving) {
+		return
+	}
+	p.fleet, p.leaving = fleet, leaving
+	p.generation++
 }
 
 // Place takes a slot for request. The grant must be given back with Done. An
--- a/internal/policy/placement/placement_test.go
+++ b/internal/policy/placement/placement_test.go
@@ -413,6 +413,30 @@
 	g.Expect(usable).To(Equal(4))
 }
 
+// A caller that allows a millisecond must not get endpoints ejected; a hang must.
+func TestShortDeadlinesDoNotEject(t *testing.T) {
+	g := NewWithT(t)
+	service := testService(4, 50)
+	placer, _, _ := testPlacer(service)
+	warm(placer, service)
+	finish := func(micros int64) {
+		request := testRequest(service)
+		grant, _ := placer.try(&request, move.Choice{})
+		g.Expect(grant).NotTo(BeNil())
+		grant.Done(Result{Outcome: Late, Micros: micros, Running: -1, Slots: -1})
+	}
+	for range 100 {
+		finish(1000)
+	}
+	home := placer.plans["orders"].regions[0]
+	g.Expect(home.all.ejected + home.old.ejected).To(Equal(0))
+	g.Expect(home.health.lost).To(BeFalse())
+	for range lostFailures {
+		finish(1_000_000)
+	}
+	g.Expect(home.health.lost).To(BeTrue())
+}
+
 // A lost region's traffic goes to the others, and comes back when it does.
 func TestLostRegionIsLeftAndTriedAgain(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/policy/placement/plan.go
+++ b/internal/policy/placement/plan.go
@@ -7,8 +7,6 @@
 	"baobabladder.example/baobabladder/internal/base/document"
 	"baobabladder.example/baobabladder/internal/policy/move"
 	"baobabladder.example/baobabladder/internal/world/contract"
-	"baobabladder.example/baobabladder/internal/world/membership"
-	"baobabladder.example/baobabladder/internal/world/vm"
 )
 
 const (
@@ -26,6 +24,8 @@
 	// maxEjectShare is the largest share of a group, in thousandths, that may be
 	// ejected at once.
 	maxEjectShare = 334
+	// fastestWeight is the divisor of a slower request's part in the least latency.
+	fastestWeight = 64
 	// uploadShare is the part of a link, in thousandths, that uploads may use.
 	uploadShare = 600
 	// uploadBurst is how many seconds of the uploads' part may go at once.
@@ -36,8 +36,8 @@
 // the membership changes; nodes outlive it.
 type plan struct {
 	service *document.Service
-	fleet   *document.Fleet
-	view    *membership.View
+	// generation is the placer's that the plan was made at.
+	generation int
 	// from and to are the versions that choices tell apart, as in move.Choice.
 	from, to string
 	// regions is sorted by distance, this VM's own first.
@@ -46,8 +46,8 @@
 	byResource map[contract.Resource]*node
 	shift      shift
 	queue      queue
-	// latency is the smoothed latency by route prefix, in microseconds.
-	latency map[string]int64
+	// fastest is the least latency lately by route prefix, in microseconds.
+	fastest map[string]int64
 	// health holds what was seen of each region.
 	health map[string]*health
 	// uploads holds the room for uploads by region.
@@ -109,7 +109,7 @@
 // changed. Callers hold mu.
 func (p *Placer) plan(service *document.Service, choice move.Choice) *plan {
 	old := p.plans[service.Name]
-	isSame := old != nil && old.service == service && old.fleet == p.fleet && old.view == p.view
+	isSame := old != nil && old.service == service && old.generation == p.generation
 	if isSame && old.from == choice.From && old.to == choice.To {
 		return old
 	}
@@ -117,7 +117,7 @@
 		p.plans = map[string]*plan{}
 	}
 	if old == nil {
-		old = &plan{latency: map[string]int64{}, uploads: map[string]*uploadRoom{}, health: map[string]*health{}}
+		old = &plan{fastest: map[string]int64{}, uploads: map[string]*uploadRoom{}, health: map[string]*health{}}
 		p.plans[service.Name] = old
 	}
 	old.from, old.to = choice.From, choice.To
@@ -128,7 +128,7 @@
 // rebuild changes plan in place, so that its queue and counts go on.
 func (p *Placer) rebuild(plan *plan, service *document.Service) {
 	known := plan.nodes
-	plan.service, plan.fleet, plan.view = service, p.fleet, p.view
+	plan.service, plan.generation = service, p.generation
 	plan.nodes = make(map[string]*node, len(service.Endpoints))
 	plan.byResource = make(map[contract.Resource]*node, len(service.Endpoints))
 	byRegion := map[string][]*node{}
@@ -235,7 +235,7 @@
 }
 
 func (p *Placer) isOpen(service *document.Service, endpoint *document.Endpoint) bool {
-	if p.view != nil && p.view.Endpoints[endpoint.Name] == vm.Leaving {
+	if p.leaving[endpoint.Name] {
 		return false
 	}
 	for _, drain := range service.Drains {
@@ -340,7 +340,7 @@
 // add up to uploadShare, so orders always find the rest. An upload of unknown
 // size stays in its region.
 func (p *Placer) takeUpload(plan *plan, region *region, bytes int64, now clock.Millis) bool {
-	if bytes < 0 || p.fleet == nil || p.view == nil {
+	if bytes < 0 || p.fleet == nil {
 		return false
 	}
 	link := p.fleet.Link(p.Region, region.name)
@@ -352,7 +352,7 @@
 		room = &uploadRoom{at: now}
 		plan.uploads[region.name] = room
 	}
-	rate := int64(link.Mbit) * 125 * uploadShare / 1000 / int64(max(len(p.view.Members), 1))
+	rate := int64(link.Mbit) * 125 * uploadShare / 1000 / int64(max(p.entries, 1))
 	return room.take(bytes, rate, now)
 }
 
@@ -376,15 +376,18 @@
 }
 
 // hopeless says that the deadline can't be met: less is left than half of what
-// the route's requests take.
+// the route's fastest request took lately. An average would not do, as it would
+// refuse a small upload among large ones.
 func (p *plan) hopeless(request *Request) bool {
-	return request.Remaining <= 0 || int64(request.Remaining)*1000 < p.latency[request.Route.Prefix]/2
+	return request.Remaining <= 0 || int64(request.Remaining)*1000 < p.fastest[request.Route.Prefix]/2
 }
 
+// observe lets the least latency grow slowly, so that an old one is forgotten.
 func (p *plan) observe(prefix string, micros int64) {
-	old := p.latency[prefix]
-	if old == 0 {
-		old = micros
+	old, known := p.fastest[prefix]
+	if !known || micros < old {
+		p.fastest[prefix] = micros
+		return
 	}
-	p.latency[prefix] = old + (micros-old)/latencyWeight
+	p.fastest[prefix] = old + (micros-old)/fastestWeight
 }
--- a/internal/policy/placement/queue.go
+++ b/internal/policy/placement/queue.go
@@ -146,7 +146,9 @@
 
 // wait queues request until a slot is free, its time is over or ctx ends.
 func (p *Placer) wait(ctx context.Context, request *Request, choice move.Choice) (*Grant, reason.Reason) {
-	w := &waiter{request: request, choice: choice, granted: make(chan *Grant, 1), dropped: make(chan struct{})}
+	// A copy, so that requests which need not wait stay off the heap.
+	waiting := *request
+	w := &waiter{request: &waiting, choice: choice, granted: make(chan *Grant, 1), dropped: make(chan struct{})}
 	p.mu.Lock()
 	now := p.Clock.Now()
 	plan := p.plan(request.Service, choice)
--- a/internal/policy/placement/queue_test.go
+++ b/internal/policy/placement/queue_test.go
@@ -101,9 +101,53 @@
 			request := testRequest(service)
 			b.ReportAllocs()
 			for b.Loop() {
-				grant, _ := placer.try(&request, move.Choice{})
+				grant, _ := placer.Place(b.Context(), request)
 				grant.Done(good(10_000))
 			}
 		})
 	}
 }
+
+// BenchmarkPick measures the choice alone, without the grant.
+func BenchmarkPick(b *testing.B) {
+	for _, perRegion := range []int{14, 600} {
+		b.Run(fmt.Sprintf("%d endpoints", 3*perRegion), func(b *testing.B) {
+			service := testService(perRegion, 3)
+			placer, _, _ := testPlacer(service)
+			warm(placer, service)
+			request := testRequest(service)
+			group := &placer.plans["orders"].regions[0].all
+			b.ReportAllocs()
+			for b.Loop() {
+				if placer.best(group, &request, 0) == nil {
+					b.Fatal("nothing found")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkPlaceInMove measures a placement with the choice of a version.
+func BenchmarkPlaceInMove(b *testing.B) {
+	service := testService(14, 3)
+	for i := range service.Endpoints {
+		if i%2 == 0 {
+			service.Endpoints[i].Version = "v2"
+		}
+	}
+	service.Moves = []document.Move{{From: "v1", To: "v2", SlowPercent: 50}}
+	placer, _, manual := testPlacer(service)
+	guard := &move.Guard{Clock: manual.Clock()}
+	guard.Update(service, &move.State{Service: "orders", Attempt: 1, From: "v1", To: "v2", Stage: move.Rising, Step: 1, Share: 100})
+	placer.Versions = guard
+	warm(placer, service)
+	request := testRequest(service)
+	b.ReportAllocs()
+	for b.Loop() {
+		grant, err := placer.Place(b.Context(), request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		grant.Done(good(10_000))
+	}
+}
