--- a/internal/wire/caller/body.go
+++ b/internal/wire/caller/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
@@ -28,6 +29,7 @@
 // *reason.Refusal values that say RanNo: it does not know what was sent on.
 type Body struct {
 	body    io.ReadCloser
+	w       http.ResponseWriter
 	control *http.ResponseController
 	limit   int64
 	grace   clock.Millis
@@ -37,6 +39,10 @@
 	received int64
 	waited   int64
 	err      error
+
+	mu sync.Mutex
+	// ended says that the body was read to its end. Guarded by mu.
+	ended bool
 }
 
 // NewBody returns the body of the request that is answered on w, of at most
@@ -46,7 +52,7 @@
 	if c := connOf(request); c != nil && c.server.BodyGrace > 0 {
 		grace = c.server.BodyGrace
 	}
-	return &Body{body: request.Body, control: http.NewResponseController(w), limit: limit, grace: grace, until: until}
+	return &Body{body: request.Body, w: w, control: http.NewResponseController(w), limit: limit, grace: grace, until: until}
 }
 
 // Received returns how many bytes were read.
@@ -72,9 +78,7 @@
 		b.err = TooLarge(b.limit)
 		return 0, b.err
 	case err == io.EOF:
-		// net/http now watches the connection: an old deadline would look like
-		// the caller's going away.
-		_ = b.control.SetReadDeadline(time.Time{})
+		b.end()
 		b.err = io.EOF
 	case errors.Is(err, os.ErrDeadlineExceeded) && late:
 		b.err = reason.NotRun(reason.DeadlinePassed, 0, "the deadline passed before the body had come")
@@ -93,8 +97,24 @@
 	return time.Duration(max(left, 0)) * time.Microsecond
 }
 
-// Close makes a Read under way end. The connection takes no further request.
+// end lifts the deadline: net/http now watches the connection, to which an old
+// deadline would look like the caller's going away.
+func (b *Body) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
+	_ = b.control.SetReadDeadline(time.Time{})
+}
+
+// Close makes a Read under way end, in which case the connection takes no further
+// request. It must be called before the answer's head is written.
 func (b *Body) Close() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended {
+		return nil
+	}
+	b.w.Header().Set("Connection", "close")
 	return b.control.SetReadDeadline(pastDeadline)
 }
 
