Keep nine VMs at rest under twenty store calls a second

One VM in each region, not in each data centre, reads the list of VMs and the store's revision, and watches wait longer.

--- a/cmd/baobabladder/knowledge_test.go
+++ b/cmd/baobabladder/knowledge_test.go
@@ -15,6 +15,7 @@
 	"github.com/onsi/gomega/gexec"
 
 	"baobabladder.example/baobabladder/internal/control/freshness"
+	standinstore "baobabladder.example/baobabladder/internal/standin/store"
 	"baobabladder.example/baobabladder/internal/wire/operator"
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
@@ -33,16 +34,18 @@
 	process         *gexec.Session
 }
 
-func startFleet(n int) *fleet {
+// startFleet spreads VMs over the regions, and in each over two data centres.
+func startFleet(n int, regions ...string) *fleet {
 	f := &fleet{storeAddress: freeAddress()}
 	f.store = start(standin, "store", "--address", f.storeAddress)
 	var peers []string
 	for i := range n {
 		name := fmt.Sprintf("entry-%d", i+1)
-		dataCentre := fmt.Sprintf("lothian-%d", i%2+1)
+		region := regions[i%len(regions)]
+		dataCentre := fmt.Sprintf("%s-%d", region, i/len(regions)%2+1)
 		f.vms = append(f.vms, &entryVM{
 			VM: vm.VM{
-				Name: name, Role: vm.Entry, State: vm.Live, Region: "lothian", DataCentre: dataCentre,
+				Name: name, Role: vm.Entry, State: vm.Live, Region: region, DataCentre: dataCentre,
 				CallerAddress: freeAddress(), PeerAddress: freeAddress(),
 			},
 			operatorAddress: freeAddress(),
@@ -128,7 +131,7 @@
 
 var _ = Describe("knowledge of entry VMs", func() {
 	It("takes documents and keys in force everywhere, through an outage of the store, a freeze and restarts", func() {
-		f := startFleet(3)
+		f := startFleet(3, "lothian")
 		first, second, third := f.vms[0], f.vms[1], f.vms[2]
 		endpointAddress := freeAddress()
 		start(standin, "endpoint", "--address", endpointAddress, "--name", "catalogue-01")
@@ -199,4 +202,24 @@
 		f.operate(third, 3, nil, "status")
 		f.operate(first, 2, nil, "apply")
 	})
+
+	It("keeps nine VMs at rest under twenty calls of the store a second", func() {
+		const settling, counted, limit = 3, 10, 20
+		f := startFleet(9, "clyde", "grampian", "lothian")
+		var seconds []standinstore.Second
+		Eventually(func() int {
+			response, err := http.Get("http://" + f.storeAddress + "/standin/calls")
+			Expect(err).NotTo(HaveOccurred())
+			defer response.Body.Close()
+			var calls standinstore.Calls
+			Expect(json.NewDecoder(response.Body).Decode(&calls)).To(Succeed())
+			seconds = calls.Seconds
+			return len(seconds)
+		}, "60s", "200ms").Should(BeNumerically(">", settling+counted))
+		sum := 0
+		for _, second := range seconds[settling : settling+counted] {
+			sum += second.Reads + second.Writes
+		}
+		Expect(sum).To(BeNumerically("<", limit*counted))
+	})
 })
--- /dev/null
+++ b/internal/control/follower/bench_test.go
@@ -0,0 +1,171 @@
+package follower_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+
+	"baobabladder.example/baobabladder/internal/base/document"
+	"baobabladder.example/baobabladder/internal/control/follower"
+	"baobabladder.example/baobabladder/internal/control/freshness"
+	"baobabladder.example/baobabladder/internal/control/heartbeat"
+	"baobabladder.example/baobabladder/internal/wire/peer"
+	"baobabladder.example/baobabladder/internal/wire/store"
+	"baobabladder.example/baobabladder/internal/world/key"
+	"baobabladder.example/baobabladder/internal/world/replica"
+	"baobabladder.example/baobabladder/internal/world/vm"
+
+	"github.com/sirupsen/logrus"
+)
+
+// node is a VM with a real net/rpc server and client on loopback.
+type node struct {
+	heartbeat *heartbeat.Heartbeat
+	follower  *follower.Follower
+	server    *peer.Server
+	client    *peer.Client
+}
+
+func newNode(tb testing.TB, name string) *node {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	n := &node{server: peer.NewServer(), client: &peer.Client{}}
+	copied, fresh := &replica.Replica{}, &freshness.Freshness{}
+	log := logrus.New()
+	log.SetLevel(logrus.ErrorLevel)
+	self := vm.VM{Name: name, Role: vm.Entry, State: vm.Live, Region: "a", DataCentre: "a-1", PeerAddress: listener.Addr().String()}
+	n.heartbeat = &heartbeat.Heartbeat{Self: self, ID: vm.ID{Name: name, Incarnation: 1}, Replica: copied, Freshness: fresh, Peers: n.client}
+	n.follower = &follower.Follower{Replica: copied, Freshness: fresh, Heartbeat: n.heartbeat, Peers: n.client, Log: log}
+	n.heartbeat.CatchUp = n.follower.CatchUp
+	if err := n.server.Register(heartbeat.ReceiverName, heartbeat.NewReceiver(n.heartbeat)); err != nil {
+		tb.Fatal(err)
+	}
+	if err := n.server.Register(follower.ReceiverName, follower.NewReceiver(n.follower)); err != nil {
+		tb.Fatal(err)
+	}
+	go func() { _ = n.server.Serve(listener) }()
+	tb.Cleanup(func() {
+		n.client.Close()
+		n.server.Close()
+	})
+	return n
+}
+
+// join makes the first node know all others.
+func join(nodes []*node) {
+	var list []vm.VM
+	for _, n := range nodes {
+		list = append(list, n.heartbeat.Self)
+	}
+	for _, n := range nodes {
+		n.heartbeat.SetList(list, 1)
+		n.heartbeat.Refresh()
+	}
+}
+
+func BenchmarkIdleHeartbeat(b *testing.B) {
+	nodes := []*node{newNode(b, "a"), newNode(b, "b")}
+	join(nodes)
+	address := nodes[1].heartbeat.Self.PeerAddress
+	if err := nodes[0].heartbeat.Ask(context.Background(), address); err != nil {
+		b.Fatal(err)
+	}
+	before := nodes[0].client.Bytes()
+	for b.Loop() {
+		if err := nodes[0].heartbeat.Ask(context.Background(), address); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(nodes[0].client.Bytes()-before)/float64(b.N), "wire-bytes/op")
+}
+
+func BenchmarkPushToPeers(b *testing.B) {
+	for _, peers := range []int{50, 100, 200} {
+		b.Run(fmt.Sprintf("peers=%d", peers), func(b *testing.B) {
+			nodes := []*node{newNode(b, "a")}
+			for i := range peers {
+				nodes = append(nodes, newNode(b, fmt.Sprintf("b%03d", i)))
+			}
+			join(nodes)
+			push := func(version int64) {
+				value, _ := json.Marshal(key.Key{ID: "k", Digest: "d", Workspace: "w"})
+				object := store.Object{Key: "keys/k", Version: version, Value: value}
+				if _, rest := nodes[0].follower.PushAll(context.Background(), []store.Object{object}); len(rest) > 0 {
+					b.Fatalf("%d peers did not confirm", len(rest))
+				}
+			}
+			push(1)
+			before, version := nodes[0].client.Bytes(), int64(1)
+			for b.Loop() {
+				version++
+				push(version)
+			}
+			b.ReportMetric(float64(nodes[0].client.Bytes()-before)/float64(b.N), "wire-bytes/op")
+		})
+	}
+}
+
+// contentOf returns keys, and documents of about 400 KiB each.
+func contentOf(keys, documents int) (listing store.Listing) {
+	add := func(objectKey string, value any) {
+		text, _ := json.Marshal(value)
+		listing.Revision++
+		listing.Objects = append(listing.Objects, store.Object{Key: objectKey, Version: listing.Revision, Value: text})
+	}
+	for i := range keys {
+		id := fmt.Sprintf("%016x", i)
+		add("keys/"+id, key.Key{ID: id, Digest: key.DigestOf(id), Workspace: "glen-herbs", WriteID: strings.Repeat("0", 32)})
+	}
+	for i := range documents {
+		text := &strings.Builder{}
+		fmt.Fprintf(text, "[service]\nname = s%d\n[route /s%d/]\nwork = catalogue\n", i, i)
+		for e := range 3500 {
+			fmt.Fprintf(text, "[endpoint e%05d]\naddress = 10.%d.%d.%d:80\nregion = lothian\ndata_centre = lothian-1\nversion = v1\nslots = 3\n", e, i, e/250, e%250)
+		}
+		add(fmt.Sprintf("documents/s%d", i), document.Record{Name: fmt.Sprintf("s%d", i), Revision: 1, Text: text.String()})
+	}
+	return listing
+}
+
+func BenchmarkRestartFetchesAll(b *testing.B) {
+	for _, size := range []struct{ keys, documents int }{{410, 3}, {4100, 3}, {41000, 3}, {410, 20}} {
+		b.Run(fmt.Sprintf("keys=%d/documents=%d", size.keys, size.documents), func(b *testing.B) {
+			source := newNode(b, "a")
+			if _, err := source.follower.Replica.Merge(contentOf(size.keys, size.documents)); err != nil {
+				b.Fatal(err)
+			}
+			before := source.server.Bytes()
+			for b.Loop() {
+				restarted := newNode(b, "b")
+				if err := restarted.heartbeat.Ask(context.Background(), source.heartbeat.Self.PeerAddress); err != nil {
+					b.Fatal(err)
+				}
+				if restarted.follower.Replica.Summary() != source.follower.Replica.Summary() {
+					b.Fatal("the copies differ")
+				}
+			}
+			b.ReportMetric(float64(source.server.Bytes()-before)/float64(b.N), "wire-bytes/op")
+		})
+	}
+}
+
+func BenchmarkMergeOneOfManyKeys(b *testing.B) {
+	copied := &replica.Replica{}
+	content := contentOf(41000, 3)
+	if _, err := copied.Merge(content); err != nil {
+		b.Fatal(err)
+	}
+	changed := content.Objects[0]
+	changed.Version = content.Revision
+	for b.Loop() {
+		changed.Version++
+		if _, err := copied.Merge(store.Listing{Objects: []store.Object{changed}, Revision: changed.Version}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -1,7 +1,8 @@
 // Package follower keeps a VM's copy of the configuration up to date. In each
-// data centre one VM watches the store and reads the platform's list of VMs; it
-// pushes changes to the other VMs there. Every VM also compares its copy with
-// its peers' at each heartbeat and fetches what it misses.
+// data centre one VM watches the store and pushes changes to the other VMs there;
+// in each region one of them also reads the platform's list of VMs and the
+// store's revision. Every VM compares its copy with its peers' at each heartbeat
+// and fetches what it misses.
 package follower
 
 import (
@@ -24,9 +25,9 @@
 
 // Times of following the store.
 const (
-	// watchWait bounds one watch. A probe counts once a watch has caught up with
-	// it, so watchWait bounds the age of knowledge too.
-	watchWait    = 2 * clock.Second
+	// watchWait bounds one watch; up to a quarter more is random, so that watches
+	// don't end together.
+	watchWait    = 8 * clock.Second
 	listInterval = 1 * clock.Second
 	// callGrace is how much longer than its wait a call may take.
 	callGrace = 1500 * clock.Millis(1)
@@ -109,16 +110,16 @@
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var group sync.WaitGroup
-	group.Go(func() { f.repeat(ctx, f.Watch, 0) })
-	group.Go(func() { f.repeat(ctx, f.List, listInterval) })
+	group.Go(func() { f.repeat(ctx, f.IsWatcher, f.Watch, 0) })
+	group.Go(func() { f.repeat(ctx, f.IsReader, f.List, listInterval) })
 	group.Wait()
 }
 
-// repeat calls step while this VM is its data centre's watcher.
-func (f *Follower) repeat(ctx context.Context, step func(ctx context.Context) error, pause clock.Millis) {
+// repeat calls step while it is this VM's turn.
+func (f *Follower) repeat(ctx context.Context, isTurn func() bool, step func(ctx context.Context) error, pause clock.Millis) {
 	watching := false
 	for ctx.Err() == nil {
-		if !f.IsWatcher() {
+		if !isTurn() {
 			watching = false
 			_ = clock.Sleep(ctx, idleDelay)
 			continue
@@ -143,26 +144,47 @@
 // IsWatcher says whether this VM is to follow the store for its data centre: no
 // VM there with a lesser name has contact with the store.
 func (f *Follower) IsWatcher() bool {
-	self := f.Heartbeat.Self
-	for _, member := range f.Heartbeat.View().Members {
-		if member.DataCentre == self.DataCentre && member.Name < self.Name && member.Reachable && member.HasContact && !member.Stopping {
-			return false
+	return !f.isPreceded(func(m *membership.Member) bool { return m.DataCentre == f.Heartbeat.Self.DataCentre })
+}
+
+// IsReader says whether this VM is to read the list of VMs and the store's
+// revision for its region: it watches, and no VM of the region with a lesser name
+// has contact with the store.
+func (f *Follower) IsReader() bool {
+	return !f.isPreceded(func(m *membership.Member) bool { return m.Region == f.Heartbeat.Self.Region })
+}
+
+// isPreceded says whether a VM of a group with a lesser name follows the store.
+func (f *Follower) isPreceded(isInGroup func(*membership.Member) bool) bool {
+	members := f.Heartbeat.View().Members
+	for i := range members {
+		m := &members[i]
+		if m.Name < f.Heartbeat.Self.Name && m.Reachable && m.HasContact && !m.Stopping && isInGroup(m) {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // Watch waits once for changes in the store and passes them on.
 func (f *Follower) Watch(ctx context.Context) (err error) {
-	ctx, cancel := context.WithTimeout(ctx, (watchWait + callGrace).Duration())
+	wait := watchWait + f.jitter(watchWait/4)
+	ctx, cancel := context.WithTimeout(ctx, (wait + callGrace).Duration())
 	defer cancel()
+	return f.readChanges(ctx, wait)
+}
+
+// readChanges asks the store for changes, merges them and passes them on.
+func (f *Follower) readChanges(ctx context.Context, wait clock.Millis) (err error) {
 	after := f.Replica.Summary().Revision
-	listing, err := f.Store.Watch(ctx, replica.Prefixes(), after, watchWait)
+	sent := f.Clock.Now()
+	listing, err := f.Store.Watch(ctx, replica.Prefixes(), after, wait)
 	f.setWatchFailed(err != nil)
 	if err != nil {
 		f.Heartbeat.LoseContact()
 		return err
 	}
+	f.Heartbeat.SetContact(sent)
 	if _, err := f.Replica.Merge(listing); err != nil {
 		f.Log.WithError(err).Error("an object in the store can't be read; its older value stays in force")
 	}
@@ -192,12 +214,16 @@
 	if !watchFailed {
 		f.Heartbeat.SetContact(sent)
 	}
-	f.settleProbes()
-	return nil
+	if f.settleProbes() {
+		return nil
+	}
+	// The store has moved on, perhaps by objects that the watch does not cover.
+	return f.readChanges(ctx, 0)
 }
 
-// settleProbes counts the probes that the copy has caught up with.
-func (f *Follower) settleProbes() {
+// settleProbes counts the probes that the copy has caught up with, and reports
+// whether none is left.
+func (f *Follower) settleProbes() (settled bool) {
 	revision := f.Replica.Summary().Revision
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -209,6 +235,7 @@
 		f.setReady("the store answered")
 		return true
 	})
+	return len(f.probes) == 0
 }
 
 func (f *Follower) setWatchFailed(failed bool) {
--- a/internal/control/follower/machine_test.go
+++ b/internal/control/follower/machine_test.go
@@ -205,8 +205,10 @@
 func (r *run) round() {
 	ctx := context.Background()
 	r.heartbeat.Refresh()
-	if r.follower.IsWatcher() {
+	if r.follower.IsReader() {
 		_ = r.follower.List(ctx)
+	}
+	if r.follower.IsWatcher() {
 		_ = r.follower.Watch(ctx)
 	}
 	for _, name := range slices.Sorted(maps.Keys(r.heartbeat.Targets())) {
--- a/internal/control/heartbeat/heartbeat.go
+++ b/internal/control/heartbeat/heartbeat.go
@@ -29,8 +29,9 @@
 	callTimeout = 1 * clock.Second
 	// reachableTime is how long an answer counts.
 	reachableTime = 1700 * clock.Millis(1)
-	// contactTime is how long an answer of the store counts.
-	contactTime     = 3 * clock.Second
+	// contactTime is how long an answer of the store counts. It is longer than a
+	// watch waits; a failed call ends the contact at once.
+	contactTime     = 15 * clock.Second
 	refreshInterval = 100 * clock.Millis(1)
 	// unlistedTime is how long a VM that the platform does not list yet counts as
 	// a peer after it last called.
@@ -402,7 +403,7 @@
 		age := h.Clock.Now() - state.sentAt
 		member.Stopping, member.Ready = answer.Stopping, answer.Ready
 		member.StoreAge, member.Revision = answer.Age+age, answer.Summary.Revision
-		member.HasContact = answer.HasContact && age < contactTime
+		member.HasContact = answer.HasContact && age < reachableTime
 		member.Leases = duties(answer.Leases)
 	}
 	return member
--- a/internal/world/replica/replica.go
+++ b/internal/world/replica/replica.go
@@ -111,6 +111,10 @@
 	// keys holds the last readable value of each live key, by object key.
 	// Guarded by mu.
 	keys map[string]key.Key
+	// moves holds the value of each live move, by service name. Guarded by mu.
+	moves map[string]json.RawMessage
+	// stale tells which parts of the snapshot are to be rebuilt. Guarded by mu.
+	stale staleParts
 	// pending holds the ids of keys to treat as withdrawn. An id never leaves.
 	// Guarded by mu.
 	pending map[string]bool
@@ -121,6 +125,9 @@
 	digest uint64
 }
 
+// staleParts marks parts of a snapshot.
+type staleParts struct{ documents, keys, moves bool }
+
 // parsedDocument is a document that was read from an object.
 type parsedDocument struct {
 	document *document.Document
@@ -244,6 +251,7 @@
 		r.objects = map[string]store.Object{}
 		r.documents = map[string]parsedDocument{}
 		r.keys = map[string]key.Key{}
+		r.moves = map[string]json.RawMessage{}
 	}
 	for _, object := range objects {
 		old := r.objects[object.Key]
@@ -274,6 +282,7 @@
 		}
 		r.pending[id] = true
 		r.digest ^= hash("pending/"+id, 0)
+		r.stale.keys = true
 		changed = true
 	}
 	return changed
@@ -281,30 +290,61 @@
 
 // read parses an object's value. Callers hold mu.
 func (r *Replica) read(object store.Object) error {
-	switch {
-	case object.Deleted:
-		delete(r.documents, object.Key)
-		delete(r.keys, object.Key)
-	case strings.HasPrefix(object.Key, document.ObjectPrefix):
-		var record document.Record
-		if err := json.Unmarshal(object.Value, &record); err != nil {
-			return err
-		}
-		parsed, err := document.Parse([]byte(record.Text))
-		if err != nil {
-			return err
+	if service, found := strings.CutPrefix(object.Key, MovePrefix); found {
+		r.stale.moves = true
+		setOrDelete(r.moves, service, json.RawMessage(object.Value), object.Deleted)
+		return nil
+	}
+	if strings.HasPrefix(object.Key, key.ObjectPrefix) {
+		r.stale.keys = true
+		k, err := readKey(object)
+		if err == nil {
+			setOrDelete(r.keys, object.Key, k, object.Deleted)
 		}
-		r.documents[object.Key] = parsedDocument{document: parsed, revision: record.Revision}
-	case strings.HasPrefix(object.Key, key.ObjectPrefix):
-		var k key.Key
-		if err := json.Unmarshal(object.Value, &k); err != nil {
-			return err
+		return err
+	}
+	if strings.HasPrefix(object.Key, document.ObjectPrefix) {
+		r.stale.documents = true
+		parsed, err := readDocument(object)
+		if err == nil {
+			setOrDelete(r.documents, object.Key, parsed, object.Deleted)
 		}
-		r.keys[object.Key] = k
+		return err
 	}
 	return nil
 }
 
+func setOrDelete[V any](values map[string]V, name string, value V, deleted bool) {
+	if deleted {
+		delete(values, name)
+		return
+	}
+	values[name] = value
+}
+
+// readKey reads a key; a removal reads as the zero Key.
+func readKey(object store.Object) (k key.Key, err error) {
+	if object.Deleted {
+		return key.Key{}, nil
+	}
+	err = json.Unmarshal(object.Value, &k)
+	return k, err
+}
+
+// readDocument reads and checks a document; a removal reads as the zero value.
+func readDocument(object store.Object) (parsed parsedDocument, err error) {
+	if object.Deleted {
+		return parsedDocument{}, nil
+	}
+	var record document.Record
+	if err := json.Unmarshal(object.Value, &record); err != nil {
+		return parsedDocument{}, err
+	}
+	parsed.revision = record.Revision
+	parsed.document, err = document.Parse([]byte(record.Text))
+	return parsed, err
+}
+
 // publish replaces the snapshot if there is something new to show. Callers hold
 // mu.
 func (r *Replica) publish(changed bool) {
@@ -317,21 +357,28 @@
 		}
 		return
 	}
-	next := &Snapshot{Revision: r.revision, Keys: make(map[key.Digest]key.Key, len(r.keys)), Moves: map[string]json.RawMessage{}}
-	for _, parsed := range r.documents {
-		next.addDocument(parsed)
-	}
-	sort.Slice(next.Services, func(i, j int) bool { return next.Services[i].Name < next.Services[j].Name })
-	for _, k := range r.keys {
-		k.Withdrawn = k.Withdrawn || r.pending[k.ID]
-		next.Keys[k.Digest] = k
+	// Parts without a change are shared with the old snapshot, which is immutable.
+	next := *old
+	next.Revision = r.revision
+	if r.stale.documents {
+		next.Services, next.Fleet, next.FleetRevision = nil, nil, 0
+		for _, parsed := range r.documents {
+			next.addDocument(parsed)
+		}
+		sort.Slice(next.Services, func(i, j int) bool { return next.Services[i].Name < next.Services[j].Name })
 	}
-	for objectKey, object := range r.objects {
-		if service, found := strings.CutPrefix(objectKey, MovePrefix); found && !object.Deleted {
-			next.Moves[service] = object.Value
+	if r.stale.keys {
+		next.Keys = make(map[key.Digest]key.Key, len(r.keys))
+		for _, k := range r.keys {
+			k.Withdrawn = k.Withdrawn || r.pending[k.ID]
+			next.Keys[k.Digest] = k
 		}
 	}
-	r.snapshot.Store(next)
+	if r.stale.moves {
+		next.Moves = maps.Clone(r.moves)
+	}
+	r.stale = staleParts{}
+	r.snapshot.Store(&next)
 }
 
 func (s *Snapshot) addDocument(parsed parsedDocument) {
