Take a link's room only for a request that has its slot; bound what tests missed

Fuzzing with slots that are lent away between the look and the take found room taken for 200 bytes where 100 were sent. Breaking the code on purpose showed what no test saw: the canary's count, an old document that breaks off a move, doubts at the last chance, word of faults without a mover, and writes without a condition.

--- a/internal/control/mover/mover_test.go
+++ b/internal/control/mover/mover_test.go
@@ -43,6 +43,8 @@
 	revision   int64
 	isDown     bool
 	loseAnswer bool
+	// onWrite, when set, sees each state that is written.
+	onWrite func(state *move.State)
 	// before, when set, runs between a Put's arrival and its effect, once.
 	before func()
 }
@@ -70,6 +72,9 @@
 	}
 	f.revision++
 	f.object = store.Object{Key: key, Version: f.revision, Value: value}
+	if f.onWrite != nil {
+		f.onWrite(f.state())
+	}
 	if f.loseAnswer {
 		f.loseAnswer = false
 		return 0, store.ErrOutcomeUnknown.New("lost")
@@ -242,11 +247,7 @@
 		var takenBack, lastTerm int64
 		// rounds counts rounds with contact since a fault showed at some VM.
 		rounds := -1
-		check := func(t *rapid.T) {
-			state := f.store.state()
-			if state == nil {
-				return
-			}
+		f.store.onWrite = func(state *move.State) {
 			if state.Term < lastTerm {
 				t.Fatalf("the term fell from %d to %d", lastTerm, state.Term)
 			}
@@ -324,7 +325,6 @@
 				isBad = false
 				rounds = -1
 			},
-			"": check,
 		})
 	})
 }
@@ -356,7 +356,8 @@
 	g.Expect(receiver.Collect(&CollectRequest{Term: 3}, &CollectReply{})).To(MatchError(ContainSubstring("term 3")))
 }
 
-// With the store out nothing advances, but a fault stops the version at all VMs.
+// With the store out nothing advances and the lease lapses, but a fault stops the
+// version at all VMs, those that restart included.
 func TestStoreOutage(t *testing.T) {
 	g := NewWithT(t)
 	f := newFleet(3)
@@ -364,6 +365,7 @@
 	f.round()
 	f.round()
 	f.store.isDown = true
+	f.leases[0].held = false
 	for range 60 {
 		f.manual.Advance(10 * clock.Second)
 		f.round()
@@ -385,6 +387,7 @@
 		g.Expect(f.request(2, true)).To(BeFalse(), "a VM that restarted was not told")
 	}
 	f.store.isDown = false
+	f.hold(1, 2)
 	f.round()
 	g.Expect(f.store.state().Stage).To(Equal(move.TakenBack))
 	var told []string
--- a/internal/policy/move/guard_test.go
+++ b/internal/policy/move/guard_test.go
@@ -327,6 +327,58 @@
 	}
 }
 
+// Until it is judged a version gets a bounded count, however much traffic there is.
+func TestCanaryIsBoundedByCount(t *testing.T) {
+	f := newFleet(testService(10*clock.Minute, 250, "/a/"), 1)
+	f.mover()
+	f.mover()
+	f.manual.Advance(clock.Second)
+	exposed := 0
+	for range 20_000 {
+		if f.request(0, 0, goodAnswer).New {
+			exposed++
+		}
+	}
+	if exposed != canaryRequests {
+		t.Fatalf("%d requests on a version not judged", exposed)
+	}
+}
+
+// A mover whose copy of the document is old does not break off the move that a
+// newer document asks for.
+func TestOldDocumentDoesNotBreakOffTheMove(t *testing.T) {
+	f := newFleet(testService(clock.Hour, 250, "/a/"), 1)
+	f.revision = 2
+	f.mover()
+	f.mover()
+	old := *f.service
+	old.Moves = nil
+	if next, changed := Advance(f.state, Input{Service: &old, Revision: 1, Term: 1, Now: 5000}); changed {
+		t.Fatalf("changed to %+v", next)
+	}
+	if next, _ := Advance(f.state, Input{Service: &old, Revision: 3, Term: 1, Now: 5000}); next.Stage != TakenBack {
+		t.Fatalf("a document without the move left it at %s", next.Stage)
+	}
+}
+
+// Without time to see more, one failure among few answers counts against the
+// version, and one among many does not.
+func TestLastChanceNeedsFewDoubts(t *testing.T) {
+	f := newFleet(testService(clock.Hour, 250, "/a/"), 1)
+	f.mover()
+	f.mover()
+	for answers, want := range map[int64]Stage{5: TakenBack, 40: Rising} {
+		pair := Pair{New: Counts{Answers: answers, Failures: 1}, Old: Counts{Answers: 100}}
+		input := Input{
+			Service: f.service, Revision: 1, Term: 1, Now: f.state.lastChance(f.service), Complete: true,
+			Evidence: []Evidence{{Service: "orders", Attempt: 1, Route: "/a/", Stage: pair, Whole: pair}},
+		}
+		if next, _ := Advance(f.state, input); next.Stage != want {
+			t.Errorf("1 of %d failed: %s", answers, next.Stage)
+		}
+	}
+}
+
 // The state survives its stored form.
 func TestStateKeepsItsMeaningInTheStore(t *testing.T) {
 	f := newFleet(testService(clock.Hour, 250, "/a/"), 1)
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -261,12 +261,17 @@
 	if best == nil {
 		return nil, reason.RegionFull
 	}
-	if region.far && !p.hasRoom(plan, region, members, request, now) {
-		return nil, reason.LinkFull
+	if region.far && !p.hasHeadroom(members) {
+		return nil, reason.RegionFull
 	}
 	if !p.take(best) {
 		return nil, reason.RegionFull
 	}
+	// The room comes last: it can't be given back, a slot can.
+	if region.far && !p.takeRoom(plan, region, request, now) {
+		p.giveBack(best)
+		return nil, reason.LinkFull
+	}
 	return best, ""
 }
 
@@ -302,6 +307,12 @@
 	return p.Slots.Take(n.resource)
 }
 
+func (p *Placer) giveBack(n *node) {
+	if p.Slots != nil {
+		p.Slots.Release(n.resource)
+	}
+}
+
 // borrow asks peers for a slot in the nearest region that has endpoints.
 func (p *Placer) borrow(ctx context.Context, request *Request, choice move.Choice) *Grant {
 	if p.Slots == nil {
--- a/internal/policy/placement/placement_test.go
+++ b/internal/policy/placement/placement_test.go
@@ -42,6 +42,8 @@
 	taken map[contract.Resource]int
 	// lendable is what peers would lend.
 	lendable map[contract.Resource]int
+	// gone is how many of the next takes find the slot lent away since Free.
+	gone int
 	// over is set when more was taken than held, or given back than taken.
 	over bool
 }
@@ -55,6 +57,10 @@
 func (f *fakeSlots) Take(resource contract.Resource) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.gone > 0 {
+		f.gone--
+		return false
+	}
 	if f.taken[resource] >= f.share[resource] {
 		return false
 	}
@@ -212,6 +218,7 @@
 					}
 				}
 			},
+			"lend away": func(t *rapid.T) { slots.gone = rapid.IntRange(1, 3).Draw(t, "count") },
 			"share shrinks": func(t *rapid.T) {
 				endpoint := service.Endpoints[rapid.IntRange(0, len(service.Endpoints)-1).Draw(t, "endpoint")]
 				resource := contract.SlotsOf(service.Name, endpoint.Name)
--- a/internal/policy/placement/plan.go
+++ b/internal/policy/placement/plan.go
@@ -309,12 +309,9 @@
 	return chosen
 }
 
-// hasRoom says whether a far region has headroom and the link to it room for
-// the request, and takes the room. Callers hold mu.
-func (p *Placer) hasRoom(plan *plan, region *region, group *members, request *Request, now clock.Millis) bool {
-	if !p.hasHeadroom(group) {
-		return false
-	}
+// takeRoom takes room for the request on the link to a far region, if there is
+// any. Callers hold mu.
+func (p *Placer) takeRoom(plan *plan, region *region, request *Request, now clock.Millis) bool {
 	bytes := request.Bytes
 	if bytes < 0 {
 		bytes = request.Route.MaxBody
