--- a/internal/wire/caller/caller_test.go
+++ b/internal/wire/caller/caller_test.go
@@ -225,7 +225,14 @@
 
 func TestAPlannedStopCutsNoRequestAndTellsIdleCallers(t *testing.T) {
 	g := NewWithT(t)
-	r := newRig(t, func(s *caller.Server) { s.Notice = 200 })
+	started := make(chan struct{}, 2)
+	r := newRig(t, func(s *caller.Server) {
+		s.Notice = 200
+		s.Handler = http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+			started <- struct{}{}
+			echo(s)(w, request)
+		})
+	})
 	idle, upload := r.dial(g), r.dial(g)
 	defer idle.Close()
 	defer upload.Close()
@@ -239,6 +246,9 @@
 	}
 	g.Expect(ask("GET /a HTTP/1.1\r\nHost: h\r\n\r\n").Close).To(BeFalse())
 	_, _ = io.WriteString(upload, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nabc")
+	for range 2 {
+		g.Eventually(started, generous).Should(Receive())
+	}
 
 	stopped := make(chan error, 1)
 	go func() { stopped <- r.Shutdown(context.Background()) }()
--- a/internal/wire/endpoint/endpoint.go
+++ b/internal/wire/endpoint/endpoint.go
@@ -39,9 +39,8 @@
 const (
 	connectTimeout = 1 * clock.Second
 	retryAfter     = 200 * clock.Millis(1)
-	// continueWait is how long a streamed body waits for the endpoint's word
-	// that it wants it. Older endpoints send none.
-	continueWait = 500 * clock.Millis(1)
+	// defaultContinueWait is short, since older endpoints send no word.
+	defaultContinueWait = 500 * clock.Millis(1)
 	// maxHeadBytes bounds the heads of one answer, interim ones included.
 	maxHeadBytes = 64 << 10
 	// maxInterim bounds the 1xx answers before the final one.
@@ -98,6 +97,9 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Clock ages idle connections.
 	Clock clock.Clock
+	// ContinueWait is how long a body that asks first waits for the endpoint's word;
+	// 0 is 500 ms.
+	ContinueWait clock.Millis
 
 	pool pool
 }
@@ -311,7 +313,11 @@
 // startBody waits until the body is wanted and reports whether it is.
 func (e *exchange) startBody() bool {
 	if e.request.AskFirst {
-		wait, cancel := context.WithTimeout(e.ctx, continueWait.Duration())
+		limit := e.client.ContinueWait
+		if limit == 0 {
+			limit = defaultContinueWait
+		}
+		wait, cancel := context.WithTimeout(e.ctx, limit.Duration())
 		defer cancel()
 		select {
 		case <-e.proceed:
--- a/internal/wire/endpoint/endpoint_test.go
+++ b/internal/wire/endpoint/endpoint_test.go
@@ -15,6 +15,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/fault"
 	"baobabladder.example/baobabladder/internal/base/reason"
 	"baobabladder.example/baobabladder/internal/wire/endpoint"
@@ -363,9 +364,18 @@
 
 func TestAShedUploadHasLostNothingOfItsBody(t *testing.T) {
 	g := NewWithT(t)
-	h := newHostile(t, says("HTTP/1.1 503 No\r\nRequest-Id: ID\r\nRequest-Not-Run: shed\r\nContent-Length: 0\r\n\r\n", false))
+	shedding := says("HTTP/1.1 503 No\r\nRequest-Id: ID\r\nRequest-Not-Run: shed\r\nContent-Length: 0\r\n\r\n", false)
+	h := newHostile(t, func(h *hostile, connection net.Conn, reader *bufio.Reader) {
+		// A body that did not wait would come now.
+		head, _ := reader.Peek(1)
+		time.Sleep(100 * time.Millisecond)
+		if len(head) > 0 {
+			shedding(h, connection, reader)
+		}
+	})
 	body := &upload{Reader: strings.NewReader("12345"), closed: make(chan struct{})}
-	_, err := exchange(endpoint.New(), h.address, &endpoint.Request{Method: "PUT", Target: "/x", ID: "r1", Body: body, Length: 5, AskFirst: true})
+	client := &endpoint.Client{ContinueWait: clock.Minute}
+	_, err := exchange(client, h.address, &endpoint.Request{Method: "PUT", Target: "/x", ID: "r1", Body: body, Length: 5, AskFirst: true})
 	shed, ok := fault.As[*endpoint.NotRunError](err)
 	g.Expect(ok).To(BeTrue(), "%v", err)
 	g.Expect(shed.Ran).To(Equal(reason.RanNo))
@@ -385,6 +395,7 @@
 	content, err := exchange(endpoint.New(), h.address, &endpoint.Request{Method: "PUT", Target: "/x", ID: "r1", Body: body, Length: 1 << 30})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(content).To(Equal("ok"))
+	g.Expect(body.closed).To(BeClosed())
 	g.Eventually(func() int { _, _, ended := h.counts(); return ended }, generous).Should(Equal(1))
 }
 
