Wire limits, placement, moves and the ranking of VMs into the entry process

Each VM now admits against the fleet's shares, places by held slots, takes part in dividing limits and in moves, and names several ranked VMs to callers. One Dial hook serves the connections to the store, to peers and to endpoints.

--- a/internal/entry/process/knowledge.go
+++ b/internal/entry/process/knowledge.go
@@ -31,6 +31,9 @@
 	moverDuty   = "mover"
 )
 
+// storeConnections is how many idle connections to the store are kept.
+const storeConnections = 16
+
 // operatorHeadTimeout bounds the head of an operator's request.
 const operatorHeadTimeout = 10 * clock.Second
 
@@ -58,17 +61,21 @@
 }
 
 // newKnowledge puts the parts together; nothing runs yet.
-func newKnowledge(read settings.Settings, log logrus.FieldLogger) (k *knowledge, err error) {
+func newKnowledge(read settings.Settings, log logrus.FieldLogger, dial Dial) (k *knowledge, err error) {
 	wall := clock.Clock{}
+	storeClient := store.New(read.Store)
+	if dial != nil {
+		storeClient.HTTP.Transport = &http.Transport{DialContext: dial, MaxIdleConnsPerHost: storeConnections}
+	}
 	k = &knowledge{
 		id:        vm.ID{Name: read.Name, Incarnation: vm.Incarnation(wall.Wall())},
-		store:     store.New(read.Store),
+		store:     storeClient,
 		replica:   &replica.Replica{},
 		freshness: &freshness.Freshness{},
 		leases:    map[string]*lease.Lease{},
 		account:   &account.Account{VM: read.Name, Log: log},
 		metrics:   metric.New(),
-		peers:     &peer.Client{},
+		peers:     &peer.Client{Dial: dial},
 		server:    peer.NewServer(),
 		log:       log,
 	}
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -6,24 +6,29 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 
 	"github.com/sirupsen/logrus"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/fault"
+	"baobabladder.example/baobabladder/internal/base/metric"
 	"baobabladder.example/baobabladder/internal/base/reason"
 	"baobabladder.example/baobabladder/internal/base/settings"
-	"baobabladder.example/baobabladder/internal/entry/router"
-	"baobabladder.example/baobabladder/internal/policy/placement"
 	"baobabladder.example/baobabladder/internal/wire/caller"
 	"baobabladder.example/baobabladder/internal/wire/endpoint"
-	"baobabladder.example/baobabladder/internal/world/order"
 )
 
+// Dial opens a connection; it is the signature of net.Dialer.DialContext.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Process is one run of an entry VM.
 type Process struct {
 	Settings settings.Settings
 	Log      logrus.FieldLogger
+	// Dial, when set, opens the connections to the store, to peers and to
+	// endpoints.
+	Dial Dial
 }
 
 // Run serves until ctx ends, and then stops as planned: peers learn that the VM
@@ -31,7 +36,11 @@
 // duties end after the last request.
 func (p *Process) Run(ctx context.Context) (err error) {
 	defer fault.Annotate(&err, "running entry VM %s", p.Settings.Name)
-	known, err := newKnowledge(p.Settings, p.Log)
+	known, err := newKnowledge(p.Settings, p.Log, p.Dial)
+	if err != nil {
+		return err
+	}
+	decided, err := newSteering(known, p.Settings)
 	if err != nil {
 		return err
 	}
@@ -43,17 +52,9 @@
 		_ = listener.Close()
 		return err
 	}
-	duties, endDuties := context.WithCancel(context.WithoutCancel(ctx))
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		known.run(duties)
-	}()
-	defer func() {
-		endDuties()
-		<-ended
-	}()
-	server := p.callerServer(known)
+	endDuties := p.startDuties(ctx, known, decided)
+	defer endDuties()
+	server := p.callerServer(known, decided)
 	go func() {
 		<-ctx.Done()
 		known.heartbeat.Stop()
@@ -63,19 +64,27 @@
 	return server.Serve(listener)
 }
 
+// startDuties starts what goes on until the last request has ended, and returns
+// what ends it.
+func (p *Process) startDuties(ctx context.Context, known *knowledge, decided *steering) (end func()) {
+	duties, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var group sync.WaitGroup
+	group.Go(func() { known.run(duties) })
+	group.Go(func() { decided.run(duties) })
+	return func() {
+		cancel()
+		group.Wait()
+	}
+}
+
 // callerServer puts together what serves callers.
-func (p *Process) callerServer(known *knowledge) *caller.Server {
-	refuser := caller.Refuser{Log: p.Log}
-	handler := &router.Router{
-		Replica:   known.replica,
-		Freshness: known.freshness,
-		Placer:    &placement.Placer{Region: p.Settings.Region, DataCentre: p.Settings.DataCentre},
-		Client:    endpoint.New(),
-		Claims:    &order.Claims{Store: known.store},
-		Region:    p.Settings.Region,
-		Refuser:   refuser,
+func (p *Process) callerServer(known *knowledge, decided *steering) *caller.Server {
+	refuser := caller.Refuser{Counters: metric.ByReason(known.metrics.Scope, "refusals"), Log: p.Log}
+	handler := decided.router(refuser, &endpoint.Client{Dial: p.Dial}, p.Settings.Region)
+	return &caller.Server{
+		Handler: readyGate{known: known, next: handler, refuser: refuser}, Refuser: refuser,
+		VMs: &decided.ranker, Ready: known.isReady,
 	}
-	return &caller.Server{Handler: readyGate{known: known, next: handler, refuser: refuser}, Refuser: refuser, Ready: known.isReady}
 }
 
 // notReadyRetry is when a refused caller may try again.
--- /dev/null
+++ b/internal/entry/process/steering.go
@@ -0,0 +1,193 @@
+package process
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/document"
+	"baobabladder.example/baobabladder/internal/base/metric"
+	"baobabladder.example/baobabladder/internal/base/settings"
+	"baobabladder.example/baobabladder/internal/control/divider"
+	"baobabladder.example/baobabladder/internal/control/mover"
+	"baobabladder.example/baobabladder/internal/entry/router"
+	"baobabladder.example/baobabladder/internal/policy/divide"
+	"baobabladder.example/baobabladder/internal/policy/limit"
+	"baobabladder.example/baobabladder/internal/policy/lookup"
+	"baobabladder.example/baobabladder/internal/policy/move"
+	"baobabladder.example/baobabladder/internal/policy/placement"
+	"baobabladder.example/baobabladder/internal/policy/retry"
+	"baobabladder.example/baobabladder/internal/wire/caller"
+	"baobabladder.example/baobabladder/internal/wire/endpoint"
+	"baobabladder.example/baobabladder/internal/wire/store"
+	"baobabladder.example/baobabladder/internal/world/contract"
+	"baobabladder.example/baobabladder/internal/world/membership"
+	"baobabladder.example/baobabladder/internal/world/order"
+	"baobabladder.example/baobabladder/internal/world/replica"
+	"baobabladder.example/baobabladder/internal/world/vm"
+)
+
+const (
+	// refreshInterval bounds how long a change of documents or membership takes to
+	// reach the policies, once it is known here.
+	refreshInterval = 50 * clock.Millis(1)
+	// sweepInterval is the pause between two sweeps of old order claims, and
+	// sweepClaims how many claims one sweep removes at most.
+	sweepInterval = 10 * clock.Minute
+	sweepClaims   = 1000
+)
+
+// steering is what a VM decides with: limits, placement, moves and the ranking
+// of entry VMs. It is rebuilt from what the VM knows whenever that changes.
+type steering struct {
+	known   *knowledge
+	holder  *contract.Holder
+	limiter *limit.Limiter
+	slots   *limit.Slots
+	placer  *placement.Placer
+	guard   *move.Guard
+	divider *divider.Divider
+	mover   *mover.Mover
+	claims  *order.Claims
+	ranker  ranker
+	// totals holds the limits in force; it is replaced, never changed.
+	totals atomic.Pointer[map[contract.Resource]divide.Total]
+}
+
+// newSteering puts the parts together; nothing runs yet.
+func newSteering(known *knowledge, read settings.Settings) (s *steering, err error) {
+	s = &steering{known: known, ranker: ranker{home: read.Region}}
+	s.totals.Store(&map[contract.Resource]divide.Total{})
+	neighbours := &divider.Neighbours{Caller: known.peers, View: known.heartbeat.View}
+	scope := known.metrics.Scope
+	s.holder = &contract.Holder{Self: known.id}
+	s.limiter = &limit.Limiter{Holder: s.holder, Peers: neighbours, MaxWait: limit.DefaultMaxWait, Scope: scope}
+	s.slots = &limit.Slots{Holder: s.holder, Lenders: neighbours, Scope: scope}
+	s.guard = &move.Guard{VM: known.id.Name}
+	s.placer = &placement.Placer{
+		Slots: s.slots, Links: limit.Links{Holder: s.holder}, Versions: s.guard,
+		Region: read.Region, DataCentre: read.DataCentre,
+	}
+	s.divider = &divider.Divider{
+		Self: known.id, Holder: s.holder, Limiter: s.limiter, Lease: known.leases[dividerDuty], Caller: known.peers,
+		View: known.heartbeat.View, Totals: func() map[contract.Resource]divide.Total { return *s.totals.Load() },
+		Account: known.account, Log: known.log, Scope: scope,
+	}
+	s.mover = &mover.Mover{
+		Self: known.id, Guard: s.guard, Lease: known.leases[moverDuty], Caller: known.peers, Store: known.store,
+		View: known.heartbeat.View, Snapshot: known.replica.Snapshot, Written: s.spread,
+		Account: known.account, Log: known.log,
+	}
+	s.guard.Peers = s.mover
+	s.claims = &order.Claims{Store: known.store}
+	if err := known.server.Register(divider.ReceiverName, &divider.Receiver{Divider: s.divider}); err != nil {
+		return nil, err
+	}
+	return s, known.server.Register(mover.ReceiverName, &mover.Receiver{Mover: s.mover})
+}
+
+// spread tells all peers of an object that this VM wrote.
+func (s *steering) spread(ctx context.Context, object store.Object) {
+	s.known.follower.PushAll(ctx, []store.Object{object})
+}
+
+// run does the VM's part in limits and moves until ctx ends.
+func (s *steering) run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { s.refresh(ctx) })
+	group.Go(func() { s.mover.Run(ctx) })
+	group.Go(func() { s.sweep(ctx) })
+	group.Go(func() {
+		if err := s.divider.Run(ctx); err != nil && ctx.Err() == nil {
+			s.known.log.WithError(err).Error("the divider ended")
+		}
+	})
+	group.Wait()
+}
+
+// refresh passes each new snapshot and view on to the policies.
+func (s *steering) refresh(ctx context.Context) {
+	var snapshot *replica.Snapshot
+	var view *membership.View
+	for {
+		newest, newestView := s.known.replica.Snapshot(), s.known.heartbeat.View()
+		if newest != snapshot || newestView != view {
+			snapshot, view = newest, newestView
+			s.update(snapshot, view)
+		}
+		if clock.Sleep(ctx, refreshInterval) != nil {
+			return
+		}
+	}
+}
+
+func (s *steering) update(snapshot *replica.Snapshot, view *membership.View) {
+	services := make([]*document.Service, len(snapshot.Services))
+	for i := range snapshot.Services {
+		services[i] = snapshot.Services[i].Service
+	}
+	totals := divide.Totals(services, snapshot.Fleet, view.Endpoints)
+	s.totals.Store(&totals)
+	s.placer.Update(snapshot.Fleet, view)
+	s.ranker.update(snapshot.Fleet, view)
+}
+
+// sweep removes order claims that are past their lifetime, on the VM that holds
+// the mover's lease.
+func (s *steering) sweep(ctx context.Context) {
+	for clock.Sleep(ctx, sweepInterval) == nil {
+		if _, held := s.known.leases[moverDuty].Term(); !held {
+			continue
+		}
+		if _, err := s.claims.Sweep(ctx, sweepClaims); err != nil {
+			s.known.log.WithError(err).Warn("sweeping old order claims failed")
+		}
+	}
+}
+
+// router puts together what answers callers' requests.
+func (s *steering) router(refuser caller.Refuser, client *endpoint.Client, region string) *router.Router {
+	return &router.Router{
+		Replica: s.known.replica, Placer: s.placer, Client: client, Freshness: s.known.freshness,
+		Limiter: s.limiter, Claims: s.claims, Retry: &retry.Budget{}, Links: s.limiter,
+		Region: region, Refuser: refuser, Retries: metric.ByReason(s.known.metrics.Scope, "retries"),
+	}
+}
+
+// ranker answers which VMs a caller should use. Readers take no lock.
+type ranker struct {
+	home    string
+	ranking atomic.Pointer[lookup.Ranking]
+	table   atomic.Pointer[lookup.Table]
+	// fleet is what the table was built from. Only update uses it.
+	fleet *document.Fleet
+}
+
+func (r *ranker) update(fleet *document.Fleet, view *membership.View) {
+	r.ranking.Store(lookup.NewRanking(fleet, view, r.home))
+	if fleet == r.fleet {
+		return
+	}
+	r.fleet = fleet
+	table := &lookup.Table{}
+	if fleet != nil {
+		// The document's check has refused blocks that a table can't keep.
+		_ = table.Load(fleet.Blocks)
+	}
+	r.table.Store(table)
+}
+
+// Lookup implements caller.VMs.
+func (r *ranker) Lookup(address netip.Addr) []vm.VM {
+	ranking, table := r.ranking.Load(), r.table.Load()
+	if ranking == nil {
+		return nil
+	}
+	region := ""
+	if table != nil {
+		region = table.Region(address)
+	}
+	return ranking.Pick(region, address)
+}
