--- a/internal/entry/router/router_test.go
+++ b/internal/entry/router/router_test.go
@@ -416,6 +416,24 @@
 	g.Expect(left).To(Receive(And(Not(BeEmpty()), Not(Equal("300000")))))
 }
 
+func TestACallerThatLeavesCancelsTheEndpointsWork(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(t)
+	begun, cancelled := make(chan struct{}), make(chan struct{})
+	r.answer(func(_ http.ResponseWriter, request *http.Request) {
+		close(begun)
+		<-request.Context().Done()
+		close(cancelled)
+	})
+	connection, err := net.Dial("tcp", r.address)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, _ = io.WriteString(connection, "GET /pub/ HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Eventually(begun, generous).Should(BeClosed())
+	_ = connection.Close()
+	g.Eventually(cancelled, generous).Should(BeClosed())
+	g.Eventually(func() int64 { return r.count("refusals", reason.CallerGone) }, generous).Should(BeEquivalentTo(1))
+}
+
 // zeros is an endless body.
 type zeros struct{}
 
--- a/internal/world/order/order.go
+++ b/internal/world/order/order.go
@@ -34,12 +34,15 @@
 	// MaxAnswerBytes is the largest answer body that a claim records.
 	MaxAnswerBytes = 16 << 10
 
-	// endTimeout bounds the writing of an order's end, which goes on when the
-	// caller has gone away.
-	endTimeout = 2 * clock.Second
+	// claimTimeout and endTimeout bound the writing of a claim and of its end. Both
+	// go on when the caller has gone away: a write given up midway may stand.
+	claimTimeout = 2 * clock.Second
+	endTimeout   = 2 * clock.Second
 	// attempts bounds the store calls to settle one unknown outcome.
 	attempts     = 3
 	attemptPause = 50 * clock.Millis(1)
+	// landing is how long after a lost answer a write may still land.
+	landing = 1 * clock.Minute
 	// maxAbandoned bounds the claims that a VM remembers as its own.
 	maxAbandoned = 4096
 	retryAfter   = 1 * clock.Second
@@ -138,11 +141,11 @@
 
 	mu sync.Mutex
 	// abandoned holds the write ids of claims that this process may have made and
-	// under which nothing runs or ran, now or later. A claim in the store with such
-	// a write id is free. Guarded by mu.
+	// under which nothing runs, now or later. A claim in the store with such a write
+	// id is free. Guarded by mu.
 	abandoned map[string]bool
-	// remembered holds the abandoned write ids, oldest first. Guarded by mu.
-	remembered []string
+	// remembered holds the abandoned claims, oldest first. Guarded by mu.
+	remembered []abandonment
 }
 
 // Claim is the right to send one order. Done or Release ends it; a claim that is
@@ -162,10 +165,12 @@
 	if err := CheckID(order.ID); err != nil {
 		return nil, nil, err
 	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout.Duration())
+	defer cancel()
 	claim = &Claim{claims: c, order: order, record: Record{State: Claimed, Digest: order.Digest, WriteID: newWriteID(), ClaimedAt: c.Clock.Wall()}}
 	found, err := claim.create(ctx)
 	if err != nil {
-		c.abandon(claim.record.WriteID)
+		c.abandon(claim)
 		return nil, nil, reason.NotRun(reason.StoreUnavailable, retryAfter, "the order could not be claimed in the store")
 	}
 	if found == nil {
@@ -264,24 +269,86 @@
 		claim.version = version
 		return claim, nil, nil
 	}
-	c.abandon(claim.record.WriteID)
+	c.abandon(claim)
 	return nil, nil, reason.NotRun(reason.StoreUnavailable, retryAfter, "the order could not be claimed in the store")
 }
 
-func (c *Claims) abandon(writeID string) {
+// abandonment is a claim under which nothing runs, but which may stand, or land
+// in the store later.
+type abandonment struct {
+	order   Order
+	writeID string
+	at      clock.Millis
+	settled bool
+}
+
+func (c *Claims) abandon(claim *Claim) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.abandoned == nil {
 		c.abandoned = map[string]bool{}
 	}
+	writeID := claim.record.WriteID
 	c.abandoned[writeID] = true
-	c.remembered = append(c.remembered, writeID)
+	c.remembered = append(c.remembered, abandonment{order: claim.order, writeID: writeID, at: c.Clock.Now()})
 	if len(c.remembered) > maxAbandoned {
-		delete(c.abandoned, c.remembered[0])
+		delete(c.abandoned, c.remembered[0].writeID)
 		c.remembered = c.remembered[1:]
 	}
 }
 
+// Settle removes abandoned claims from the store, so that resends through other
+// VMs aren't held up by them. It looks at most at limit of them, each at the cost
+// of a read, and stops at the store's first failure. Run it every few seconds.
+func (c *Claims) Settle(ctx context.Context, limit int) (removed int, err error) {
+	defer fault.Annotate(&err, "settling abandoned claims")
+	for _, left := range c.unsettled(limit) {
+		claim := &Claim{claims: c, order: left.order}
+		standing, err := claim.read(ctx)
+		if err != nil {
+			return removed, err
+		}
+		if standing == nil || standing.record.WriteID != left.writeID {
+			c.markSettled(left.writeID, c.Clock.Now()-left.at >= landing)
+			continue
+		}
+		if _, err := c.Store.Delete(ctx, left.order.ObjectKey(), standing.version); err != nil {
+			return removed, err
+		}
+		removed++
+		c.markSettled(left.writeID, true)
+	}
+	return removed, nil
+}
+
+func (c *Claims) unsettled(limit int) (left []abandonment) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, abandoned := range c.remembered {
+		if len(left) == limit {
+			break
+		}
+		if !abandoned.settled {
+			left = append(left, abandoned)
+		}
+	}
+	return left
+}
+
+// markSettled notes whether a claim needs no further look. One that may still
+// land goes to the end of the line.
+func (c *Claims) markSettled(writeID string, settled bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, abandoned := range c.remembered {
+		if abandoned.writeID == writeID {
+			abandoned.settled = settled
+			c.remembered = append(append(c.remembered[:i:i], c.remembered[i+1:]...), abandoned)
+			return
+		}
+	}
+}
+
 func (c *Claims) isAbandoned(writeID string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -333,7 +400,7 @@
 	_, err = c.claims.Store.Delete(ctx, c.order.ObjectKey(), c.version)
 	if c.doubted || err != nil && !errorx.IsOfType(err, store.ErrConflict) {
 		// If the claim still stands or lands late, this process may take it over.
-		c.claims.abandon(c.record.WriteID)
+		c.claims.abandon(c)
 	}
 	return err
 }
--- a/internal/world/order/order_test.go
+++ b/internal/world/order/order_test.go
@@ -222,6 +222,9 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"send": func(*rapid.T) { w.send() },
 			"land": func(*rapid.T) { w.land() },
+			"settle": func(t *rapid.T) {
+				_, _ = w.vms[rapid.IntRange(0, len(w.vms)-1).Draw(t, "settler")].Settle(context.Background(), 3)
+			},
 			"restart": func(t *rapid.T) {
 				w.vms[rapid.IntRange(0, len(w.vms)-1).Draw(t, "restarted")] = newClaims(w.store)
 			},
@@ -261,6 +264,32 @@
 	}
 }
 
+func TestSettleFreesAbandonedClaimsForOtherVMs(t *testing.T) {
+	g := NewWithT(t)
+	troubles := []trouble{late, unavailable}
+	f := &fake{objects: map[string]store.Object{}}
+	f.next = func() trouble {
+		if len(troubles) == 0 {
+			return none
+		}
+		defer func() { troubles = troubles[1:] }()
+		return troubles[0]
+	}
+	claims := newClaims(f)
+	o := order.Order{Service: "orders", Workspace: "glen", ID: "a"}
+	_, _, err := claims.Claim(context.Background(), o)
+	g.Expect(err).To(HaveOccurred())
+	// The write has not landed yet: it must be looked for again.
+	g.Expect(claims.Settle(context.Background(), 10)).To(BeZero())
+	f.pending[0]()
+	g.Expect(claims.Settle(context.Background(), 10)).To(Equal(1))
+	claim, _, err := newClaims(f).Claim(context.Background(), o)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(claim).NotTo(BeNil())
+	g.Expect(claims.Settle(context.Background(), 10)).To(BeZero())
+	g.Expect(f.objects).To(HaveLen(1), "another VM's claim is not touched")
+}
+
 func TestSweepRemovesOnlyClaimsPastTheirLifetime(t *testing.T) {
 	g := NewWithT(t)
 	manual := &clock.Manual{}
