--- a/internal/control/follower/machine_test.go
+++ b/internal/control/follower/machine_test.go
@@ -74,6 +74,8 @@
 	delay clock.Millis
 	// during runs while the delay passes.
 	during func()
+	// failFetch lets the next fetch from a peer fail.
+	failFetch bool
 	// kept, if set, is the earlier answer that watches get again and again.
 	kept *store.Listing
 }
@@ -154,6 +156,10 @@
 	case "Heartbeat.Ask":
 		err = heartbeat.NewReceiver(other.heartbeat).Ask(args.(heartbeat.Question), reply.(*heartbeat.Answer))
 	case "Follower.Fetch":
+		if r.failFetch {
+			r.failFetch = false
+			return peer.ErrUnreachable.New("cut in the middle")
+		}
 		err = follower.NewReceiver(other.follower).Fetch(args.(follower.Fetch), reply.(*replica.Page))
 	case "Follower.Push":
 		err = follower.NewReceiver(other.follower).Push(args.(follower.Push), reply.(*follower.Pushed))
@@ -413,6 +419,18 @@
 				r.delay = clock.Millis(rapid.IntRange(0, 8000).Draw(t, "delay"))
 				r.during = func() { withdraw(other, k, false) }
 			},
+			"fail fetch": func(t *rapid.T) {
+				if r := alive(t); r != nil {
+					r.failFetch = true
+				}
+			},
+			"only one with the store": func(t *rapid.T) {
+				only := anyName.Draw(t, "vm")
+				for _, name := range names {
+					m.noStore[name] = name != only
+					m.cut[pair(only, name)] = true
+				}
+			},
 			"isolate": func(t *rapid.T) {
 				name, cut := anyName.Draw(t, "vm"), rapid.Bool().Draw(t, "cut")
 				for _, other := range names {
@@ -511,6 +529,56 @@
 	}
 }
 
+func TestVMStartedInAnOutageWaitsForEveryReachablePeer(t *testing.T) {
+	f := newFleet()
+	f.rounds(3)
+	f.down = true
+	// b1 accepted a revision that reached no other VM before a1 starts.
+	delete(f.runs, "a1")
+	if _, err := f.runs["b1"].replica.Merge(store.Listing{Objects: []store.Object{f.accept()}}); err != nil {
+		t.Fatal(err)
+	}
+	f.start("a1")
+	a1 := f.runs["a1"]
+	for _, name := range []string{"a2", "b2"} {
+		if err := a1.heartbeat.Ask(context.Background(), name); err != nil {
+			t.Fatal(err)
+		}
+		if ready, _ := a1.follower.Ready(); ready {
+			t.Fatalf("ready after %s, before b1 was asked", name)
+		}
+	}
+	if err := a1.heartbeat.Ask(context.Background(), "b1"); err != nil {
+		t.Fatal(err)
+	}
+	if ready, why := a1.follower.Ready(); !ready || a1.revisionInForce() != f.accepted {
+		t.Fatalf("ready = %v (%s) on revision %d, want revision %d", ready, why, a1.revisionInForce(), f.accepted)
+	}
+}
+
+func TestPeerWhoseContentCouldNotBeFetchedCountsForNothing(t *testing.T) {
+	f := newFleet()
+	f.rounds(3)
+	f.down = true
+	if _, err := f.runs["b1"].replica.Merge(store.Listing{Objects: []store.Object{f.accept()}}); err != nil {
+		t.Fatal(err)
+	}
+	f.manual.Advance(freshness.MaxAge + 1)
+	a1 := f.runs["a1"]
+	for _, name := range []string{"a2", "b2"} {
+		if err := a1.heartbeat.Ask(context.Background(), name); err != nil {
+			t.Fatal(err)
+		}
+	}
+	a1.failFetch = true
+	if err := a1.heartbeat.Ask(context.Background(), "b1"); err == nil || a1.fresh.Fresh() {
+		t.Fatalf("fresh = %v, error %v, with b1's content not fetched", a1.fresh.Fresh(), err)
+	}
+	if err := a1.heartbeat.Ask(context.Background(), "b1"); err != nil || !a1.fresh.Fresh() || a1.revisionInForce() != f.accepted {
+		t.Fatalf("fresh = %v, error %v, revision %d", a1.fresh.Fresh(), err, a1.revisionInForce())
+	}
+}
+
 func TestVMStartedAloneInAnOutageIsNotReady(t *testing.T) {
 	f := newFleet()
 	f.down = true
