Judge failures more strictly the more answers a version has given

Cause: nine VMs and four windows look at failures over and over, and each look may be wrong. In the mover's, a fault that only a dead VM saw is unknown.

--- a/internal/control/mover/mover_test.go
+++ b/internal/control/mover/mover_test.go
@@ -220,6 +220,15 @@
 	f.leases[i].term, f.leases[i].held = term, true
 }
 
+func (f *fleet) anySuspension() bool {
+	for _, m := range f.movers {
+		if len(m.Guard.Suspensions()) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // request plays one request and says whether the new version had it.
 func (f *fleet) request(i int, isBad bool) bool {
 	guard, route := f.movers[i].Guard, &f.service.Routes[0]
@@ -316,6 +325,10 @@
 				f.add(i, incarnation)
 				f.leases[i].term, f.leases[i].held = held.term, held.held
 				rounds = min(rounds, 0)
+				if !f.anySuspension() {
+					// Only the VM that died had seen the fault.
+					rounds = -1
+				}
 			},
 			"new document": func(_ *rapid.T) {
 				next := *f.service.Service
--- a/internal/policy/move/evidence.go
+++ b/internal/policy/move/evidence.go
@@ -31,7 +31,9 @@
 	fineChance  = 1e-6
 	slowChance  = 2e-3
 	// doubtChance is the same where a version is let on without enough answers.
-	doubtChance = 0.1
+	doubtChance = 0.05
+	// answersPerLook is how many answers of the new version stand for one look.
+	answersPerLook = 10
 	// plainRate is the failure rate that the plain test allows any version.
 	plainRate = 0.01
 	// exactLimit is up to how many tries chances are summed up exactly.
@@ -158,13 +160,13 @@
 	return old.percentile90() + int(math.Ceil(bucketsPerOctave*math.Log2(factor))), true
 }
 
-// fault returns what is wrong with the new version, or "". The baseline is
-// what the old version did in the whole attempt.
-func (p *Pair) fault(baseline *Counts, slowPercent int) string {
-	if p.fails(baseline) {
+// fault returns what is wrong with the new version, or "", given both versions'
+// counts in the whole attempt.
+func (p *Pair) fault(attempt *Pair, slowPercent int) string {
+	if p.fails(attempt) {
 		return fmt.Sprintf("%d of %d failed, of the old version %d of %d", p.New.Failures, p.New.Answers, p.Old.Failures, p.Old.Answers)
 	}
-	if slow, is := p.slow(baseline, slowPercent); is {
+	if slow, is := p.slow(&attempt.Old, slowPercent); is {
 		return fmt.Sprintf("%d of %d were more than %d%% slower than nine in ten of the old version", slow, p.New.good(), slowPercent)
 	}
 	return ""
@@ -174,7 +176,10 @@
 // a lost region, is not the new version's. The plain test finds gross faults from
 // a few answers. The fine test finds small ones from many: if the versions were
 // alike, all failures would fall on them in proportion to their answers.
-func (p *Pair) fails(baseline *Counts) bool {
+//
+// Each look is one more chance to be wrong, so the plain test gets stricter with
+// the answers that the version has given.
+func (p *Pair) fails(attempt *Pair) bool {
 	if p.New.Failures < minFailures {
 		return false
 	}
@@ -182,8 +187,9 @@
 	if rate(p.New.Failures, p.New.Answers)-oldRate < leastDifference/1000.0 {
 		return false
 	}
-	expected := max(plainRate, oldRate, rate(baseline.Failures, baseline.Answers))
-	if isUnlikely(p.New.Failures, p.New.Answers, expected, plainChance) {
+	expected := max(plainRate, oldRate, rate(attempt.Old.Failures, attempt.Old.Answers))
+	looks := max(float64(attempt.New.Answers)/answersPerLook, 1)
+	if isUnlikely(p.New.Failures, p.New.Answers, expected, plainChance/looks) {
 		return true
 	}
 	part := rate(p.New.Answers, p.New.Answers+p.Old.Answers)
@@ -242,7 +248,7 @@
 // fault returns what is wrong with the new version on the route, or "".
 func (e *Evidence) fault(slowPercent int) string {
 	for _, pair := range []*Pair{&e.Minute, &e.TenMinutes, &e.Stage, &e.Whole} {
-		if why := pair.fault(&e.Whole.Old, slowPercent); why != "" {
+		if why := pair.fault(&e.Whole, slowPercent); why != "" {
 			return why
 		}
 	}
