Let a stopping VM say that it accepts no more changes

In an outage the platform's list does not change, so a VM that had stopped as planned looked like one that is cut off, and all others refused keyed work from then on. It now tells each peer at its end, and the peer takes over its content.

--- a/cmd/baobabladder/knowledge_test.go
+++ b/cmd/baobabladder/knowledge_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/gexec"
 
+	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/control/freshness"
 	standinstore "baobabladder.example/baobabladder/internal/standin/store"
 	"baobabladder.example/baobabladder/internal/wire/operator"
@@ -199,6 +200,7 @@
 		By("stopping a VM as planned, and telling an unreachable one by its exit code")
 		third.process.Terminate().Wait("30s")
 		Expect(third.process).To(gexec.Exit(0))
+		Consistently(func() string { return first.ask(kept.Text) }, (freshness.MaxAge + clock.Second).Duration(), "100ms").Should(Equal("200 OK"))
 		f.operate(third, 3, nil, "status")
 		f.operate(first, 2, nil, "apply")
 	})
--- a/internal/control/follower/machine_test.go
+++ b/internal/control/follower/machine_test.go
@@ -155,6 +155,8 @@
 	switch method {
 	case "Heartbeat.Ask":
 		err = heartbeat.NewReceiver(other.heartbeat).Ask(args.(heartbeat.Question), reply.(*heartbeat.Answer))
+	case "Heartbeat.Leave":
+		err = heartbeat.NewReceiver(other.heartbeat).Leave(args.(heartbeat.Answer), reply.(*heartbeat.Left))
 	case "Follower.Fetch":
 		if r.failFetch {
 			r.failFetch = false
@@ -401,6 +403,13 @@
 				m.floor[name] = r.revisionInForce()
 				delete(m.runs, name)
 			},
+			"planned stop": func(t *rapid.T) {
+				if r := alive(t); r != nil {
+					r.heartbeat.Leave(context.Background())
+					m.floor[r.name] = r.revisionInForce()
+					delete(m.runs, r.name)
+				}
+			},
 			"start": func(t *rapid.T) {
 				if name := anyName.Draw(t, "vm"); m.runs[name] == nil {
 					m.start(name)
@@ -480,6 +489,29 @@
 	}
 }
 
+func TestPlannedStopInAnOutageLeavesTheOthersFresh(t *testing.T) {
+	f := newFleet()
+	f.rounds(3)
+	f.down = true
+	f.rounds(3)
+	f.runs["b2"].heartbeat.Leave(context.Background())
+	delete(f.runs, "b2")
+	f.rounds(20)
+	for _, name := range names[:3] {
+		if !f.runs[name].fresh.Fresh() {
+			t.Fatalf("%s is stale after a planned stop of b2", name)
+		}
+	}
+	f.start("b2")
+	f.rounds(3)
+	f.runs["b2"].heartbeat.Refresh()
+	delete(f.runs, "b2")
+	f.rounds(20)
+	if f.runs["a1"].fresh.Fresh() {
+		t.Fatal("a1 is fresh though b2's new run is not heard any more")
+	}
+}
+
 func TestCutOffVMTurnsStaleAndAgainFresh(t *testing.T) {
 	f := newFleet()
 	f.rounds(3)
--- a/internal/control/heartbeat/heartbeat.go
+++ b/internal/control/heartbeat/heartbeat.go
@@ -26,7 +26,8 @@
 	// Interval is how often each peer is asked.
 	Interval = 500 * clock.Millis(1)
 
-	callTimeout = 1 * clock.Second
+	callTimeout  = 1 * clock.Second
+	leaveTimeout = 3 * clock.Second
 	// reachableTime is how long an answer counts.
 	reachableTime = 1700 * clock.Millis(1)
 	// contactTime is how long an answer of the store counts. It is longer than a
@@ -106,6 +107,9 @@
 	heardAt clock.Millis
 	// caughtUp says that this VM's copy once held all that the peer held.
 	caughtUp bool
+	// left says that this run accepts no more changes, and that this VM's copy
+	// holds all that it ever held.
+	left bool
 	// failures counts questions without an answer since the last answer.
 	failures int
 	// roundTrip is smoothed, in microseconds.
@@ -201,6 +205,7 @@
 	}
 	for _, state := range h.peers {
 		switch {
+		case state.left:
 		case state.caughtUp && state.answer.Ready:
 			heard++
 		case !state.caughtUp && state.failures < enoughFailures:
@@ -315,6 +320,47 @@
 	return nil
 }
 
+// Leave tells every peer that this run accepts no more changes, at the end of a
+// planned stop. The platform's list does not change during an outage of the
+// store: without the word, the others could not tell this VM from one that is
+// cut off from them, and would refuse keyed work.
+func (h *Heartbeat) Leave(ctx context.Context) {
+	answer := h.Answer(Question{})
+	answer.List = nil
+	var group sync.WaitGroup
+	for _, address := range h.Targets() {
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, leaveTimeout.Duration())
+			defer cancel()
+			_ = h.Peers.Call(ctx, address, ReceiverName+".Leave", answer, &Left{})
+		})
+	}
+	group.Wait()
+}
+
+// noteLeave takes over what a leaving peer holds; after that nothing need be
+// heard from its run any more.
+func (h *Heartbeat) noteLeave(answer *Answer) (err error) {
+	if h.CatchUp == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout.Duration())
+	defer cancel()
+	whole, err := h.CatchUp(ctx, answer.VM.PeerAddress, answer)
+	if err != nil || !whole {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	state := h.peers[answer.ID.Name]
+	if state == nil || answer.ID.Incarnation < state.incarnation {
+		return nil
+	}
+	state.learnRun(answer.VM, answer.ID)
+	state.left = true
+	return nil
+}
+
 // Answer answers a peer's question.
 func (h *Heartbeat) Answer(question Question) (answer Answer) {
 	h.noteCaller(question)
@@ -367,7 +413,9 @@
 			delete(h.peers, name)
 			continue
 		}
-		peers = append(peers, name)
+		if !state.left {
+			peers = append(peers, name)
+		}
 		view.Members = append(view.Members, h.member(state))
 	}
 	slices.SortFunc(view.Members, func(a, b membership.Member) int {
@@ -469,7 +517,7 @@
 		return
 	}
 	if id.Incarnation > s.incarnation {
-		s.caughtUp = false
+		s.caughtUp, s.left = false, false
 	}
 	s.incarnation = id.Incarnation
 	state := s.vm.State
@@ -524,7 +572,7 @@
 }
 
 func (h *Heartbeat) isReachable(state *peerState) bool {
-	return state.answer != nil && h.Clock.Now()-state.sentAt < reachableTime
+	return state.answer != nil && !state.left && h.Clock.Now()-state.sentAt < reachableTime
 }
 
 func (h *Heartbeat) calledLately(state *peerState) bool {
@@ -564,3 +612,6 @@
 	*answer = r.heartbeat.Answer(question)
 	return nil
 }
+
+// Leave notes that a peer's run accepts no more changes.
+func (r *Receiver) Leave(answer Answer, _ *Left) error { return r.heartbeat.noteLeave(&answer) }
--- a/internal/control/heartbeat/message.go
+++ b/internal/control/heartbeat/message.go
@@ -39,3 +39,6 @@
 	ListSame bool
 	List     []vm.VM
 }
+
+// Left is the reply to a peer that leaves.
+type Left struct{}
--- a/internal/entry/process/knowledge.go
+++ b/internal/entry/process/knowledge.go
@@ -150,6 +150,7 @@
 	}
 	group.Wait()
 	_ = k.operatorHTTP.Shutdown(context.WithoutCancel(ctx))
+	k.heartbeat.Leave(context.WithoutCancel(ctx))
 	k.server.Close()
 	k.peers.Close()
 	_ = k.metrics.Close()
