--- a/internal/control/mover/mover_test.go
+++ b/internal/control/mover/mover_test.go
@@ -220,10 +220,13 @@
 	f.leases[i].term, f.leases[i].held = term, true
 }
 
-func (f *fleet) anySuspension() bool {
+// anySuspension says whether any VM has word of a fault in the attempt.
+func (f *fleet) anySuspension(attempt int64) bool {
 	for _, m := range f.movers {
-		if len(m.Guard.Suspensions()) > 0 {
-			return true
+		for _, suspension := range m.Guard.Suspensions() {
+			if suspension.Attempt == attempt {
+				return true
+			}
 		}
 	}
 	return false
@@ -254,8 +257,9 @@
 		f.hold(0, term)
 		isBad := false
 		var takenBack, lastTerm int64
-		// rounds counts rounds with contact since a fault showed at some VM.
-		rounds := -1
+		// rounds counts rounds with contact since a fault of the attempt shown showed
+		// at some VM.
+		rounds, shown := -1, int64(0)
 		f.store.onWrite = func(state *move.State) {
 			if state.Term < lastTerm {
 				t.Fatalf("the term fell from %d to %d", lastTerm, state.Term)
@@ -272,12 +276,13 @@
 			"requests": func(t *rapid.T) {
 				i := rapid.IntRange(0, 2).Draw(t, "vm")
 				for range rapid.IntRange(1, 300).Draw(t, "count") {
-					if f.request(i, isBad) && rounds >= 2 {
+					if f.request(i, isBad) && rounds >= 2 && f.store.state().Attempt == shown {
 						t.Fatalf("vm%d uses a version %d rounds after its fault showed", i, rounds)
 					}
 				}
-				if rounds < 0 && len(f.movers[i].Guard.Suspensions()) > 0 && isBad {
-					rounds = 0
+				suspensions := f.movers[i].Guard.Suspensions()
+				if len(suspensions) > 0 && suspensions[0].Attempt != shown {
+					rounds, shown = 0, suspensions[0].Attempt
 				}
 			},
 			"round": func(t *rapid.T) {
@@ -325,9 +330,9 @@
 				f.add(i, incarnation)
 				f.leases[i].term, f.leases[i].held = held.term, held.held
 				rounds = min(rounds, 0)
-				if !f.anySuspension() {
+				if !f.anySuspension(shown) {
 					// Only the VM that died had seen the fault.
-					rounds = -1
+					rounds, shown = -1, 0
 				}
 			},
 			"new document": func(_ *rapid.T) {
@@ -336,7 +341,6 @@
 				next.Moves[0].SlowPercent++
 				f.service = replica.Service{Service: &next, Revision: f.service.Revision + 1}
 				isBad = false
-				rounds = -1
 			},
 		})
 	})
