Measure what control costs a VM in fleets of several sizes

standin capacity runs fleets of real entry VMs over loopback and prints processor time, bytes, heap and store calls at rest, the time and cost of a change until all VMs confirm it, and what VMs that return together cost.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -3,32 +3,46 @@
 package main
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
-
-	"baobabladder.example/baobabladder/internal/base/clock"
-	"baobabladder.example/baobabladder/internal/standin/endpoint"
-	"baobabladder.example/baobabladder/internal/standin/store"
 )
 
+// command is one sub-command: its run function is called if it was chosen.
+type command struct {
+	clause *kingpin.CmdClause
+	run    func(ctx context.Context) error
+}
+
 func main() {
-	app := kingpin.New("standin", "Stand-ins of the platform and of endpoints.")
-	storeCommand := app.Command("store", "Run a stand-in of the platform's store.")
-	storeAddress := storeCommand.Flag("address", "IP:port to listen on.").Default("127.0.0.1:7000").String()
-	endpointCommand := app.Command("endpoint", "Run a stand-in of an endpoint.")
-	endpointAddress := endpointCommand.Flag("address", "IP:port to listen on.").Default("127.0.0.1:7100").String()
-	name := endpointCommand.Flag("name", "The endpoint's name.").Default("endpoint-1").String()
-	version := endpointCommand.Flag("version", "The version it runs.").Default("v1").String()
-	slots := endpointCommand.Flag("slots", "Requests at once; 0 is without limit.").Default("3").Int()
-	serviceTime := endpointCommand.Flag("service-time", "Time for each request.").Default("20ms").Duration()
+	app := kingpin.New("standin", "Stand-ins of the platform and of endpoints, for trials and tests.")
+	commands := []command{storeCommand(app), endpointCommand(app), endpointsCommand(app), demoCommand(app), capacityCommand(app)}
+	commands = append(commands, faultsCommands(app)...)
+	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	for _, command := range commands {
+		if command.clause.FullCommand() == chosen {
+			app.FatalIfError(command.run(ctx), "")
+		}
+	}
+}
 
-	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
-	case storeCommand.FullCommand():
-		app.FatalIfError(http.ListenAndServe(*storeAddress, store.New().Handler()), "")
-	case endpointCommand.FullCommand():
-		handler := &endpoint.Endpoint{Name: *name, Version: *version, Slots: *slots, ServiceTime: clock.FromDuration(*serviceTime)}
-		app.FatalIfError(http.ListenAndServe(*endpointAddress, handler), "")
+// serve listens at address until ctx ends.
+func serve(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler}
+	defer context.AfterFunc(ctx, func() { _ = server.Close() })()
+	if err := server.Serve(listener); err != http.ErrServerClosed {
+		return err
 	}
+	return nil
 }
