--- a/cmd/baobabladder/knowledge_test.go
+++ b/cmd/baobabladder/knowledge_test.go
@@ -82,6 +82,36 @@
 	}, "30s").Should(Succeed())
 }
 
+// seconds returns the calls that the store counted, by second.
+func (f *fleet) seconds() []standinstore.Second {
+	response, err := http.Get("http://" + f.storeAddress + "/standin/calls")
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	var calls standinstore.Calls
+	Expect(json.NewDecoder(response.Body).Decode(&calls)).To(Succeed())
+	return calls.Seconds
+}
+
+func (f *fleet) setFaults(faults standinstore.Faults) {
+	text, err := json.Marshal(faults)
+	Expect(err).NotTo(HaveOccurred())
+	request, err := http.NewRequest(http.MethodPut, "http://"+f.storeAddress+"/standin/faults", bytes.NewReader(text))
+	Expect(err).NotTo(HaveOccurred())
+	response, err := http.DefaultClient.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(response.Body.Close()).To(Succeed())
+}
+
+// hasContact says whether a VM follows the store itself.
+func (f *fleet) hasContact(v *entryVM) bool {
+	for _, member := range f.status(v).Members {
+		if member.Name == v.Name {
+			return member.HasContact
+		}
+	}
+	return false
+}
+
 func (f *fleet) status(v *entryVM) (status operator.Status) {
 	response, err := http.Get("http://" + v.operatorAddress + "/v1/status")
 	if err != nil {
@@ -205,23 +235,25 @@
 		f.operate(first, 2, nil, "apply")
 	})
 
-	It("keeps nine VMs at rest under twenty calls of the store a second", func() {
-		const settling, counted, limit = 3, 10, 20
+	It("keeps nine VMs at rest under twenty calls of the store a second, and sends no herd after an outage", func() {
+		const settling, counted, limit, herd = 3, 10, 20, 100
 		f := startFleet(9, "clyde", "grampian", "lothian")
-		var seconds []standinstore.Second
-		Eventually(func() int {
-			response, err := http.Get("http://" + f.storeAddress + "/standin/calls")
-			Expect(err).NotTo(HaveOccurred())
-			defer response.Body.Close()
-			var calls standinstore.Calls
-			Expect(json.NewDecoder(response.Body).Decode(&calls)).To(Succeed())
-			seconds = calls.Seconds
-			return len(seconds)
-		}, "60s", "200ms").Should(BeNumerically(">", settling+counted))
+		Eventually(func() int { return len(f.seconds()) }, "60s", "200ms").Should(BeNumerically(">", settling+counted))
 		sum := 0
-		for _, second := range seconds[settling : settling+counted] {
+		for _, second := range f.seconds()[settling : settling+counted] {
 			sum += second.Reads + second.Writes
 		}
 		Expect(sum).To(BeNumerically("<", limit*counted))
+
+		f.setFaults(standinstore.Faults{Down: true})
+		for _, v := range f.vms {
+			Eventually(func() bool { return f.hasContact(v) }, "60s").Should(BeFalse(), v.Name)
+		}
+		before := len(f.seconds())
+		f.setFaults(standinstore.Faults{})
+		Eventually(func() int { return len(f.seconds()) }, "60s", "200ms").Should(BeNumerically(">", before+settling))
+		for _, second := range f.seconds()[before-1:] {
+			Expect(second.Reads + second.Writes).To(BeNumerically("<", herd))
+		}
 	})
 })
--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -176,6 +176,10 @@
 // Watch waits once for changes in the store and passes them on.
 func (f *Follower) Watch(ctx context.Context) (err error) {
 	wait := watchWait + f.jitter(watchWait/4)
+	if f.isWatchFailed() {
+		// A first short watch shows at once that the store is back.
+		wait = 0
+	}
 	ctx, cancel := context.WithTimeout(ctx, (wait + callGrace).Duration())
 	defer cancel()
 	return f.readChanges(ctx, wait)
@@ -245,6 +249,12 @@
 	return len(f.probes) == 0
 }
 
+func (f *Follower) isWatchFailed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.watchFailed
+}
+
 func (f *Follower) setWatchFailed(failed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
