Begin no move from a version that does not carry the traffic

Cause: with a move under way or taken back, a document that moves on from its target, or turns the move round, made that target the old version: 1000 of 1000 requests went to a version not judged. The way back is now taken at once under the cap; any other such move is not begun, and the account says so.

--- a/internal/policy/move/guard.go
+++ b/internal/policy/move/guard.go
@@ -128,9 +128,13 @@
 // begin starts an attempt. A VM that starts while a move is under way joins at
 // the share in force: that shifts nothing.
 func (w *watch) begin(state *State, now clock.Millis) {
-	w.level = 0
-	if w.state == nil {
+	switch {
+	case w.state == nil || w.state.isReversed(state.From, state.To) && w.stopped():
 		w.level = int64(state.Share)
+	case w.state.isReversed(state.From, state.To) && w.state.Stage != Done:
+		w.level = Whole - w.level
+	default:
+		w.level = 0
 	}
 	w.levelAt = now
 	w.state = state
@@ -189,7 +193,13 @@
 	}
 	move := &service.Moves[0]
 	choice := Choice{To: move.To, From: move.From}
-	if w == nil || w.state == nil || w.state.To != move.To || w.state.From != move.From {
+	if w == nil || w.state == nil {
+		return choice
+	}
+	if w.state.contradicts(move) {
+		choice = Choice{To: w.state.To, From: w.state.From}
+	}
+	if w.state.To != choice.To || w.state.From != choice.From {
 		return choice
 	}
 	choice.attempt = w.state.Attempt
--- a/internal/policy/move/guard_test.go
+++ b/internal/policy/move/guard_test.go
@@ -379,6 +379,38 @@
 	}
 }
 
+// An operator turns a move round, or starts the next one from a version that was
+// never moved to: neither may put all traffic on that version at once.
+func TestMoveFromVersionWithoutTrafficDoesNotShiftToIt(t *testing.T) {
+	for _, to := range []string{testFrom, "v3"} {
+		f := newFleet(testService(clock.Hour, 250, "/a/"), 2)
+		f.mover()
+		f.mover()
+		f.manual.Advance(clock.Second)
+		next := *f.service
+		next.Moves = []document.Move{{From: testTo, To: to, By: 2 * clock.Hour, SlowPercent: 50}}
+		f.service = &next
+		for round := range 5 {
+			onSecond := 0
+			for range 1000 {
+				choice := f.request(0, 0, goodAnswer)
+				if choice.New == (choice.To == testTo) {
+					onSecond++
+				}
+			}
+			if onSecond > CanaryShare+1 {
+				t.Fatalf("move to %s, round %d: %d of 1000 went to the version not judged", to, round, onSecond)
+			}
+			f.revision = 2
+			f.mover()
+			f.manual.Advance(clock.Second)
+		}
+		if isBack := f.state.Stage == Done && f.state.To == testFrom; isBack != (to == testFrom) {
+			t.Fatalf("move to %s: %+v", to, f.state)
+		}
+	}
+}
+
 // The state survives its stored form.
 func TestStateKeepsItsMeaningInTheStore(t *testing.T) {
 	f := newFleet(testService(clock.Hour, 250, "/a/"), 1)
--- a/internal/policy/move/judge.go
+++ b/internal/policy/move/judge.go
@@ -81,6 +81,9 @@
 	if state != nil && state.Revision >= input.Revision {
 		return state, false
 	}
+	if state != nil && state.contradicts(move) {
+		return reverse(state, move, input)
+	}
 	var next *State
 	sameVersions := state != nil && state.From == move.From && state.To == move.To
 	if sameVersions && state.Stage != TakenBack {
@@ -91,9 +94,8 @@
 			next.History = append(next.History, state.History...)
 		}
 	}
-	next.Revision, next.Term = input.Revision, input.Term
-	next.From, next.To = move.From, move.To
-	next.Start, next.By, next.SlowPercent = move.Start, move.By, move.SlowPercent
+	next.Term = input.Term
+	next.take(move, input.Revision)
 	next.enter(next.Stage, next.Step, next.Share, fmt.Sprintf("document revision %d asks for %s in place of %s", input.Revision, move.To, move.From), input)
 	return next, true
 }
@@ -110,6 +112,29 @@
 	return next, true
 }
 
+// reverse follows a move that starts from a version that does not carry the
+// traffic. The way back is done at once, under the cap; anything else is not begun.
+func reverse(state *State, move *document.Move, input Input) (*State, bool) {
+	next := state.after(input)
+	if !state.isReversed(move.From, move.To) {
+		next.Revision = input.Revision
+		why := fmt.Sprintf("document revision %d asks for a move from %s, which does not carry the traffic: not begun", input.Revision, move.From)
+		next.enter(state.Stage, state.Step, state.Share, why, input)
+		return next, true
+	}
+	next.Attempt = input.Revision
+	next.take(move, input.Revision)
+	next.enter(Done, len(steps)-1, Whole, fmt.Sprintf("document revision %d asks for the way back", input.Revision), input)
+	return next, true
+}
+
+// take takes over what a document of the given revision says of the move.
+func (s *State) take(move *document.Move, revision int64) {
+	s.Revision = revision
+	s.From, s.To = move.From, move.To
+	s.Start, s.By, s.SlowPercent = move.Start, move.By, move.SlowPercent
+}
+
 // judge decides on a move under way.
 func judge(state *State, input Input) (*State, bool) {
 	pooled := Pool(input.Evidence, state.Service, state.Attempt, state.Step)
--- a/internal/policy/move/move.go
+++ b/internal/policy/move/move.go
@@ -81,6 +81,16 @@
 // Final says that the attempt has come to its end.
 func (s *State) Final() bool { return s.Stage == Done || s.Stage == TakenBack }
 
+// contradicts says whether a move would start from a version that does not carry
+// the traffic, as its own move is not over or was taken back. To follow such a
+// move would put all of the traffic on that version at once.
+func (s *State) contradicts(move *document.Move) bool {
+	return s.Stage != Done && s.To == move.From
+}
+
+// isReversed says whether other is the way back of the state's move.
+func (s *State) isReversed(from, to string) bool { return s.From == to && s.To == from }
+
 // matches says whether the state is about exactly this move.
 func (s *State) matches(move *document.Move) bool {
 	return s.From == move.From && s.To == move.To && s.Start == move.Start && s.By == move.By && s.SlowPercent == move.SlowPercent
--- a/internal/policy/placement/placement_test.go
+++ b/internal/policy/placement/placement_test.go
@@ -478,3 +478,33 @@
 	}
 	g.Expect(near).To(Equal(200))
 }
+
+// Many requests at once on few slots: each is served, no slot is held twice.
+func TestConcurrentRequestsShareSlots(t *testing.T) {
+	g := NewWithT(t)
+	service := testService(2, 2)
+	placer, slots, _ := testPlacer(service)
+	warm(placer, service)
+	var all sync.WaitGroup
+	refused := make(chan error, 400)
+	for i := range 40 {
+		all.Go(func() {
+			for range 10 {
+				request := testRequest(service)
+				request.Workspace = fmt.Sprint(i % 4)
+				grant, err := placer.Place(context.Background(), request)
+				if err != nil {
+					refused <- err
+					continue
+				}
+				grant.Done(good(1000))
+			}
+		})
+	}
+	all.Wait()
+	g.Expect(refused).To(BeEmpty())
+	g.Expect(slots.over).To(BeFalse())
+	for resource, taken := range slots.taken {
+		g.Expect(taken).To(Equal(0), "%s is still held", resource)
+	}
+}
