--- a/internal/policy/placement/grant.go
+++ b/internal/policy/placement/grant.go
@@ -29,13 +29,23 @@
 		return
 	}
 	g.finish(result)
-	if g.placer.Slots != nil {
-		g.placer.Slots.Release(g.node.resource)
-	}
+	g.placer.giveBack(g.node)
 	g.placer.record(g.service, g.route, g.choice, moveOutcome(result.Outcome), result.Micros)
 	g.placer.serveQueue(g.plan)
 }
 
+// undo gives back a slot that no request used.
+func (g *Grant) undo() {
+	if g.ended.Swap(true) {
+		return
+	}
+	g.placer.mu.Lock()
+	g.node.running--
+	g.health.running--
+	g.placer.mu.Unlock()
+	g.placer.giveBack(g.node)
+}
+
 func (g *Grant) finish(result Result) {
 	g.placer.mu.Lock()
 	defer g.placer.mu.Unlock()
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -164,7 +164,7 @@
 	if why == reason.DeadlinePassed || why == reason.NoEndpoint {
 		return nil, p.refuse(&request, choice, why)
 	}
-	if grant = p.borrow(ctx, &request, choice); grant != nil {
+	if grant = p.borrow(ctx, &request, choice, nil); grant != nil {
 		return grant, nil
 	}
 	grant, why = p.wait(ctx, &request, choice)
@@ -313,12 +313,13 @@
 	}
 }
 
-// borrow asks peers for a slot in the nearest region that has endpoints.
-func (p *Placer) borrow(ctx context.Context, request *Request, choice move.Choice) *Grant {
+// borrow asks peers for a slot in the near region, for the waiter that is next in
+// the queue, or for a request without one if nobody waits.
+func (p *Placer) borrow(ctx context.Context, request *Request, choice move.Choice, w *waiter) *Grant {
 	if p.Slots == nil {
 		return nil
 	}
-	candidates := p.borrowable(request, choice)
+	candidates := p.borrowable(request, choice, w)
 	if len(candidates) == 0 {
 		return nil
 	}
@@ -345,12 +346,12 @@
 	return p.grant(plan, plan.region(node.endpoint.Region), node, request, choice, p.Clock.Now())
 }
 
-func (p *Placer) borrowable(request *Request, choice move.Choice) (candidates []contract.Resource) {
+func (p *Placer) borrowable(request *Request, choice move.Choice, w *waiter) (candidates []contract.Resource) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	plan := p.plan(request.Service, choice)
 	now := p.Clock.Now()
-	if len(plan.queue.waiters) > 0 {
+	if next := plan.first(now); next >= 0 && plan.queue.waiters[next] != w {
 		return nil
 	}
 	for i := range plan.regions {
--- a/internal/policy/placement/placement_test.go
+++ b/internal/policy/placement/placement_test.go
@@ -75,6 +75,12 @@
 	f.over = f.over || f.taken[resource] < 0
 }
 
+func (f *fakeSlots) lend(resource contract.Resource) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lendable[resource]++
+}
+
 func (f *fakeSlots) Borrow(_ context.Context, candidates []contract.Resource) (contract.Resource, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -315,6 +321,49 @@
 	g.Expect(slots.taken[near]).To(Equal(0))
 }
 
+// A VM without slots of its own gets one that a peer has free only later.
+func TestWaitingRequestBorrowsLater(t *testing.T) {
+	g := NewWithT(t)
+	service := testService(1, 1)
+	service.Endpoints = service.Endpoints[2:]
+	placer, slots, manual := testPlacer(service)
+	warm(placer, service)
+	near := contract.SlotsOf("orders", "lothian-0")
+	slots.share[near] = 0
+	placed := make(chan *Grant)
+	go func() {
+		grant, _ := placer.Place(context.Background(), testRequest(service))
+		placed <- grant
+	}()
+	g.Eventually(func() int {
+		placer.mu.Lock()
+		defer placer.mu.Unlock()
+		return len(placer.plans["orders"].queue.waiters)
+	}, "20s").Should(Equal(1))
+	slots.lend(near)
+	manual.Advance(borrowInterval)
+	var grant *Grant
+	g.Eventually(placed, "20s").Should(Receive(&grant))
+	g.Expect(grant).NotTo(BeNil())
+	grant.Done(good(1000))
+	g.Expect(slots.taken[near]).To(Equal(0))
+}
+
+// A slot of the VM's own that comes while a peer lends one is enough.
+func TestBorrowedSlotIsGivenBackWhenAnOwnOneCame(t *testing.T) {
+	g := NewWithT(t)
+	service := testService(1, 2)
+	placer, slots, _ := testPlacer(service)
+	warm(placer, service)
+	request := testRequest(service)
+	own, _ := placer.try(&request, move.Choice{})
+	borrowed, _ := placer.try(&request, move.Choice{})
+	w := &waiter{granted: make(chan *Grant, 1)}
+	w.granted <- own
+	g.Expect(placer.settle(placer.plans["orders"], w, borrowed)).To(BeIdenticalTo(own))
+	g.Expect(slots.taken[contract.SlotsOf("orders", "lothian-0")]).To(Equal(1))
+}
+
 func TestWaitingRequestGetsTheFreedSlot(t *testing.T) {
 	g := NewWithT(t)
 	service := testService(1, 1)
--- a/internal/policy/placement/queue.go
+++ b/internal/policy/placement/queue.go
@@ -14,6 +14,8 @@
 	maxWaiters = 256
 	// maxPatience bounds the wait for a near slot.
 	maxPatience = 50 * clock.Millis(1)
+	// borrowInterval is how often the next waiter asks peers for a slot.
+	borrowInterval = 20 * clock.Millis(1)
 	// servedHalfLife is how fast past service of a workspace stops counting.
 	servedHalfLife = 1 * clock.Second
 	// servedUnit is one request in the served counts.
@@ -158,6 +160,7 @@
 	p.mu.Unlock()
 	poll := time.NewTicker(pollInterval.Duration())
 	defer poll.Stop()
+	borrowAt := now + borrowInterval
 	for {
 		p.serveQueue(plan)
 		select {
@@ -169,10 +172,28 @@
 			return p.leave(plan, w), reason.DeadlinePassed
 		case <-poll.C:
 		}
-		if p.Clock.Now() >= w.deadline {
+		now = p.Clock.Now()
+		if now >= w.deadline {
 			return p.leave(plan, w), reason.RegionFull
 		}
+		if now < borrowAt {
+			continue
+		}
+		borrowAt = now + borrowInterval
+		if grant := p.borrow(ctx, request, choice, w); grant != nil {
+			return p.settle(plan, w, grant), ""
+		}
+	}
+}
+
+// settle ends w with a borrowed slot, unless one of this VM's own came meanwhile.
+func (p *Placer) settle(plan *plan, w *waiter, borrowed *Grant) *Grant {
+	own := p.leave(plan, w)
+	if own == nil {
+		return borrowed
 	}
+	borrowed.undo()
+	return own
 }
 
 // leave takes w off the queue. A grant that came meanwhile is returned.
