--- /dev/null
+++ b/internal/control/divider/divider_test.go
@@ -0,0 +1,137 @@
+package divider_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"baobabladder.example/baobabladder/internal/base/account"
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/control/divider"
+	"baobabladder.example/baobabladder/internal/policy/divide"
+	"baobabladder.example/baobabladder/internal/policy/limit"
+	"baobabladder.example/baobabladder/internal/wire/peer"
+	"baobabladder.example/baobabladder/internal/world/contract"
+	"baobabladder.example/baobabladder/internal/world/membership"
+	"baobabladder.example/baobabladder/internal/world/vm"
+)
+
+const patience = 20 * clock.Second
+
+// lease is held by the VM of that name.
+type lease struct {
+	holder *atomic.Pointer[string]
+	self   string
+}
+
+func (l lease) Term() (term int64, held bool) { return 1, *l.holder.Load() == l.self }
+
+type entryVM struct {
+	divider *divider.Divider
+	limiter *limit.Limiter
+	slots   *limit.Slots
+}
+
+var endpoint = contract.SlotsOf("artes", "e1")
+
+func totals() map[contract.Resource]divide.Total {
+	return map[contract.Resource]divide.Total{
+		contract.RateOf("artes", "large"): {Share: contract.Share{Rate: 1_000_000, Size: 1_000_000}},
+		endpoint:                          {Share: contract.Share{Size: 3}, Place: divide.Place{Region: "r1", DataCentre: "r1-1"}},
+	}
+}
+
+// startFleet runs VMs that speak net/rpc over loopback.
+func startFleet(t *testing.T, size int) []*entryVM {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	leader := &atomic.Pointer[string]{}
+	first := "vm0"
+	leader.Store(&first)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	members := make([]membership.Member, size)
+	listeners := make([]net.Listener, size)
+	for i := range members {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		g.Expect(err).NotTo(HaveOccurred())
+		listeners[i] = listener
+		place := vm.VM{Name: fmt.Sprintf("vm%d", i), Region: "r1", DataCentre: fmt.Sprintf("r1-%d", i), PeerAddress: listener.Addr().String()}
+		members[i] = membership.Member{VM: place, Incarnation: 1, Reachable: true}
+	}
+	fleet := make([]*entryVM, size)
+	for i := range fleet {
+		view := &membership.View{Self: members[i].Name, Members: members}
+		client := &peer.Client{}
+		neighbours := &divider.Neighbours{Caller: client, View: func() *membership.View { return view }}
+		holder := &contract.Holder{Self: members[i].ID()}
+		limiter := &limit.Limiter{Holder: holder, Peers: neighbours, MaxWait: limit.DefaultMaxWait}
+		slots := &limit.Slots{Holder: holder, Lenders: neighbours}
+		d := &divider.Divider{
+			Self: members[i].ID(), Holder: holder, Limiter: limiter, Lease: lease{leader, members[i].Name}, Caller: client,
+			View: neighbours.View, Totals: totals, Account: &account.Account{VM: members[i].Name}, Log: log,
+		}
+		server := peer.NewServer()
+		g.Expect(server.Register(divider.ReceiverName, &divider.Receiver{Divider: d})).To(Succeed())
+		go func() { _ = server.Serve(listeners[i]) }()
+		go func() { _ = d.Run(ctx) }()
+		t.Cleanup(func() { server.Close(); client.Close() })
+		fleet[i] = &entryVM{divider: d, limiter: limiter, slots: slots}
+	}
+	return fleet
+}
+
+func sizes(fleet []*entryVM, resource contract.Resource) (sum int64) {
+	for _, v := range fleet {
+		sum += v.divider.Holder.Part(resource).Share().Size
+	}
+	return sum
+}
+
+func TestSharesReachAllVMsOverRPC(t *testing.T) {
+	g := NewWithT(t)
+	fleet := startFleet(t, 3)
+	rate := contract.RateOf("artes", "large")
+	g.Eventually(func() int64 { return sizes(fleet, rate) }, patience.Duration()).Should(Equal(int64(1_000_000)))
+	g.Eventually(func() int64 { return sizes(fleet, endpoint) }, patience.Duration()).Should(Equal(int64(3)))
+	for _, v := range fleet {
+		g.Eventually(func() error { return v.limiter.Admit(context.Background(), "artes", "large") }, patience.Duration()).Should(Succeed())
+	}
+	lines := fleet[0].divider.Account.Lines()
+	g.Expect(lines).To(ContainElement(HaveField("What", "limits_moved")))
+}
+
+func TestBorrowedSlotReturnsToItsLender(t *testing.T) {
+	g := NewWithT(t)
+	fleet := startFleet(t, 3)
+	g.Eventually(func() int64 { return sizes(fleet, endpoint) }, patience.Duration()).Should(Equal(int64(3)))
+	borrower := fleet[2]
+	for borrower.slots.Take(endpoint) {
+		continue
+	}
+	free := func() (sum int) {
+		for _, v := range fleet {
+			sum += v.slots.Free(endpoint)
+		}
+		return sum
+	}
+	for free() > 0 {
+		g.Eventually(func() bool {
+			_, ok := borrower.slots.Borrow(context.Background(), []contract.Resource{endpoint})
+			return ok || free() == 0
+		}, patience.Duration()).Should(BeTrue())
+	}
+	_, ok := fleet[0].slots.Borrow(context.Background(), []contract.Resource{endpoint})
+	g.Expect(ok).To(BeFalse())
+	for range 3 {
+		borrower.slots.Release(endpoint)
+	}
+	g.Eventually(free, patience.Duration()).Should(Equal(3))
+}
--- a/internal/policy/divide/fleet_test.go
+++ b/internal/policy/divide/fleet_test.go
@@ -288,6 +288,45 @@
 	return true
 }
 
+// rush lets every VM use all that its own shares give, after a time in which
+// buckets fill.
+func (f *fleet) rush(after clock.Millis) {
+	f.manual.Advance(after)
+	for _, n := range f.nodes {
+		if !n.acts() {
+			continue
+		}
+		for resource := range f.totals {
+			f.useUp(n, resource)
+		}
+	}
+}
+
+func (f *fleet) useUp(n *node, resource contract.Resource) {
+	part := n.holder.Part(resource)
+	switch resource.Kind() {
+	case contract.KindSlots:
+		for f.take(n, resource) {
+		}
+	case contract.KindLink:
+		if bytes := part.Tokens(); bytes > 0 {
+			f.send(n, resource, bytes)
+		}
+	case contract.KindRate:
+		for part.Take(contract.Request) {
+			f.note(f.oracle.admit(f.clock.Now(), resource, contract.Request))
+		}
+	}
+}
+
+func (f *fleet) endAll() {
+	for _, n := range f.nodes {
+		for n.acts() && len(n.running) > 0 {
+			f.end(n, 0)
+		}
+	}
+}
+
 func (f *fleet) send(n *node, link contract.Resource, bytes int64) {
 	if (limit.Links{Holder: n.holder}).Take(link, bytes) {
 		f.note(f.oracle.admit(f.clock.Now(), link, bytes))
