--- a/cmd/baobabladder/knowledge_test.go
+++ b/cmd/baobabladder/knowledge_test.go
@@ -193,22 +193,29 @@
 			Expect(v.ask(lost.Text)).To(Equal("key_withdrawn"))
 		}
 
+		By("naming a frozen VM that has not confirmed")
+		Expect(third.process.Command.Process.Signal(syscall.SIGSTOP)).To(Succeed())
+		f.operate(first, 5, &applied, "apply", f.write("c.ini", "# while frozen\n"+text), "--based-on", "1")
+		Expect(applied.Rest).To(Equal([]string{"entry-3"}))
+		Expect(third.process.Command.Process.Signal(syscall.SIGCONT)).To(Succeed())
+		f.expectRevision(2, f.vms...)
+
 		By("losing the store right after an accepted document")
-		f.operate(second, 0, &applied, "apply", f.write("c.ini", "# second\n"+text), "--based-on", "1")
+		f.operate(second, 0, &applied, "apply", f.write("c.ini", "# second\n"+text), "--based-on", "2")
 		f.store.Kill().Wait("10s")
-		f.expectRevision(2, f.vms...)
+		f.expectRevision(3, f.vms...)
 
 		By("going on with keyed work while no VM reaches the store")
 		for _, v := range f.vms {
 			Consistently(func() string { return v.ask(kept.Text) }, freshness.MaxAge.Duration(), "100ms").Should(Equal("200 OK"), v.Name)
 		}
-		f.operate(first, 3, nil, "apply", f.write("c.ini", "# third\n"+text), "--based-on", "2")
+		f.operate(first, 3, nil, "apply", f.write("c.ini", "# third\n"+text), "--based-on", "3")
 
 		By("restarting a VM during the outage")
 		third.process.Kill().Wait("10s")
 		third.process = start(product, "entry", "--settings", third.settings)
 		Eventually(func() bool { return f.status(third).Ready }, "30s").Should(BeTrue())
-		f.expectRevision(2, third)
+		f.expectRevision(3, third)
 		Eventually(func() string { return third.ask(kept.Text) }, "30s").Should(Equal("200 OK"))
 		Expect(third.ask(lost.Text)).To(Equal("key_withdrawn"))
 
@@ -232,6 +239,12 @@
 		Expect(third.process).To(gexec.Exit(0))
 		Consistently(func() string { return first.ask(kept.Text) }, (freshness.MaxAge + clock.Second).Duration(), "100ms").Should(Equal("200 OK"))
 		f.operate(third, 3, nil, "status")
+
+		By("withdrawing a key that the store can't write yet")
+		f.operate(first, 4, &failure, "keys", "withdraw", kept.ID)
+		Expect(failure.Confirmed).To(Equal([]string{"entry-1", "entry-2"}))
+		Expect(first.ask(kept.Text)).To(Equal("key_withdrawn"))
+		Expect(second.ask(kept.Text)).To(Equal("key_withdrawn"))
 		f.operate(first, 2, nil, "apply")
 	})
 
--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -15,6 +15,8 @@
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/fault"
+	"baobabladder.example/baobabladder/internal/base/metric"
+	"baobabladder.example/baobabladder/internal/base/reason"
 	"baobabladder.example/baobabladder/internal/control/freshness"
 	"baobabladder.example/baobabladder/internal/control/heartbeat"
 	"baobabladder.example/baobabladder/internal/wire/store"
@@ -82,7 +84,7 @@
 type Pushed struct{ Summary replica.Summary }
 
 // Follower is one VM's part in following the store. All exported fields must be
-// set, but for Jitter and Spawn.
+// set, but for those said to be optional.
 type Follower struct {
 	Replica   *replica.Replica
 	Freshness *freshness.Freshness
@@ -93,8 +95,10 @@
 	Log       logrus.FieldLogger
 	// Jitter returns a number from 0 up to below n; optional.
 	Jitter func(n clock.Millis) clock.Millis
+	// Retries counts failed calls of the store by reason; optional.
+	Retries *metric.Reasons
 	// Spawn runs something beside the caller; nil starts a goroutine. Tests that
-	// are driven by hand run it at once.
+	// are driven by hand run it at once. It is optional.
 	Spawn func(run func())
 
 	// ready never goes back to false.
@@ -139,7 +143,10 @@
 		}
 		wait := pause
 		if err := step(ctx); err != nil {
-			f.Log.WithError(err).Debug("following the store failed")
+			f.Log.WithError(err).WithField("reason", reason.StoreUnavailable).Debug("following the store failed")
+			if f.Retries != nil {
+				f.Retries.Inc(reason.StoreUnavailable)
+			}
 			// In an outage all VMs of a data centre try, so the delay grows with them.
 			delay := retryDelay * clock.Millis((members+3)/4)
 			wait = delay + f.jitter(delay)
--- a/internal/entry/process/knowledge.go
+++ b/internal/entry/process/knowledge.go
@@ -90,6 +90,7 @@
 	k.follower = &follower.Follower{
 		Replica: k.replica, Freshness: k.freshness, Heartbeat: k.heartbeat, Store: k.store,
 		Peers: k.peers, Log: log, Jitter: jitter,
+		Retries: metric.ByReason(k.metrics.Scope, "store_retries"),
 	}
 	k.heartbeat.CatchUp = k.follower.CatchUp
 	for _, duty := range []string{dividerDuty, moverDuty} {
