--- a/internal/control/follower/machine_test.go
+++ b/internal/control/follower/machine_test.go
@@ -613,6 +613,54 @@
 	}
 }
 
+func TestEarlierAnswerOfAWatchIsNoWord(t *testing.T) {
+	f := newFleet()
+	f.rounds(3)
+	a1 := f.runs["a1"]
+	earlier, err := a1.Watch(context.Background(), nil, 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a1.kept = &earlier
+	f.accept()
+	f.manual.Advance(freshness.MaxAge + 1)
+	for _, follow := range []func(context.Context) error{a1.follower.Watch, a1.follower.List} {
+		if err := follow(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		if a1.fresh.Fresh() {
+			t.Fatal("fresh though the watch shows an earlier state")
+		}
+	}
+	a1.kept = nil
+	if err := a1.follower.Watch(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if !a1.fresh.Fresh() || a1.revisionInForce() != f.accepted {
+		t.Fatal("stale though the watch has caught up with the store's revision")
+	}
+}
+
+func TestLeavingVMWhoseContentCouldNotBeFetchedIsStillMissed(t *testing.T) {
+	f := newFleet()
+	f.rounds(3)
+	f.down = true
+	if _, err := f.runs["b2"].replica.Merge(store.Listing{Objects: []store.Object{f.accept()}}); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range names[:3] {
+		f.runs[name].failFetch = true
+	}
+	f.runs["b2"].heartbeat.Leave(context.Background())
+	delete(f.runs, "b2")
+	f.rounds(20)
+	for _, name := range names[:3] {
+		if f.runs[name].fresh.Fresh() {
+			t.Fatalf("%s is fresh without what b2 held", name)
+		}
+	}
+}
+
 func TestVMStartedAloneInAnOutageIsNotReady(t *testing.T) {
 	f := newFleet()
 	f.down = true
