Make two tests of the data path judge what they name

A small cut answer never left its endpoint's buffer, so that passing it on went unnoticed; and nothing failed when a body's early end kept its connection.

--- a/internal/entry/router/router_test.go
+++ b/internal/entry/router/router_test.go
@@ -397,11 +397,13 @@
 	r.answer(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", "20")
 		_, _ = w.Write(make([]byte, 10))
+		w.(http.Flusher).Flush()
 		panic(http.ErrAbortHandler)
 	})
 	response, _, err := r.ask("GET", "/pub/", nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(response.Header.Get(caller.RanHeader)).To(Equal("unknown"))
+	g.Expect(r.count("retries", reason.AnswerCut)).To(BeEquivalentTo(1))
 }
 
 func TestTheDeadlineIsTheSoonerOfCallersAndRoutes(t *testing.T) {
--- a/internal/wire/caller/caller_test.go
+++ b/internal/wire/caller/caller_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"runtime"
 	"strings"
@@ -189,6 +190,20 @@
 	_ = connection.Close()
 }
 
+func TestABodyClosedBeforeItsEndEndsItsConnection(t *testing.T) {
+	g := NewWithT(t)
+	for read, connection := range map[bool]string{false: "close", true: ""} {
+		recorder := httptest.NewRecorder()
+		body := caller.NewBody(recorder, httptest.NewRequest("POST", "/a", strings.NewReader("abc")), 9, time.Now().Add(generous))
+		if read {
+			_, err := io.ReadAll(body)
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		_ = body.Close()
+		g.Expect(recorder.Header().Get("Connection")).To(Equal(connection))
+	}
+}
+
 func TestTooManyConnectionsAreRefusedAndRoomIsGivenBack(t *testing.T) {
 	g := NewWithT(t)
 	r := newRig(t, func(s *caller.Server) { s.MaxConnections = 2 })
