Plan the next round as soon as a VM confirms a cut

A part on its way from one VM to another is of use to nobody; rounds 250 ms apart left it idle for half a second. A full report is asked for after 8 rounds without an answer, not after one, since rounds may now follow each other in 10 ms.

--- a/internal/control/divider/divider.go
+++ b/internal/control/divider/divider.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
@@ -28,6 +29,8 @@
 const (
 	// roundInterval is the time between two rounds of offers in a small fleet.
 	roundInterval = 250 * clock.Millis(1)
+	// shortestPause is the shortest time between two rounds.
+	shortestPause = 10 * clock.Millis(1)
 	// smallFleet is how many VMs the divider asks in each roundInterval. In a
 	// larger fleet the rounds are as much longer.
 	smallFleet = 100
@@ -80,6 +83,9 @@
 	busy map[string]bool
 	// settling holds the lenders whose confirmation is awaited. Guarded by mu.
 	settling map[string]bool
+	// confirmed holds a value when a VM has confirmed grants since the last round.
+	// It is made at first use. Guarded by mu; its value never changes after.
+	confirmed chan struct{}
 }
 
 // Run fences the VM, and then holds and divides until ctx ends.
@@ -88,15 +94,37 @@
 	if err := d.fence(ctx); err != nil {
 		return err
 	}
-	for {
+	for ctx.Err() == nil {
 		d.settle(ctx)
 		d.round(ctx)
-		if err := clock.Sleep(ctx, d.interval()); err != nil {
-			return nil
-		}
+		d.pause(ctx)
+	}
+	return nil
+}
+
+// pause waits for the next round's time. A confirmed cut ends it early, because
+// nobody has the use of a part on its way from one VM to another.
+func (d *Divider) pause(ctx context.Context) {
+	timer := time.NewTimer(d.interval().Duration())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-d.confirmations():
+		_ = clock.Sleep(ctx, shortestPause)
 	}
 }
 
+// confirmations tells of confirmed grants.
+func (d *Divider) confirmations() chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.confirmed == nil {
+		d.confirmed = make(chan struct{}, 1)
+	}
+	return d.confirmed
+}
+
 func (d *Divider) interval() clock.Millis {
 	fleets := (len(d.View().Members) + smallFleet - 1) / smallFleet
 	return roundInterval * clock.Millis(max(1, fleets))
@@ -206,6 +234,17 @@
 		return
 	}
 	d.count("limits_offers", 1)
+	d.apply(report)
+	if len(offers.Offer.Grants) == 0 {
+		return
+	}
+	select {
+	case d.confirmations() <- struct{}{}:
+	default:
+	}
+}
+
+func (d *Divider) apply(report *contract.Report) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.ledger != nil {
--- a/internal/policy/divide/ledger.go
+++ b/internal/policy/divide/ledger.go
@@ -288,6 +288,10 @@
 	l.ghosts = slices.DeleteFunc(l.ghosts, func(g *ghost) bool { return len(g.waiting) == 0 })
 }
 
+// roundsUntilFull is how many rounds a VM may leave unanswered before it is asked
+// for a full report.
+const roundsUntilFull = 8
+
 // Offers is what Plan asks the driver to send to one VM.
 type Offers struct {
 	VM    vm.ID
@@ -304,7 +308,8 @@
 	for i, name := range l.names {
 		holder := l.holders[name]
 		plan[i] = Offers{VM: holder.id, Offer: contract.Offer{Term: l.term, Round: l.round, To: holder.id.Incarnation}}
-		plan[i].Offer.Full = !holder.reported || holder.answered < l.round-1
+		// A report that got lost may have had a change that the next ones do not.
+		plan[i].Offer.Full = !holder.reported || holder.answered < l.round-roundsUntilFull
 	}
 	for _, resource := range l.resources {
 		l.planEntry(resource, l.entries[resource])
