--- a/internal/entry/process/steering.go
+++ b/internal/entry/process/steering.go
@@ -33,6 +33,10 @@
 	// refreshInterval bounds how long a change of documents or membership takes to
 	// reach the policies, once it is known here.
 	refreshInterval = 50 * clock.Millis(1)
+	// settleInterval is the pause between two tries to settle claims whose end the
+	// store did not confirm, and settleClaims how many one try takes up at most.
+	settleInterval = 3 * clock.Second
+	settleClaims   = 20
 	// sweepInterval is the pause between two sweeps of old order claims, and
 	// sweepClaims how many claims one sweep removes at most.
 	sweepInterval = 10 * clock.Minute
@@ -98,6 +102,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { s.refresh(ctx) })
 	group.Go(func() { s.mover.Run(ctx) })
+	group.Go(func() { s.settle(ctx) })
 	group.Go(func() { s.sweep(ctx) })
 	group.Go(func() {
 		if err := s.divider.Run(ctx); err != nil && ctx.Err() == nil {
@@ -134,6 +139,13 @@
 	s.ranker.update(snapshot.Fleet, view)
 }
 
+// settle ends the claims that this VM gave up while the store did not answer.
+func (s *steering) settle(ctx context.Context) {
+	for clock.Sleep(ctx, settleInterval) == nil {
+		s.claims.Settle(ctx, settleClaims)
+	}
+}
+
 // sweep removes order claims that are past their lifetime, on the VM that holds
 // the mover's lease.
 func (s *steering) sweep(ctx context.Context) {
