Let a VM's own evidence stop a version by itself

Cause: a VM looked at what it and its peers saw only together, so one good answer elsewhere outweighed two failures of two here, and the version went on.

--- a/internal/policy/move/guard.go
+++ b/internal/policy/move/guard.go
@@ -338,20 +338,34 @@
 		return nil
 	}
 	r.checkedAt = now
-	all := g.evidence(w, now)
+	why := w.fault(g.evidence(w, now), prefix, now)
+	if why == "" {
+		return nil
+	}
+	w.settle(now)
+	w.suspension = &Suspension{Service: w.state.Service, Attempt: w.state.Attempt, To: w.state.To, Route: prefix, VM: g.VM, Why: why}
+	return w.suspension
+}
+
+// fault returns what is wrong with the version on a route, or "". A fault may show
+// at one VM only, so the VM's own evidence counts alone too: good answers elsewhere
+// do not outweigh it.
+func (w *watch) fault(own []Evidence, prefix string, now clock.Millis) string {
+	all := own
 	for _, peer := range w.peers {
 		all = append(all, peer.fresh(now)...)
 	}
-	for _, pooled := range Pool(all, w.state.Service, w.state.Attempt, w.state.Step) {
-		why := pooled.fault(w.state.SlowPercent)
-		if why == "" || pooled.Route != prefix {
-			continue
+	for _, evidence := range [][]Evidence{own, all} {
+		for _, pooled := range Pool(evidence, w.state.Service, w.state.Attempt, w.state.Step) {
+			if pooled.Route != prefix {
+				continue
+			}
+			if why := pooled.fault(w.state.SlowPercent); why != "" {
+				return why
+			}
 		}
-		w.settle(now)
-		w.suspension = &Suspension{Service: w.state.Service, Attempt: w.state.Attempt, To: w.state.To, Route: prefix, VM: g.VM, Why: why}
-		return w.suspension
 	}
-	return nil
+	return ""
 }
 
 // fresh returns a peer's evidence without what is too old to count.
--- a/internal/policy/move/guard_test.go
+++ b/internal/policy/move/guard_test.go
@@ -310,6 +310,33 @@
 	}
 }
 
+// A fault that shows at one VM only, such as in one region, stops the version
+// there though it answers well elsewhere.
+func TestGoodAnswersElsewhereDoNotOutweighAFault(t *testing.T) {
+	f := newFleet(testService(10*clock.Minute, 250, "/a/"), 2)
+	f.mover()
+	f.mover()
+	f.manual.Advance(clock.Second)
+	for range 100 {
+		f.request(0, 0, goodAnswer)
+	}
+	f.guards[1].Merge("vm0", f.guards[0].Evidence())
+	exposed := 0
+	for range 1000 {
+		if f.request(1, 0, func(isNew bool, _ int) (Outcome, int64) {
+			if isNew {
+				return Bad, 0
+			}
+			return Good, 20_000
+		}).New {
+			exposed++
+		}
+	}
+	if exposed != minFailures {
+		t.Fatalf("%d requests on a version that failed each of them", exposed)
+	}
+}
+
 // A version that hangs gives no answers; only some requests may wait on it.
 func TestHangingCanaryIsBoundedByCount(t *testing.T) {
 	f := newFleet(testService(10*clock.Minute, 250, "/a/"), 1)
