--- a/internal/policy/divide/ledger.go
+++ b/internal/policy/divide/ledger.go
@@ -80,6 +80,8 @@
 	asked              meter
 	unmet              meter
 	inUse              int64
+	// busy counts the slots of the VM in use or lent by its last report.
+	busy int64
 }
 
 // ghost is a VM that is gone, until every VM that was listed then has said which
@@ -249,7 +251,7 @@
 	window := entry.window(holding.Resource.Kind())
 	part.asked.observe(now, holding.Asked, window)
 	part.unmet.observe(now, holding.Unmet, window)
-	part.inUse = holding.InUse
+	part.inUse, part.busy = holding.InUse, holding.Busy
 	if !holder.reported {
 		part.fenced, part.counted = holding.Share, holding.Share
 		part.target = holding.Share
@@ -377,38 +379,39 @@
 	}
 }
 
-// shed lowers grants while slots in use above a VM's grant would, with the other
-// VMs' grants, exceed the total. That comes after a document lowered the total.
+// shed lowers each grant that would, with what the other VMs hold, exceed the
+// total. That comes after a document lowered the total: slots in use above a VM's
+// grant are free again only when their requests end.
 func (l *Ledger) shed(resource contract.Resource, entry *entry) {
 	if resource.Kind() != contract.KindSlots {
 		return
 	}
-	excess := l.lentByGone(resource) - entry.total.Size
+	sum := l.lentByGone(resource)
 	for _, part := range entry.parts {
-		excess += part.expected()
+		sum += part.expected()
+	}
+	if sum <= entry.total.Size {
+		return
 	}
 	for _, name := range l.names {
 		part := entry.parts[name]
-		if part == nil || excess <= 0 {
+		if part == nil {
 			continue
 		}
-		cut := min(excess, part.target.Size, part.expected())
-		if part.expected() > part.target.Size || cut <= 0 {
-			continue
+		others := sum - part.expected()
+		allowed := max(0, entry.total.Size-others)
+		if part.target.Size > allowed {
+			part.target.Size = allowed
+			part.seq++
 		}
-		part.target.Size -= cut
-		part.seq++
-		excess -= cut
+		sum = others + part.expected()
 	}
 }
 
 // expected returns the slots that the VM will hold once it has confirmed its
 // last grant, as far as is known.
 func (p *part) expected() int64 {
-	if p.acked == p.seq {
-		return p.counted.Size
-	}
-	return p.target.Size
+	return max(p.target.Size, p.busy)
 }
 
 // raise grants the VM more, as far as there is room, and returns what room is
--- a/internal/policy/divide/ledger_test.go
+++ b/internal/policy/divide/ledger_test.go
@@ -191,3 +191,28 @@
 	f.rush(30 * clock.Second)
 	g.Expect(f.err).NotTo(HaveOccurred())
 }
+
+// A document lowered the slots while two VMs used more than their new shares. When
+// one of them had ended its requests, its new share let it start another beside
+// the other's.
+func TestLoweredSlotsAreNotStartedBesideOldRequests(t *testing.T) {
+	g := NewWithT(t)
+	d := newDrive(artes, contract.Share{Size: 4}, "a", "b")
+	d.report("a", 0, true)
+	d.report("b", 0, true)
+	first := d.grants()
+	g.Expect([]int64{first["a"].Share.Size, first["b"].Share.Size}).To(Equal([]int64{2, 2}))
+	full := holding(artes, first["a"].Seq, 2)
+	full.Busy = 2
+	d.report("a", 1, false, full)
+	d.report("b", 1, false, full)
+	d.totals[artes] = divide.Total{Share: contract.Share{Size: 2}}
+	d.list("a", "b")
+	lowered := d.grants()
+	g.Expect([]int64{lowered["a"].Share.Size, lowered["b"].Share.Size}).To(Equal([]int64{0, 0}))
+	d.report("a", 2, false, contract.Holding{Resource: artes, Seq: lowered["a"].Seq, Share: contract.Share{Size: 2}, Busy: 2})
+	d.report("b", 2, false, holding(artes, lowered["b"].Seq, 0))
+	g.Expect(d.grants()).To(BeEmpty(), "a still runs 2")
+	d.report("a", 3, false, holding(artes, lowered["a"].Seq, 0))
+	g.Expect(d.sum()).To(Equal(int64(2)))
+}
--- a/internal/world/contract/holder.go
+++ b/internal/world/contract/holder.go
@@ -183,7 +183,8 @@
 		holding.Seq = p.seq
 		holding.Surrendered = p.surrendered
 	}
-	holding.Share.Size = max(holding.Share.Size, p.inUse+p.lent)
+	holding.Busy = p.inUse + p.lent
+	holding.Share.Size = max(holding.Share.Size, holding.Busy)
 	changed = p.changed
 	p.changed = false
 	return holding, changed
--- a/internal/world/contract/message.go
+++ b/internal/world/contract/message.go
@@ -46,6 +46,8 @@
 	// requests.
 	Asked int64
 	Unmet int64
+	// Busy counts the VM's own slots that are in use or lent.
+	Busy int64
 	// InUse counts slots in use by the VM's own requests, borrowed ones included.
 	InUse int64
 }
