--- a/internal/entry/process/steering.go
+++ b/internal/entry/process/steering.go
@@ -92,8 +92,12 @@
 	return s, known.server.Register(mover.ReceiverName, &mover.Receiver{Mover: s.mover})
 }
 
-// spread tells all peers of an object that this VM wrote.
+// spread takes an object that this VM wrote over into its own copy and tells all
+// peers of it, without waiting for the watch to bring it back.
 func (s *steering) spread(ctx context.Context, object store.Object) {
+	if _, err := s.known.replica.Merge(store.Listing{Objects: []store.Object{object}}); err != nil {
+		s.known.log.WithError(err).Error("an object that this VM wrote can't be read")
+	}
 	s.known.follower.PushAll(ctx, []store.Object{object})
 }
 
