Send a VM's description once to each run of a peer; test heartbeats and peer calls

Now a digest stands for a description that the other side has, and the names are left out. A restarted peer asks for the caller's description; a failed question makes it be sent again.

Heartbeats and the peers' client have tests of their own: a frozen peer stalls no other, a cut connection fails one call, a late reply is nobody else's.

--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -312,7 +312,7 @@
 // CatchUp fetches what the peer at address holds and this VM misses; it serves
 // as heartbeat.CatchUp.
 func (f *Follower) CatchUp(ctx context.Context, address string, answer *heartbeat.Answer) (whole bool, err error) {
-	defer fault.Annotate(&err, "catching up with %s", answer.ID.Name)
+	defer fault.Annotate(&err, "catching up with %s", answer.Profile.ID.Name)
 	if f.holds(address, answer.Summary) {
 		return true, nil
 	}
--- a/internal/control/heartbeat/heartbeat.go
+++ b/internal/control/heartbeat/heartbeat.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/joomcode/errorx"
+
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/fault"
 	"baobabladder.example/baobabladder/internal/control/freshness"
@@ -42,6 +44,11 @@
 // ReceiverName is the name under which peers call a Receiver.
 const ReceiverName = "Heartbeat"
 
+var (
+	errorNamespace = errorx.NewNamespace("heartbeat")
+	errNoProfile   = errorNamespace.NewType("no_profile")
+)
+
 // Caller calls peers; see peer.Client.
 type Caller interface {
 	Call(ctx context.Context, address, method string, args, reply any) error
@@ -77,6 +84,10 @@
 	ready    atomic.Bool
 	stopping atomic.Bool
 
+	ownOnce   sync.Once
+	ownDigest uint64
+	own       *Profile
+
 	mu sync.Mutex
 	// peers holds every other entry VM heard or heard of, by name. Guarded by mu.
 	peers map[string]*peerState
@@ -103,6 +114,11 @@
 	called   bool
 	// incarnation is the newest one heard of.
 	incarnation vm.Incarnation
+	// profile is what the newest run said of itself, or nil, and digest its digest.
+	profile *Profile
+	digest  uint64
+	// told says that the newest run has this VM's profile.
+	told bool
 	// answer is the newest answer, or nil; sentAt is when its question was sent
 	// and heardAt when it came.
 	answer  *Answer
@@ -282,15 +298,20 @@
 // Ask sends one question to the peer at address and takes in the answer.
 func (h *Heartbeat) Ask(ctx context.Context, address string) (err error) {
 	defer fault.Annotate(&err, "asking the peer at %s", address)
-	h.mu.Lock()
-	question := Question{From: h.Self, ID: h.ID, ListDigest: h.listDigest}
-	h.mu.Unlock()
+	question, known := h.question(address)
 	sent, sentMicros := h.Clock.Now(), h.Clock.Micros()
 	var answer Answer
 	if err := h.Peers.Call(ctx, address, ReceiverName+".Ask", question, &answer); err != nil {
 		h.fail(address)
 		return err
 	}
+	if answer.Profile == nil {
+		answer.Profile = known
+	}
+	if answer.Profile == nil {
+		h.fail(address)
+		return errNoProfile.New("the answer does not say whose it is")
+	}
 	h.take(&answer, sent, h.Clock.Micros()-sentMicros)
 	switch {
 	case answer.ListSame:
@@ -301,6 +322,35 @@
 	return h.catchUp(ctx, address, &answer, sent)
 }
 
+// question returns what to ask the peer at address, and the profile that the
+// answer need not repeat.
+func (h *Heartbeat) question(address string) (question Question, known *Profile) {
+	profile, digest := h.profile()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	question = Question{Caller: digest, Profile: profile, ListDigest: h.listDigest}
+	for _, state := range h.peers {
+		if state.vm.PeerAddress != address || state.profile == nil {
+			continue
+		}
+		question.Known, known = state.digest, state.profile
+		if state.told {
+			question.Profile = nil
+		}
+		break
+	}
+	return question, known
+}
+
+// profile returns this run's profile and its digest.
+func (h *Heartbeat) profile() (profile *Profile, digest uint64) {
+	h.ownOnce.Do(func() {
+		h.own = &Profile{VM: h.Self, ID: h.ID}
+		h.ownDigest = h.own.digest()
+	})
+	return h.own, h.ownDigest
+}
+
 // catchUp merges what the peer holds and counts the answer for freshness.
 func (h *Heartbeat) catchUp(ctx context.Context, address string, answer *Answer, sent clock.Millis) (err error) {
 	if h.CatchUp == nil {
@@ -311,12 +361,12 @@
 		return err
 	}
 	h.mu.Lock()
-	state := h.peers[answer.ID.Name]
+	state := h.peers[answer.Profile.ID.Name]
 	if state != nil && state.answer != nil {
 		state.caughtUp = true
 	}
 	h.mu.Unlock()
-	h.Freshness.Hear(answer.ID.Name, sent)
+	h.Freshness.Hear(answer.Profile.ID.Name, sent)
 	if answer.Known {
 		h.Freshness.Learn(sent - answer.Age)
 	}
@@ -347,30 +397,32 @@
 // noteLeave takes over what a leaving peer holds; after that nothing need be
 // heard from its run any more.
 func (h *Heartbeat) noteLeave(answer *Answer) (err error) {
-	if h.CatchUp == nil {
+	if h.CatchUp == nil || answer.Profile == nil {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout.Duration())
 	defer cancel()
-	whole, err := h.CatchUp(ctx, answer.VM.PeerAddress, answer)
+	whole, err := h.CatchUp(ctx, answer.Profile.VM.PeerAddress, answer)
 	if err != nil || !whole {
 		return err
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	state := h.peers[answer.ID.Name]
-	if state == nil || answer.ID.Incarnation < state.incarnation {
+	state := h.peers[answer.Profile.ID.Name]
+	if state == nil || answer.Profile.ID.Incarnation < state.incarnation {
 		return nil
 	}
-	state.learnRun(answer.VM, answer.ID)
+	state.learnRun(answer.Profile)
 	state.left = true
 	return nil
 }
 
 // Answer answers a peer's question.
 func (h *Heartbeat) Answer(question Question) (answer Answer) {
-	h.noteCaller(question)
-	answer.VM, answer.ID = h.Self, h.ID
+	answer.ProfileWanted = h.noteCaller(question)
+	if profile, digest := h.profile(); question.Known != digest {
+		answer.Profile = profile
+	}
 	answer.Age, answer.Known = h.Freshness.Age()
 	answer.Summary = h.Replica.Summary()
 	answer.Ready, answer.Stopping = h.ready.Load(), h.stopping.Load()
@@ -380,11 +432,6 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	answer.HasContact = h.contact()
-	for _, name := range slices.Sorted(maps.Keys(h.peers)) {
-		if h.isReachable(h.peers[name]) {
-			answer.Reachable = append(answer.Reachable, name)
-		}
-	}
 	if h.list != nil {
 		answer.ListKnown, answer.ListAge = true, h.Clock.Now()-h.listAsOf
 		answer.ListSame = h.listDigest == question.ListDigest
@@ -464,41 +511,60 @@
 }
 
 // noteCaller makes a VM that calls before the platform lists it a peer, so that
-// it is reached and asked at once.
-func (h *Heartbeat) noteCaller(question Question) {
-	name := question.ID.Name
-	if name == "" || name == h.ID.Name {
-		return
-	}
+// it is reached and asked at once. It reports whether the caller's profile is
+// wanted.
+func (h *Heartbeat) noteCaller(question Question) (wanted bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if gone, found := h.gone[name]; found && question.ID.Incarnation <= gone.Incarnation {
-		return
+	if question.Profile == nil {
+		return !h.noteKnownCaller(question.Caller)
 	}
-	state := h.state(name)
+	id := question.Profile.ID
+	if id.Name == "" || id.Name == h.ID.Name {
+		return false
+	}
+	if gone, found := h.gone[id.Name]; found && id.Incarnation <= gone.Incarnation {
+		return true
+	}
+	state := h.state(id.Name)
 	state.calledAt, state.called = h.Clock.Now(), true
-	state.learnRun(question.From, question.ID)
+	state.learnRun(question.Profile)
+	return state.digest != question.Caller
+}
+
+// noteKnownCaller notes a call of a run whose profile is known, and reports
+// whether it is. Callers hold mu.
+func (h *Heartbeat) noteKnownCaller(caller uint64) (known bool) {
+	for _, state := range h.peers {
+		if state.profile != nil && state.digest == caller {
+			state.calledAt, state.called = h.Clock.Now(), true
+			return true
+		}
+	}
+	return false
 }
 
 // take notes an answer.
 func (h *Heartbeat) take(answer *Answer, sent clock.Millis, roundTrip int64) {
-	name := answer.ID.Name
+	id := answer.Profile.ID
+	name := id.Name
 	if name == "" || name == h.ID.Name {
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if gone, found := h.gone[name]; found && answer.ID.Incarnation <= gone.Incarnation {
+	if gone, found := h.gone[name]; found && id.Incarnation <= gone.Incarnation {
 		return
 	}
 	state := h.state(name)
-	if answer.ID.Incarnation < state.incarnation || (state.answer != nil && sent < state.sentAt) {
+	if id.Incarnation < state.incarnation || (state.answer != nil && sent < state.sentAt) {
 		return
 	}
 	if !state.listed {
 		state.calledAt, state.called = h.Clock.Now(), true
 	}
-	state.learnRun(answer.VM, answer.ID)
+	state.learnRun(answer.Profile)
+	h.noteTold(answer.Profile.VM.PeerAddress, !answer.ProfileWanted)
 	state.answer, state.sentAt, state.heardAt, state.failures = answer, sent, h.Clock.Now(), 0
 	if state.roundTrip == 0 {
 		state.roundTrip = roundTrip
@@ -512,22 +578,34 @@
 	for _, state := range h.peers {
 		if state.vm.PeerAddress == address {
 			state.failures++
+			state.told = false
+		}
+	}
+}
+
+// noteTold notes whether who answers at an address has this VM's profile. Two
+// names may stand for one address for a while. Callers hold mu.
+func (h *Heartbeat) noteTold(address string, told bool) {
+	for _, state := range h.peers {
+		if state.vm.PeerAddress == address {
+			state.told = told
 		}
 	}
 }
 
 // learnRun takes over the addresses that the newest run of a VM tells of itself,
 // which the platform's list may not know yet.
-func (s *peerState) learnRun(told vm.VM, id vm.ID) {
-	if id.Incarnation < s.incarnation {
+func (s *peerState) learnRun(profile *Profile) {
+	if profile == s.profile || profile.ID.Incarnation < s.incarnation {
 		return
 	}
-	if id.Incarnation > s.incarnation {
-		s.caughtUp, s.left = false, false
+	if profile.ID.Incarnation > s.incarnation {
+		s.caughtUp, s.left, s.told = false, false, false
 	}
-	s.incarnation = id.Incarnation
+	s.incarnation = profile.ID.Incarnation
+	s.profile, s.digest = profile, profile.digest()
 	state := s.vm.State
-	s.vm = told
+	s.vm = profile.VM
 	if s.listed {
 		s.vm.State = state
 	}
--- /dev/null
+++ b/internal/control/heartbeat/heartbeat_test.go
@@ -0,0 +1,151 @@
+package heartbeat_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/control/freshness"
+	"baobabladder.example/baobabladder/internal/control/heartbeat"
+	"baobabladder.example/baobabladder/internal/wire/peer"
+	"baobabladder.example/baobabladder/internal/world/replica"
+	"baobabladder.example/baobabladder/internal/world/vm"
+)
+
+// network carries questions between heartbeats by address.
+type network struct {
+	vms    map[string]*heartbeat.Heartbeat
+	frozen map[string]bool
+	// questions holds the last question to each address.
+	questions map[string]heartbeat.Question
+}
+
+func (n *network) Call(ctx context.Context, address, _ string, args, reply any) error {
+	if n.frozen[address] {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	question, other := args.(heartbeat.Question), n.vms[address]
+	if other == nil {
+		return peer.ErrUnreachable.New("nobody listens")
+	}
+	if n.questions != nil {
+		n.questions[address] = question
+	}
+	return heartbeat.NewReceiver(other).Ask(question, reply.(*heartbeat.Answer))
+}
+
+func (n *network) start(name string, incarnation vm.Incarnation) *heartbeat.Heartbeat {
+	h := &heartbeat.Heartbeat{
+		Self:    vm.VM{Name: name, Role: vm.Entry, State: vm.Live, DataCentre: "d", PeerAddress: name},
+		ID:      vm.ID{Name: name, Incarnation: incarnation},
+		Replica: &replica.Replica{}, Freshness: &freshness.Freshness{}, Peers: n,
+	}
+	n.vms[name] = h
+	return h
+}
+
+func listOf(names ...string) (list []vm.VM) {
+	for _, name := range names {
+		list = append(list, vm.VM{Name: name, Role: vm.Entry, State: vm.Live, DataCentre: "d", PeerAddress: name})
+	}
+	return list
+}
+
+func TestProfilesAreSentOnceToEachRun(t *testing.T) {
+	g := NewWithT(t)
+	n := &network{vms: map[string]*heartbeat.Heartbeat{}, questions: map[string]heartbeat.Question{}}
+	a := n.start("a", 1)
+	n.start("b", 2)
+	a.SetList(listOf("a", "b"), 1)
+	ask := func() heartbeat.Question {
+		g.Expect(a.Ask(context.Background(), "b")).To(Succeed())
+		return n.questions["b"]
+	}
+	g.Expect(ask().Profile).NotTo(BeNil())
+	g.Expect(ask().Profile).To(BeNil())
+	g.Expect(n.vms["b"].Targets()).To(HaveKey("a"))
+
+	restarted := n.start("b", 3)
+	g.Expect(ask().Profile).To(BeNil())
+	a.Refresh()
+	g.Expect(a.View().Member("b").Incarnation).To(Equal(vm.Incarnation(3)))
+	g.Expect(ask().Profile).NotTo(BeNil())
+	g.Expect(restarted.Targets()).To(HaveKey("a"))
+	g.Expect(ask().Profile).To(BeNil())
+}
+
+func TestAnswerWithoutAProfileThatWasNeverSentIsNone(t *testing.T) {
+	g := NewWithT(t)
+	n := &network{vms: map[string]*heartbeat.Heartbeat{}}
+	a := n.start("a", 1)
+	a.Peers = answering{}
+	a.SetList(listOf("a", "b"), 1)
+	g.Expect(a.Ask(context.Background(), "b")).NotTo(Succeed())
+	a.Refresh()
+	g.Expect(a.View().Member("b").Reachable).To(BeFalse())
+}
+
+// answering gives empty answers.
+type answering struct{}
+
+func (answering) Call(context.Context, string, string, any, any) error { return nil }
+
+func TestFrozenPeerDelaysNoOther(t *testing.T) {
+	g := NewWithT(t)
+	n := &network{vms: map[string]*heartbeat.Heartbeat{}, frozen: map[string]bool{"b": true}}
+	a := n.start("a", 1)
+	n.start("b", 1)
+	n.start("c", 1)
+	var heard atomic.Int32
+	a.CatchUp = func(context.Context, string, *heartbeat.Answer) (bool, error) {
+		heard.Add(1)
+		return true, nil
+	}
+	a.SetList(listOf("a", "b", "c"), 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		a.Run(ctx)
+	}()
+	g.Eventually(heard.Load, "20s").Should(BeNumerically(">=", 4))
+	g.Expect(a.View().Member("c").Reachable).To(BeTrue())
+	g.Expect(a.View().Member("b").Reachable).To(BeFalse())
+	cancel()
+	g.Eventually(done, "20s").Should(BeClosed())
+}
+
+func TestLateAnswerOfAnOlderQuestionIsPassedOver(t *testing.T) {
+	g := NewWithT(t)
+	manual := &clock.Manual{}
+	n := &network{vms: map[string]*heartbeat.Heartbeat{}}
+	a, b := n.start("a", 1), n.start("b", 1)
+	a.Clock, b.Clock = manual.Clock(), manual.Clock()
+	a.SetList(listOf("a", "b"), 1)
+	late := &delaying{network: n, during: func() {
+		manual.Advance(10)
+		b.SetReady()
+		a.Peers = n
+		g.Expect(a.Ask(context.Background(), "b")).To(Succeed())
+	}}
+	a.Peers = late
+	g.Expect(a.Ask(context.Background(), "b")).To(Succeed())
+	a.Refresh()
+	g.Expect(a.View().Member("b").Ready).To(BeTrue())
+}
+
+// delaying runs something between a question's answer and its arrival.
+type delaying struct {
+	*network
+	during func()
+}
+
+func (d *delaying) Call(ctx context.Context, address, method string, args, reply any) error {
+	err := d.network.Call(ctx, address, method, args, reply)
+	d.during()
+	return err
+}
--- a/internal/control/heartbeat/message.go
+++ b/internal/control/heartbeat/message.go
@@ -1,16 +1,37 @@
 package heartbeat
 
 import (
+	"encoding/json"
+	"hash/fnv"
+
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/control/lease"
 	"baobabladder.example/baobabladder/internal/world/replica"
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
 
+// Profile describes one run of a VM. It does not change while the run lasts, so a
+// peer is sent it once and named its digest from then on.
+type Profile struct {
+	VM vm.VM
+	ID vm.ID
+}
+
+// digest returns a hash of the profile that is not 0.
+func (p *Profile) digest() uint64 {
+	hash := fnv.New64a()
+	_ = json.NewEncoder(hash).Encode(p)
+	return hash.Sum64() | 1
+}
+
 // Question is what a VM sends with each heartbeat.
 type Question struct {
-	From vm.VM
-	ID   vm.ID
+	// Caller is the digest of the asking VM's profile.
+	Caller uint64
+	// Profile is nil if the peer is known to have the asking VM's.
+	Profile *Profile
+	// Known is the digest of the peer's profile that the asking VM has, or 0.
+	Known uint64
 	// ListDigest is that of the platform's list as the asking VM knows it; 0 if it
 	// knows none.
 	ListDigest uint64
@@ -18,8 +39,11 @@
 
 // Answer is what a VM says of itself.
 type Answer struct {
-	VM vm.VM
-	ID vm.ID
+	// Profile is nil on the wire if the question's Known is its digest; the asking
+	// VM then fills in the one that it has.
+	Profile *Profile
+	// ProfileWanted says that the VM does not have the caller's profile.
+	ProfileWanted bool
 	// Summary was taken after Age, so that it covers at least what Age speaks of.
 	Summary replica.Summary
 	// Known and Age are those of the VM's freshness.
@@ -30,8 +54,6 @@
 	Ready      bool
 	Stopping   bool
 	Leases     []lease.Claim
-	// Reachable holds the names of the VMs that the VM reaches, sorted.
-	Reachable []string
 	// ListKnown says that the VM knows a list, ListAge old.
 	ListKnown bool
 	ListAge   clock.Millis
--- /dev/null
+++ b/internal/wire/peer/peer_test.go
@@ -0,0 +1,109 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	. "github.com/onsi/gomega"
+
+	"baobabladder.example/baobabladder/internal/wire/peer"
+)
+
+// Echo returns its argument. A call with Held waits until release closes.
+type Echo struct {
+	held    chan struct{}
+	release chan struct{}
+}
+
+// Message is argument and reply of Echo.
+type Message struct {
+	Number int
+	Held   bool
+}
+
+// Call answers one message.
+func (e *Echo) Call(message Message, reply *Message) error {
+	if message.Held {
+		e.held <- struct{}{}
+		<-e.release
+	}
+	*reply = message
+	return nil
+}
+
+func serve(t *testing.T) (address string, echo *Echo, server *peer.Server) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	echo = &Echo{held: make(chan struct{}, 1), release: make(chan struct{})}
+	server = peer.NewServer()
+	g.Expect(server.Register("Echo", echo)).To(Succeed())
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Close)
+	return listener.Addr().String(), echo, server
+}
+
+func TestReplyAfterTheCallersEndGoesToNobodyElse(t *testing.T) {
+	g := NewWithT(t)
+	address, echo, _ := serve(t)
+	client := &peer.Client{}
+	defer client.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	var late Message
+	ended := make(chan error, 1)
+	go func() { ended <- client.Call(ctx, address, "Echo.Call", Message{Number: 1, Held: true}, &late) }()
+	g.Eventually(echo.held, "20s").Should(Receive())
+	cancel()
+	var err error
+	g.Eventually(ended, "20s").Should(Receive(&err))
+	g.Expect(errorx.IsOfType(err, peer.ErrUnreachable)).To(BeTrue())
+	close(echo.release)
+	for number := 2; number < 50; number++ {
+		var reply Message
+		g.Expect(client.Call(context.Background(), address, "Echo.Call", Message{Number: number}, &reply)).To(Succeed())
+		g.Expect(reply.Number).To(Equal(number))
+	}
+	g.Expect(late).To(Equal(Message{}))
+}
+
+func TestFrozenPeerStallsNoOther(t *testing.T) {
+	g := NewWithT(t)
+	// The listener of a frozen process takes connections and answers nothing.
+	frozen, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer frozen.Close()
+	address, _, _ := serve(t)
+	client := &peer.Client{}
+	defer client.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		ended <- client.Call(ctx, frozen.Addr().String(), "Echo.Call", Message{}, &Message{})
+	}()
+	var reply Message
+	g.Expect(client.Call(context.Background(), address, "Echo.Call", Message{Number: 7}, &reply)).To(Succeed())
+	g.Expect(reply.Number).To(Equal(7))
+	g.Expect(ended).NotTo(Receive())
+	cancel()
+	g.Eventually(ended, "20s").Should(Receive(HaveOccurred()))
+}
+
+func TestCutConnectionFailsOneCallAndIsOpenedAnew(t *testing.T) {
+	g := NewWithT(t)
+	address, _, _ := serve(t)
+	var opened []net.Conn
+	client := &peer.Client{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{Timeout: 5 * time.Second}).DialContext(ctx, network, address)
+		opened = append(opened, conn)
+		return conn, err
+	}}
+	defer client.Close()
+	call := func() error { return client.Call(context.Background(), address, "Echo.Call", Message{}, &Message{}) }
+	g.Expect(call()).To(Succeed())
+	g.Expect(opened[0].Close()).To(Succeed())
+	g.Eventually(call, "20s").Should(Succeed())
+	g.Expect(opened).To(HaveLen(2))
+}
