--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -30,6 +30,7 @@
 
 // steps is the main job.
 var steps = []step{
+	{"entry VMs named to callers", namedEntries},
 	{"catalogue look-ups", lookUps},
 	{"orders, each sent twice", orders},
 	{"artwork uploads", uploads},
--- a/internal/standin/demo/demo_test.go
+++ b/internal/standin/demo/demo_test.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	stepCount = 10
+	stepCount = 11
 	moveStep  = "version move"
 )
 
--- a/internal/standin/demo/steps.go
+++ b/internal/standin/demo/steps.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -13,10 +14,12 @@
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/document"
 	"baobabladder.example/baobabladder/internal/base/reason"
+	wireCaller "baobabladder.example/baobabladder/internal/wire/caller"
 )
 
 // Sizes of the steps.
 const (
+	leastNamed   = 2
 	lookUpCount  = 300
 	orderCount   = 60
 	uploadCount  = 9
@@ -78,6 +81,30 @@
 	})
 }
 
+// namedEntries asks every entry VM which VMs to use.
+func namedEntries(ctx context.Context, f *firm) (string, error) {
+	fewest := len(f.entries)
+	for i, entry := range f.entries {
+		got, err := f.callers[i%len(f.callers)].try(ctx, entry, &request{method: http.MethodGet, path: wireCaller.EntryVMsPath})
+		if err != nil {
+			return "", err
+		}
+		var named wireCaller.EntryVMs
+		if err := json.Unmarshal([]byte(got.body), &named); err != nil {
+			return "", err
+		}
+		if named.LifetimeMs <= 0 {
+			return "", errNotHeld.New("%s names VMs without a lifetime", entry.settings.Name)
+		}
+		fewest = min(fewest, len(named.VMs))
+	}
+	happened := fmt.Sprintf("each of %d entry VMs names at least %d", len(f.entries), fewest)
+	if fewest < leastNamed {
+		return happened, errNotHeld.New("one death would leave a caller without another VM")
+	}
+	return happened, nil
+}
+
 func lookUps(ctx context.Context, f *firm) (string, error) {
 	answered := f.lookUpsAnswered(ctx, lookUpCount)
 	return fmt.Sprintf("%d of %d answered, half of them with a key", answered, lookUpCount), mustAll(answered, lookUpCount, "answered")
