End a VM's watch once another VM of its data centre follows the store

A VM that starts knows of no other and watches; that watch went on for its 8 to 10 s though the VM knew better after its first heartbeats.

--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/joomcode/errorx"
 	"github.com/sirupsen/logrus"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
@@ -51,6 +52,11 @@
 	maxProbes = 16
 )
 
+var (
+	errorNamespace = errorx.NewNamespace("follower")
+	errPreceded    = errorNamespace.NewType("preceded").New("another VM of the data centre follows the store")
+)
+
 // probePrefix starts no key: a listing under it is the store's revision alone.
 const probePrefix = "probe/"
 
@@ -189,7 +195,27 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, (wait + callGrace).Duration())
 	defer cancel()
-	return f.readChanges(ctx, wait)
+	watching, handOver := context.WithCancelCause(ctx)
+	defer handOver(nil)
+	if wait > 0 {
+		go f.endWhenPreceded(watching, handOver)
+	}
+	err = f.readChanges(watching, wait)
+	if err != nil && context.Cause(watching) == errPreceded {
+		return nil
+	}
+	return err
+}
+
+// endWhenPreceded ends a watch once another VM of the data centre follows the
+// store: a VM that starts knows of no other yet and watches at first.
+func (f *Follower) endWhenPreceded(ctx context.Context, end context.CancelCauseFunc) {
+	for clock.Sleep(ctx, idleDelay) == nil {
+		if !f.IsWatcher() {
+			end(errPreceded)
+			return
+		}
+	}
 }
 
 // readChanges asks the store for changes, merges them and passes them on.
@@ -197,6 +223,9 @@
 	after := f.Replica.Summary().Revision
 	sent := f.Clock.Now()
 	listing, err := f.Store.Watch(ctx, replica.Prefixes(), after, wait)
+	if err != nil && context.Cause(ctx) == errPreceded {
+		return err
+	}
 	f.setWatchFailed(err != nil)
 	if err != nil {
 		f.Heartbeat.LoseContact()
