Count an unreported VM at the cap only when the whole fleet has just started

In a fleet where some VM holds something, an unreported VM now counts for all that the others did not hold. Tests for breaks that the fuzzer seldom meets: the majority, tokens of a lowered total, restarts.

--- a/internal/policy/divide/ledger.go
+++ b/internal/policy/divide/ledger.go
@@ -34,6 +34,9 @@
 	ghosts    []*ghost
 	// gone counts VMs that were dropped from the list.
 	gone int
+	// isWarm says that some VM held something when it was fenced. If none did, the
+	// whole fleet has just started.
+	isWarm bool
 	// moved holds the resources that the last Plan dealt anew, sorted.
 	moved []contract.Resource
 	// membershipChanged says that the parts must be dealt anew.
@@ -253,6 +256,7 @@
 	part.unmet.observe(now, holding.Unmet, window)
 	part.inUse, part.busy = holding.InUse, holding.Busy
 	if !holder.reported {
+		l.isWarm = l.isWarm || holding.Share != contract.Share{}
 		part.fenced, part.counted = holding.Share, holding.Share
 		part.target = holding.Share
 		part.want = holding.Share
@@ -465,8 +469,9 @@
 }
 
 // unknown returns the most that listed VMs may hold that have not reported in
-// this term: what the others did not hold when they were fenced, and for each VM
-// no more than the cap. They may also have borrowed slots of VMs that are gone.
+// this term: what the others did not hold when they were fenced. In a fleet that
+// has just started that would be everything, so there each counts for no more than
+// the cap, and for slots the VMs that are gone count too, which may have lent theirs.
 func (l *Ledger) unknown(resource contract.Resource, entry *entry) contract.Share {
 	count := 0
 	for _, holder := range l.holders {
@@ -477,13 +482,18 @@
 	if count == 0 {
 		return contract.Share{}
 	}
-	if resource.Kind() == contract.KindSlots {
-		count += l.gone
-	}
 	rest := entry.total.Share
 	for _, part := range entry.parts {
 		rest = rest.Minus(part.fenced)
 	}
+	if l.isWarm {
+		// A VM may hold more than the cap: slots in use from before a document
+		// lowered the total.
+		return rest
+	}
+	if resource.Kind() == contract.KindSlots {
+		count += l.gone
+	}
 	// The VM may have been granted its share when fewer VMs were listed.
 	limit := capOf(resource.Kind(), entry.total.Share, min(len(l.names), smallCapDivisor))
 	return rest.Min(contract.Share{Rate: limit.Rate * int64(count), Size: limit.Size * int64(count)})
--- a/internal/policy/divide/ledger_test.go
+++ b/internal/policy/divide/ledger_test.go
@@ -216,3 +216,68 @@
 	d.report("a", 3, false, holding(artes, lowered["a"].Seq, 0))
 	g.Expect(d.sum()).To(Equal(int64(2)))
 }
+
+// A frozen VM ran more than the cap of a lowered total, and a new divider gave the
+// rest away.
+func TestUnreportedVMMayHoldMoreThanTheCap(t *testing.T) {
+	g := NewWithT(t)
+	d := newDrive(artes, contract.Share{Size: 2}, "a", "b", "frozen")
+	d.report("a", 0, true, holding(contract.SlotsOf("artes", "other"), 0, 1))
+	d.report("b", 0, true)
+	for _, offers := range d.ledger.Plan() {
+		for _, grant := range offers.Offer.Grants {
+			g.Expect(grant.Share.Size).To(BeZero(), string(grant.Resource))
+		}
+	}
+}
+
+func TestShareMovesOnlyWhenAMajorityReported(t *testing.T) {
+	g := NewWithT(t)
+	d := newDrive(artes, contract.Share{Size: 6}, "a", "b", "c", "d")
+	d.report("a", 0, true, holding(artes, 0, 6))
+	d.report("b", 0, true)
+	first := d.grants()
+	g.Expect(first["a"].Share.Size).To(BeNumerically("<", 6))
+	d.report("a", 1, false, holding(artes, first["a"].Seq, first["a"].Share.Size))
+	d.report("b", 1, false, holding(artes, first["b"].Seq, 0))
+	g.Expect(d.grants()).To(BeEmpty())
+	d.report("c", 1, true)
+	g.Expect(d.sum()).To(BeNumerically(">", 0))
+}
+
+func TestTokensOfALoweredTotalAreNotGivenAgain(t *testing.T) {
+	g := NewWithT(t)
+	d := newDrive(workspace, contract.Share{Rate: 30_000, Size: 30_000}, "a", "b")
+	held := contract.Holding{Resource: workspace, Share: contract.Share{Rate: 60_000, Size: 60_000}}
+	d.report("a", 0, true, held)
+	d.report("b", 0, true)
+	cut := d.grants()["a"]
+	d.report("a", 1, false, contract.Holding{Resource: workspace, Seq: cut.Seq, Share: cut.Share, Surrendered: 45_000})
+	raise := d.grants()["b"]
+	g.Expect(raise.Share.Size).To(Equal(int64(15_000)))
+	g.Expect(raise.Tokens).To(Equal(int64(15_000)))
+	d.report("b", 2, false, contract.Holding{Resource: workspace, Seq: raise.Seq, Share: raise.Share})
+	d.totals[workspace] = divide.Total{Share: contract.Share{Rate: 60_000, Size: 60_000}}
+	d.list("a", "b")
+	again := d.grants()
+	g.Expect(again["a"].Tokens).To(BeZero())
+	g.Expect(again["b"].Tokens).To(Equal(int64(15_000)))
+}
+
+func TestRestartedVMGetsAShareAgain(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(3, limits(1))
+	f.rest()
+	f.kill(f.nodes[2])
+	f.start(f.nodes[2])
+	for range 8 {
+		f.tick()
+	}
+	for resource, total := range f.totals {
+		sum := contract.Share{}
+		for _, n := range f.nodes {
+			sum = sum.Plus(n.holder.Part(resource).Share())
+		}
+		g.Expect(sum).To(Equal(total.Share), string(resource))
+	}
+}
--- a/internal/world/contract/holder_test.go
+++ b/internal/world/contract/holder_test.go
@@ -133,6 +133,7 @@
 	request := contract.LoanRequest{Borrower: peer, Candidates: []contract.Resource{slots}}
 	g.Expect(holder.Lend(&request).Resource).To(Equal(slots))
 	request.Borrower.Incarnation++
+	request.Loan++
 	g.Expect(holder.Lend(&request).Resource).To(Equal(slots))
 	request.Borrower.Incarnation--
 	request.Loan = 9
