Move the start of a firm into a package of its own

The demo and the measure of the decisions start the same store, endpoints, entry VMs and network. Start takes a plan that may edit documents, shape endpoints and put another program in the place of the entry VMs' process.

--- a/internal/standin/demo/caller.go
+++ b/internal/standin/demo/caller.go
@@ -12,6 +12,7 @@
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/document"
 	"baobabladder.example/baobabladder/internal/base/reason"
+	standin "baobabladder.example/baobabladder/internal/standin/firm"
 	"baobabladder.example/baobabladder/internal/standin/link"
 	wireCaller "baobabladder.example/baobabladder/internal/wire/caller"
 	wireEndpoint "baobabladder.example/baobabladder/internal/wire/endpoint"
@@ -57,8 +58,8 @@
 
 // addCallers puts a caller near each region.
 func (f *firm) addCallers() {
-	for _, region := range f.fleet.Regions {
-		dial := f.network.Dialer(link.Place{VM: "caller-" + region.Name, Region: region.Name, Client: true})
+	for _, region := range f.Fleet.Regions {
+		dial := f.Network.Dialer(link.Place{VM: "caller-" + region.Name, Region: region.Name, Client: true})
 		transport := &http.Transport{DialContext: withTimeout(dial), MaxIdleConnsPerHost: 64, DisableCompression: true}
 		f.callers = append(f.callers, &caller{region: region.Name, http: &http.Client{Transport: transport}, firm: f, tally: f.tally})
 	}
@@ -66,10 +67,10 @@
 
 // ranked returns the entry VMs in the order in which to try them, turned by
 // turn so that the load spreads.
-func (c *caller) ranked(turn int) []*entry {
-	var near, far []*entry
-	for _, entry := range c.firm.entries {
-		if entry.settings.Region == c.region {
+func (c *caller) ranked(turn int) []*standin.Entry {
+	var near, far []*standin.Entry
+	for _, entry := range c.firm.Entries {
+		if entry.Settings.Region == c.region {
 			near = append(near, entry)
 		} else {
 			far = append(far, entry)
@@ -78,9 +79,9 @@
 	return append(rotate(near, turn), rotate(far, turn)...)
 }
 
-func rotate(entries []*entry, turn int) []*entry {
+func rotate(entries []*standin.Entry, turn int) []*standin.Entry {
 	start := turn % max(1, len(entries))
-	return append(append([]*entry{}, entries[start:]...), entries[:start]...)
+	return append(append([]*standin.Entry{}, entries[start:]...), entries[:start]...)
 }
 
 // send tries entry VMs until one gives an endpoint's answer. It goes on only
@@ -101,10 +102,10 @@
 }
 
 // try sends a request to one entry VM.
-func (c *caller) try(ctx context.Context, entry *entry, wanted *request) (got *answer, err error) {
+func (c *caller) try(ctx context.Context, entry *standin.Entry, wanted *request) (got *answer, err error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout.Duration())
 	defer cancel()
-	made, err := http.NewRequestWithContext(ctx, wanted.method, "http://"+entry.settings.CallerAddress+wanted.path, bytes.NewReader(wanted.body))
+	made, err := http.NewRequestWithContext(ctx, wanted.method, "http://"+entry.Settings.CallerAddress+wanted.path, bytes.NewReader(wanted.body))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -13,13 +13,9 @@
 
 	"github.com/sirupsen/logrus"
 
-	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/fault"
 )
 
-// startTimeout bounds the time until every entry VM serves.
-const startTimeout = 15 * clock.Second
-
 // step is one part of the main job. Steps run in order and may rely on what
 // earlier ones left behind.
 type step struct {
@@ -94,7 +90,7 @@
 // print writes the account as tables.
 func print(out io.Writer, firm *firm, results []Result) error {
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintf(table, "%s: %d entry VMs, %d endpoints of %d services\n\n", firm.name, len(firm.entries), len(firm.endpoints), len(firm.services))
+	fmt.Fprintf(table, "%s: %d entry VMs, %d endpoints of %d services\n\n", firm.Name, len(firm.Entries), len(firm.Endpoints), len(firm.Services))
 	fmt.Fprintln(table, "STEP\tHELD\tWHAT HAPPENED")
 	for _, result := range results {
 		fmt.Fprintf(table, "%s\t%s\t%s\n", result.Step, yesNo(result.Held), result.Happened)
@@ -104,7 +100,7 @@
 		fmt.Fprintln(table, line)
 	}
 	fmt.Fprintln(table, "\nFROM REGION\tTO REGION\tKILOBYTES\tWORST SECOND, MBIT/S")
-	for _, traffic := range firm.network.Traffic() {
+	for _, traffic := range firm.Network.Traffic() {
 		fmt.Fprintf(table, "%s\t%s\t%d\t%.1f\n", traffic.From, traffic.To, traffic.Bytes/1000, float64(traffic.WorstSecond)*8/1e6)
 	}
 	return table.Flush()
--- a/internal/standin/demo/failures.go
+++ b/internal/standin/demo/failures.go
@@ -8,13 +8,14 @@
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/document"
 	"baobabladder.example/baobabladder/internal/base/reason"
+	standin "baobabladder.example/baobabladder/internal/standin/firm"
 	"baobabladder.example/baobabladder/internal/standin/store"
 )
 
 // storeOutage looks up while the store is down.
 func storeOutage(ctx context.Context, f *firm) (string, error) {
-	f.store.SetFaults(store.Faults{Down: true})
-	defer f.store.SetFaults(store.Faults{})
+	f.Store.SetFaults(store.Faults{Down: true})
+	defer f.Store.SetFaults(store.Faults{})
 	before := f.lookUpsAnswered(ctx, lookUpCount)
 	if err := clock.Sleep(ctx, outageTime); err != nil {
 		return "", err
@@ -26,32 +27,32 @@
 
 // entryDeath cuts an entry VM off while callers use it.
 func entryDeath(ctx context.Context, f *firm) (string, error) {
-	victim := f.entries[0]
-	victim.gone = true
-	f.network.CutVM(victim.settings.Name, true)
+	victim := f.Entries[0]
+	victim.Gone = true
+	f.Network.CutVM(victim.Settings.Name, true)
 	for _, caller := range f.callers {
 		caller.http.CloseIdleConnections()
 	}
-	victim.stop()
-	f.store.DropVM(victim.settings.Name)
+	victim.Stop()
+	f.Store.DropVM(victim.Settings.Name)
 	answered := f.lookUpsAnswered(ctx, lookUpCount)
-	happened := fmt.Sprintf("%s died, %d of %d answered", victim.settings.Name, answered, lookUpCount)
+	happened := fmt.Sprintf("%s died, %d of %d answered", victim.Settings.Name, answered, lookUpCount)
 	return happened, mustAll(answered, lookUpCount, "answered")
 }
 
 // withdrawKey withdraws a key that callers use on open connections.
 func withdrawKey(ctx context.Context, f *firm) (string, error) {
-	withdrawn := f.keys[0]
-	if err := f.withdraw(ctx, withdrawn.id); err != nil {
+	withdrawn := f.Keys[0]
+	if err := f.Withdraw(ctx, withdrawn.ID); err != nil {
 		return "", err
 	}
 	// Later steps use the others.
-	f.keys = f.keys[1:]
+	f.Keys = f.Keys[1:]
 	ctx, cancel := context.WithTimeout(ctx, withdrawTime.Duration())
 	defer cancel()
 	refused := 0
-	for _, entry := range f.entries {
-		if !entry.gone && f.awaitRefusal(ctx, entry, withdrawn) {
+	for _, entry := range f.Entries {
+		if !entry.Gone && f.awaitRefusal(ctx, entry, withdrawn) {
 			refused++
 		}
 	}
@@ -59,9 +60,9 @@
 }
 
 // awaitRefusal sends look-ups with a key until an entry VM refuses it.
-func (f *firm) awaitRefusal(ctx context.Context, entry *entry, withdrawn issuedKey) bool {
-	_, route := f.route(document.Catalogue, false)
-	wanted := &request{method: http.MethodGet, path: route.Prefix + "withdrawn", key: withdrawn.text, work: document.Catalogue}
+func (f *firm) awaitRefusal(ctx context.Context, entry *standin.Entry, withdrawn standin.Key) bool {
+	_, route := f.Route(document.Catalogue, false)
+	wanted := &request{method: http.MethodGet, path: route.Prefix + "withdrawn", key: withdrawn.Text, work: document.Catalogue}
 	for ctx.Err() == nil {
 		got, err := f.callers[0].try(ctx, entry, wanted)
 		if refuses(got, err, reason.KeyWithdrawn) {
@@ -73,8 +74,8 @@
 }
 
 func (f *firm) liveEntries() (live int) {
-	for _, entry := range f.entries {
-		if !entry.gone {
+	for _, entry := range f.Entries {
+		if !entry.Gone {
 			live++
 		}
 	}
@@ -83,38 +84,28 @@
 
 // plannedStop stops an entry VM while callers look up through all of them.
 func plannedStop(ctx context.Context, f *firm) (string, error) {
-	stopped := f.entries[1]
-	if stopped.gone {
-		return "", errNotHeld.New("%s is gone already", stopped.settings.Name)
+	stopped := f.Entries[1]
+	if stopped.Gone {
+		return "", errNotHeld.New("%s is gone already", stopped.Settings.Name)
 	}
-	stopped.gone = true
+	stopped.Gone = true
 	before := f.tally.count("no_answer")
 	answered := inParallel(lookUpCount, func(i int) bool {
 		if i == lookUpCount/3 {
-			stopped.stop()
+			stopped.Stop()
 		}
 		got, err := f.lookUp(ctx, i)
 		return err == nil && got.status == http.StatusOK
 	})
 	cut := f.tally.count("no_answer") - before
-	happened := fmt.Sprintf("%s stopped, %d of %d answered, %d cut", stopped.settings.Name, answered, lookUpCount, cut)
+	happened := fmt.Sprintf("%s stopped, %d of %d answered, %d cut", stopped.Settings.Name, answered, lookUpCount, cut)
 	if cut > 0 {
 		return happened, errNotHeld.New("the stop cut requests")
 	}
 	select {
-	case <-stopped.ended:
-	case <-clockAfter(ctx, stopTime):
+	case <-stopped.Ended:
+	case <-standin.After(ctx, stopTime):
 		return happened, errNotHeld.New("it did not end within %d ms", stopTime)
 	}
 	return happened, mustAll(answered, lookUpCount, "answered")
 }
-
-// clockAfter returns a channel that closes after d or with ctx.
-func clockAfter(ctx context.Context, d clock.Millis) <-chan struct{} {
-	passed := make(chan struct{})
-	go func() {
-		defer close(passed)
-		_ = clock.Sleep(ctx, d)
-	}()
-	return passed
-}
--- a/internal/standin/demo/move.go
+++ b/internal/standin/demo/move.go
@@ -10,6 +10,7 @@
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/document"
+	standin "baobabladder.example/baobabladder/internal/standin/firm"
 )
 
 const (
@@ -25,14 +26,14 @@
 // moveVersion starts endpoints of a new version beside the old ones and moves
 // the catalogue's traffic to them by a given time.
 func moveVersion(ctx context.Context, f *firm) (string, error) {
-	owner, _ := f.route(document.Catalogue, true)
+	owner, _ := f.Route(document.Catalogue, true)
 	text, err := f.withNewVersion(ctx, owner)
 	if err != nil {
 		return "", err
 	}
 	by := time.Now().Add(moveTime.Duration())
 	text += fmt.Sprintf("\n[move %s]\nfrom = v1\nby = %s\n", newVersion, by.UTC().Format(time.RFC3339))
-	if err := f.apply(ctx, owner, text); err != nil {
+	if err := f.Apply(ctx, owner, text); err != nil {
 		return "", err
 	}
 	first, moved := f.movedLookUps(ctx), 0
@@ -59,8 +60,8 @@
 
 // withNewVersion starts an endpoint of the new version beside each old one and
 // returns the document with all of them.
-func (f *firm) withNewVersion(ctx context.Context, owner *service) (text string, err error) {
-	text = owner.text
+func (f *firm) withNewVersion(ctx context.Context, owner *standin.Service) (text string, err error) {
+	text = owner.Text
 	for _, old := range owner.Endpoints {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -70,7 +71,7 @@
 		added.Name = old.Name + "-" + newVersion
 		added.Address = listener.Addr().String()
 		added.Version = newVersion
-		f.addEndpoint(ctx, owner, &added, listener)
+		f.AddEndpoint(ctx, owner, &added, listener)
 		text += fmt.Sprintf("\n[endpoint %s]\naddress = %s\nregion = %s\ndata_centre = %s\nversion = %s\nslots = %d\n",
 			added.Name, added.Address, added.Region, added.DataCentre, added.Version, added.Slots)
 	}
--- a/internal/standin/demo/steps.go
+++ b/internal/standin/demo/steps.go
@@ -65,10 +65,10 @@
 // lookUp sends the i-th look-up, each second one with a key.
 func (f *firm) lookUp(ctx context.Context, i int) (*answer, error) {
 	isOpen := i%2 == 0
-	_, route := f.route(document.Catalogue, isOpen)
+	_, route := f.Route(document.Catalogue, isOpen)
 	wanted := &request{method: http.MethodGet, path: fmt.Sprintf("%sitem-%d", route.Prefix, i), work: document.Catalogue}
 	if !isOpen {
-		wanted.key = f.keys[i/2%len(f.keys)].text
+		wanted.key = f.Keys[i/2%len(f.Keys)].Text
 	}
 	return f.callers[i%len(f.callers)].send(ctx, i, wanted)
 }
@@ -83,8 +83,8 @@
 
 // namedEntries asks every entry VM which VMs to use.
 func namedEntries(ctx context.Context, f *firm) (string, error) {
-	fewest := len(f.entries)
-	for i, entry := range f.entries {
+	fewest := len(f.Entries)
+	for i, entry := range f.Entries {
 		got, err := f.callers[i%len(f.callers)].try(ctx, entry, &request{method: http.MethodGet, path: wireCaller.EntryVMsPath})
 		if err != nil {
 			return "", err
@@ -94,11 +94,11 @@
 			return "", err
 		}
 		if named.LifetimeMs <= 0 {
-			return "", errNotHeld.New("%s names VMs without a lifetime", entry.settings.Name)
+			return "", errNotHeld.New("%s names VMs without a lifetime", entry.Settings.Name)
 		}
 		fewest = min(fewest, len(named.VMs))
 	}
-	happened := fmt.Sprintf("each of %d entry VMs names at least %d", len(f.entries), fewest)
+	happened := fmt.Sprintf("each of %d entry VMs names at least %d", len(f.Entries), fewest)
 	if fewest < leastNamed {
 		return happened, errNotHeld.New("one death would leave a caller without another VM")
 	}
@@ -112,10 +112,10 @@
 
 // orders sends each order twice at once, through different entry VMs.
 func orders(ctx context.Context, f *firm) (string, error) {
-	_, route := f.route(document.Order, false)
+	_, route := f.Route(document.Order, false)
 	id := func(i int) string { return fmt.Sprintf("order-%03d", i) }
 	recorded := inParallel(orderCount, func(i int) bool {
-		wanted := &request{method: http.MethodPost, path: route.Prefix + id(i), key: f.keys[i%len(f.keys)].text, order: id(i), body: []byte("labels"), work: document.Order}
+		wanted := &request{method: http.MethodPost, path: route.Prefix + id(i), key: f.Keys[i%len(f.Keys)].Text, order: id(i), body: []byte("labels"), work: document.Order}
 		resent := make(chan struct{})
 		go func() {
 			defer close(resent)
@@ -140,14 +140,14 @@
 
 // runsOf returns how often an order ran at all endpoints together.
 func (f *firm) runsOf(order string) (runs int) {
-	for _, endpoint := range f.endpoints {
+	for _, endpoint := range f.Endpoints {
 		runs += endpoint.Orders(order)
 	}
 	return runs
 }
 
 func uploads(ctx context.Context, f *firm) (string, error) {
-	_, route := f.route(document.Upload, false)
+	_, route := f.Route(document.Upload, false)
 	bodies := make([][]byte, uploadCount)
 	random := rand.NewChaCha8([32]byte{1})
 	for i := range bodies {
@@ -155,7 +155,7 @@
 		_, _ = random.Read(bodies[i])
 	}
 	answered := inParallel(uploadCount, func(i int) bool {
-		wanted := &request{method: http.MethodPut, path: fmt.Sprintf("%sartwork-%d", route.Prefix, i), key: f.keys[i%len(f.keys)].text, body: bodies[i], work: document.Upload}
+		wanted := &request{method: http.MethodPut, path: fmt.Sprintf("%sartwork-%d", route.Prefix, i), key: f.Keys[i%len(f.Keys)].Text, body: bodies[i], work: document.Upload}
 		got, err := f.callers[i%len(f.callers)].send(ctx, i, wanted)
 		return err == nil && got.status == http.StatusOK
 	})
@@ -173,7 +173,7 @@
 
 func (f *firm) uploadDigests() map[string]bool {
 	digests := map[string]bool{}
-	for _, endpoint := range f.endpoints {
+	for _, endpoint := range f.Endpoints {
 		for _, upload := range endpoint.Counts().Uploads {
 			digests[upload.Digest] = true
 		}
@@ -182,17 +182,17 @@
 }
 
 func noKeySeen(_ context.Context, f *firm) (string, error) {
-	for name, endpoint := range f.endpoints {
+	for name, endpoint := range f.Endpoints {
 		if endpoint.Counts().KeySeen {
 			return "", errNotHeld.New("a caller's key reached %s", name)
 		}
 	}
-	return fmt.Sprintf("%d endpoints looked at every byte", len(f.endpoints)), nil
+	return fmt.Sprintf("%d endpoints looked at every byte", len(f.Endpoints)), nil
 }
 
 func storeBudget(_ context.Context, f *firm) (string, error) {
-	calls := f.store.Calls()
-	happened := fmt.Sprintf("worst second: %d of %d reads, %d of %d writes", calls.WorstReads, f.store.Budget.Reads, calls.WorstWrites, f.store.Budget.Writes)
+	calls := f.Store.Calls()
+	happened := fmt.Sprintf("worst second: %d of %d reads, %d of %d writes", calls.WorstReads, f.Store.Budget.Reads, calls.WorstWrites, f.Store.Budget.Writes)
 	if calls.Refused > 0 {
 		return happened, errNotHeld.New("%d calls were over the budget", calls.Refused)
 	}
--- /dev/null
+++ b/internal/standin/firm/firm.go
@@ -0,0 +1,311 @@
+// Package firm runs one firm of package examples in one process over loopback
+// sockets: the store's stand-in, all endpoints, all entry VMs, and the network
+// between the regions. The demo and the measure share it.
+package firm
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"sync"
+
+	"github.com/joomcode/errorx"
+	"github.com/sirupsen/logrus"
+
+	"baobabladder.example/baobabladder/examples"
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/document"
+	"baobabladder.example/baobabladder/internal/base/fault"
+	"baobabladder.example/baobabladder/internal/base/settings"
+	"baobabladder.example/baobabladder/internal/standin/endpoint"
+	"baobabladder.example/baobabladder/internal/standin/link"
+	"baobabladder.example/baobabladder/internal/standin/store"
+	wire "baobabladder.example/baobabladder/internal/wire/store"
+	"baobabladder.example/baobabladder/internal/world/vm"
+)
+
+const (
+	// startTimeout bounds the time until every entry VM serves.
+	startTimeout = 15 * clock.Second
+	endTimeout   = 5 * clock.Second
+	pollInterval = 20 * clock.Millis(1)
+
+	maxConnections = 330
+	connectionCost = 1 * clock.Millis(1)
+)
+
+// Plan is what to start.
+type Plan struct {
+	// Name is a name of package examples.
+	Name string
+	// Log receives the entry VMs' logs.
+	Log logrus.FieldLogger
+	// Edit, if set, changes the text of each document before it is read.
+	Edit func(text string) string
+	// Shape, if set, changes an endpoint before it serves.
+	Shape func(owner *document.Service, made *endpoint.Endpoint)
+	// Serve, if set, runs in the place of each entry VM's process.
+	Serve func(ctx context.Context, firm *Firm, read settings.Settings) error
+}
+
+// Firm is everything that runs.
+type Firm struct {
+	Plan
+	Network  *link.Network
+	Store    *store.Store
+	Fleet    *document.Fleet
+	Services []*Service
+	// Endpoints holds the stand-ins by name.
+	Endpoints map[string]*endpoint.Endpoint
+	Entries   []*Entry
+	// Keys has one key for each workspace, in the documents' order.
+	Keys []Key
+
+	client   *wire.Client
+	storeURL string
+	running  sync.WaitGroup
+	// stopAll ends everything that runs.
+	stopAll context.CancelFunc
+}
+
+// Service is a service's document in force, as text and parsed.
+type Service struct {
+	*document.Service
+	Text     string
+	Revision int64
+}
+
+// storePlaces is where each firm's store runs.
+var storePlaces = map[string]link.Place{
+	examples.MunroLennox: {VM: "store", Region: "lothian", DataCentre: "lothian-1"},
+	examples.TresTintas:  {VM: "store", Region: "montevideo", DataCentre: "montevideo-1"},
+}
+
+// Start starts all parts of a firm. Every address of the example's files is
+// replaced by a free one, so that runs side by side don't collide.
+func Start(ctx context.Context, plan Plan) (f *Firm, err error) {
+	defer fault.Annotate(&err, "starting firm %s", plan.Name)
+	example, err := examples.Load(plan.Name)
+	if err != nil {
+		return nil, err
+	}
+	ctx, stopAll := context.WithCancel(ctx)
+	f = &Firm{Plan: plan, Network: &link.Network{}, Store: store.New(), Endpoints: map[string]*endpoint.Endpoint{}, stopAll: stopAll}
+	defer func() {
+		if err != nil {
+			f.Stop()
+		}
+	}()
+	if err := f.startStore(ctx); err != nil {
+		return nil, err
+	}
+	for _, text := range example.Documents {
+		if err := f.addDocument(ctx, text); err != nil {
+			return nil, err
+		}
+	}
+	if err := f.addEntries(ctx, example.Settings); err != nil {
+		return nil, err
+	}
+	if err := f.awaitReady(ctx, startTimeout); err != nil {
+		return nil, err
+	}
+	return f, f.issueKeys(ctx)
+}
+
+// Stop ends everything and waits for it, but not for ever: a part that does not
+// end is logged.
+func (f *Firm) Stop() {
+	for _, entry := range f.Entries {
+		f.Network.CutVM(entry.Settings.Name, false)
+	}
+	f.stopAll()
+	ended := make(chan struct{})
+	go func() {
+		f.running.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-After(context.Background(), endTimeout):
+		f.Log.Error("a part of the firm did not end")
+	}
+}
+
+// After returns a channel that closes after d or with ctx.
+func After(ctx context.Context, d clock.Millis) <-chan struct{} {
+	passed := make(chan struct{})
+	go func() {
+		defer close(passed)
+		_ = clock.Sleep(ctx, d)
+	}()
+	return passed
+}
+
+// start runs a part until the end of the firm.
+func (f *Firm) start(name string, run func() error) {
+	f.running.Add(1)
+	go func() {
+		defer f.running.Done()
+		if err := run(); err != nil {
+			f.Log.WithError(err).Errorf("%s ended", name)
+		}
+	}()
+}
+
+func (f *Firm) startStore(ctx context.Context) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: f.Store.Handler()}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	f.start("the store", func() error {
+		if err := server.Serve(listener); err != http.ErrServerClosed {
+			return err
+		}
+		return nil
+	})
+	f.storeURL = "http://" + listener.Addr().String() + "/"
+	f.Network.Locate(listener.Addr().String(), storePlaces[f.Name])
+	f.client = wire.New(f.storeURL)
+	return nil
+}
+
+var (
+	addressPattern = regexp.MustCompile(`127\.0\.0\.1:\d+`)
+	// placePattern matches settings that name other processes than the VM's own.
+	placePattern = regexp.MustCompile(`(?m)^(store|peers) = .*$`)
+)
+
+// addDocument starts a document's endpoints and writes it to the store.
+func (f *Firm) addDocument(ctx context.Context, text string) error {
+	listeners := map[string]net.Listener{}
+	text, err := replaceAddresses(text, listeners)
+	if err != nil {
+		return err
+	}
+	if f.Edit != nil {
+		text = f.Edit(text)
+	}
+	parsed, err := document.Parse([]byte(text))
+	if err != nil {
+		return err
+	}
+	if parsed.Fleet != nil {
+		f.setFleet(parsed.Fleet)
+		return f.write(ctx, parsed.Name, text)
+	}
+	added := &Service{Service: parsed.Service, Text: text, Revision: 1}
+	f.Services = append(f.Services, added)
+	for i := range parsed.Service.Endpoints {
+		declared := &parsed.Service.Endpoints[i]
+		f.AddEndpoint(ctx, added, declared, listeners[declared.Address])
+	}
+	return f.write(ctx, parsed.Name, text)
+}
+
+// replaceAddresses puts a listening address in place of each address in text.
+func replaceAddresses(text string, listeners map[string]net.Listener) (replaced string, err error) {
+	replaced = addressPattern.ReplaceAllStringFunc(text, func(old string) string {
+		listener, e := net.Listen("tcp", "127.0.0.1:0")
+		if e != nil {
+			err = e
+			return old
+		}
+		listeners[listener.Addr().String()] = listener
+		return listener.Addr().String()
+	})
+	return replaced, err
+}
+
+func (f *Firm) setFleet(fleet *document.Fleet) {
+	f.Fleet = fleet
+	f.Network.Fleet = fleet
+	f.Network.BetweenDataCentres = 1000
+	f.Network.ToClients = 1000
+	if f.Name == examples.TresTintas {
+		f.Network.BetweenDataCentres = 1500
+		f.Network.ToClients = 3000
+	}
+}
+
+// AddEndpoint starts the stand-in of a declared endpoint.
+func (f *Firm) AddEndpoint(ctx context.Context, owner *Service, declared *document.Endpoint, listener net.Listener) {
+	made := &endpoint.Endpoint{
+		Name: declared.Name, Version: declared.Version, Slots: declared.Slots, Seed: uint64(len(f.Endpoints)),
+		MaxConnections: maxConnections, ConnectionCost: connectionCost,
+	}
+	if f.Shape != nil {
+		f.Shape(owner.Service, made)
+	}
+	f.Endpoints[declared.Name] = made
+	f.Network.Locate(declared.Address, link.Place{VM: declared.Name, Region: declared.Region, DataCentre: declared.DataCentre})
+	f.Store.ListVM(vm.VM{Name: declared.Name, Role: vm.Endpoint, State: vm.Live, Region: declared.Region, DataCentre: declared.DataCentre})
+	f.start(declared.Name, func() error { return made.Serve(ctx, listener) })
+}
+
+// addEntries starts all entry VMs. Their ports are held together until each has
+// its own, so that none is given out twice.
+func (f *Firm) addEntries(ctx context.Context, texts []string) error {
+	listeners := map[string]net.Listener{}
+	var all []settings.Settings
+	for _, text := range texts {
+		text, err := replaceAddresses(placePattern.ReplaceAllString(text, ""), listeners)
+		if err != nil {
+			return err
+		}
+		read, err := settings.Parse([]byte(text + "store = " + f.storeURL + "\n"))
+		if err != nil {
+			return err
+		}
+		if len(all) > 0 {
+			read.Peers = []string{all[0].PeerAddress}
+		}
+		all = append(all, read)
+	}
+	for _, listener := range listeners {
+		_ = listener.Close()
+	}
+	for _, read := range all {
+		f.Entries = append(f.Entries, f.StartEntry(ctx, read))
+	}
+	return nil
+}
+
+// awaitReady waits until each entry VM answers an open look-up.
+func (f *Firm) awaitReady(ctx context.Context, timeout clock.Millis) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
+	_, route := f.Route(document.Catalogue, true)
+	for _, entry := range f.Entries {
+		for {
+			answer, err := get(ctx, "http://"+entry.Settings.CallerAddress+route.Prefix+"ready")
+			if err == nil && answer.StatusCode == http.StatusOK {
+				break
+			}
+			if clock.Sleep(ctx, pollInterval) != nil {
+				return errorx.TimeoutElapsed.New("%s does not serve after %d ms", entry.Settings.Name, timeout)
+			}
+		}
+	}
+	return nil
+}
+
+// get reads a whole answer over a connection of its own.
+func get(ctx context.Context, url string) (answer *http.Response, err error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	request.Close = true
+	answer, err = http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Body.Close()
+	_, err = io.Copy(io.Discard, answer.Body)
+	return answer, err
+}
