--- a/internal/policy/lookup/lookup.go
+++ b/internal/policy/lookup/lookup.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"sort"
+	"strings"
 
 	"baobabladder.example/baobabladder/internal/base/document"
 	"baobabladder.example/baobabladder/internal/world/membership"
@@ -92,7 +93,7 @@
 	names := make([]string, 0, len(byDataCentre))
 	for name, listed := range byDataCentre {
 		names = append(names, name)
-		slices.SortFunc(listed, func(a, b vm.VM) int { return compareNames(a.Name, b.Name) })
+		slices.SortFunc(listed, func(a, b vm.VM) int { return strings.Compare(a.Name, b.Name) })
 	}
 	slices.Sort(names)
 	mixed := make([]vm.VM, 0, len(vms))
@@ -107,16 +108,6 @@
 	return mixed
 }
 
-func compareNames(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // Pick returns up to MaxAnswer VMs for a caller with the given address in the
 // given region, best first; "" is an unknown region.
 func (r *Ranking) Pick(region string, address netip.Addr) []vm.VM {
