Tell a cold endpoint from a slow version

A VM's first 3 answers of an endpoint are passed on by endpoint; of all VMs' first answers of one endpoint the 3 slowest are left out of the latency. Placement warms few endpoints up at a time, the same ones in a region.

--- a/internal/policy/move/evidence.go
+++ b/internal/policy/move/evidence.go
@@ -42,6 +42,11 @@
 	chanceBound = 5.0
 	// minOld is how many answers of the old version make its latency known.
 	minOld = 10
+	// coldRuns is how many answers of an endpoint a cold start may slow down.
+	coldRuns = 3
+	// coldFactor is how much longer than a slow answer a request at a cold endpoint
+	// must last to count as a hang, in buckets.
+	coldFactor = 3 * bucketsPerOctave
 	// slowExpected is the part of answers that lie over the 90th percentile.
 	slowExpected = 0.1
 )
@@ -50,8 +55,8 @@
 type Counts struct {
 	Answers  int64
 	Failures int64
-	// Latency counts good answers by latency bucket; it may be shorter than
-	// bucketCount.
+	// Latency counts good answers by latency bucket, but for the new version's from
+	// cold endpoints; it may be shorter than bucketCount.
 	Latency []int64
 }
 
@@ -75,6 +80,17 @@
 	Whole Pair
 	// StageStep is the step that Stage belongs to.
 	StageStep int
+	// Cold holds the latencies of the new version's first answers from each
+	// endpoint, at most coldRuns for each start of an endpoint that the VM knows
+	// of. The Latency of no Counts has them.
+	Cold []ColdAnswer
+}
+
+// ColdAnswer is an answer of an endpoint that may not have warmed up.
+type ColdAnswer struct {
+	Endpoint string
+	// Bucket is the latency's.
+	Bucket int
 }
 
 // add adds other's counts to c.
@@ -89,14 +105,19 @@
 	}
 }
 
-// record counts one request. micros of a failure is not counted.
-func (c *Counts) record(isGood bool, micros int64) {
+// record counts one request. The latency of a failure and of a cold endpoint's
+// answer is not counted.
+func (c *Counts) record(isGood, isCold bool, micros int64) {
 	c.Answers++
-	if !isGood {
+	switch {
+	case !isGood:
 		c.Failures++
-		return
+	case !isCold:
+		c.recordLatency(bucket(micros))
 	}
-	at := bucket(micros)
+}
+
+func (c *Counts) recordLatency(at int) {
 	for len(c.Latency) <= at {
 		c.Latency = append(c.Latency, 0)
 	}
@@ -127,12 +148,17 @@
 	return min(at, bucketCount-1)
 }
 
-// good counts the answers that have a latency.
-func (c *Counts) good() int64 { return c.Answers - c.Failures }
+// timed counts the answers that have a latency.
+func (c *Counts) timed() (count int64) {
+	for _, n := range c.Latency {
+		count += n
+	}
+	return count
+}
 
 // percentile90 returns the bucket of the 90th percentile.
 func (c *Counts) percentile90() int {
-	rest := c.good() / 10
+	rest := c.timed() / 10
 	for i := len(c.Latency) - 1; i >= 0; i-- {
 		rest -= c.Latency[i]
 		if rest < 0 {
@@ -153,7 +179,7 @@
 // slowBucket returns the bucket over which an answer is slow, or false if too
 // few of the old version's answers are known.
 func slowBucket(old *Counts, slowPercent int) (at int, known bool) {
-	if old.good() < minOld {
+	if old.timed() < minOld {
 		return 0, false
 	}
 	factor := 1 + float64(slowPercent)/100
@@ -167,7 +193,7 @@
 		return fmt.Sprintf("%d of %d failed, of the old version %d of %d", p.New.Failures, p.New.Answers, p.Old.Failures, p.Old.Answers)
 	}
 	if slow, is := p.slow(&attempt.Old, slowPercent); is {
-		return fmt.Sprintf("%d of %d were more than %d%% slower than nine in ten of the old version", slow, p.New.good(), slowPercent)
+		return fmt.Sprintf("%d of %d were more than %d%% slower than nine in ten of the old version", slow, p.New.timed(), slowPercent)
 	}
 	return ""
 }
@@ -227,7 +253,7 @@
 // allows lie over the bound, given that a tenth may.
 func (p *Pair) slow(baseline *Counts, slowPercent int) (count int64, is bool) {
 	old := &p.Old
-	if old.good() < minOld {
+	if old.timed() < minOld {
 		old = baseline
 	}
 	at, known := slowBucket(old, slowPercent)
@@ -235,7 +261,7 @@
 		return 0, false
 	}
 	count = p.New.over(at)
-	return count, count >= minSlow && isUnlikely(count, p.New.good(), slowExpected, slowChance)
+	return count, count >= minSlow && isUnlikely(count, p.New.timed(), slowExpected, slowChance)
 }
 
 func rate(part, whole int64) float64 {
@@ -256,7 +282,8 @@
 }
 
 // Pool adds up the evidence of several VMs for each route of one attempt, sorted
-// by route. Evidence of another step counts in the short windows only.
+// by route. Evidence of another step counts in the short windows only. Of the
+// first answers that all VMs had from an endpoint the slowest are left out.
 func Pool(all []Evidence, service string, attempt int64, step int) (pooled []Evidence) {
 	byRoute := map[string]*Evidence{}
 	for i := range all {
@@ -275,7 +302,9 @@
 		if evidence.StageStep == step {
 			sum.Stage.add(&evidence.Stage)
 		}
+		sum.Cold = append(sum.Cold, evidence.Cold...)
 	}
+	addWarm(byRoute)
 	for _, sum := range byRoute {
 		pooled = append(pooled, *sum)
 	}
@@ -283,6 +312,33 @@
 	return pooled
 }
 
+// addWarm counts those of the first answers from each endpoint that a cold start
+// can't explain: all but the coldRuns slowest, whichever route they were on.
+func addWarm(byRoute map[string]*Evidence) {
+	type routeAnswer struct {
+		bucket int
+		sum    *Evidence
+	}
+	byEndpoint := map[string][]routeAnswer{}
+	for _, sum := range byRoute {
+		for _, cold := range sum.Cold {
+			byEndpoint[cold.Endpoint] = append(byEndpoint[cold.Endpoint], routeAnswer{cold.Bucket, sum})
+		}
+		sum.Cold = nil
+	}
+	for _, answers := range byEndpoint {
+		sort.Slice(answers, func(i, j int) bool {
+			if answers[i].bucket != answers[j].bucket {
+				return answers[i].bucket > answers[j].bucket
+			}
+			return answers[i].sum.Route < answers[j].sum.Route
+		})
+		for _, answer := range answers[min(coldRuns, len(answers)):] {
+			answer.sum.Whole.New.recordLatency(answer.bucket)
+		}
+	}
+}
+
 // window is a ring of spans whose sum covers the last ones.
 type window struct {
 	span  clock.Millis
--- a/internal/policy/move/guard.go
+++ b/internal/policy/move/guard.go
@@ -83,6 +83,7 @@
 	tenMinutes    window
 	stage         Pair
 	whole         Pair
+	cold          []ColdAnswer
 	checkedAt     clock.Millis
 }
 
@@ -277,18 +278,21 @@
 	r := w.route(prefix)
 	r.giveBack(choice, outcome)
 	now := g.Clock.Now()
-	outcome = r.settled(outcome, micros, w.state.SlowPercent)
+	outcome = r.settled(outcome, micros, w.state.SlowPercent, choice.Cold != "")
 	if outcome == Unused {
 		return nil, nil
 	}
 	isGood := outcome == Good
 	for _, pair := range []*Pair{r.minute.roll(now), r.tenMinutes.roll(now), &r.stage, &r.whole} {
 		if choice.New {
-			pair.New.record(isGood, micros)
+			pair.New.record(isGood, choice.Cold != "", micros)
 		} else {
-			pair.Old.record(isGood, micros)
+			pair.Old.record(isGood, false, micros)
 		}
 	}
+	if choice.New && isGood && choice.Cold != "" {
+		r.cold = append(r.cold, ColdAnswer{Endpoint: choice.Cold, Bucket: bucket(micros)})
+	}
 	if !choice.New || w.state.Final() {
 		return nil, nil
 	}
@@ -314,12 +318,16 @@
 
 // settled says what a request tells that ended without an answer. One that was
 // given up tells nothing, unless it had already taken too long: then it counts as
-// a slow answer. One that met its deadline early tells nothing either.
-func (r *routeWatch) settled(outcome Outcome, micros int64, slowPercent int) Outcome {
+// a slow answer. One that met its deadline early tells nothing either; at a cold
+// endpoint that takes far longer.
+func (r *routeWatch) settled(outcome Outcome, micros int64, slowPercent int, isCold bool) Outcome {
 	if outcome != Abandoned && outcome != Late {
 		return outcome
 	}
 	at, known := slowBucket(&r.whole.Old, slowPercent)
+	if isCold && outcome == Late {
+		at += coldFactor
+	}
 	isSlow := known && bucket(micros) > at
 	switch {
 	case outcome == Late && (isSlow || !known):
@@ -465,6 +473,7 @@
 		}
 		evidence.Stage.add(&r.stage)
 		evidence.Whole.add(&r.whole)
+		evidence.Cold = append(evidence.Cold, r.cold...)
 		all = append(all, evidence)
 	}
 	return all
--- a/internal/policy/move/move.go
+++ b/internal/policy/move/move.go
@@ -120,6 +120,9 @@
 	Final bool
 	// Refuse says that the request can go to neither version now.
 	Refuse bool
+	// Cold names the endpoint that ran the request if it may have been cold, else
+	// it is empty. Answers of cold endpoints do not show that a version is slow.
+	Cold string
 	// attempt is the State's.
 	attempt int64
 	// counted says that the request counts as one of the new version's.
--- a/internal/policy/placement/grant.go
+++ b/internal/policy/placement/grant.go
@@ -42,15 +42,27 @@
 	g.placer.mu.Lock()
 	g.node.running--
 	g.health.running--
+	g.unsend()
 	g.placer.mu.Unlock()
 	g.placer.giveBack(g.node)
 }
 
+// unsend takes back that the request ran on a cold endpoint. Callers hold the
+// placer's mutex.
+func (g *Grant) unsend() {
+	if g.choice.Cold != "" && g.node.sent > 0 {
+		g.node.sent--
+	}
+}
+
 func (g *Grant) finish(result Result) {
 	g.placer.mu.Lock()
 	defer g.placer.mu.Unlock()
 	now := g.placer.Clock.Now()
 	g.node.running--
+	if result.Outcome == Shed {
+		g.unsend()
+	}
 	g.node.report(result, now)
 	if result.Outcome == Answered {
 		g.plan.observe(g.route.Prefix, result.Micros)
--- a/internal/policy/placement/node.go
+++ b/internal/policy/placement/node.go
@@ -13,6 +13,11 @@
 	ejectLongest  = 30 * clock.Second
 	// probationAnswers is how many answers end a probation or a cold start.
 	probationAnswers = 3
+	// coldRuns is how many requests a cold start may slow down.
+	coldRuns = 3
+	// exploreInterval is how many choices in a group it takes until a cold endpoint
+	// is preferred once.
+	exploreInterval = 32
 	// shedPause keeps an endpoint that shed a request from the next ones.
 	shedPause = 50 * clock.Millis(1)
 	// reportAge is how old a report may be to count.
@@ -50,6 +55,9 @@
 	// answers counts answers since the start or the last ejection, up to
 	// probationAnswers: below it the endpoint gets one request at a time.
 	answers int
+	// sent counts requests of this VM since the start or the last ejection, up to
+	// coldRuns: those run on a cold endpoint.
+	sent int
 	// reported is the last report's running count at reportedAt; -1 for none.
 	reported   int
 	reportedAt clock.Millis
@@ -68,23 +76,36 @@
 
 // cost orders endpoints: the smallest is used first. It is the expected time,
 // grown by what runs there; a trusted report of a fuller endpoint weighs less
-// than the VM's own count.
+// than the VM's own count. A cold endpoint's own time is not known yet: it counts
+// with its group's, and costs the more the fewer answers it gave. So few endpoints
+// are cold at one time, and cold ones take their share slowly.
 func (n *node) cost(now clock.Millis) int64 {
-	micros := n.micros
-	if micros == 0 {
-		micros = defaultMicros
-	}
+	micros := n.expected()
 	slots := int64(max(n.endpoint.Slots, 1))
 	cost := micros * (2*slots + 2*int64(n.running))
 	if n.trusted(now) {
 		cost += micros * int64(min(n.reported, n.endpoint.Slots))
 	}
 	if n.answers < probationAnswers {
-		cost += cost / 2
+		cost += cost * int64(probationAnswers-n.answers) / (2 * probationAnswers)
+		if n.group != nil && n.group.isExploring {
+			cost /= exploreInterval
+		}
 	}
 	return cost * int64(1+n.failures)
 }
 
+// expected is the time that a request is expected to take.
+func (n *node) expected() int64 {
+	if n.answers >= probationAnswers {
+		return n.micros
+	}
+	if n.group != nil && n.group.micros > 0 {
+		return n.group.micros
+	}
+	return defaultMicros
+}
+
 // trusted says whether the last report may be used: not when it is old, frozen
 // or below what the VM itself has running there.
 func (n *node) trusted(now clock.Millis) bool {
@@ -131,19 +152,30 @@
 
 func (n *node) answered(micros int64) {
 	n.failures = 0
-	if n.micros == 0 {
+	if n.answers < probationAnswers {
 		n.micros = max(micros, 1)
 	}
-	n.micros = max(n.micros+(micros-n.micros)/latencyWeight, 1)
+	n.micros = smooth(n.micros, micros)
 	if n.ejected {
 		n.ejected = false
 		n.group.ejected--
 	}
 	if n.answers < probationAnswers {
 		n.answers++
-	} else {
-		n.ejections = 0
+		return
+	}
+	n.ejections = 0
+	if n.group != nil {
+		n.group.micros = smooth(n.group.micros, micros)
+	}
+}
+
+// smooth returns the moving average after one more value.
+func smooth(average, micros int64) int64 {
+	if average == 0 {
+		average = micros
 	}
+	return max(average+(micros-average)/latencyWeight, 1)
 }
 
 // failed ejects the endpoint after some failures in a row, unless too large a
@@ -163,5 +195,5 @@
 	pause := ejectFirst << min(n.ejections, 5)
 	n.pausedUntil = now + min(pause, ejectLongest)
 	n.ejections++
-	n.answers = 0
+	n.answers, n.sent = 0, 0
 }
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -281,6 +281,11 @@
 	region.health.running++
 	node.running++
 	plan.served(request.Workspace, now)
+	choice = choice.For(node.endpoint.Version)
+	if node.sent < coldRuns {
+		node.sent++
+		choice.Cold = node.endpoint.Name
+	}
 	return &Grant{
 		Endpoint: node.endpoint,
 		placer:   p,
@@ -289,7 +294,7 @@
 		health:   region.health,
 		service:  request.Service,
 		route:    request.Route,
-		choice:   choice.For(node.endpoint.Version),
+		choice:   choice,
 	}
 }
 
--- a/internal/policy/placement/plan.go
+++ b/internal/policy/placement/plan.go
@@ -74,6 +74,11 @@
 	opened int
 	// ejected counts ejected nodes.
 	ejected int
+	// micros is the smoothed latency of warm nodes; 0 before the first answer.
+	micros int64
+	// choices counts choices; at times isExploring lets a cold node be preferred.
+	choices     int
+	isExploring bool
 	// ready are places in nodes that had a free slot when last seen, for large
 	// groups only.
 	ready    []int32
@@ -185,6 +190,8 @@
 			r.old.nodes = append(r.old.nodes, n)
 		}
 	}
+	// The VMs of a region warm up the same endpoints of a new version.
+	sort.Slice(r.fresh.nodes, func(i, j int) bool { return r.fresh.nodes[i].endpoint.Name < r.fresh.nodes[j].endpoint.Name })
 	return r
 }
 
@@ -208,6 +215,9 @@
 	for _, group := range []*members{&r.fresh, &r.old} {
 		for _, n := range group.nodes {
 			n.group = group
+			if n.answers >= probationAnswers {
+				group.micros = smooth(group.micros, n.micros)
+			}
 			if n.ejected {
 				group.ejected++
 			}
@@ -252,6 +262,9 @@
 // best returns the cheapest endpoint of a group that has a free slot, or nil.
 // Callers hold mu.
 func (p *Placer) best(group *members, request *Request, now clock.Millis) (chosen *node) {
+	group.choices++
+	group.isExploring = group.choices%exploreInterval == 0
+	defer func() { group.isExploring = false }()
 	if len(group.nodes) <= scanLimit {
 		for _, n := range group.nodes {
 			chosen = p.cheaper(chosen, n, request, now)
