Let a request wait out the loss of one holder of a small limit

The bound of 0.1% refused inside the rate, 1% in the 30 s after a VM died, was tested for the smallest workspace (rate 2, burst 4) at half its rate only, and not for the death of the VMs that hold a small limit. TestSmallestWorkspaceAtHalfItsRateIsServed goes: the same workspace is now held to the same bounds at 80%.

Cause: with the first holder half of the rate and of the burst is lost until the list drops it, and a wait of 1 s makes up for only part of that. The queue stays bounded by what is served in 1 s, so that a large workspace above its rate does not queue for longer.

A request waits for at most half of its deadline, so below 4 s of deadline the bounds are not met at burst 4.

--- a/internal/policy/divide/liveness_test.go
+++ b/internal/policy/divide/liveness_test.go
@@ -30,11 +30,11 @@
 	waiting sync.WaitGroup
 }
 
-func newTrial(share contract.Share, percent int64, pick func(*rand.Rand) int) *trial {
+func newTrial(share contract.Share, percent int64, pick func(*rand.Rand) int, seed uint64) *trial {
 	totals := map[contract.Resource]divide.Total{contract.RateOf("artes", "large"): {Share: share}}
 	f := newTimedFleet(9, totals)
 	f.rest()
-	return &trial{fleet: f, share: share, percent: percent, pick: pick, random: rand.New(rand.NewPCG(4, 4)), central: newOracle(totals)}
+	return &trial{fleet: f, share: share, percent: percent, pick: pick, random: rand.New(rand.NewPCG(4, seed)), central: newOracle(totals)}
 }
 
 func spread(random *rand.Rand) int { return random.IntN(9) }
@@ -46,29 +46,45 @@
 	return random.IntN(9)
 }
 
-// run offers load for a time. Requests come at random moments; those that one
-// central bucket would refuse are not inside the rate and are not offered.
+// tickInterval is the time between two ticks of the fleet.
+const tickInterval = 250 * clock.Millis(1)
+
+// run offers load for a time. Requests come at random moments, counted in whole
+// milliseconds.
 func (r *trial) run(duration clock.Millis) {
-	resource := contract.RateOf("artes", "large")
 	mean := float64(r.share.Rate*r.percent) / 100 / contract.Request / float64(clock.Second)
-	for at := range duration {
-		if at%250 == 0 {
+	arrival := r.random.ExpFloat64() / mean
+	passed := clock.Millis(0)
+	for at := range duration + 1 {
+		ticks := at%tickInterval == 0
+		if !ticks && arrival >= float64(at) && at < duration {
+			continue
+		}
+		r.fleet.pass(at - passed)
+		passed = at
+		for ; arrival < float64(at); arrival += r.random.ExpFloat64() / mean {
+			r.offerConforming()
+		}
+		if ticks && at < duration {
 			r.fleet.mu.Lock()
 			r.fleet.tick()
 			r.fleet.mu.Unlock()
 		}
-		r.fleet.pass(1)
-		for arrival := r.random.ExpFloat64() / mean; arrival < 1; arrival += r.random.ExpFloat64() / mean {
-			before := r.central.level(resource)
-			if r.central.admit(r.fleet.clock.Now(), resource, contract.Request) != nil {
-				r.central.queues[resource].level = before
-				continue
-			}
-			r.offer()
-		}
 	}
 }
 
+// offerConforming offers a request unless one central bucket would refuse it: then
+// it is not inside the rate.
+func (r *trial) offerConforming() {
+	resource := contract.RateOf("artes", "large")
+	before := r.central.level(resource)
+	if r.central.admit(r.fleet.clock.Now(), resource, contract.Request) != nil {
+		r.central.queues[resource].level = before
+		return
+	}
+	r.offer()
+}
+
 // finish waits for the last answers, and for the goroutines that look for tokens.
 func (r *trial) finish() {
 	r.waiting.Wait()
@@ -97,51 +113,64 @@
 	})
 }
 
-// shares are rates and bursts of the users' workspaces.
+// shares are rates and bursts of the users' workspaces, and one between.
 var shares = map[string]contract.Share{
+	"2 per second, burst 4":       {Rate: 2_000, Size: 4_000},
+	"6 per second, burst 12":      {Rate: 6_000, Size: 12_000},
 	"8 per second, burst 16":      {Rate: 8_000, Size: 16_000},
 	"40 per second, burst 80":     {Rate: 40_000, Size: 80_000},
 	"250 per second, burst 500":   {Rate: 250_000, Size: 500_000},
 	"1300 per second, burst 2600": {Rate: 1_300_000, Size: 2_600_000},
 }
 
-// smallest is the least of the users' workspaces.
-var smallest = contract.Share{Rate: 2_000, Size: 4_000}
-
 var callers = map[string]func(*rand.Rand) int{"spread": spread, "leaning on one VM": lean}
 
-// nobody stands for no VM that dies.
-const nobody = -1
+const (
+	// conforming is the mean load, in percent of the rate.
+	conforming = 80
+	// nobody stands for no VM that dies.
+	nobody = -1
+	// enough is how many requests make a thousandth, or after a death a hundredth,
+	// of them more than one.
+	enough, enoughAfterDeath = 4000, 400
+)
 
-// expectServed offers load for a minute, or for 30 s after a VM died, and fails
-// if more than the given thousandths of the requests are refused. The platform's
-// list drops the dead VM after 2 s; when the divider died, another VM gets the
-// lease 3 s after that.
-func expectServed(t *testing.T, share contract.Share, percent int64, pick func(*rand.Rand) int, dead int, thousandths int64) {
+// expectServed offers load for up to 10 minutes, or for 30 s after a VM died, with
+// as many seeds as it takes to offer enough requests, and fails if the given
+// thousandths of them or more are refused. The platform's list drops the dead VM
+// after 2 s; when the divider died, another VM gets the lease 3 s after that.
+func expectServed(t *testing.T, share contract.Share, pick func(*rand.Rand) int, dead int, thousandths int64) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		r := newTrial(share, percent, pick)
-		r.run(20 * clock.Second)
-		r.offered = 0
-		r.refused.Store(0)
-		if dead == nobody {
-			r.run(measureFor(share))
-		} else {
-			r.outlive(dead)
-		}
-		r.finish()
-		t.Logf("%d of %d refused", r.refused.Load(), r.offered)
-		g.Expect(r.fleet.err).NotTo(HaveOccurred())
-		g.Expect(r.refused.Load()*1000).To(BeNumerically("<", int64(r.offered)*thousandths), "%d of %d refused", r.refused.Load(), r.offered)
-	})
+	g := NewWithT(t)
+	wanted := enough
+	if dead != nobody {
+		wanted = enoughAfterDeath
+	}
+	offered, refused := 0, int64(0)
+	for seed := uint64(1); offered < wanted; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			r := newTrial(share, conforming, pick, seed)
+			r.run(20 * clock.Second)
+			r.offered = 0
+			r.refused.Store(0)
+			if dead == nobody {
+				r.run(measureFor(share))
+			} else {
+				r.outlive(dead)
+			}
+			r.finish()
+			NewWithT(t).Expect(r.fleet.err).NotTo(HaveOccurred())
+			offered += r.offered
+			refused += r.refused.Load()
+		})
+	}
+	t.Logf("%d of %d refused", refused, offered)
+	g.Expect(refused*1000).To(BeNumerically("<", int64(offered)*thousandths), "%d of %d refused", refused, offered)
 }
 
-// measureFor returns how long it takes to offer enough requests that a thousandth
-// of them is more than one.
+// measureFor returns how long one seed is played.
 func measureFor(share contract.Share) clock.Millis {
-	const requests = 4000
-	full := clock.Millis(requests * contract.Request * int64(clock.Second) / share.Rate)
+	full := clock.Millis(enough * contract.Request * int64(clock.Second) / share.Rate)
 	return min(max(full, 30*clock.Second), 10*clock.Minute)
 }
 
@@ -159,26 +188,18 @@
 func TestWorkspaceInsideItsRateIsServed(t *testing.T) {
 	for name, share := range shares {
 		for who, pick := range callers {
-			t.Run(name+", "+who, func(t *testing.T) { expectServed(t, share, 80, pick, nobody, 1) })
+			t.Run(name+", "+who, func(t *testing.T) { expectServed(t, share, pick, nobody, 1) })
 		}
 	}
 }
 
+// VMs 1 and 2 hold the whole of a small limit while callers spread their requests.
 func TestWorkspaceInsideItsRateIsServedAfterVMDied(t *testing.T) {
 	for name, share := range shares {
 		for who, pick := range callers {
-			for victim, dead := range map[string]int{"divider": 0, "leant on": 3, "other": 5} {
-				t.Run(name+", "+who+", "+victim, func(t *testing.T) { expectServed(t, share, 80, pick, dead, 10) })
+			for victim, dead := range map[string]int{"divider": 0, "first holder": 1, "second holder": 2, "leant on": 3, "other": 5} {
+				t.Run(name+", "+who+", "+victim, func(t *testing.T) { expectServed(t, share, pick, dead, 10) })
 			}
 		}
 	}
 }
-
-// A burst of 4 is held by two VMs, so that the loss of one is the loss of half.
-// At half its rate the workspace is served; nearer to the rate it is not always,
-// see docs/design/limits.md.
-func TestSmallestWorkspaceAtHalfItsRateIsServed(t *testing.T) {
-	for who, pick := range callers {
-		t.Run(who, func(t *testing.T) { expectServed(t, smallest, 50, pick, nobody, 1) })
-	}
-}
--- a/internal/policy/limit/remote.go
+++ b/internal/policy/limit/remote.go
@@ -13,9 +13,13 @@
 )
 
 const (
-	// DefaultMaxWait is a Limiter's MaxWait in an entry VM.
-	DefaultMaxWait = 1000 * clock.Millis(1)
+	// DefaultMaxWait is a Limiter's MaxWait in an entry VM. It spans the time in
+	// which a dead VM's share is lost, until the platform's list drops the VM.
+	DefaultMaxWait = 3 * clock.Second
 
+	// queueSpan bounds a queue to what may be served in that time, so that a
+	// workspace of a high rate that is exceeded does not wait for MaxWait.
+	queueSpan = 1 * clock.Second
 	// minWaiting and maxWaiting bound the limit on one workspace's queue.
 	minWaiting = 32
 	maxWaiting = 2048
@@ -174,7 +178,7 @@
 // of what an over-rate workspace sends is refused at once.
 func (g *gate) queueLimitLocked() int {
 	perSecond := g.part.Share().Rate/contract.Request + max(g.fromPeers.last, g.fromPeers.current)
-	served := perSecond * int64(g.limiter.MaxWait) / int64(clock.Second)
+	served := perSecond * int64(min(g.limiter.MaxWait, queueSpan)) / int64(clock.Second)
 	return int(min(minWaiting+served, maxWaiting))
 }
 
