Measure the decisions under load beside two baselines

standin measure plays one firm's load in a scenario against the real entry processes, an even split with round robin, and nearest region first without caps, with the same seed. Service times are drawn from the request's path, so that each request's floor is known and the same for all three. Callers dial from numbers of their region's client blocks and ask the system which entry VMs to use.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -21,7 +21,7 @@
 
 func main() {
 	app := kingpin.New("standin", "Stand-ins of the platform and of endpoints, for trials and tests.")
-	commands := []command{storeCommand(app), endpointCommand(app), endpointsCommand(app), demoCommand(app), capacityCommand(app)}
+	commands := []command{storeCommand(app), endpointCommand(app), endpointsCommand(app), demoCommand(app), capacityCommand(app), measureCommand(app)}
 	commands = append(commands, faultsCommands(app)...)
 	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
--- /dev/null
+++ b/cmd/standin/measure.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/sirupsen/logrus"
+
+	"baobabladder.example/baobabladder/examples"
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/standin/measure"
+)
+
+func measureCommand(app *kingpin.Application) command {
+	clause := app.Command("measure", "Play a firm's load in a scenario and compare the decisions with two baselines.")
+	firm := clause.Flag("firm", "The firm.").Default(examples.MunroLennox).Enum(examples.Firms()...)
+	scenario := clause.Flag("scenario", "The scenario.").Default(measure.OrdinaryDay).Enum(measure.Scenarios()...)
+	policies := clause.Flag("policy", "A policy; may be repeated; all by default.").Enums(measure.Policies()...)
+	seed := clause.Flag("seed", "Seed of the load.").Default("1").Uint64()
+	seconds := clause.Flag("seconds", "How long the load is scored.").Default("12").Int()
+	stretch := clause.Flag("stretch", "Multiply the catalogue's service time and divide its rates by this.").Default("1").Int()
+	output := clause.Flag("output", "Form of the figures.").Default("text").Enum("text", "json")
+	file := clause.Flag("plot", "Write the percentiles over the floor to this file, such as over.svg.").String()
+	verbose := clause.Flag("verbose", "Write the entry VMs' logs to standard error.").Bool()
+	return command{clause, func(ctx context.Context) error {
+		log := logrus.New()
+		if !*verbose {
+			log.SetOutput(io.Discard)
+		}
+		if len(*policies) == 0 {
+			*policies = measure.Policies()
+		}
+		var rows []*measure.Row
+		for _, policy := range *policies {
+			row, err := (&measure.Measure{
+				Firm: *firm, Scenario: *scenario, Policy: policy, Seed: *seed,
+				Length: clock.Millis(*seconds) * clock.Second, Stretch: max(1, *stretch), Log: log,
+			}).Run(ctx)
+			if err != nil {
+				return err
+			}
+			rows = append(rows, row)
+		}
+		if *file != "" {
+			if err := measure.Plot(*file, rows); err != nil {
+				return err
+			}
+		}
+		if *output == "json" {
+			return json.NewEncoder(os.Stdout).Encode(rows)
+		}
+		return measure.Print(os.Stdout, rows)
+	}}
+}
--- a/internal/standin/firm/firm.go
+++ b/internal/standin/firm/firm.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"regexp"
 	"sync"
+	"sync/atomic"
 
 	"github.com/joomcode/errorx"
 	"github.com/sirupsen/logrus"
@@ -22,6 +23,7 @@
 	"baobabladder.example/baobabladder/internal/standin/endpoint"
 	"baobabladder.example/baobabladder/internal/standin/link"
 	"baobabladder.example/baobabladder/internal/standin/store"
+	wireCaller "baobabladder.example/baobabladder/internal/wire/caller"
 	wire "baobabladder.example/baobabladder/internal/wire/store"
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
@@ -63,9 +65,13 @@
 	// Keys has one key for each workspace, in the documents' order.
 	Keys []Key
 
-	client   *wire.Client
-	storeURL string
-	running  sync.WaitGroup
+	// listed is what callers may be told of the entry VMs; it is set before they start.
+	listed []wireCaller.EntryVM
+	// documents are the services in force, for Documents.
+	documents atomic.Pointer[[]*document.Service]
+	client    *wire.Client
+	storeURL  string
+	running   sync.WaitGroup
 	// stopAll ends everything that runs.
 	stopAll context.CancelFunc
 }
@@ -269,12 +275,30 @@
 	for _, listener := range listeners {
 		_ = listener.Close()
 	}
+	for _, read := range all {
+		f.listed = append(f.listed, wireCaller.EntryVM{Name: read.Name, Address: read.CallerAddress, Region: read.Region, DataCentre: read.DataCentre})
+	}
+	f.noteDocuments()
 	for _, read := range all {
 		f.Entries = append(f.Entries, f.StartEntry(ctx, read))
 	}
 	return nil
 }
 
+// ListedEntries returns all entry VMs as callers may be told of them.
+func (f *Firm) ListedEntries() []wireCaller.EntryVM { return f.listed }
+
+// Documents returns the services in force.
+func (f *Firm) Documents() []*document.Service { return *f.documents.Load() }
+
+func (f *Firm) noteDocuments() {
+	var services []*document.Service
+	for _, service := range f.Services {
+		services = append(services, service.Service)
+	}
+	f.documents.Store(&services)
+}
+
 // awaitReady waits until each entry VM answers an open look-up.
 func (f *Firm) awaitReady(ctx context.Context, timeout clock.Millis) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
--- a/internal/standin/firm/operator.go
+++ b/internal/standin/firm/operator.go
@@ -56,6 +56,7 @@
 		revision = applied.Revision
 	}
 	owner.Service, owner.Text, owner.Revision = parsed.Service, text, revision
+	f.noteDocuments()
 	return nil
 }
 
--- a/internal/standin/firm/route.go
+++ b/internal/standin/firm/route.go
@@ -34,3 +34,6 @@
 	}
 	return true
 }
+
+// StoreRegion is the region that holds the store.
+func (f *Firm) StoreRegion() string { return storePlaces[f.Name].Region }
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sort"
 	"sync"
 	"time"
@@ -22,6 +23,8 @@
 	DataCentre string
 	// Client says that the process is a caller outside the data centres.
 	Client bool
+	// Source, if valid, is the IP number from which the process dials.
+	Source netip.Addr
 }
 
 // Network is the links between places. Its zero value adds nothing; set its
@@ -122,7 +125,7 @@
 		if err := sleepMicros(ctx.Done(), trip); err != nil {
 			return nil, err
 		}
-		raw, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		raw, err := from.dialer().DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
@@ -130,6 +133,13 @@
 	}
 }
 
+func (p Place) dialer() *net.Dialer {
+	if !p.Source.IsValid() {
+		return &net.Dialer{}
+	}
+	return &net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(p.Source, 0))}
+}
+
 func (n *Network) place(address string) Place {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- /dev/null
+++ b/internal/standin/measure/scenario.go
@@ -0,0 +1,191 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/document"
+	"baobabladder.example/baobabladder/internal/standin/endpoint"
+	"baobabladder.example/baobabladder/internal/standin/firm"
+	"baobabladder.example/baobabladder/internal/standin/store"
+)
+
+// Names of the scenarios.
+const (
+	OrdinaryDay  = "ordinary-day"
+	LargeTimes5  = "large-times-five"
+	LeaningOnOne = "leaning-on-one"
+	RegionLost   = "region-lost"
+	Drain        = "drain"
+	PairCut      = "pair-cut"
+	StoreDown    = "store-down"
+	FrozenLoad   = "reports-frozen"
+	LyingLoad    = "reports-lying"
+	Two          = "region-lost-store-down"
+)
+
+// Scenarios lists the scenarios' names.
+func Scenarios() []string {
+	return []string{OrdinaryDay, LargeTimes5, LeaningOnOne, RegionLost, Drain, PairCut, StoreDown, FrozenLoad, LyingLoad, Two}
+}
+
+// step is a change during a run, at a part of its length in percent.
+type step struct {
+	percent int
+	do      func(ctx context.Context, run *run) error
+}
+
+// scenarioSteps returns what changes during a scenario.
+func scenarioSteps(name string) []step {
+	switch name {
+	case RegionLost:
+		return []step{{25, loseRegion}, {65, returnRegion}}
+	case Drain:
+		return []step{{30, drain}}
+	case PairCut:
+		return []step{{25, cutPair(true)}, {70, cutPair(false)}}
+	case StoreDown:
+		return []step{{20, storeDown(true)}, {40, killEntry}, {80, storeDown(false)}}
+	case FrozenLoad:
+		return []step{{20, spoilReports(endpoint.ReportFault{Frozen: true})}}
+	case LyingLoad:
+		idle := 0
+		return []step{{20, spoilReports(endpoint.ReportFault{Running: &idle})}}
+	case Two:
+		return []step{{20, storeDown(true)}, {30, loseRegion}, {65, returnRegion}, {85, storeDown(false)}}
+	}
+	return nil
+}
+
+// lostRegion is the last region of the document that does not hold the store.
+func (r *run) lostRegion() string {
+	regions := r.firm.Fleet.Regions
+	for _, region := range regions {
+		if region.Name != r.firm.StoreRegion() {
+			return region.Name
+		}
+	}
+	return regions[0].Name
+}
+
+// loseRegion ends a region's entry VMs and cuts its endpoints off.
+func loseRegion(_ context.Context, r *run) error {
+	lost := r.lostRegion()
+	r.watcher.leaveOut(lost, true)
+	for _, service := range r.firm.Documents() {
+		for _, endpoint := range service.Endpoints {
+			if endpoint.Region == lost {
+				r.firm.Network.CutVM(endpoint.Name, true)
+			}
+		}
+	}
+	for _, entry := range r.firm.Entries {
+		if entry.Settings.Region == lost {
+			r.kill(entry)
+		}
+	}
+	return nil
+}
+
+// kill ends an entry VM as a loss of power does, as far as others can tell. The
+// platform's list drops it.
+func (r *run) kill(entry *firm.Entry) {
+	r.firm.Network.CutVM(entry.Settings.Name, true)
+	entry.Gone = true
+	entry.Stop()
+	r.firm.Store.DropVM(entry.Settings.Name)
+}
+
+// returnRegion starts a lost region cold.
+func returnRegion(ctx context.Context, r *run) error {
+	lost := r.lostRegion()
+	for _, service := range r.firm.Documents() {
+		for _, endpoint := range service.Endpoints {
+			if endpoint.Region == lost {
+				r.firm.Endpoints[endpoint.Name].Chill()
+				r.firm.Network.CutVM(endpoint.Name, false)
+			}
+		}
+	}
+	for i, entry := range r.firm.Entries {
+		if entry.Settings.Region != lost {
+			continue
+		}
+		select {
+		case <-entry.Ended:
+		case <-firm.After(ctx, endWait):
+			r.notes = append(r.notes, entry.Settings.Name+" did not end and stays out")
+			continue
+		}
+		r.firm.Network.CutVM(entry.Settings.Name, false)
+		r.firm.Entries[i] = r.firm.StartEntry(ctx, entry.Settings)
+	}
+	return nil
+}
+
+// endWait is how long the return of a region waits for an entry VM's old process.
+const endWait = 500 * clock.Millis(1)
+
+// drain empties the first data centre of the store's region.
+func drain(ctx context.Context, r *run) error {
+	var name string
+	for _, region := range r.firm.Fleet.Regions {
+		if region.Name == r.firm.StoreRegion() {
+			name = region.DataCentres[0]
+		}
+	}
+	r.watcher.drain(name)
+	r.drainedAt = r.clock.Now()
+	for _, service := range r.firm.Services {
+		if !slices.ContainsFunc(service.Endpoints, func(e document.Endpoint) bool { return e.DataCentre == name }) {
+			continue
+		}
+		text := service.Text + fmt.Sprintf("\n[drain %s]\nkind = %s\n", name, document.DrainDataCentre)
+		if err := r.firm.Apply(ctx, service, text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// cutPair cuts or heals the links between the two regions without the store.
+func cutPair(isCut bool) func(ctx context.Context, r *run) error {
+	return func(_ context.Context, r *run) error {
+		var pair []string
+		for _, region := range r.firm.Fleet.Regions {
+			if region.Name != r.firm.StoreRegion() {
+				pair = append(pair, region.Name)
+			}
+		}
+		r.firm.Network.CutPair(pair[0], pair[1], isCut)
+		return nil
+	}
+}
+
+func storeDown(isDown bool) func(ctx context.Context, r *run) error {
+	return func(_ context.Context, r *run) error {
+		r.firm.Store.SetFaults(store.Faults{Down: isDown})
+		return nil
+	}
+}
+
+func killEntry(_ context.Context, r *run) error {
+	r.kill(r.firm.Entries[0])
+	return nil
+}
+
+// spoilReports lets each second endpoint report its load wrongly.
+func spoilReports(fault endpoint.ReportFault) func(ctx context.Context, r *run) error {
+	return func(_ context.Context, r *run) error {
+		for _, service := range r.firm.Documents() {
+			for i := range service.Endpoints {
+				if i%2 == 0 {
+					r.firm.Endpoints[service.Endpoints[i].Name].SetFaults(endpoint.Faults{Report: fault})
+				}
+			}
+		}
+		return nil
+	}
+}
