Lend slots only to an incarnation that the lender's view shows

A loan to an incarnation of which only the lender had heard stayed lent for ever: when the list dropped the borrower, the lender's view named the incarnation before it. Now a lender gives nothing to an incarnation that its view does not show, and the borrower asks another peer.

--- a/internal/policy/divide/fleet_test.go
+++ b/internal/policy/divide/fleet_test.go
@@ -372,7 +372,7 @@
 	request := n.holder.AskLoan(vm.ID{Name: lender.name, Incarnation: n.list[lender.name]}, []contract.Resource{endpoint})
 	from := n.holder.Self
 	f.post(lender.name, 0, func(to *node) {
-		reply := to.holder.Lend(request)
+		reply := to.holder.Lend(request, to.list[from.Name])
 		if giveUp {
 			return
 		}
--- /dev/null
+++ b/internal/policy/divide/follow_test.go
@@ -0,0 +1,60 @@
+package divide_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/policy/divide"
+	"baobabladder.example/baobabladder/internal/world/contract"
+)
+
+// follow returns how long the share of the VM that gets all calls takes to reach
+// nine tenths of the cap of a third, at conforming load.
+func follow(f *fleet, n *node, resource contract.Resource, total contract.Share) clock.Millis {
+	const step = 50 * clock.Millis(1)
+	for took := clock.Millis(0); took < 2*clock.Minute; took += step {
+		if n.holder.Part(resource).Share().Rate*10 >= total.Rate/3*9 {
+			return took
+		}
+		f.call(n, resource, total.Rate*conforming/100*int64(step)/int64(clock.Second))
+		f.manual.Advance(step)
+		if took%tickInterval == 0 {
+			f.tick()
+		}
+	}
+	return 2 * clock.Minute
+}
+
+// call lets a VM's callers ask for an amount in whole requests.
+func (f *fleet) call(n *node, resource contract.Resource, amount int64) {
+	for ; amount >= contract.Request; amount -= contract.Request {
+		n.holder.Part(resource).Take(contract.Request)
+	}
+}
+
+func TestSharesFollowTheCalls(t *testing.T) {
+	for name, total := range map[string]contract.Share{
+		"40 per second, burst 80":     {Rate: 40_000, Size: 80_000},
+		"250 per second, burst 500":   {Rate: 250_000, Size: 500_000},
+		"1300 per second, burst 2600": {Rate: 1_300_000, Size: 2_600_000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			resource := contract.RateOf("artes", "large")
+			f := newFleet(9, map[contract.Resource]divide.Total{resource: {Share: total}})
+			f.rest()
+			fromRest := follow(f, f.nodes[3], resource, total)
+			for range 60 {
+				f.call(f.nodes[3], resource, total.Rate*conforming/100)
+				f.manual.Advance(clock.Second)
+				f.tick()
+			}
+			moved := follow(f, f.nodes[4], resource, total)
+			t.Logf("from rest %d ms, from another VM %d ms", fromRest, moved)
+			g.Expect(fromRest).To(BeNumerically("<=", clock.Second))
+			g.Expect(moved).To(BeNumerically("<=", 4*clock.Second))
+		})
+	}
+}
