--- a/internal/standin/measure/measure.go
+++ b/internal/standin/measure/measure.go
@@ -74,6 +74,12 @@
 	FreeSlotsWhere string  `json:"free_slots_where"`
 	FreeLink       float64 `json:"free_link"`
 	FreeLinkWhere  string  `json:"free_link_where"`
+	// LostShare is the worst workspace's served share of what was sent while a
+	// region was lost; LostBound is what the other regions' slots could serve of
+	// that service's load at best. Both are -1 where none was lost.
+	LostShare float64 `json:"lost_share"`
+	LostBound float64 `json:"lost_bound"`
+	LostWorst Fate    `json:"lost_worst"`
 	// DrainMs is -1 where nothing was drained.
 	DrainMs       clock.Millis `json:"drain_ms"`
 	WorstShare    float64      `json:"worst_share"`
@@ -113,7 +119,10 @@
 	samples   samples
 	clock     clock.Clock
 	drainedAt clock.Millis
-	notes     []string
+	// start is when the load began; a region was lost from lostAt to backAt, 0 for
+	// never.
+	start, lostAt, backAt clock.Millis
+	notes                 []string
 }
 
 // serviceTimes are the mean service times by firm and document.
@@ -208,6 +217,7 @@
 	defer stopWatching()
 	go r.watcher.run(watching)
 	start := r.clock.Now()
+	r.start = start
 	var steps sync.WaitGroup
 	steps.Go(func() { r.step(ctx, start+warmTime) })
 	cpu := cpuMicros()
@@ -312,6 +322,7 @@
 	if r.drainedAt >= 0 {
 		row.DrainMs = r.watcher.emptyAt - r.drainedAt
 	}
+	r.scoreLoss(row, ended)
 	r.count(row, ended)
 	row.SecondShares = secondShares(ended)
 	calls := r.firm.Store.Calls()
@@ -319,6 +330,48 @@
 	return row
 }
 
+// scoreLoss looks at what was sent while a region was lost.
+func (r *run) scoreLoss(row *Row, ended []Sample) {
+	row.LostShare, row.LostBound = -1, -1
+	if r.backAt == 0 {
+		return
+	}
+	from, to := int64(r.lostAt-r.start)*1000, int64(r.backAt-r.start)*1000
+	var sent []Sample
+	for _, sample := range ended {
+		if sample.At >= from && sample.At < to {
+			sent = append(sent, sample)
+		}
+	}
+	row.LostWorst = worst(fates(sent))
+	row.LostShare = row.LostWorst.ServedShare()
+	for _, service := range r.firm.Documents() {
+		if service.Name == row.LostWorst.Service {
+			row.LostBound = lossBound(service, r.lostRegion(), sent, r.times()[service.Name], r.backAt-r.lostAt)
+		}
+	}
+}
+
+// lossBound is the share of a service's load within the rates that the slots
+// outside the lost region can run in a length of time.
+func lossBound(service *document.Service, lost string, sent []Sample, serviceTime, length clock.Millis) float64 {
+	slots, within := 0, 0
+	for _, endpoint := range service.Endpoints {
+		if endpoint.Region != lost {
+			slots += endpoint.Slots
+		}
+	}
+	for i := range sent {
+		if sent[i].Service == service.Name && sent[i].Within {
+			within++
+		}
+	}
+	if within == 0 {
+		return 1
+	}
+	return min(1, float64(slots)*float64(length)/float64(serviceTime)/float64(within))
+}
+
 // leastLink returns the least free share of any link's bandwidth in any second
 // since the start.
 func (r *run) leastLink() (least float64, where string) {
--- a/internal/standin/measure/print.go
+++ b/internal/standin/measure/print.go
@@ -46,6 +46,10 @@
 			row.Worst.Service, row.Worst.Workspace, row.FreeSlotsWhere, row.FreeLinkWhere, reasonsText(row.Reasons), strings.Join(row.Notes, "; "))
 	}
 	for _, row := range rows {
+		if row.LostShare >= 0 {
+			fmt.Fprintf(w, "%s: while a region was lost: worst workspace %.1f%% of its requests in time, bound %.1f%% (%s/%s)\n", row.Policy,
+				row.LostShare*100, row.LostBound*100, row.LostWorst.Service, row.LostWorst.Workspace)
+		}
 		fmt.Fprintf(w, "%s: %% in time by second %s\n", row.Policy, secondsText(row.SecondShares))
 	}
 	return w.Flush()
--- a/internal/standin/measure/scenario.go
+++ b/internal/standin/measure/scenario.go
@@ -73,6 +73,7 @@
 // loseRegion ends a region's entry VMs and cuts its endpoints off.
 func loseRegion(_ context.Context, r *run) error {
 	lost := r.lostRegion()
+	r.lostAt = r.clock.Now()
 	r.watcher.leaveOut(lost, true)
 	for _, service := range r.firm.Documents() {
 		for _, endpoint := range service.Endpoints {
@@ -101,6 +102,7 @@
 // returnRegion starts a lost region cold.
 func returnRegion(ctx context.Context, r *run) error {
 	lost := r.lostRegion()
+	r.backAt = r.clock.Now()
 	for _, service := range r.firm.Documents() {
 		for _, endpoint := range service.Endpoints {
 			if endpoint.Region == lost {
