Let a VM that is short of a link's bytes ask the peers of its region

One VM could send over at most a third of a link, because bytes were not taken remotely. It now asks its region's peers for what waits, at most 64 KiB and one question for a link at a time; the peer spends the bytes at that moment, and one that had too few rests. VMs of other regions, which do not send over the link, no longer have a share of it.

Ignored rests of a peer without tokens or without slots were caught by no test; TestPeerWithoutTokensRests and TestPeerWithoutFreeSlotIsNotAskedForEachRequest catch them.

--- a/internal/control/divider/neighbours.go
+++ b/internal/control/divider/neighbours.go
@@ -25,10 +25,23 @@
 
 // Near implements limit.Peers.
 func (n *Neighbours) Near() []string {
-	near := n.near()
-	names := make([]string, len(near))
-	for i := range near {
-		names[i] = near[i].Name
+	return names(n.near())
+}
+
+// NearInRegion implements limit.Peers.
+func (n *Neighbours) NearInRegion() []string {
+	view := n.View()
+	self := view.Member(view.Self)
+	if self == nil {
+		return nil
+	}
+	return names(slices.DeleteFunc(n.near(), func(m membership.Member) bool { return m.Region != self.Region }))
+}
+
+func names(members []membership.Member) []string {
+	names := make([]string, len(members))
+	for i := range members {
+		names[i] = members[i].Name
 	}
 	return names
 }
--- a/internal/policy/divide/deal.go
+++ b/internal/policy/divide/deal.go
@@ -41,6 +41,8 @@
 	// isDivider says that the VM keeps the ledger. While it is dead nobody moves
 	// shares, so the few shares of a small rate are better held by others.
 	isDivider bool
+	// excluded says that the VM cannot use the resource.
+	excluded bool
 	// share is what dealing gave the VM.
 	share contract.Share
 }
@@ -120,7 +122,8 @@
 // weightScale is what the weights of withFloor sum to.
 const weightScale = 1 << 20
 
-// withFloor scales the claims to weightScale and adds the floor.
+// withFloor scales the claims to weightScale and adds the floor. An excluded claim
+// has no weight.
 func withFloor(claims []claim) []int64 {
 	weights := make([]int64, len(claims))
 	var sum int64
@@ -134,6 +137,9 @@
 	for i := range claims {
 		part := float64(claims[i].weight) / float64(sum) * float64(weightScale-floor)
 		weights[i] = max(1, int64(part)+floor/int64(len(claims)))
+		if claims[i].excluded {
+			weights[i] = 0
+		}
 	}
 	return weights
 }
--- a/internal/policy/divide/fleet_test.go
+++ b/internal/policy/divide/fleet_test.go
@@ -342,6 +342,13 @@
 	}
 }
 
+// sendFar sends what the VM's own share and its peers' give.
+func (f *fleet) sendFar(n *node, link contract.Resource, most int64) {
+	if bytes := n.limiter.TakeBytes(context.Background(), link, most); bytes > 0 {
+		f.note(f.oracle.admit(f.clock.Now(), link, bytes))
+	}
+}
+
 func (f *fleet) take(n *node, endpoint contract.Resource) bool {
 	if !n.holder.Part(endpoint).TakeSlot() {
 		return false
@@ -426,6 +433,10 @@
 	return names
 }
 
+func (p *peers) NearInRegion() []string {
+	return slices.DeleteFunc(p.Near(), func(name string) bool { return p.fleet.node(name).place.Region != p.self.place.Region })
+}
+
 func (p *peers) Take(_ context.Context, peer string, request limit.TakeRequest) (limit.TakeReply, error) {
 	if p.fleet.roundTrip > 0 {
 		time.Sleep(p.fleet.roundTrip.Duration())
--- a/internal/policy/divide/machine_test.go
+++ b/internal/policy/divide/machine_test.go
@@ -98,6 +98,9 @@
 				f.send(n, link, rapid.Int64Range(1, 60_000).Draw(t, "bytes"))
 			}
 		},
+		"send far": func(t *rapid.T) {
+			f.sendFar(some(t, f, acts), link, rapid.Int64Range(1, 250_000).Draw(t, "bytes"))
+		},
 		"take": func(t *rapid.T) {
 			n := some(t, f, acts)
 			for range rapid.IntRange(1, 4).Draw(t, "slots") {
--- a/internal/policy/divide/totals.go
+++ b/internal/policy/divide/totals.go
@@ -23,7 +23,9 @@
 // Total is a whole limit.
 type Total struct {
 	contract.Share
-	// Place is where the endpoint of a KindSlots resource stands.
+	// Place is where the endpoint of a KindSlots resource stands. Of a KindLink
+	// resource it has the region in which the link begins, whose VMs alone send over
+	// it, or nothing if that is not known.
 	Place Place
 }
 
@@ -76,7 +78,7 @@
 	for _, link := range fleet.Links {
 		rate := int64(link.Mbit) * bytesPerMbit
 		share := contract.Share{Rate: rate, Size: rate * int64(linkBurst) / int64(clock.Second)}
-		totals[contract.LinkOf(link.A, link.B)] = Total{Share: share}
-		totals[contract.LinkOf(link.B, link.A)] = Total{Share: share}
+		totals[contract.LinkOf(link.A, link.B)] = Total{Share: share, Place: Place{Region: link.A}}
+		totals[contract.LinkOf(link.B, link.A)] = Total{Share: share, Place: Place{Region: link.B}}
 	}
 }
--- a/internal/policy/limit/limit.go
+++ b/internal/policy/limit/limit.go
@@ -21,22 +21,18 @@
 	minRetryAfter = 10 * clock.Millis(1)
 	// unknownRetryAfter is the retry hint when no VM said when it will have a token.
 	unknownRetryAfter = 1 * clock.Second
-	// linkPoll bounds each wait for a link's bytes, because shares may grow.
-	linkPoll = 50 * clock.Millis(1)
-	// linkPiece is the most bytes taken from a link at once.
-	linkPiece = 64 << 10
 )
 
-// TakeRequest asks a peer to admit requests from its share.
+// TakeRequest asks a peer to admit requests, or bytes of a link, from its share.
 type TakeRequest struct {
 	Resource contract.Resource
-	// Want is the number of requests that wait.
+	// Want is the number of requests, or bytes, that wait.
 	Want int64
 	// Patience is how long the peer may keep the question until it has a token.
 	Patience clock.Millis
 }
 
-// TakeReply says how many requests were admitted. The tokens are spent: a lost
+// TakeReply says how many requests or bytes were admitted. The tokens are spent: a lost
 // reply loses them.
 type TakeReply struct {
 	Taken int64
@@ -51,6 +47,8 @@
 type Peers interface {
 	// Near returns the names of the reachable peers, nearest first.
 	Near() []string
+	// NearInRegion returns those of this VM's region.
+	NearInRegion() []string
 	// Take asks one peer. It returns an error if the peer did not answer in time.
 	Take(ctx context.Context, peer string, request TakeRequest) (TakeReply, error)
 }
@@ -73,6 +71,8 @@
 
 	mu       sync.Mutex
 	counters counters
+	// links holds the gates of links. Guarded by mu.
+	links map[contract.Resource]*linkGate
 }
 
 type gateKey struct{ service, workspace string }
@@ -93,6 +93,9 @@
 
 // Serve answers a peer's TakeRequest from this VM's share.
 func (l *Limiter) Serve(request TakeRequest) TakeReply {
+	if request.Resource.Kind() == contract.KindLink {
+		return l.serveBytes(request)
+	}
 	part := l.Holder.Part(request.Resource)
 	taken, wait := part.TakeFor(request.Want, contract.Request)
 	if patience := min(request.Patience, longestPatience, l.MaxWait); taken == 0 && wait <= patience {
@@ -103,24 +106,6 @@
 	return TakeReply{Taken: taken, Wait: wait, Share: part.Share(), Left: part.Tokens()}
 }
 
-// Wait paces an upload: it returns when bytes of the link's share were taken, or
-// with ctx's error.
-func (l *Limiter) Wait(ctx context.Context, resource contract.Resource, bytes int64) error {
-	part := l.Holder.Part(resource)
-	for bytes > 0 {
-		piece := min(bytes, linkPiece, max(1, part.Share().Size))
-		if part.Take(piece) {
-			bytes -= piece
-			continue
-		}
-		wait := min(part.Wait(piece), linkPoll)
-		if err := clock.Sleep(ctx, max(wait, 1)); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 func (l *Limiter) gate(key gateKey) *gate {
 	if gates := l.gates.Load(); gates != nil {
 		if known := (*gates)[key]; known != nil {
@@ -147,7 +132,13 @@
 
 // counters are the Limiter's metrics.
 type counters struct {
-	later, refused, asked, unanswered tally.Counter
+	later, refused, asked, unanswered, bytesFromPeers tally.Counter
+}
+
+func (l *Limiter) metrics() *counters {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.countersLocked()
 }
 
 func (l *Limiter) countersLocked() *counters {
@@ -161,6 +152,8 @@
 			refused:    scope.Counter("limit_refused"),
 			asked:      scope.Counter("limit_peers_asked"),
 			unanswered: scope.Counter("limit_peers_unanswered"),
+
+			bytesFromPeers: scope.Counter("limit_bytes_from_peers"),
 		}
 	}
 	return &l.counters
--- a/internal/policy/limit/limit_test.go
+++ b/internal/policy/limit/limit_test.go
@@ -15,6 +15,7 @@
 	"baobabladder.example/baobabladder/internal/base/reason"
 	"baobabladder.example/baobabladder/internal/policy/limit"
 	"baobabladder.example/baobabladder/internal/world/contract"
+	"baobabladder.example/baobabladder/internal/world/vm"
 )
 
 const roundTrip = 35 * clock.Millis(1)
@@ -30,6 +31,8 @@
 
 func (p *onePeer) Near() []string { return []string{"vm2"} }
 
+func (p *onePeer) NearInRegion() []string { return p.Near() }
+
 func (p *onePeer) Take(ctx context.Context, _ string, request limit.TakeRequest) (limit.TakeReply, error) {
 	p.asked.Add(1)
 	if p.frozen {
@@ -71,25 +74,41 @@
 	})
 }
 
+// overload sends 1000 requests a second for 10 s and returns how many are admitted.
+func overload(limiter *limit.Limiter) int64 {
+	var all sync.WaitGroup
+	var admitted atomic.Int64
+	for range 10_000 {
+		time.Sleep(time.Millisecond)
+		all.Go(func() { admitted.Add(flood(context.Background(), limiter, 1)) })
+	}
+	all.Wait()
+	return admitted.Load()
+}
+
 func TestOverRateWorkspaceDoesNotFloodPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		peer := &onePeer{}
-		limiter := limiterWith(peer, contract.Share{Rate: 1000, Size: 1000}, contract.Share{Rate: 1000, Size: 1000})
-		var all sync.WaitGroup
-		var admitted atomic.Int64
-		for range 10_000 {
-			time.Sleep(time.Millisecond)
-			all.Go(func() { admitted.Add(flood(context.Background(), limiter, 1)) })
-		}
-		all.Wait()
-		g.Expect(admitted.Load()).To(BeNumerically("<=", 2+2*12))
-		g.Expect(admitted.Load()).To(BeNumerically(">=", 18))
+		admitted := overload(limiterWith(peer, contract.Share{Rate: 1000, Size: 1000}, contract.Share{Rate: 1000, Size: 1000}))
+		g.Expect(admitted).To(BeNumerically("<=", 2+2*12))
+		g.Expect(admitted).To(BeNumerically(">=", 18))
 		g.Expect(peer.asked.Load()).To(BeNumerically("<", 200))
 		time.Sleep(time.Second)
 	})
 }
 
+// A peer that will have no token soon rests between two questions.
+func TestPeerWithoutTokensRests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		peer := &onePeer{}
+		overload(limiterWith(peer, contract.Share{Rate: 1000, Size: 1000}, contract.Share{}))
+		g.Expect(peer.asked.Load()).To(BeNumerically("<=", 2*13+1))
+		time.Sleep(time.Second)
+	})
+}
+
 func TestRetryAfterIsTrue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -132,3 +151,49 @@
 		g.Expect(limiter.Wait(ctx, link, 10_000_000)).To(MatchError(context.DeadlineExceeded))
 	})
 }
+
+// A peer without bytes is not asked for each piece that waits.
+func TestShortLinkDoesNotFloodPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		link := contract.LinkOf("r1", "r2")
+		peer := &onePeer{}
+		peer.limiter = limit.Limiter{Holder: holderOf(link, contract.Share{})}
+		limiter := &limit.Limiter{Holder: holderOf(link, contract.Share{Rate: 1000, Size: 1000}), Peers: peer}
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		var all sync.WaitGroup
+		for range 20 {
+			all.Go(func() { _ = limiter.Wait(ctx, link, 100_000) })
+		}
+		all.Wait()
+		g.Expect(peer.asked.Load()).To(BeNumerically("<=", 21))
+	})
+}
+
+// poorLender is a fleet of one other VM that has no free slot.
+type poorLender struct{ asked int }
+
+func (p *poorLender) Lenders() []vm.ID { return []vm.ID{{Name: "vm2", Incarnation: 1}} }
+
+func (p *poorLender) Lend(context.Context, string, *contract.LoanRequest) (contract.LoanReply, error) {
+	p.asked++
+	return contract.LoanReply{Lender: p.Lenders()[0]}, nil
+}
+
+func TestPeerWithoutFreeSlotIsNotAskedForEachRequest(t *testing.T) {
+	g := NewWithT(t)
+	manual := &clock.Manual{}
+	manual.Advance(clock.Second)
+	peer := &poorLender{}
+	slot := contract.SlotsOf("artes", "e1")
+	slots := &limit.Slots{Holder: holderOf(slot, contract.Share{}), Lenders: peer, Clock: manual.Clock()}
+	for range 100 {
+		_, ok := slots.Borrow(context.Background(), []contract.Resource{slot})
+		g.Expect(ok).To(BeFalse())
+	}
+	g.Expect(peer.asked).To(Equal(1))
+	manual.Advance(clock.Second)
+	_, _ = slots.Borrow(context.Background(), []contract.Resource{slot})
+	g.Expect(peer.asked).To(Equal(2))
+}
--- a/internal/world/contract/holder.go
+++ b/internal/world/contract/holder.go
@@ -70,6 +70,18 @@
 	return taken, p.bucket.wait(now, amount)
 }
 
+// TakeUpTo removes at most most tokens for a peer's callers. It returns how many it
+// removed, with the wait until one more is there.
+func (p *Part) TakeUpTo(most int64) (taken int64, wait clock.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	p.bucket.fill(now)
+	taken = max(0, min(most, p.bucket.level/levelUnit))
+	p.bucket.level -= taken * levelUnit
+	return taken, p.bucket.wait(now, 1)
+}
+
 // Wait returns how long it takes until the share has amount tokens.
 func (p *Part) Wait(amount int64) clock.Millis {
 	p.mu.Lock()
