--- a/cmd/standin/measure.go
+++ b/cmd/standin/measure.go
@@ -17,7 +17,7 @@
 func measureCommand(app *kingpin.Application) command {
 	clause := app.Command("measure", "Play a firm's load in a scenario and compare the decisions with two baselines.")
 	firm := clause.Flag("firm", "The firm.").Default(examples.MunroLennox).Enum(examples.Firms()...)
-	scenario := clause.Flag("scenario", "The scenario.").Default(measure.OrdinaryDay).Enum(measure.Scenarios()...)
+	scenario := clause.Flag("scenario", "The scenario.").Default(measure.OrdinaryDay).Enum(append(measure.Scenarios(), measure.HalfLoad)...)
 	policies := clause.Flag("policy", "A policy; may be repeated; all by default.").Enums(measure.Policies()...)
 	seed := clause.Flag("seed", "Seed of the load.").Default("1").Uint64()
 	seconds := clause.Flag("seconds", "How long the load is scored.").Default("12").Int()
@@ -30,6 +30,11 @@
 		if !*verbose {
 			log.SetOutput(io.Discard)
 		}
+		if *scenario == measure.HalfLoad {
+			return printOverhead(ctx, &measure.Measure{
+				Firm: *firm, Seed: *seed, Length: clock.Millis(*seconds) * clock.Second, Stretch: max(1, *stretch), Log: log,
+			}, *output)
+		}
 		if len(*policies) == 0 {
 			*policies = measure.Policies()
 		}
@@ -55,3 +60,15 @@
 		return measure.Print(os.Stdout, rows)
 	}}
 }
+
+func printOverhead(ctx context.Context, half *measure.Measure, output string) error {
+	found, err := half.Overhead(ctx)
+	if err != nil {
+		return err
+	}
+	if output == "json" {
+		return json.NewEncoder(os.Stdout).Encode(found)
+	}
+	found.Print(os.Stdout)
+	return nil
+}
--- a/internal/standin/demo/move.go
+++ b/internal/standin/demo/move.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/document"
-	standin "baobabladder.example/baobabladder/internal/standin/firm"
 )
 
 const (
@@ -27,7 +25,7 @@
 // the catalogue's traffic to them by a given time.
 func moveVersion(ctx context.Context, f *firm) (string, error) {
 	owner, _ := f.Route(document.Catalogue, true)
-	text, err := f.withNewVersion(ctx, owner)
+	text, err := f.WithNewVersion(ctx, owner, newVersion)
 	if err != nil {
 		return "", err
 	}
@@ -57,23 +55,3 @@
 		return err == nil && got.status == http.StatusOK && strings.Contains(got.body, " "+newVersion+" ")
 	})
 }
-
-// withNewVersion starts an endpoint of the new version beside each old one and
-// returns the document with all of them.
-func (f *firm) withNewVersion(ctx context.Context, owner *standin.Service) (text string, err error) {
-	text = owner.Text
-	for _, old := range owner.Endpoints {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return "", err
-		}
-		added := old
-		added.Name = old.Name + "-" + newVersion
-		added.Address = listener.Addr().String()
-		added.Version = newVersion
-		f.AddEndpoint(ctx, owner, &added, listener)
-		text += fmt.Sprintf("\n[endpoint %s]\naddress = %s\nregion = %s\ndata_centre = %s\nversion = %s\nslots = %d\n",
-			added.Name, added.Address, added.Region, added.DataCentre, added.Version, added.Slots)
-	}
-	return text, nil
-}
--- a/internal/standin/firm/firm.go
+++ b/internal/standin/firm/firm.go
@@ -48,6 +48,8 @@
 	Edit func(text string) string
 	// Shape, if set, changes an endpoint before it serves.
 	Shape func(owner *document.Service, made *endpoint.Endpoint)
+	// Near leaves out the delays and limits of the network.
+	Near bool
 	// Serve, if set, runs in the place of each entry VM's process.
 	Serve func(ctx context.Context, firm *Firm, read settings.Settings) error
 }
@@ -59,7 +61,8 @@
 	Store    *store.Store
 	Fleet    *document.Fleet
 	Services []*Service
-	// Endpoints holds the stand-ins by name.
+	// Endpoints holds the stand-ins by name. While a version may be added, read it
+	// through Endpoint.
 	Endpoints map[string]*endpoint.Endpoint
 	Entries   []*Entry
 	// Keys has one key for each workspace, in the documents' order.
@@ -69,6 +72,7 @@
 	listed []wireCaller.EntryVM
 	// documents are the services in force, for Documents.
 	documents atomic.Pointer[[]*document.Service]
+	mu        sync.RWMutex
 	client    *wire.Client
 	storeURL  string
 	running   sync.WaitGroup
@@ -121,6 +125,22 @@
 	return f, f.issueKeys(ctx)
 }
 
+// Endpoint returns the stand-in of the given name.
+func (f *Firm) Endpoint(name string) *endpoint.Endpoint {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.Endpoints[name]
+}
+
+// Fixed returns a firm of one service and one endpoint that runs nothing, for
+// arithmetic on its documents.
+func Fixed(fleet *document.Fleet, service *document.Service, made *endpoint.Endpoint) *Firm {
+	f := &Firm{Network: &link.Network{}, Fleet: fleet, Services: []*Service{{Service: service}}}
+	f.Endpoints = map[string]*endpoint.Endpoint{service.Endpoints[0].Name: made}
+	f.noteDocuments()
+	return f
+}
+
 // Stop ends everything and waits for it, but not for ever: a part that does not
 // end is logged.
 func (f *Firm) Stop() {
@@ -229,6 +249,9 @@
 
 func (f *Firm) setFleet(fleet *document.Fleet) {
 	f.Fleet = fleet
+	if f.Near {
+		return
+	}
 	f.Network.Fleet = fleet
 	f.Network.BetweenDataCentres = 1000
 	f.Network.ToClients = 1000
@@ -247,7 +270,9 @@
 	if f.Shape != nil {
 		f.Shape(owner.Service, made)
 	}
+	f.mu.Lock()
 	f.Endpoints[declared.Name] = made
+	f.mu.Unlock()
 	f.Network.Locate(declared.Address, link.Place{VM: declared.Name, Region: declared.Region, DataCentre: declared.DataCentre})
 	f.Store.ListVM(vm.VM{Name: declared.Name, Role: vm.Endpoint, State: vm.Live, Region: declared.Region, DataCentre: declared.DataCentre})
 	f.start(declared.Name, func() error { return made.Serve(ctx, listener) })
--- a/internal/standin/measure/measure.go
+++ b/internal/standin/measure/measure.go
@@ -95,6 +95,12 @@
 	UploadsKept   int `json:"uploads_kept"`
 	OrdersSent    int `json:"orders_sent"`
 	OrdersDoubled int `json:"orders_doubled"`
+	// NewRuns and NewFailed count runs on a new version, NewShareAfter is its share
+	// of the catalogue after the time by which the move was to be done; -1 where
+	// nothing moved.
+	NewRuns       int64   `json:"new_runs"`
+	NewFailed     int64   `json:"new_failed"`
+	NewShareAfter float64 `json:"new_share_after"`
 	// RetryShare is the share of retries in what came to endpoints, in the worst second.
 	RetryShare float64        `json:"retry_share"`
 	Reasons    map[string]int `json:"reasons"`
@@ -123,6 +129,8 @@
 	// never.
 	start, lostAt, backAt clock.Millis
 	notes                 []string
+	// oldAtEnd and newAtEnd are the runs on each version when a move was to be done.
+	oldAtEnd, newAtEnd int64
 }
 
 // serviceTimes are the mean service times by firm and document.
@@ -323,6 +331,7 @@
 		row.DrainMs = r.watcher.emptyAt - r.drainedAt
 	}
 	r.scoreLoss(row, ended)
+	r.scoreMove(row)
 	r.count(row, ended)
 	row.SecondShares = secondShares(ended)
 	calls := r.firm.Store.Calls()
--- a/internal/standin/measure/plan.go
+++ b/internal/standin/measure/plan.go
@@ -166,5 +166,5 @@
 
 // pathTime is the service time of a path, the same at all endpoints of a service.
 func (p *planner) pathTime(service *document.Service, path string) clock.Millis {
-	return p.firm.Endpoints[service.Endpoints[0].Name].PathTime(path)
+	return p.firm.Endpoint(service.Endpoints[0].Name).PathTime(path)
 }
--- a/internal/standin/measure/print.go
+++ b/internal/standin/measure/print.go
@@ -50,6 +50,9 @@
 			fmt.Fprintf(w, "%s: while a region was lost: worst workspace %.1f%% of its requests in time, bound %.1f%% (%s/%s)\n", row.Policy,
 				row.LostShare*100, row.LostBound*100, row.LostWorst.Service, row.LostWorst.Workspace)
 		}
+		if row.NewShareAfter >= 0 {
+			fmt.Fprintf(w, "%s: the new version ran %d, failed %d, and has %.1f%% after the move's time\n", row.Policy, row.NewRuns, row.NewFailed, row.NewShareAfter*100)
+		}
 		fmt.Fprintf(w, "%s: %% in time by second %s\n", row.Policy, secondsText(row.SecondShares))
 	}
 	return w.Flush()
--- a/internal/standin/measure/scenario.go
+++ b/internal/standin/measure/scenario.go
@@ -24,11 +24,17 @@
 	FrozenLoad   = "reports-frozen"
 	LyingLoad    = "reports-lying"
 	Two          = "region-lost-store-down"
+	GoodVersion  = "good-version"
+	FailsAtOnce  = "bad-version-fails"
+	SlowAtOnce   = "bad-version-slow"
+	FailsLater   = "bad-version-later"
+	FailsLoaded  = "bad-version-under-load"
+	FailsOnRoute = "bad-version-on-route"
 )
 
 // Scenarios lists the scenarios' names.
 func Scenarios() []string {
-	return []string{OrdinaryDay, LargeTimes5, LeaningOnOne, RegionLost, Drain, PairCut, StoreDown, FrozenLoad, LyingLoad, Two}
+	return []string{OrdinaryDay, LargeTimes5, LeaningOnOne, RegionLost, Drain, PairCut, StoreDown, FrozenLoad, LyingLoad, Two, GoodVersion, FailsAtOnce, SlowAtOnce, FailsLater, FailsLoaded, FailsOnRoute}
 }
 
 // step is a change during a run, at a part of its length in percent.
@@ -56,6 +62,9 @@
 	case Two:
 		return []step{{20, storeDown(true)}, {30, loseRegion}, {65, returnRegion}, {85, storeDown(false)}}
 	}
+	if fault, isMove := versionFaults[name]; isMove {
+		return []step{{5, startMove(fault)}, {moveByPercent, endMove}}
+	}
 	return nil
 }
 
@@ -106,7 +115,7 @@
 	for _, service := range r.firm.Documents() {
 		for _, endpoint := range service.Endpoints {
 			if endpoint.Region == lost {
-				r.firm.Endpoints[endpoint.Name].Chill()
+				r.firm.Endpoint(endpoint.Name).Chill()
 				r.firm.Network.CutVM(endpoint.Name, false)
 			}
 		}
@@ -184,7 +193,7 @@
 		for _, service := range r.firm.Documents() {
 			for i := range service.Endpoints {
 				if i%2 == 0 {
-					r.firm.Endpoints[service.Endpoints[i].Name].SetFaults(endpoint.Faults{Report: fault})
+					r.firm.Endpoint(service.Endpoints[i].Name).SetFaults(endpoint.Faults{Report: fault})
 				}
 			}
 		}
--- a/internal/standin/measure/watch.go
+++ b/internal/standin/measure/watch.go
@@ -117,7 +117,7 @@
 
 // lookAt adds an endpoint's load. Callers hold mu.
 func (w *watcher) lookAt(now clock.Millis, second map[group]load, service *document.Service, endpoint *document.Endpoint) {
-	running := w.firm.Endpoints[endpoint.Name].Running()
+	running := w.firm.Endpoint(endpoint.Name).Running()
 	if endpoint.DataCentre == w.leaving && running > 0 {
 		w.emptyAt = now
 	}
