--- a/cmd/baobabladder/move_proof_test.go
+++ b/cmd/baobabladder/move_proof_test.go
@@ -46,7 +46,7 @@
 		old := newSites(func(s *site) { s.ServiceTime = 10 }, "e1", "e2", "e3")
 		bad := newSites(func(s *site) { s.ServiceTime = 10; s.Version = "v2" }, "n1", "n2", "n3")
 		f := startFleet(3, "lothian")
-		s := &shop{head: fmt.Sprintf(shopHead, 10000, 10000), sites: append(old, bad...)}
+		s := &shop{head: fmt.Sprintf(shopHead, 10000, 10000), sites: old}
 		keyText, _ := f.open(s)
 		for _, site := range bad {
 			site.SetFaults(endpoint.Faults{Version: fault})
@@ -62,6 +62,7 @@
 			return string(object.Value)
 		}
 
+		s.sites = append(s.sites, bad...)
 		s.tail = fmt.Sprintf("\n[move v2]\nfrom = v1\nby = %s\n", time.Now().Add(10*time.Minute).UTC().Format(time.RFC3339))
 		f.operate(f.vms[1], 0, nil, "apply", f.write("shop.ini", s.text()), "--based-on", "1")
 		Eventually(func() []arrival { return on(fault.Route, arrivalsAt(bad...)) }, "30s").ShouldNot(BeEmpty())
--- a/internal/entry/router/router_test.go
+++ b/internal/entry/router/router_test.go
@@ -328,6 +328,20 @@
 	g.Expect(r.tap.received()).To(HaveLen(received), "a key withdrawn while its request waits runs nothing")
 }
 
+// A key is good only in the services in which its workspace has a part.
+func TestAKeyOfAnotherServicesWorkspaceRunsNothing(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(t)
+	stranger, text, err := key.Issue("stranger")
+	g.Expect(err).NotTo(HaveOccurred())
+	next := *r.config.Load()
+	next.Keys = map[key.Digest]key.Key{stranger.Digest: stranger}
+	r.config.Store(&next)
+	r.refused(g, reason.WorkspaceUnknown, reason.RanNo, "GET", "/cat/", nil, "Authorization", "Bearer "+text)
+	r.refused(g, reason.WorkspaceUnknown, reason.RanNo, "POST", "/buy/", nil, "Authorization", "Bearer "+text, "Order-Id", "o-1")
+	g.Expect(r.tap.received()).To(BeEmpty())
+}
+
 func TestAnOrderRunsOnceAndItsResendGetsTheSameAnswer(t *testing.T) {
 	g := NewWithT(t)
 	r := newRig(t)
