Bound the peers that a VM asks, and pass on words and claims with their age

Heartbeats went from each VM to each other, so their cost grew with the square of the fleet. A VM with more than 8 peers now asks 8 in a round: the VMs that follow the store for its data centre and region, those whose content it misses, and the others by turn, half of them in its own data centre. A VM that is not listed, or only of late, asks all, because it may accept changes.

What a VM does not hear itself is passed on when it wants it: one age for each data centre (the teller's copy holds all that each VM there held then), and the newest claim of each lease. A word counts only under the same list and once the teller's content has been merged.

The rapid machine runs again with 6 VMs that ask 2 in a round.

--- a/internal/control/follower/machine_test.go
+++ b/internal/control/follower/machine_test.go
@@ -38,8 +38,12 @@
 
 // fleet is a store, a network and some entry VMs on one manual clock.
 type fleet struct {
-	manual  *clock.Manual
-	objects map[string]store.Object
+	// names holds the VMs; the first letter is the region.
+	names []string
+	// maxAsked is that of the heartbeats.
+	maxAsked int
+	manual   *clock.Manual
+	objects  map[string]store.Object
 	// revision counts the store's changes.
 	revision int64
 	down     bool
@@ -80,10 +84,17 @@
 	kept *store.Listing
 }
 
-var names = []string{"a1", "a2", "b1", "b2"}
+var (
+	names = []string{"a1", "a2", "b1", "b2"}
+	// manyNames are those of larger fleets.
+	manyNames = []string{"a1", "a2", "a3", "b1", "b2", "b3", "c1", "c2", "c3", "d1", "d2", "d3", "e1", "e2", "e3", "f1", "f2", "f3"}
+)
+
+func newFleet() *fleet { return newFleetOf(names, 0) }
 
-func newFleet() *fleet {
+func newFleetOf(names []string, maxAsked int) *fleet {
 	f := &fleet{
+		names: names, maxAsked: maxAsked,
 		manual: &clock.Manual{}, objects: map[string]store.Object{}, noStore: map[string]bool{},
 		cut: map[string]bool{}, runs: map[string]*run{}, floor: map[string]int64{}, withdrawnAt: map[string]clock.Millis{},
 	}
@@ -100,7 +111,7 @@
 }
 
 func (f *fleet) list() (list []vm.VM) {
-	for _, name := range names {
+	for _, name := range f.names {
 		list = append(list, f.vmOf(name))
 	}
 	return list
@@ -111,7 +122,7 @@
 	r := &run{fleet: f, name: name, replica: &replica.Replica{}, fresh: &freshness.Freshness{Clock: f.manual.Clock()}}
 	r.heartbeat = &heartbeat.Heartbeat{
 		Self: f.vmOf(name), ID: vm.ID{Name: name, Incarnation: f.next}, Replica: r.replica,
-		Freshness: r.fresh, Peers: r, Clock: f.manual.Clock(), Seeds: names,
+		Freshness: r.fresh, Peers: r, Clock: f.manual.Clock(), Seeds: f.names, MaxAsked: f.maxAsked,
 		Spawn: func(run func()) { run() },
 	}
 	log := logrus.New()
@@ -230,15 +241,16 @@
 	if r.follower.IsWatcher() {
 		_ = r.follower.Watch(ctx)
 	}
-	for _, name := range slices.Sorted(maps.Keys(r.heartbeat.Targets())) {
-		_ = r.heartbeat.Ask(ctx, r.heartbeat.Targets()[name])
+	due := r.heartbeat.Due()
+	for _, name := range slices.Sorted(maps.Keys(due)) {
+		_ = r.heartbeat.Ask(ctx, due[name])
 	}
 	r.heartbeat.Refresh()
 }
 
 func (f *fleet) rounds(n int) {
 	for range n {
-		for _, name := range names {
+		for _, name := range f.names {
 			if r := f.runs[name]; r != nil {
 				r.round()
 			}
@@ -305,7 +317,7 @@
 }
 
 func (m *machine) check(t *rapid.T) {
-	for _, name := range names {
+	for _, name := range m.names {
 		r := m.runs[name]
 		if r == nil {
 			continue
@@ -329,8 +341,19 @@
 }
 
 func TestAcceptedChangesHoldUnderFaults(t *testing.T) {
+	checkAcceptedChanges(t, newFleet)
+}
+
+// With more VMs than a VM asks in a round, what the others hold is known through
+// words that are passed on.
+func TestAcceptedChangesHoldUnderFaultsWithRelayedWords(t *testing.T) {
+	checkAcceptedChanges(t, func() *fleet { return newFleetOf(manyNames[:6], 2) })
+}
+
+func checkAcceptedChanges(t *testing.T, start func() *fleet) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &machine{fleet: newFleet(), orphanedAt: map[string]clock.Millis{}}
+		m := &machine{fleet: start(), orphanedAt: map[string]clock.Millis{}}
+		names := m.names
 		m.rounds(3)
 		anyName := rapid.SampledFrom(names)
 		alive := func(t *rapid.T) *run { return m.runs[anyName.Draw(t, "vm")] }
@@ -390,9 +413,11 @@
 			},
 			"region": func(t *rapid.T) {
 				cut := rapid.Bool().Draw(t, "cut")
-				for _, a := range names[:2] {
-					for _, b := range names[2:] {
-						m.cut[pair(a, b)] = cut
+				for _, a := range names {
+					for _, b := range names {
+						if a[0] < b[0] {
+							m.cut[pair(a, b)] = cut
+						}
 					}
 				}
 			},
@@ -491,6 +516,43 @@
 	}
 }
 
+// Each VM asks 4 of 17 peers in a round, so it hears each one itself only every
+// few seconds.
+func TestTotalOutageKeepsAllFreshThroughRelayedWords(t *testing.T) {
+	f := newFleetOf(manyNames, 4)
+	f.rounds(20)
+	f.down = true
+	for range 200 {
+		f.rounds(1)
+		for _, name := range f.names {
+			if age, _ := f.runs[name].fresh.Age(); age > freshness.MaxAge {
+				t.Fatalf("%s is not fresh in a total outage: its knowledge is %d ms old", name, age)
+			}
+		}
+	}
+	for _, name := range f.names {
+		if due := len(f.runs[name].heartbeat.Due()); due > 5 {
+			t.Fatalf("%s asks %d peers in a round", name, due)
+		}
+	}
+}
+
+func TestCutOffVMTurnsStaleThoughOthersPassOnWords(t *testing.T) {
+	f := newFleetOf(manyNames, 4)
+	f.rounds(20)
+	f.down = true
+	f.rounds(20)
+	for _, name := range f.names {
+		f.cut[pair("a1", name)] = true
+	}
+	f.rounds(int(freshness.MaxAge/heartbeat.Interval) + 1)
+	for _, name := range f.names {
+		if f.runs[name].fresh.Fresh() {
+			t.Fatalf("%s is fresh though a1 may accept changes that it can't hear of", name)
+		}
+	}
+}
+
 func TestPlannedStopInAnOutageLeavesTheOthersFresh(t *testing.T) {
 	f := newFleet()
 	f.rounds(3)
--- a/internal/control/freshness/freshness.go
+++ b/internal/control/freshness/freshness.go
@@ -46,17 +46,32 @@
 
 // Hear notes that the copy holds all that a peer held at a time.
 func (f *Freshness) Hear(peer string, asOf clock.Millis) {
+	f.HearAll(map[string]clock.Millis{peer: asOf})
+}
+
+// HearAll notes that the copy holds all that each peer held at its time.
+func (f *Freshness) HearAll(heard map[string]clock.Millis) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.heard == nil {
 		f.heard = map[string]clock.Millis{}
 	}
-	if before, found := f.heard[peer]; !found || asOf > before {
-		f.heard[peer] = asOf
+	for peer, asOf := range heard {
+		if before, found := f.heard[peer]; !found || asOf > before {
+			f.heard[peer] = asOf
+		}
 	}
 	f.learnFromAll()
 }
 
+// HeardAt returns the time as of which the copy holds all that a peer held.
+func (f *Freshness) HeardAt(peer string) (asOf clock.Millis, found bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	asOf, found = f.heard[peer]
+	return asOf, found
+}
+
 // SetPeers tells which other VMs may accept changes. An empty list that is not
 // nil says that there are none.
 func (f *Freshness) SetPeers(names []string) {
--- a/internal/control/heartbeat/heartbeat.go
+++ b/internal/control/heartbeat/heartbeat.go
@@ -72,6 +72,9 @@
 	Seeds []string
 	// CatchUp is optional; without it, answers don't count for freshness.
 	CatchUp CatchUp
+	// MaxAsked bounds the peers asked in each Interval once there are more; 0
+	// stands for 8.
+	MaxAsked int
 	// Claims returns the leases that this VM holds; optional.
 	Claims func() []lease.Claim
 	// Jitter returns a number from 0 up to below n; optional.
@@ -96,6 +99,14 @@
 	list       []vm.VM
 	listAsOf   clock.Millis
 	listDigest uint64
+	// centres holds the names of the listed entry VMs of each data centre, in order
+	// of the data centres' names. Guarded by mu.
+	centres [][]string
+	// listed says whether the list has this VM, and listedAt since when. Guarded by mu.
+	listed   bool
+	listedAt clock.Millis
+	// claims holds the newest claim heard of each duty. Guarded by mu.
+	claims map[string]heardClaim
 	// gone holds VMs that the list has dropped, by name. Guarded by mu.
 	gone map[string]vm.ID
 	// contactAt is when the last question was sent that the store answered.
@@ -129,6 +140,15 @@
 	// left says that this run accepts no more changes, and that this VM's copy
 	// holds all that it ever held.
 	left bool
+	// asked says that the peer was chosen to be asked, and askedAt when it last was.
+	asked   bool
+	askedAt clock.Millis
+	// unanswered says that a question sent after the newest answer's has no answer;
+	// unansweredAt is when the first such was sent.
+	unanswered   bool
+	unansweredAt clock.Millis
+	// missedAt is as of when a VM of the peer's data centre missed the peer, or 0.
+	missedAt clock.Millis
 	// failures counts questions without an answer since the last answer.
 	failures int
 	// roundTrip is smoothed, in microseconds.
@@ -180,6 +200,8 @@
 		return
 	}
 	h.list, h.listDigest = append([]vm.VM{}, list...), digest
+	h.centres = centresOf(list)
+	h.noteListed()
 	listed := map[string]bool{}
 	for _, v := range list {
 		if v.Role == vm.Entry && v.Name != h.ID.Name {
@@ -195,28 +217,10 @@
 	}
 }
 
-// Heard returns the newest claim that a peer made of a duty, and its age.
-func (h *Heartbeat) Heard(duty string) (newest lease.Claim, age clock.Millis, found bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, state := range h.peers {
-		if state.answer == nil {
-			continue
-		}
-		for _, claim := range state.answer.Leases {
-			if claim.Duty == duty && (!found || claim.Term > newest.Term) {
-				newest, age, found = claim, h.Clock.Now()-state.sentAt, true
-			}
-		}
-	}
-	return newest, age, found
-}
-
 // CaughtUp reports whether this VM's copy has held all that every listed peer
 // held, but for those that gave no answer to several questions. heard counts the
 // peers that answered and were ready to serve.
 func (h *Heartbeat) CaughtUp() (caughtUp bool, heard int) {
-	const enoughFailures = 3
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.list == nil {
@@ -255,44 +259,50 @@
 	return targets
 }
 
-// Run asks all peers until ctx ends. Each peer has a goroutine of its own, so a
-// frozen one delays no other.
+// Run asks peers until ctx ends. Each question has a goroutine of its own, so a
+// frozen peer delays no other.
 func (h *Heartbeat) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	defer group.Wait()
-	asking := map[string]context.CancelFunc{}
-	for ctx.Err() == nil {
-		targets := h.Targets()
-		for name := range targets {
-			if asking[name] == nil {
-				peerCtx, cancel := context.WithCancel(ctx)
-				asking[name] = cancel
-				group.Go(func() { h.askRepeatedly(peerCtx, name) })
-			}
+	group.Go(func() {
+		for ctx.Err() == nil {
+			h.Refresh()
+			_ = clock.Sleep(ctx, refreshInterval)
 		}
-		for name, cancel := range asking {
-			if _, found := targets[name]; !found {
-				cancel()
-				delete(asking, name)
+	})
+	asking := &sync.Map{}
+	ask := func(targets map[string]string, spread clock.Millis) {
+		for i, name := range slices.Sorted(maps.Keys(targets)) {
+			if _, busy := asking.LoadOrStore(name, true); busy {
+				continue
 			}
+			pause := spread * clock.Millis(i) / clock.Millis(len(targets))
+			group.Go(func() {
+				defer asking.Delete(name)
+				h.askAfter(ctx, pause, targets[name])
+			})
 		}
-		h.Refresh()
-		_ = clock.Sleep(ctx, refreshInterval)
 	}
-	for _, cancel := range asking {
-		cancel()
+	for next := h.Clock.Now(); ctx.Err() == nil; {
+		news := h.newTargets()
+		ask(news, clock.Millis(len(news)))
+		if h.Clock.Now() >= next {
+			round := Interval*9/10 + h.jitter(Interval/5)
+			next = h.Clock.Now() + round
+			// The questions of a round are spread over it.
+			ask(h.Due(), round)
+		}
+		_ = clock.Sleep(ctx, refreshInterval)
 	}
 }
 
-func (h *Heartbeat) askRepeatedly(ctx context.Context, name string) {
-	for ctx.Err() == nil {
-		if address := h.Targets()[name]; address != "" {
-			callCtx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
-			_ = h.Ask(callCtx, address)
-			cancel()
-		}
-		_ = clock.Sleep(ctx, Interval*9/10+h.jitter(Interval/5))
+func (h *Heartbeat) askAfter(ctx context.Context, pause clock.Millis, address string) {
+	if clock.Sleep(ctx, pause) != nil {
+		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	_ = h.Ask(ctx, address)
 }
 
 // Ask sends one question to the peer at address and takes in the answer.
@@ -319,7 +329,7 @@
 	case answer.ListKnown:
 		h.SetList(answer.List, sent-answer.ListAge)
 	}
-	return h.catchUp(ctx, address, &answer, sent)
+	return h.catchUp(ctx, address, &answer, question, sent)
 }
 
 // question returns what to ask the peer at address, and the profile that the
@@ -328,9 +338,15 @@
 	profile, digest := h.profile()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	question = Question{Caller: digest, Profile: profile, ListDigest: h.listDigest}
+	question = Question{Caller: digest, Profile: profile, ListDigest: h.listDigest, Wants: h.wantsRelayed()}
 	for _, state := range h.peers {
-		if state.vm.PeerAddress != address || state.profile == nil {
+		if state.vm.PeerAddress != address {
+			continue
+		}
+		if !state.unanswered {
+			state.unanswered, state.unansweredAt = true, h.Clock.Now()
+		}
+		if state.profile == nil {
 			continue
 		}
 		question.Known, known = state.digest, state.profile
@@ -352,7 +368,7 @@
 }
 
 // catchUp merges what the peer holds and counts the answer for freshness.
-func (h *Heartbeat) catchUp(ctx context.Context, address string, answer *Answer, sent clock.Millis) (err error) {
+func (h *Heartbeat) catchUp(ctx context.Context, address string, answer *Answer, question Question, sent clock.Millis) (err error) {
 	if h.CatchUp == nil {
 		return nil
 	}
@@ -367,6 +383,7 @@
 	}
 	h.mu.Unlock()
 	h.Freshness.Hear(answer.Profile.ID.Name, sent)
+	h.noteRelayed(answer, question, sent)
 	if answer.Known {
 		h.Freshness.Learn(sent - answer.Age)
 	}
@@ -424,6 +441,7 @@
 		answer.Profile = profile
 	}
 	answer.Age, answer.Known = h.Freshness.Age()
+	answer.Relayed = h.answerRelayed(question)
 	answer.Summary = h.Replica.Summary()
 	answer.Ready, answer.Stopping = h.ready.Load(), h.stopping.Load()
 	if h.Claims != nil {
@@ -432,6 +450,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	answer.HasContact = h.contact()
+	answer.Missing = h.missing()
 	if h.list != nil {
 		answer.ListKnown, answer.ListAge = true, h.Clock.Now()-h.listAsOf
 		answer.ListSame = h.listDigest == question.ListDigest
@@ -487,7 +506,7 @@
 	}
 	// A VM that the platform does not list, or not any more, can't conclude from
 	// hearing the listed ones that it misses nothing.
-	if !h.isListed() {
+	if !h.listed {
 		peers = nil
 	}
 	h.Freshness.SetPeers(peers)
@@ -566,6 +585,9 @@
 	state.learnRun(answer.Profile)
 	h.noteTold(answer.Profile.VM.PeerAddress, !answer.ProfileWanted)
 	state.answer, state.sentAt, state.heardAt, state.failures = answer, sent, h.Clock.Now(), 0
+	state.unanswered = false
+	h.noteClaims(name, answer.Leases, sent)
+	h.noteMissing(state.vm.DataCentre, answer.Missing, sent)
 	if state.roundTrip == 0 {
 		state.roundTrip = roundTrip
 	}
@@ -645,9 +667,13 @@
 	}
 }
 
-// isListed says whether the platform's list has this VM. Callers hold mu.
-func (h *Heartbeat) isListed() bool {
-	return slices.ContainsFunc(h.list, func(v vm.VM) bool { return v.Role == vm.Entry && v.Name == h.ID.Name })
+// noteListed notes whether the platform's list has this VM. Callers hold mu.
+func (h *Heartbeat) noteListed() {
+	listed := slices.ContainsFunc(h.list, func(v vm.VM) bool { return v.Role == vm.Entry && v.Name == h.ID.Name })
+	if listed && !h.listed {
+		h.listedAt = h.Clock.Now()
+	}
+	h.listed = listed
 }
 
 // contact says whether the store answered this VM lately. Callers hold mu.
@@ -655,10 +681,6 @@
 	return h.hasContact && h.Clock.Now()-h.contactAt < contactTime
 }
 
-func (h *Heartbeat) isReachable(state *peerState) bool {
-	return state.answer != nil && !state.left && h.Clock.Now()-state.sentAt < reachableTime
-}
-
 func (h *Heartbeat) calledLately(state *peerState) bool {
 	return state.called && h.Clock.Now()-state.calledAt < unlistedTime
 }
--- a/internal/control/heartbeat/message.go
+++ b/internal/control/heartbeat/message.go
@@ -35,6 +35,8 @@
 	// ListDigest is that of the platform's list as the asking VM knows it; 0 if it
 	// knows none.
 	ListDigest uint64
+	// Wants asks for Relayed in the answer.
+	Wants bool
 }
 
 // Answer is what a VM says of itself.
@@ -54,6 +56,10 @@
 	Ready      bool
 	Stopping   bool
 	Leases     []lease.Claim
+	// Missing holds the VMs of the VM's data centre that it can't reach, sorted.
+	Missing []string
+	// Relayed is nil unless the question wants it.
+	Relayed *Relayed
 	// ListKnown says that the VM knows a list, ListAge old.
 	ListKnown bool
 	ListAge   clock.Millis
--- /dev/null
+++ b/internal/control/heartbeat/relay_test.go
@@ -0,0 +1,136 @@
+package heartbeat_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/control/heartbeat"
+	"baobabladder.example/baobabladder/internal/control/lease"
+)
+
+// relaying is a VM a that asks one peer in a round, and its peers b and c.
+type relaying struct {
+	*network
+	manual  *clock.Manual
+	a, b, c *heartbeat.Heartbeat
+	// failing lets a's next catching up fail.
+	failing bool
+}
+
+func startRelaying() *relaying {
+	r := &relaying{network: &network{vms: map[string]*heartbeat.Heartbeat{}}, manual: &clock.Manual{}}
+	r.manual.Advance(1)
+	r.a, r.b, r.c = r.start("a", 1), r.start("b", 1), r.start("c", 1)
+	for _, h := range []*heartbeat.Heartbeat{r.a, r.b, r.c} {
+		h.Clock, h.Freshness.Clock, h.MaxAsked = r.manual.Clock(), r.manual.Clock(), 1
+		h.CatchUp = func(context.Context, string, *heartbeat.Answer) (bool, error) {
+			if r.failing && h == r.a {
+				return false, errors.New("cut")
+			}
+			return true, nil
+		}
+		h.SetList(listOf("a", "b", "c"), 1)
+		h.Refresh()
+	}
+	r.manual.Advance(6 * clock.Second)
+	return r
+}
+
+func (r *relaying) ask(g Gomega, from *heartbeat.Heartbeat, address string) {
+	g.Expect(from.Ask(context.Background(), address)).To(Succeed())
+	from.Refresh()
+}
+
+func TestWordsOfOthersCountWithTheirAge(t *testing.T) {
+	g := NewWithT(t)
+	r := startRelaying()
+	r.ask(g, r.b, "a")
+	r.ask(g, r.b, "c")
+	r.manual.Advance(1000)
+	r.ask(g, r.a, "b")
+	at, found := r.a.Freshness.HeardAt("c")
+	g.Expect(found).To(BeTrue())
+	g.Expect(r.manual.Clock().Now() - at).To(Equal(clock.Millis(1000)))
+	age, known := r.a.Freshness.Age()
+	g.Expect(known).To(BeTrue())
+	g.Expect(age).To(Equal(clock.Millis(1000)))
+}
+
+func TestDataCentreWithAVMThatWasNotHeardHasNoWord(t *testing.T) {
+	g := NewWithT(t)
+	r := startRelaying()
+	r.ask(g, r.b, "a")
+	r.ask(g, r.a, "b")
+	_, found := r.a.Freshness.HeardAt("c")
+	g.Expect(found).To(BeFalse())
+	_, known := r.a.Freshness.Age()
+	g.Expect(known).To(BeFalse())
+}
+
+func TestWordsOfAPeerWhoseContentIsNotHereCountForNothing(t *testing.T) {
+	g := NewWithT(t)
+	r := startRelaying()
+	r.ask(g, r.b, "a")
+	r.ask(g, r.b, "c")
+	r.failing = true
+	g.Expect(r.a.Ask(context.Background(), "b")).NotTo(Succeed())
+	_, found := r.a.Freshness.HeardAt("c")
+	g.Expect(found).To(BeFalse())
+}
+
+func TestWordsUnderAnotherListCountForNothing(t *testing.T) {
+	g := NewWithT(t)
+	r := startRelaying()
+	r.ask(g, r.b, "a")
+	r.ask(g, r.b, "c")
+	// The newer list names another VM in c's place; its digest is not b's.
+	r.a.SetList(listOf("a", "b", "d"), 2)
+	r.ask(g, r.a, "b")
+	_, found := r.a.Freshness.HeardAt("d")
+	g.Expect(found).To(BeFalse())
+}
+
+func TestClaimsArePassedOnWithTheirAge(t *testing.T) {
+	g := NewWithT(t)
+	r := startRelaying()
+	claim := lease.Claim{Duty: "divider", Holder: r.c.ID, Term: 3}
+	r.c.Claims = func() []lease.Claim { return []lease.Claim{claim} }
+	r.ask(g, r.b, "c")
+	r.manual.Advance(500)
+	r.ask(g, r.a, "b")
+	heard, age, found := r.a.Heard("divider")
+	g.Expect(found).To(BeTrue())
+	g.Expect(heard).To(Equal(claim))
+	g.Expect(age).To(Equal(clock.Millis(500)))
+
+	// A holder that no longer claims the duty is believed over what others heard.
+	r.c.Claims = nil
+	r.ask(g, r.a, "c")
+	_, _, found = r.a.Heard("divider")
+	g.Expect(found).To(BeFalse())
+}
+
+func TestVMThatADataCentreMissesIsOutOfReachUntilItAnswers(t *testing.T) {
+	g := NewWithT(t)
+	r := startRelaying()
+	for _, address := range []string{"b", "c"} {
+		r.ask(g, r.a, address)
+	}
+	r.ask(g, r.b, "c")
+	c := r.vms["c"]
+	delete(r.vms, "c")
+	r.manual.Advance(2 * clock.Second)
+	r.ask(g, r.a, "b")
+	g.Expect(r.a.View().Member("c").Reachable).To(BeTrue(), "nobody has missed c yet")
+	g.Expect(r.b.Ask(context.Background(), "c")).NotTo(Succeed())
+	r.manual.Advance(2 * clock.Second)
+	r.ask(g, r.a, "b")
+	g.Expect(r.a.View().Member("c").Reachable).To(BeFalse())
+	r.vms["c"] = c
+	r.ask(g, r.a, "c")
+	g.Expect(r.a.View().Member("c").Reachable).To(BeTrue())
+}
