Judge failures by a sequential test and unbiased evidence of peers

Peers send evidence after failures, so what was pooled from their last words held each failure and missed the good answers since; and each look was a new test. A VM now takes each peer to have had as many good answers since as itself and judges only the whole attempt with peers' evidence; the mover has the shorter times. Failures are judged by a test martingale (Beta(2, 1), ratio 4,500).

--- a/internal/policy/move/evidence.go
+++ b/internal/policy/move/evidence.go
@@ -22,17 +22,21 @@
 	// leastDifference is how much higher, in thousandths, the new version's failure
 	// rate must be, however sure the difference is.
 	leastDifference = 5
-	// plainChance, fineChance and slowChance are how likely what was seen may be
-	// for a version as good as the old one, so that it is still put down to chance.
-	// The fine test is strict because it is made on every VM, over and over. The
-	// slow bound is loose because versions within the bound have far fewer slow
-	// answers than slowExpected.
-	plainChance = 1.5e-4
-	fineChance  = 1e-6
-	slowChance  = 2e-3
+	// plainRatio is how many times likelier what was seen must be for a faulty
+	// version, of unknown failure rate, than for one as good as the old one. A good version passes it
+	// in the whole of an attempt, however often one looks, once in plainRatio times.
+	plainRatio = 4500
+	// fineChance and slowChance are how likely what was seen may be for a version as
+	// good as the old one, so that it is still put down to chance. The fine test is
+	// strict because it is made on every VM, over and over. The slow bound is loose
+	// because versions within the bound have far fewer slow answers than
+	// slowExpected.
+	fineChance = 3e-6
+	slowChance = 2e-3
 	// doubtChance is the same where a version is let on without enough answers.
 	doubtChance = 0.05
-	// answersPerLook is how many answers of the new version stand for one look.
+	// answersPerLook is the least number of answers of the new version that stands
+	// for one look.
 	answersPerLook = 10
 	// plainRate is the failure rate that the plain test allows any version.
 	plainRate = 0.01
@@ -148,6 +152,9 @@
 	return min(at, bucketCount-1)
 }
 
+// good counts the answers that were no failures.
+func (c *Counts) good() int64 { return c.Answers - c.Failures }
+
 // timed counts the answers that have a latency.
 func (c *Counts) timed() (count int64) {
 	for _, n := range c.Latency {
@@ -203,8 +210,9 @@
 // a few answers. The fine test finds small ones from many: if the versions were
 // alike, all failures would fall on them in proportion to their answers.
 //
-// Each look is one more chance to be wrong, so the plain test gets stricter with
-// the answers that the version has given.
+// The plain test is a sequential one: looking again at the same answers and more
+// is allowed for. Each window that the attempt has had is one more chance to be
+// wrong, so a short window is tested more strictly the more of them there were.
 func (p *Pair) fails(attempt *Pair) bool {
 	if p.New.Failures < minFailures {
 		return false
@@ -214,14 +222,30 @@
 		return false
 	}
 	expected := max(plainRate, oldRate, rate(attempt.Old.Failures, attempt.Old.Answers))
-	looks := max(float64(attempt.New.Answers)/answersPerLook, 1)
-	if isUnlikely(p.New.Failures, p.New.Answers, expected, plainChance/looks) {
+	windows := max(rate(attempt.New.Answers, max(p.New.Answers, answersPerLook)), 1)
+	if likelihoodRatio(p.New.Failures, p.New.Answers, expected) >= math.Log(plainRatio*windows) {
 		return true
 	}
 	part := rate(p.New.Answers, p.New.Answers+p.Old.Answers)
 	return isUnlikely(p.New.Failures, p.New.Failures+p.Old.Failures, part, fineChance)
 }
 
+// likelihoodRatio returns the logarithm of how many times likelier the failures
+// are for a faulty version than at the expected rate. A faulty version's rate is
+// taken to be the likelier the higher it is, a Beta(2, 1) prior. The ratio is a
+// test martingale: at the expected rate it reaches n at any time with a chance of
+// at most 1/n.
+func likelihoodRatio(failures, answers int64, expected float64) float64 {
+	f, n := float64(failures), float64(answers)
+	if expected >= 1 || f <= n*expected {
+		return 0
+	}
+	ofFailures, _ := math.Lgamma(f + 2)
+	ofRest, _ := math.Lgamma(n - f + 1)
+	ofAll, _ := math.Lgamma(n + 3)
+	return math.Ln2 + ofFailures + ofRest - ofAll - f*math.Log(expected) - (n-f)*math.Log1p(-expected)
+}
+
 // isDoubtful says that the failures seen, though no proof of a fault, are too
 // many for a version to be let on without more answers.
 func (p *Pair) isDoubtful() bool {
@@ -281,6 +305,11 @@
 	return ""
 }
 
+// wholeOnly returns the evidence of the whole attempt alone.
+func (e *Evidence) wholeOnly() Evidence {
+	return Evidence{Service: e.Service, Attempt: e.Attempt, Route: e.Route, Whole: e.Whole, Cold: e.Cold}
+}
+
 // Pool adds up the evidence of several VMs for each route of one attempt, sorted
 // by route. Evidence of another step counts in the short windows only. Of the
 // first answers that all VMs had from an endpoint the slowest are left out.
--- a/internal/policy/move/guard.go
+++ b/internal/policy/move/guard.go
@@ -17,10 +17,6 @@
 	canaryRequests = 200
 	// checkInterval is how often answers that do not fail are looked at.
 	checkInterval = 100 * clock.Millis(1)
-	// shortAge and longAge are how long a peer's word on its last minute and last
-	// ten minutes counts.
-	shortAge = 1 * clock.Minute
-	longAge  = 10 * clock.Minute
 	// maxCredit bounds saved credit, in thousandths of a request.
 	maxCredit = 2 * Whole
 )
@@ -63,9 +59,13 @@
 	peers   map[string]peerEvidence
 }
 
+// peerEvidence is what a peer sent last. As it mostly does so after a
+// failure, it would look worse with each good answer that it has had since.
 type peerEvidence struct {
 	evidence []Evidence
-	at       clock.Millis
+	// own holds, for each of the evidence's, how many good answers of the new
+	// version this VM itself had on the route at the time.
+	own []int64
 }
 
 // routeWatch is one route's counts.
@@ -346,7 +346,7 @@
 		return nil
 	}
 	r.checkedAt = now
-	why := w.fault(g.evidence(w, now), prefix, now)
+	why := w.fault(g.evidence(w, now), prefix)
 	if why == "" {
 		return nil
 	}
@@ -357,11 +357,13 @@
 
 // fault returns what is wrong with the version on a route, or "". A fault may show
 // at one VM only, so the VM's own evidence counts alone too: good answers elsewhere
-// do not outweigh it.
-func (w *watch) fault(own []Evidence, prefix string, now clock.Millis) string {
-	all := own
-	for _, peer := range w.peers {
-		all = append(all, peer.fresh(now)...)
+// do not outweigh it. With the peers' only the whole attempt is looked at, as their
+// newest answers are not known here; the mover, which collects them, looks at the
+// shorter times.
+func (w *watch) fault(own []Evidence, prefix string) string {
+	all := w.wholes()
+	for i := range own {
+		all = append(all, own[i].wholeOnly())
 	}
 	for _, evidence := range [][]Evidence{own, all} {
 		for _, pooled := range Pool(evidence, w.state.Service, w.state.Attempt, w.state.Step) {
@@ -376,18 +378,17 @@
 	return ""
 }
 
-// fresh returns a peer's evidence without what is too old to count.
-func (p *peerEvidence) fresh(now clock.Millis) []Evidence {
-	kept := append([]Evidence(nil), p.evidence...)
-	for i := range kept {
-		if now-p.at > shortAge {
-			kept[i].Minute = Pair{}
-		}
-		if now-p.at > longAge {
-			kept[i].TenMinutes = Pair{}
+// wholes returns what peers sent of the attempt, as it should be now: each is
+// taken to have had as many good answers since then as this VM.
+func (w *watch) wholes() (all []Evidence) {
+	for _, peer := range w.peers {
+		for i := range peer.evidence {
+			evidence := peer.evidence[i].wholeOnly()
+			evidence.Whole.New.Answers += w.route(evidence.Route).whole.New.good() - peer.own[i]
+			all = append(all, evidence)
 		}
 	}
-	return kept
+	return all
 }
 
 // Suspend takes over a peer's word of a fault. It reports whether it was news.
@@ -423,19 +424,19 @@
 func (g *Guard) Merge(vm string, evidence []Evidence) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.Clock.Now()
 	for name, w := range g.services {
 		if w.state == nil {
 			continue
 		}
-		var own []Evidence
+		merged := peerEvidence{}
 		for i := range evidence {
 			if evidence[i].Service == name && evidence[i].Attempt == w.state.Attempt {
-				own = append(own, evidence[i])
+				merged.evidence = append(merged.evidence, evidence[i])
+				merged.own = append(merged.own, w.route(evidence[i].Route).whole.New.good())
 			}
 		}
-		if own != nil {
-			w.peers[vm] = peerEvidence{evidence: own, at: now}
+		if merged.evidence != nil {
+			w.peers[vm] = merged
 		}
 	}
 }
