Call failing peers and a failing store less and less from the mover

The loop told a peer that failed each call ten times a second; now with the retry package's backoff, 1 s at most. In 10 s at most 25 calls (TestFailingPeerIsCalledLessAndLess).

--- a/internal/control/mover/mover.go
+++ b/internal/control/mover/mover.go
@@ -19,6 +19,7 @@
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/fault"
 	"baobabladder.example/baobabladder/internal/policy/move"
+	"baobabladder.example/baobabladder/internal/policy/retry"
 	"baobabladder.example/baobabladder/internal/wire/store"
 	"baobabladder.example/baobabladder/internal/world/membership"
 	"baobabladder.example/baobabladder/internal/world/replica"
@@ -33,6 +34,9 @@
 	// callTimeout bounds one call to a peer, storeTimeout one to the store.
 	callTimeout  = 500 * clock.Millis(1)
 	storeTimeout = 2 * clock.Second
+	// longestWait bounds the wait before a peer or the store that failed is called
+	// again: word of a fault must reach all VMs within seconds.
+	longestWait = 1 * clock.Second
 	// maxParallel bounds the calls to peers at one time.
 	maxParallel = 32
 )
@@ -82,6 +86,8 @@
 	// greeted holds for each peer's run which generation of suspensions it
 	// confirmed; see generationOf. Guarded by mu.
 	greeted map[vm.ID]int64
+	// waits holds the peers whose last call failed. Guarded by mu.
+	waits map[vm.ID]*peerWait
 	// term is the newest mover's term heard of; older ones are refused. Guarded by mu.
 	term int64
 	// seen holds the newest change of each service's move that the account has.
@@ -99,8 +105,16 @@
 }
 
 func (m *Mover) judgeLoop(ctx context.Context) {
-	for clock.Sleep(ctx, roundInterval) == nil {
-		if err := m.Judge(ctx); err != nil && m.Log != nil {
+	backoff := retry.Backoff{Longest: longestWait}
+	wait := roundInterval
+	for clock.Sleep(ctx, wait) == nil {
+		err := m.Judge(ctx)
+		if err == nil {
+			wait = roundInterval + backoff.Succeeded()
+			continue
+		}
+		wait = roundInterval + backoff.Failed()
+		if m.Log != nil {
 			m.Log.WithError(err).Warn("judging moves")
 		}
 	}
--- a/internal/control/mover/mover_test.go
+++ b/internal/control/mover/mover_test.go
@@ -104,6 +104,8 @@
 	leases  []*fakeLease
 	// cut VMs neither call nor are called, and their copies are not updated.
 	cut map[string]bool
+	// calls counts calls between the VMs.
+	calls int
 	// copies is each VM's copy of the state.
 	copies []json.RawMessage
 }
@@ -169,6 +171,7 @@
 }
 
 func (c *fakeCaller) Call(_ context.Context, address, method string, args, reply any) error {
+	c.fleet.calls++
 	if c.fleet.cut[c.from] || c.fleet.cut[address] {
 		return peer.ErrUnreachable.New("cut")
 	}
@@ -346,6 +349,31 @@
 	})
 }
 
+// A peer that still counts as reachable but fails each call is not called in
+// each round, and hears of a fault within seconds of its return.
+func TestFailingPeerIsCalledLessAndLess(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2)
+	f.hold(0, 1)
+	f.round()
+	f.round()
+	mover := f.movers[0]
+	view := f.view("vm0")
+	mover.View = func() *membership.View { return view }
+	f.cut["vm1"] = true
+	mover.Guard.Suspend(move.Suspension{Service: "orders", Attempt: 1, To: "v2"})
+	f.calls = 0
+	for range 100 {
+		mover.Tell(context.Background())
+		f.manual.Advance(syncInterval)
+	}
+	g.Expect(f.calls).To(BeNumerically("<=", 25), "calls in 10 s")
+	f.cut = map[string]bool{}
+	f.manual.Advance(longestWait)
+	mover.Tell(context.Background())
+	g.Expect(f.anySuspension(1) && len(f.movers[1].Guard.Suspensions()) == 1).To(BeTrue())
+}
+
 func TestLostAnswerIsReadBack(t *testing.T) {
 	g := NewWithT(t)
 	f := newFleet(3)
--- a/internal/control/mover/receiver.go
+++ b/internal/control/mover/receiver.go
@@ -7,7 +7,9 @@
 	"github.com/joomcode/errorx"
 
 	"baobabladder.example/baobabladder/internal/base/account"
+	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/policy/move"
+	"baobabladder.example/baobabladder/internal/policy/retry"
 	"baobabladder.example/baobabladder/internal/world/membership"
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
@@ -137,14 +139,17 @@
 	generation := generationOf(suspensions)
 	var due []membership.Member
 	for _, member := range m.reachable() {
-		if len(evidence) > 0 || !m.isGreeted(member.ID(), generation) {
+		isNews := len(evidence) > 0 || !m.isGreeted(member.ID(), generation)
+		if isNews && m.mayCall(member.ID()) {
 			due = append(due, member)
 		}
 	}
 	report := &Report{From: m.Self, Evidence: evidence, Suspensions: suspensions}
 	each(due, func(member membership.Member) {
 		reply := ReportReply{}
-		if m.call(ctx, member, "Report", report, &reply) != nil {
+		err := m.call(ctx, member, "Report", report, &reply)
+		m.noteCall(member.ID(), err)
+		if err != nil {
 			return
 		}
 		m.suspend(reply.Suspensions)
@@ -152,6 +157,37 @@
 	})
 }
 
+// peerWait is how long a peer that could not be told is left alone.
+type peerWait struct {
+	backoff retry.Backoff
+	until   clock.Millis
+}
+
+func (m *Mover) mayCall(peer vm.ID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	wait := m.waits[peer]
+	return wait == nil || m.Clock.Now() >= wait.until
+}
+
+func (m *Mover) noteCall(peer vm.ID, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err == nil {
+		delete(m.waits, peer)
+		return
+	}
+	wait := m.waits[peer]
+	if wait == nil {
+		wait = &peerWait{backoff: retry.Backoff{Longest: longestWait}}
+		if m.waits == nil {
+			m.waits = map[vm.ID]*peerWait{}
+		}
+		m.waits[peer] = wait
+	}
+	wait.until = m.Clock.Now() + wait.backoff.Failed()
+}
+
 // generationOf grows with each suspension that becomes known: of each service
 // only the newest attempt is kept, and attempts only grow.
 func generationOf(suspensions []move.Suspension) (generation int64) {
