End a killed VM's side of its connections, and let no end pass a cut

A process that was stopped while cut off waited for connections whose other ends had closed, since the network passed on neither. The measure's lost region thus came back without its entry VMs. The end of a connection now waits like its bytes until the cut heals.

--- a/internal/standin/firm/firm.go
+++ b/internal/standin/firm/firm.go
@@ -144,9 +144,7 @@
 // Stop ends everything and waits for it, but not for ever: a part that does not
 // end is logged.
 func (f *Firm) Stop() {
-	for _, entry := range f.Entries {
-		f.Network.CutVM(entry.Settings.Name, false)
-	}
+	f.Network.Heal()
 	f.stopAll()
 	ended := make(chan struct{})
 	go func() {
--- a/internal/standin/link/conn.go
+++ b/internal/standin/link/conn.go
@@ -39,6 +39,7 @@
 func (n *Network) connect(raw net.Conn, from, to Place, roundTrip int64) net.Conn {
 	near, inner := net.Pipe()
 	c := &connection{network: n, from: from, to: to, oneWay: roundTrip / 2, closed: make(chan struct{}), ends: []net.Conn{raw, inner}}
+	n.keep(c)
 	go c.carry(inner, raw, n.lane(from, to))
 	go c.carry(raw, inner, n.lane(to, from))
 	return near
@@ -69,9 +70,12 @@
 }
 
 // deliver writes chunks when they arrive, and closes the connection after the
-// last one.
+// last one. The end of a connection does not pass a cut either.
 func (c *connection) deliver(underWay <-chan chunk, target net.Conn) {
-	defer c.close()
+	defer func() {
+		_ = c.network.awaitOpen(c.closed, c.from, c.to)
+		c.close()
+	}()
 	for next := range underWay {
 		if sleepMicros(c.closed, next.arrivesAt-c.network.Clock.Micros()) != nil {
 			return
@@ -87,6 +91,7 @@
 
 func (c *connection) close() {
 	c.closeOnce.Do(func() {
+		c.network.forget(c)
 		close(c.closed)
 		for _, end := range c.ends {
 			_ = end.Close()
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -47,6 +47,8 @@
 	// cutPairs and cutVMs are what no byte passes. Pairs stand sorted. Guarded by mu.
 	cutPairs map[direction]bool
 	cutVMs   map[string]bool
+	// open holds the connections that have not ended. Guarded by mu.
+	open map[*connection]bool
 	// changed is closed and replaced at each change of the cuts; nil before the
 	// first wait. Guarded by mu.
 	changed chan struct{}
@@ -97,6 +99,42 @@
 	n.announce()
 }
 
+// KillVM cuts a VM off and ends its side of the connections that it accepted, as
+// a loss of power does: the other sides hear nothing of it until the cut heals.
+func (n *Network) KillVM(name string) {
+	n.CutVM(name, true)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.open {
+		if c.to.VM == name {
+			_ = c.ends[0].Close()
+		}
+	}
+}
+
+// Heal ends all cuts.
+func (n *Network) Heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cutPairs, n.cutVMs = nil, nil
+	n.announce()
+}
+
+func (n *Network) keep(c *connection) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.open == nil {
+		n.open = map[*connection]bool{}
+	}
+	n.open[c] = true
+}
+
+func (n *Network) forget(c *connection) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.open, c)
+}
+
 // Traffic returns what passed between regions, sorted by direction.
 func (n *Network) Traffic() []Traffic {
 	n.mu.Lock()
--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -17,6 +18,9 @@
 	clyde   = Place{VM: "endpoint-1", Region: "clyde", DataCentre: "clyde-1"}
 )
 
+// patience is how long a test waits for what must come.
+const patience = 20 * time.Second
+
 func fleet() *document.Fleet {
 	return &document.Fleet{Links: []document.Link{{A: "clyde", B: "lothian", Mbit: 8, Latency: 30}}}
 }
@@ -108,3 +112,32 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(string(content)).To(Equal("late"))
 }
+
+func TestKilledVMEndsItsSideAndOthersHearItOnlyAfterTheCut(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	network := &Network{}
+	network.Locate(listener.Addr().String(), clyde)
+	ended := make(chan struct{})
+	go func() {
+		conn, err := listener.Accept()
+		if err == nil {
+			_, _ = io.Copy(io.Discard, conn)
+		}
+		close(ended)
+	}()
+	conn, err := network.Dialer(lothian)(context.Background(), "tcp", listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	heard := make(chan error, 1)
+	go func() {
+		_, err := conn.Read(make([]byte, 1))
+		heard <- err
+	}()
+	network.KillVM(clyde.VM)
+	g.Eventually(ended, patience).Should(BeClosed())
+	g.Expect(heard).NotTo(Receive())
+	network.CutVM(clyde.VM, false)
+	g.Eventually(heard, patience).Should(Receive(HaveOccurred()))
+}
--- a/internal/standin/measure/scenario.go
+++ b/internal/standin/measure/scenario.go
@@ -102,9 +102,9 @@
 // kill ends an entry VM as a loss of power does, as far as others can tell. The
 // platform's list drops it.
 func (r *run) kill(entry *firm.Entry) {
-	r.firm.Network.CutVM(entry.Settings.Name, true)
 	entry.Gone = true
 	entry.Stop()
+	r.firm.Network.KillVM(entry.Settings.Name)
 	r.firm.Store.DropVM(entry.Settings.Name)
 }
 
@@ -137,7 +137,7 @@
 }
 
 // endWait is how long the return of a region waits for an entry VM's old process.
-const endWait = 500 * clock.Millis(1)
+const endWait = 2 * clock.Second
 
 // drain empties the first data centre of the store's region.
 func drain(ctx context.Context, r *run) error {
