Keep who decided and when in the store's objects; let peers settle withdrawals

A key's object says who had it issued and withdrawn and when; a lease's object keeps its last 32 holders with term and time. The account shows these and the documents in force beside the lines that VMs have in memory, so they outlive the VM that decided. No write is added.

A withdrawal whose write had an unknown outcome was written later only by the VM that was asked. If it ended, the key stayed valid in the store, and VMs that started after all others had restarted would have let it work. Now the first VM of each data centre also writes what it knows as pending.

--- a/internal/control/lease/lease.go
+++ b/internal/control/lease/lease.go
@@ -9,6 +9,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"slices"
 	"sync"
 
 	"github.com/joomcode/errorx"
@@ -44,10 +45,24 @@
 	Term int64 `json:"term"`
 	// Renewed counts the renewals within the term.
 	Renewed int64 `json:"renewed"`
+	// Takeovers holds the last changes of holder, oldest first. It is no part of the
+	// promise: it tells operators who held the lease when.
+	Takeovers []Takeover `json:"takeovers,omitempty"`
 	// WriteID is unique to the change that wrote the record.
 	WriteID string `json:"write_id"`
 }
 
+// Takeover is a change of a lease's holder.
+type Takeover struct {
+	Holder vm.ID `json:"holder"`
+	Term   int64 `json:"term"`
+	// At is the holder's wall time in Unix milliseconds.
+	At clock.Millis `json:"at"`
+}
+
+// maxTakeovers bounds Record.Takeovers.
+const maxTakeovers = 32
+
 // Claim is what a VM says of a lease that it holds.
 type Claim struct {
 	Duty   string `json:"duty"`
@@ -133,7 +148,7 @@
 		return l.observe(ctx)
 	}
 	if l.known.Holder == l.Self && l.Self != (vm.ID{}) {
-		return l.write(ctx, Record{Holder: l.Self, Term: l.known.Term, Renewed: l.known.Renewed + 1})
+		return l.write(ctx, Record{Holder: l.Self, Term: l.known.Term, Renewed: l.known.Renewed + 1, Takeovers: l.known.Takeovers})
 	}
 	if l.isHolderHeard() || !l.mayHold() {
 		return nil
@@ -145,7 +160,14 @@
 		l.setDue(now + min(wait, retryDelay) + l.jitter(retryDelay/2))
 		return nil
 	}
-	return l.write(ctx, Record{Holder: l.Self, Term: l.known.Term + 1})
+	return l.write(ctx, l.takeover())
+}
+
+// takeover returns the record by which this VM takes the lease.
+func (l *Lease) takeover() Record {
+	term := l.known.Term + 1
+	takeovers := append(slices.Clone(l.known.Takeovers), Takeover{Holder: l.Self, Term: term, At: l.Clock.Wall()})
+	return Record{Holder: l.Self, Term: term, Takeovers: takeovers[max(0, len(takeovers)-maxTakeovers):]}
 }
 
 // Release gives the lease up, so that the next holder need not wait.
@@ -157,7 +179,7 @@
 	l.mu.Lock()
 	l.heldUntil = 0
 	l.mu.Unlock()
-	return l.write(ctx, Record{Term: l.known.Term})
+	return l.write(ctx, Record{Term: l.known.Term, Takeovers: l.known.Takeovers})
 }
 
 // write tries to replace the known version by record.
--- a/internal/entry/command/operate.go
+++ b/internal/entry/command/operate.go
@@ -12,6 +12,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"baobabladder.example/baobabladder/internal/base/account"
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/document"
 	"baobabladder.example/baobabladder/internal/base/fault"
@@ -181,20 +182,26 @@
 }
 
 func (c *commands) account(ctx context.Context) int {
-	account, err := c.client().Account(ctx)
+	decisions, err := c.client().Account(ctx)
 	if err != nil {
 		return c.fail(err)
 	}
-	return c.print(account, func(w *tabwriter.Writer) {
-		for _, line := range account.Lines {
-			fmt.Fprintf(w, "%s\t%s\tterm %d\t%s\t%s\t%s\n", wallTime(line.At), line.VM, line.Term, line.What, line.Subject, line.Why)
-		}
-		for _, vm := range account.Missing {
+	return c.print(decisions, func(w *tabwriter.Writer) {
+		printLines(w, decisions.Lines)
+		fmt.Fprintln(w, "what the store keeps of decisions, also of VMs that have ended:")
+		printLines(w, decisions.Kept)
+		for _, vm := range decisions.Missing {
 			fmt.Fprintf(w, "%s gave no answer\n", vm)
 		}
 	})
 }
 
+func printLines(w *tabwriter.Writer, lines []account.Line) {
+	for _, line := range lines {
+		fmt.Fprintf(w, "%s\t%s\tterm %d\t%s\t%s\t%s\n", wallTime(line.At), line.VM, line.Term, line.What, line.Subject, line.Why)
+	}
+}
+
 // print writes a command's result in the asked form.
 func (c *commands) print(result any, text func(w *tabwriter.Writer)) int {
 	if c.output == outputJSON {
--- /dev/null
+++ b/internal/wire/operator/export_test.go
@@ -0,0 +1,4 @@
+package operator
+
+// IsFirstOfDataCentre shows a Server's choice to tests.
+func IsFirstOfDataCentre(s *Server) bool { return s.isFirstOfDataCentre() }
--- /dev/null
+++ b/internal/wire/operator/kept.go
@@ -0,0 +1,89 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"baobabladder.example/baobabladder/internal/base/account"
+	"baobabladder.example/baobabladder/internal/base/document"
+	"baobabladder.example/baobabladder/internal/control/lease"
+)
+
+// storeName stands for the store among what is missing from an account.
+const storeName = "store"
+
+// kept returns what the store's objects tell of decisions: those of the copy, and
+// with one call the leases. An error says that the leases are missing.
+func (s *Server) kept(ctx context.Context) (lines []account.Line, err error) {
+	lines = append(s.keptOfKeys(), s.keptOfDocuments()...)
+	ctx, cancel := context.WithTimeout(ctx, accountTimeout.Duration())
+	defer cancel()
+	leases, err := s.keptOfLeases(ctx)
+	lines = append(lines, leases...)
+	slices.SortStableFunc(lines, func(a, b account.Line) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.What, b.What), cmp.Compare(a.Subject, b.Subject))
+	})
+	return lines, err
+}
+
+func (s *Server) keptOfKeys() (lines []account.Line) {
+	for _, k := range s.Replica.Snapshot().Keys {
+		if k.IssuedAt > 0 {
+			why := fmt.Sprintf("%s asked for a key for workspace %s", k.IssuedBy, k.Workspace)
+			lines = append(lines, account.Line{At: k.IssuedAt, What: "key_issued", Subject: k.ID, Why: why})
+		}
+		if k.WithdrawnAt > 0 {
+			lines = append(lines, account.Line{At: k.WithdrawnAt, What: "key_withdrawn", Subject: k.ID, Why: withdrawalOf(k.WithdrawnBy)})
+		}
+	}
+	return lines
+}
+
+// withdrawalOf says who withdrew a key.
+func withdrawalOf(author string) string {
+	if author == "" {
+		return "withdrawn through a VM that ended before it was written; that VM's log says who asked"
+	}
+	return author + " withdrew the key"
+}
+
+func (s *Server) keptOfDocuments() (lines []account.Line) {
+	snapshot := s.Replica.Snapshot()
+	names := []string{document.FleetName}
+	for i := range snapshot.Services {
+		names = append(names, snapshot.Services[i].Name)
+	}
+	for _, name := range names {
+		object, found := s.Replica.Object(document.ObjectPrefix + name)
+		var record document.Record
+		if !found || json.Unmarshal(object.Value, &record) != nil {
+			continue
+		}
+		why := fmt.Sprintf("%s: revision %d", record.Author, record.Revision)
+		lines = append(lines, account.Line{At: record.AcceptedAt, What: "document_accepted", Subject: name, Why: why})
+	}
+	return lines
+}
+
+func (s *Server) keptOfLeases(ctx context.Context) (lines []account.Line, err error) {
+	listing, err := s.Store.List(ctx, lease.ObjectPrefix)
+	if err != nil {
+		return nil, err
+	}
+	for _, object := range listing.Objects {
+		var record lease.Record
+		if err := json.Unmarshal(object.Value, &record); err != nil {
+			return lines, err
+		}
+		for _, taken := range record.Takeovers {
+			lines = append(lines, account.Line{
+				At: taken.At, VM: taken.Holder.Name, Term: taken.Term, What: "lease_taken",
+				Subject: object.Key[len(lease.ObjectPrefix):], Why: "no other VM held the lease",
+			})
+		}
+	}
+	return lines, nil
+}
--- a/internal/wire/operator/key.go
+++ b/internal/wire/operator/key.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -47,7 +48,7 @@
 	if err != nil {
 		return Issued{}, err
 	}
-	made.WriteID = newWriteID()
+	made.IssuedBy, made.IssuedAt, made.WriteID = asked.Author, s.Clock.Wall(), newWriteID()
 	ctx, cancel := s.writeContext(request)
 	defer cancel()
 	object, err := s.writeKey(ctx, made, 0)
@@ -98,7 +99,7 @@
 	s.Replica.Withdraw(id)
 	early := make(chan Spread, 1)
 	go func() { early <- s.spread(ctx) }()
-	object, err := s.withdrawInStore(ctx, id)
+	object, err := s.withdrawInStore(ctx, id, author)
 	if err != nil {
 		s.settleLater(id, author)
 		told := <-early
@@ -114,7 +115,7 @@
 }
 
 func (s *Server) noteWithdrawal(id, author string) {
-	s.Account.Add(account.Line{What: "key_withdrawn", Subject: id, Why: author + " withdrew the key"})
+	s.Account.Add(account.Line{What: "key_withdrawn", Subject: id, Why: withdrawalOf(author)})
 }
 
 // requireKey refuses the id of a key that neither the copy nor the store has.
@@ -128,7 +129,7 @@
 
 // withdrawInStore writes the withdrawal, whatever else is written to the key at
 // the same time. A key that is withdrawn already is left as it is.
-func (s *Server) withdrawInStore(ctx context.Context, id string) (object store.Object, err error) {
+func (s *Server) withdrawInStore(ctx context.Context, id, author string) (object store.Object, err error) {
 	for {
 		object, err = s.Store.Get(ctx, key.ObjectPrefix+id)
 		if err != nil {
@@ -142,6 +143,7 @@
 			return object, nil
 		}
 		k.Withdrawn, k.WriteID = true, newWriteID()
+		k.WithdrawnBy, k.WithdrawnAt = author, s.Clock.Wall()
 		object, err = s.writeKey(ctx, k, object.Version)
 		if !errorx.IsOfType(err, store.ErrConflict) {
 			return object, err
@@ -158,25 +160,55 @@
 	s.settler.authors[id] = author
 }
 
-// Run writes withdrawals that the store has not confirmed, until ctx ends.
+// Run writes withdrawals that the store has not confirmed, until ctx ends: those
+// that this VM was asked for, and those that it knows of from a peer, which may
+// have ended since.
 func (s *Server) Run(ctx context.Context) {
+	unsettled := map[string]bool{}
 	for clock.Sleep(ctx, settleInterval) == nil {
-		s.settler.mu.Lock()
-		waiting := make(map[string]string, len(s.settler.authors))
-		for id, author := range s.settler.authors {
-			waiting[id] = author
+		waiting := s.waiting()
+		before := unsettled
+		unsettled = map[string]bool{}
+		for _, id := range s.Replica.Unsettled() {
+			unsettled[id] = true
+			// The VM that was asked gets a round to write it first.
+			if _, asked := waiting[id]; !asked && before[id] && s.isFirstOfDataCentre() {
+				waiting[id] = ""
+			}
 		}
-		s.settler.mu.Unlock()
-		for id, author := range waiting {
-			s.settle(ctx, id, author)
+		for _, id := range slices.Sorted(maps.Keys(waiting)) {
+			s.settle(ctx, id, waiting[id])
 		}
 	}
 }
 
+// waiting returns a copy of the settler's content.
+func (s *Server) waiting() map[string]string {
+	s.settler.mu.Lock()
+	defer s.settler.mu.Unlock()
+	waiting := make(map[string]string, len(s.settler.authors))
+	maps.Copy(waiting, s.settler.authors)
+	return waiting
+}
+
+// isFirstOfDataCentre says whether no other VM of the data centre that can be
+// reached has a lesser name. Calls of the store then don't grow with the VMs.
+func (s *Server) isFirstOfDataCentre() bool {
+	view := s.Viewer.View()
+	self := view.Member(view.Self)
+	for i := range view.Members {
+		m := &view.Members[i]
+		if self != nil && m.Name < self.Name && m.DataCentre == self.DataCentre && m.Reachable && !m.Stopping {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Server) settle(ctx context.Context, id, author string) {
 	ctx, cancel := context.WithTimeout(ctx, s.writeTime().Duration())
 	defer cancel()
-	object, err := s.withdrawInStore(ctx, id)
+	object, err := s.withdrawInStore(ctx, id, author)
 	if err != nil {
 		return
 	}
@@ -191,7 +223,10 @@
 func (s *Server) listKeys(*http.Request) (list KeyList, err error) {
 	list.Keys = []KeyLine{}
 	for _, k := range s.Replica.Snapshot().Keys {
-		list.Keys = append(list.Keys, KeyLine{ID: k.ID, Workspace: k.Workspace, Withdrawn: k.Withdrawn})
+		list.Keys = append(list.Keys, KeyLine{
+			ID: k.ID, Workspace: k.Workspace, Withdrawn: k.Withdrawn,
+			IssuedBy: k.IssuedBy, IssuedAt: k.IssuedAt, WithdrawnBy: k.WithdrawnBy, WithdrawnAt: k.WithdrawnAt,
+		})
 	}
 	slices.SortFunc(list.Keys, func(a, b KeyLine) int {
 		return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.ID, b.ID))
--- a/internal/wire/operator/message.go
+++ b/internal/wire/operator/message.go
@@ -118,6 +118,11 @@
 	ID        string `json:"id"`
 	Workspace string `json:"workspace"`
 	Withdrawn bool   `json:"withdrawn"`
+	// Who asked and when, in Unix milliseconds; see key.Key.
+	IssuedBy    string       `json:"issued_by,omitempty"`
+	IssuedAt    clock.Millis `json:"issued_at,omitempty"`
+	WithdrawnBy string       `json:"withdrawn_by,omitempty"`
+	WithdrawnAt clock.Millis `json:"withdrawn_at,omitempty"`
 }
 
 // KeyList lists keys, sorted by workspace and id.
@@ -189,7 +194,12 @@
 // Account holds the decisions of all VMs that answered, in order of time.
 type Account struct {
 	Lines []account.Line `json:"lines"`
-	// Missing holds the VMs that gave no answer, sorted.
+	// Kept holds what the store's objects tell of decisions, in order of time. It
+	// outlives the VMs: keys, the documents in force, who held the leases.
+	Kept []account.Line `json:"kept"`
+	// Missing holds the VMs that gave no answer, sorted, and "store" if the leases
+	// could not be read. Lines of VMs that ended since they decided are missing
+	// without a mark.
 	Missing []string `json:"missing"`
 }
 
--- a/internal/wire/operator/status.go
+++ b/internal/wire/operator/status.go
@@ -72,6 +72,9 @@
 		})
 	}
 	group.Wait()
+	if merged.Kept, err = s.kept(request.Context()); err != nil {
+		merged.Missing = append(merged.Missing, storeName)
+	}
 	slices.Sort(merged.Missing)
 	slices.SortStableFunc(merged.Lines, func(a, b account.Line) int {
 		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.VM, b.VM), cmp.Compare(a.What, b.What), cmp.Compare(a.Subject, b.Subject))
--- a/internal/world/key/key.go
+++ b/internal/world/key/key.go
@@ -10,6 +10,7 @@
 	"encoding/base64"
 	"encoding/hex"
 
+	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/fault"
 )
 
@@ -40,6 +41,14 @@
 	Workspace string `json:"workspace"`
 	// Withdrawn never goes back to false.
 	Withdrawn bool `json:"withdrawn"`
+	// IssuedBy and IssuedAt tell who asked for the key and when, WithdrawnBy and
+	// WithdrawnAt who had it withdrawn. The times are wall times in Unix
+	// milliseconds. WithdrawnBy is empty if the VM that was asked ended before the
+	// store had the withdrawal, and another VM wrote it.
+	IssuedBy    string       `json:"issued_by,omitempty"`
+	IssuedAt    clock.Millis `json:"issued_at,omitempty"`
+	WithdrawnBy string       `json:"withdrawn_by,omitempty"`
+	WithdrawnAt clock.Millis `json:"withdrawn_at,omitempty"`
 	// WriteID is unique to the last change; see store.ErrOutcomeUnknown.
 	WriteID string `json:"write_id"`
 }
--- a/internal/world/replica/replica.go
+++ b/internal/world/replica/replica.go
@@ -225,6 +225,20 @@
 	return slices.Sorted(maps.Keys(r.pending))
 }
 
+// Unsettled returns the ids of the keys that are treated as withdrawn while the
+// store does not show them withdrawn yet, sorted.
+func (r *Replica) Unsettled() (ids []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id := range r.pending {
+		if k, found := r.keys[key.ObjectPrefix+id]; found && !k.Withdrawn {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // Object returns the newest known version of the object at key.
 func (r *Replica) Object(key string) (object store.Object, found bool) {
 	r.mu.Lock()
