Ask VMs at rest for reports every 2 s; grant no slot for a request above a share

Rest: the divider asked each VM every 250 ms.

Reports now give the share, and the slots in use apart from it; a term starts from the shares. TestNewTermGrantsNoSlotForARequestAboveTheShare failed before (1 granted).

--- a/internal/control/divider/divider.go
+++ b/internal/control/divider/divider.go
@@ -34,6 +34,11 @@
 	// smallFleet is how many VMs the divider asks in each roundInterval. In a
 	// larger fleet the rounds are as much longer.
 	smallFleet = 100
+	// wakePatience is how long a VM with demand that its shares did not meet waits for
+	// an offer before it tells the divider.
+	wakePatience = 300 * clock.Millis(1)
+	// wakeTimeout bounds that call.
+	wakeTimeout = 500 * clock.Millis(1)
 	// offerTimeout bounds one offer and its report.
 	offerTimeout = 1 * clock.Second
 	// settleTimeout bounds one settlement of loans.
@@ -88,6 +93,8 @@
 	// confirmed holds a value when a VM has confirmed grants since the last round.
 	// It is made at first use. Guarded by mu; its value never changes after.
 	confirmed chan struct{}
+	// waking holds the divider whose answer to a Wake is awaited. Guarded by mu.
+	waking map[string]bool
 }
 
 // Run fences the VM, and then holds and divides until ctx ends.
@@ -99,6 +106,7 @@
 	go d.settleSoon(ctx)
 	for ctx.Err() == nil {
 		d.settle(ctx)
+		d.wake(ctx)
 		d.round(ctx)
 		d.pause(ctx)
 	}
@@ -193,6 +201,45 @@
 	return newest, answers
 }
 
+// wake tells the divider if callers here want more than this VM's shares give and
+// it does not ask: a VM that had nothing to report is asked rarely.
+func (d *Divider) wake(ctx context.Context) {
+	name := d.Holder.Short(max(wakePatience, d.interval()))
+	if name == "" || !d.begin(d.wakingLocked, name) {
+		return
+	}
+	go func() {
+		defer d.end(d.wakingLocked, name)
+		ctx, cancel := context.WithTimeout(ctx, wakeTimeout.Duration())
+		defer cancel()
+		d.count("limits_wakes", 1)
+		if err := d.call(ctx, name, "Wake", &WakeRequest{From: d.Self}, &WakeReply{}); err != nil {
+			d.Log.WithError(err).WithField("vm", name).Debug("the divider was not told of unmet demand")
+		}
+	}()
+}
+
+// wakeUp ends the pause between two rounds for a VM that has unmet demand.
+func (d *Divider) wakeUp(name string) {
+	d.mu.Lock()
+	known := d.ledger != nil
+	if known {
+		d.ledger.Wake(name)
+	}
+	d.mu.Unlock()
+	if known {
+		d.endPause()
+	}
+}
+
+// endPause lets the next round begin now.
+func (d *Divider) endPause() {
+	select {
+	case d.confirmations() <- struct{}{}:
+	default:
+	}
+}
+
 // round sends one round of offers if this VM is the divider.
 func (d *Divider) round(ctx context.Context) {
 	for _, offers := range d.plan() {
@@ -258,10 +305,7 @@
 	if len(offers.Offer.Grants) == 0 {
 		return
 	}
-	select {
-	case d.confirmations() <- struct{}{}:
-	default:
-	}
+	d.endPause()
 }
 
 func (d *Divider) apply(report *contract.Report) {
@@ -339,6 +383,13 @@
 	return d.settling
 }
 
+func (d *Divider) wakingLocked() map[string]bool {
+	if d.waking == nil {
+		d.waking = map[string]bool{}
+	}
+	return d.waking
+}
+
 // begin marks name in a set, unless it is there already.
 func (d *Divider) begin(set func() map[string]bool, name string) bool {
 	d.mu.Lock()
--- a/internal/control/divider/receiver.go
+++ b/internal/control/divider/receiver.go
@@ -19,6 +19,16 @@
 	From vm.ID
 }
 
+// WakeRequest tells the divider that a VM has demand which its shares did not meet.
+type WakeRequest struct {
+	From vm.ID
+}
+
+// WakeReply confirms a WakeRequest.
+type WakeReply struct {
+	VM vm.ID
+}
+
 // SettleReply confirms a settlement.
 type SettleReply struct {
 	VM vm.ID
@@ -69,3 +79,10 @@
 	reply.VM = r.Divider.Self
 	return nil
 }
+
+// Wake begins a round that asks the caller.
+func (r *Receiver) Wake(request *WakeRequest, reply *WakeReply) error {
+	r.Divider.wakeUp(request.From.Name)
+	reply.VM = r.Divider.Self
+	return nil
+}
--- a/internal/policy/divide/bench_test.go
+++ b/internal/policy/divide/bench_test.go
@@ -67,3 +67,59 @@
 		ledger.Plan()
 	}
 }
+
+// BenchmarkRound is a round in which every VM reports the demand of all workspaces.
+func BenchmarkRound(b *testing.B) {
+	for _, size := range []struct{ holders, endpoints int }{{9, 40}, {90, 200}, {900, 800}, {4900, 1800}} {
+		for _, isBusy := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%d_holders_%d_endpoints_busy_%t", size.holders, size.endpoints, isBusy), func(b *testing.B) {
+				benchmarkRound(b, size.holders, size.endpoints, isBusy)
+			})
+		}
+	}
+}
+
+func benchmarkRound(b *testing.B, size, endpointCount int, isBusy bool) {
+	const workspaces = 24
+	totals := map[contract.Resource]divide.Total{}
+	var rates []contract.Resource
+	for i := range workspaces {
+		rates = append(rates, contract.RateOf("artes", fmt.Sprintf("w%02d", i)))
+		totals[rates[i]] = divide.Total{Share: contract.Share{Rate: 10_000_000, Size: 10_000_000}}
+	}
+	for i := range endpointCount {
+		place := divide.Place{Region: fmt.Sprintf("r%d", i%3), DataCentre: fmt.Sprintf("r%d-%d", i%3, i%6)}
+		totals[contract.SlotsOf("artes", fmt.Sprintf("e%04d", i))] = divide.Total{Share: contract.Share{Size: 3}, Place: place}
+	}
+	manual, ledger, reports := benchmarkLedger(size, totals)
+	accepted := map[string]map[contract.Resource]int64{}
+	for range 4 {
+		for _, offers := range ledger.Plan() {
+			report := contract.Report{VM: offers.VM, Term: 1, Round: offers.Offer.Round}
+			for _, grant := range offers.Offer.Grants {
+				report.Holdings = append(report.Holdings, contract.Holding{Resource: grant.Resource, Seq: grant.Seq, Share: grant.Share})
+				if accepted[offers.VM.Name] == nil {
+					accepted[offers.VM.Name] = map[contract.Resource]int64{}
+				}
+				accepted[offers.VM.Name][grant.Resource] = grant.Seq
+			}
+			ledger.Apply(&report)
+		}
+	}
+	b.ReportAllocs()
+	for round := int64(1); b.Loop(); round++ {
+		manual.Advance(250)
+		ledger.Plan()
+		if !isBusy {
+			continue
+		}
+		for i := range reports {
+			report := &contract.Report{VM: reports[i].VM, Term: 1, Round: round + 4}
+			for at, rate := range rates {
+				asked := round * int64(1000+i%7*100+at)
+				report.Holdings = append(report.Holdings, contract.Holding{Resource: rate, Seq: accepted[report.VM.Name][rate], Asked: asked})
+			}
+			ledger.Apply(report)
+		}
+	}
+}
--- a/internal/policy/divide/fleet_test.go
+++ b/internal/policy/divide/fleet_test.go
@@ -229,6 +229,18 @@
 	}
 }
 
+// wake tells the divider of demand that a VM's shares did not meet.
+func (f *fleet) wake(n *node) {
+	from := n.name
+	if divider := n.holder.Short(300); divider != "" {
+		f.post(divider, 0, func(to *node) {
+			if to.ledger != nil {
+				to.ledger.Wake(from)
+			}
+		})
+	}
+}
+
 // tick is a quarter of a second of a fleet whose network works.
 func (f *fleet) tick() {
 	for _, n := range f.nodes {
@@ -238,6 +250,7 @@
 				f.fence(n)
 			}
 			f.settle(n)
+			f.wake(n)
 		}
 	}
 	for range 2 {
--- a/internal/policy/divide/ledger.go
+++ b/internal/policy/divide/ledger.go
@@ -53,6 +53,12 @@
 	// answered is the last round that the VM answered.
 	answered int64
 	borrowed []contract.Borrowed
+	// askedAt is when an offer to the VM was last planned, and unanswered counts the
+	// offers since its last report.
+	askedAt    clock.Millis
+	unanswered int
+	// active says that the last report had a change, or that the VM asked for a round.
+	active bool
 }
 
 // entry is the account of one resource.
@@ -69,7 +75,9 @@
 
 // part is one VM's part of a resource.
 type part struct {
-	// fenced is what the VM held when it first reported in this term.
+	// fenced is the share that the VM had when it first reported in this term. Slots
+	// in use above it do not count: the total may have been lowered below what is in
+	// use, so they say nothing of what other VMs do not hold.
 	fenced contract.Share
 	// counted is the most that the VM may hold: the maximum of what it reported
 	// for acked and of every later grant.
@@ -137,6 +145,10 @@
 			l.membershipChanged = true
 		}
 		known.place = member.Place
+		if member.Incarnation > known.id.Incarnation {
+			// A VM that was started anew holds nothing until it is asked.
+			known.active = true
+		}
 	}
 	for _, name := range l.names {
 		if !listed[name] {
@@ -243,6 +255,8 @@
 	if report.Round >= known.answered {
 		known.answered = report.Round
 		known.borrowed = report.Borrowed
+		known.unanswered = 0
+		known.active = len(report.Holdings) > 0
 	}
 	l.settleGhosts(report)
 }
@@ -256,8 +270,8 @@
 	part.unmet.observe(now, holding.Unmet, window)
 	part.inUse, part.busy = holding.InUse, holding.Busy
 	if !holder.reported {
-		l.isWarm = l.isWarm || holding.Share != contract.Share{}
-		part.fenced, part.counted = holding.Share, holding.Share
+		l.isWarm = l.isWarm || holding.Most() != contract.Share{}
+		part.fenced, part.counted = holding.Share, holding.Most()
 		part.target = holding.Share
 		part.want = holding.Share
 		return
@@ -268,7 +282,7 @@
 	}
 	if holding.Seq == part.seq && part.seq > 0 {
 		part.acked = holding.Seq
-		part.counted = holding.Share.Max(part.target)
+		part.counted = holding.Most().Max(part.target)
 	}
 }
 
@@ -294,9 +308,14 @@
 	l.ghosts = slices.DeleteFunc(l.ghosts, func(g *ghost) bool { return len(g.waiting) == 0 })
 }
 
-// roundsUntilFull is how many rounds a VM may leave unanswered before it is asked
-// for a full report.
-const roundsUntilFull = 8
+const (
+	// offersUntilFull is how many offers a VM may leave unanswered before it is asked
+	// for a full report.
+	offersUntilFull = 8
+	// restInterval is the time between two offers to a VM whose reports bring nothing
+	// new.
+	restInterval = 2 * clock.Second
+)
 
 // Offers is what Plan asks the driver to send to one VM.
 type Offers struct {
@@ -304,30 +323,57 @@
 	Offer contract.Offer
 }
 
-// Plan moves shares and returns one offer for each listed VM, sorted by name.
-// The offers repeat each grant that is not confirmed.
+// Plan moves shares and returns the offers to send, sorted by name: one for each
+// listed VM but those that have had nothing to say of late. The offers repeat each
+// grant that is not confirmed.
 func (l *Ledger) Plan() []Offers {
 	l.round++
 	l.moved = nil
 	l.dropGhostsOfUnlisted()
+	everybody := l.membershipChanged || len(l.ghosts) > 0
 	plan := make([]Offers, len(l.names))
+	settling := make([]bool, len(l.names))
 	for i, name := range l.names {
 		holder := l.holders[name]
-		plan[i] = Offers{VM: holder.id, Offer: contract.Offer{Term: l.term, Round: l.round, To: holder.id.Incarnation}}
+		plan[i] = Offers{VM: holder.id, Offer: contract.Offer{Term: l.term, From: l.self, Round: l.round, To: holder.id.Incarnation}}
 		// A report that got lost may have had a change that the next ones do not.
-		plan[i].Offer.Full = !holder.reported || holder.answered < l.round-roundsUntilFull
+		plan[i].Offer.Full = !holder.reported || holder.unanswered >= offersUntilFull
 	}
 	for _, resource := range l.resources {
 		l.planEntry(resource, l.entries[resource])
 		for i, name := range l.names {
 			part := l.entries[resource].parts[name]
-			if part != nil && l.holders[name].reported && part.acked < part.seq {
+			if part == nil || !l.holders[name].reported {
+				continue
+			}
+			if part.acked < part.seq {
 				plan[i].Offer.Grants = append(plan[i].Offer.Grants, contract.Grant{Resource: resource, Seq: part.seq, Share: part.target, Tokens: part.given})
 			}
+			settling[i] = settling[i] || part.acked < part.seq || part.counted != part.target
 		}
 	}
 	l.membershipChanged = false
-	return plan
+	due := plan[:0]
+	for i, name := range l.names {
+		if everybody || settling[i] || l.holders[name].isDue(l.clock.Now()) {
+			l.holders[name].askedAt = l.clock.Now()
+			l.holders[name].unanswered++
+			due = append(due, plan[i])
+		}
+	}
+	return due
+}
+
+// isDue reports whether the VM is to be asked for a report, by what it said last.
+func (h *holder) isDue(now clock.Millis) bool {
+	return !h.reported || h.unanswered > 0 || h.active || len(h.borrowed) > 0 || now-h.askedAt >= restInterval
+}
+
+// Wake lets the next Plan ask a VM that has demand which its share did not meet.
+func (l *Ledger) Wake(name string) {
+	if known := l.holders[name]; known != nil {
+		known.active = true
+	}
 }
 
 func (l *Ledger) planEntry(resource contract.Resource, entry *entry) {
@@ -373,8 +419,8 @@
 }
 
 // lower sends the VM a smaller grant where it holds more than it is to. The
-// first grant of a term is always sent: what the VM reported before may include
-// slots in use above its share, and only a confirmed grant shows when they end.
+// first grant of a term is always sent: the VM may use slots above its share, and
+// only a confirmed grant shows when they end.
 func (p *part) lower() {
 	lowered := p.target.Min(p.want)
 	if lowered != p.target || p.seq == 0 {
--- a/internal/policy/divide/ledger_test.go
+++ b/internal/policy/divide/ledger_test.go
@@ -281,3 +281,66 @@
 		g.Expect(sum).To(Equal(total.Share), string(resource))
 	}
 }
+
+// asked returns the VMs that the next plan asks.
+func (d *drive) asked() (names []string) {
+	for _, offers := range d.ledger.Plan() {
+		names = append(names, offers.VM.Name)
+	}
+	return names
+}
+
+func TestVMsAtRestAreAskedRarely(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(9, limits(1))
+	f.rest()
+	offers := 0
+	for range 40 {
+		offers += len(f.nodes[0].ledger.Plan())
+		f.plan(f.nodes[0])
+		f.deliverAll()
+		f.pass(250)
+	}
+	g.Expect(offers).To(BeNumerically("<=", 9*6))
+	f.nodes[4].holder.Part(workspace).NoteUnmet(contract.Request)
+	f.tick()
+	g.Expect(f.nodes[0].ledger.Plan()).To(ContainElement(HaveField("VM.Name", "vm0004")), "it told the divider")
+}
+
+func TestUnansweredOfferIsRepeatedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	d := newDrive(artes, contract.Share{Size: 2}, "a", "b")
+	d.report("a", 0, true)
+	d.report("b", 0, true)
+	for round := int64(1); round <= 4; round++ {
+		grants := d.grants()
+		d.report("a", round, false, holding(artes, grants["a"].Seq, 1))
+		d.report("b", round, false, holding(artes, grants["b"].Seq, 1))
+	}
+	d.asked()
+	d.report("a", 5, false)
+	d.report("b", 5, false)
+	g.Expect(d.asked()).To(BeEmpty())
+	d.manual.Advance(2 * clock.Second)
+	g.Expect(d.asked()).To(Equal([]string{"a", "b"}))
+	d.report("a", 7, false)
+	g.Expect(d.asked()).To(Equal([]string{"b"}))
+	d.list("a", "b", "c")
+	g.Expect(d.asked()).To(Equal([]string{"a", "b", "c"}))
+}
+
+// A document lowered the slots to 2 while a VM, cut off now, ran 2 and a ran 1. A new
+// divider granted a the slot that it ran on, so that another request followed.
+func TestNewTermGrantsNoSlotForARequestAboveTheShare(t *testing.T) {
+	g := NewWithT(t)
+	d := newDrive(artes, contract.Share{Size: 2}, "a", "b", "away")
+	above := contract.Holding{Resource: artes, Busy: 1}
+	d.report("a", 0, true, above)
+	d.report("b", 0, true)
+	first := d.grants()
+	g.Expect(first["a"].Share.Size).To(BeZero())
+	above.Seq, above.Busy = first["a"].Seq, 0
+	d.report("a", 1, false, above)
+	d.report("b", 1, false, contract.Holding{Resource: artes, Seq: first["b"].Seq})
+	g.Expect(d.grants()).To(BeEmpty(), "nobody knows what runs at the VM that is away")
+}
--- a/internal/world/contract/message.go
+++ b/internal/world/contract/message.go
@@ -19,6 +19,8 @@
 // has seen.
 type Offer struct {
 	Term int64
+	// From is the name of the VM that keeps the ledger.
+	From string
 	// To is the incarnation that the grants are meant for; 0 means any, and is
 	// allowed only without grants.
 	To vm.Incarnation
@@ -34,8 +36,8 @@
 	Resource Resource
 	// Seq is the last grant taken over in the report's term, 0 without one.
 	Seq int64
-	// Share is the most the VM may use until the next grant. For slots it
-	// includes what is in use or lent above the grant.
+	// Share is the share of the last grant. Slots in use or lent above it are in
+	// Busy alone. See Most.
 	Share Share
 	// Surrendered is the sum of the tokens that cuts of the share took from the VM
 	// in the report's term.
@@ -52,6 +54,12 @@
 	InUse int64
 }
 
+// Most returns the most that the VM may use until the next grant: slots that are
+// in use or lent above its share stay so until their requests end.
+func (h *Holding) Most() Share {
+	return Share{Rate: h.Share.Rate, Size: max(h.Share.Size, h.Busy)}
+}
+
 // Borrowed counts the slots that a VM has borrowed, or may have: a loan whose
 // reply is still awaited counts.
 type Borrowed struct {
