Tell entry VMs how long the measure's callers wait

A caller gave an entry VM 400 ms for a look-up without saying so; the VM let requests wait for up to half of the route's 800 ms, and callers resent what still waited.

--- a/internal/standin/measure/caller.go
+++ b/internal/standin/measure/caller.go
@@ -9,7 +9,9 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
+	"time"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/document"
@@ -198,7 +200,7 @@
 	c.avoided[address] = now + avoidTime
 }
 
-// try sends a request to one entry VM.
+// try sends a request to one entry VM and tells it how long the caller waits.
 func (c *caller) try(ctx context.Context, address string, request *Request, key string) (*answer, error) {
 	if request.Work == document.Catalogue {
 		var cancel context.CancelFunc
@@ -215,6 +217,9 @@
 	if request.Order != "" {
 		made.Header.Set(wireEndpoint.OrderIDHeader, request.Order)
 	}
+	if deadline, ok := ctx.Deadline(); ok {
+		made.Header.Set(wireEndpoint.DeadlineHeader, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	}
 	response, err := c.http.Do(made)
 	if err != nil {
 		return nil, err
