Take a link's room for a paced body's first piece only

Cause: placement took the whole upload from the VM's part of the link's burst, and the stream took it once more while it went. TestPacedBodyNeedsRoomForItsFirstPieceOnly.

--- a/internal/entry/router/run.go
+++ b/internal/entry/router/run.go
@@ -124,6 +124,7 @@
 		Workspace: c.workspace,
 		Remaining: left(ctx),
 		Bytes:     c.body.length,
+		Paced:     c.body.stream != nil,
 		Tried:     c.tried,
 	}
 	if request.Remaining <= 0 || ctx.Err() != nil {
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -65,6 +65,9 @@
 	Remaining clock.Millis
 	// Bytes is the size of the request's body; -1 if it is not known.
 	Bytes int64
+	// Paced says that the body takes its room on a link piece by piece while it is
+	// sent, so room is taken here for its first piece only.
+	Paced bool
 	// Tried names endpoints not to use again.
 	Tried []string
 }
--- a/internal/policy/placement/placement_test.go
+++ b/internal/policy/placement/placement_test.go
@@ -431,6 +431,25 @@
 	g.Expect(grant).To(BeNil())
 }
 
+// A paced body that is larger than what the link takes at once goes far all the
+// same, if the link has any room.
+func TestPacedBodyNeedsRoomForItsFirstPieceOnly(t *testing.T) {
+	g := NewWithT(t)
+	service := testService(1, 1)
+	service.Endpoints = service.Endpoints[:1]
+	placer, _, _ := testPlacer(service)
+	links := &fakeLinks{left: firstPiece}
+	placer.Links = links
+	request := testRequest(service)
+	request.Bytes, request.Paced = 1<<20, true
+	grant, _ := placer.try(&request, move.Choice{})
+	g.Expect(grant).NotTo(BeNil())
+	g.Expect(links.used).To(BeEquivalentTo(firstPiece))
+	grant.Done(good(1000))
+	grant, _ = placer.try(&request, move.Choice{})
+	g.Expect(grant).To(BeNil(), "the link has no room")
+}
+
 func TestReportsAreDistrusted(t *testing.T) {
 	g := NewWithT(t)
 	fresh := node{endpoint: document.Endpoint{Slots: 3}, running: 1, reported: 2, reportedAt: 1000}
--- a/internal/policy/placement/plan.go
+++ b/internal/policy/placement/plan.go
@@ -28,6 +28,8 @@
 	fastestWeight = 64
 	// uploadShare is the part of a link, in thousandths, that uploads may use.
 	uploadShare = 600
+	// firstPiece is the room that must be free for a body that is paced.
+	firstPiece = 16 << 10
 	// uploadBurst is how many seconds of the uploads' part may go at once.
 	uploadBurst = 1
 )
@@ -341,6 +343,9 @@
 	if request.Route.Work == document.Upload && !p.takeUpload(plan, region, request.Bytes, now) {
 		return false
 	}
+	if request.Paced {
+		bytes = min(bytes, firstPiece)
+	}
 	return p.Links == nil || p.Links.Take(region.link, bytes)
 }
 
