--- a/cmd/baobabladder/path_test.go
+++ b/cmd/baobabladder/path_test.go
@@ -37,12 +37,21 @@
 	DeferCleanup(gexec.CleanupBuildArtifacts)
 })
 
-// freeAddress returns a loopback address that was free a moment ago.
+// nextPort is the next port to try. Ports below the system's ephemeral ones are
+// taken neither by outgoing connections nor by listeners that leave the choice to
+// the system, as a port that was free a moment ago may be.
+var nextPort = 10_000 + os.Getpid()%500*16
+
+// freeAddress returns a loopback address at which nobody listens, each once.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer listener.Close()
-	return listener.Addr().String()
+	for {
+		nextPort++
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		if listener, err := net.Listen("tcp", address); err == nil {
+			Expect(listener.Close()).To(Succeed())
+			return address
+		}
+	}
 }
 
 // start runs a program until the end of the test.
--- a/internal/entry/process/link_test.go
+++ b/internal/entry/process/link_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"path"
 	"strconv"
 	"sync"
@@ -82,11 +83,19 @@
 	return listener
 }
 
-// free returns an address that was free a moment ago.
-func free(g *WithT) string {
-	listener := listen(g)
-	defer listener.Close()
-	return listener.Addr().String()
+// nextPort is the next port to try, below the system's ephemeral ports.
+var nextPort = 18_000 + os.Getpid()%100*16
+
+// free returns an address at which nobody listens, each once.
+func free() string {
+	for {
+		nextPort++
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		if listener, err := net.Listen("tcp", address); err == nil {
+			_ = listener.Close()
+			return address
+		}
+	}
 }
 
 // serve serves until the end of the test.
@@ -194,7 +203,7 @@
 func (p *pair) start(t *testing.T, g *WithT, name, region, storeAddress string) {
 	read := settings.Settings{
 		Name: name, Region: region, DataCentre: region + "-1", Store: "http://" + storeAddress + "/",
-		CallerAddress: free(g), PeerAddress: free(g), OperatorAddress: free(g),
+		CallerAddress: free(), PeerAddress: free(), OperatorAddress: free(),
 	}
 	place := link.Place{VM: name, Region: region, DataCentre: region + "-1"}
 	p.network.Locate(read.PeerAddress, place)
@@ -244,7 +253,7 @@
 	var group sync.WaitGroup
 	for i := range count {
 		group.Go(func() {
-			g.Eventually(func() int { return send(i) }, "30s", "50ms").Should(Equal(http.StatusOK))
+			g.Eventually(func() int { return send(i) }, "20s", "50ms").Should(Equal(http.StatusOK))
 		})
 	}
 	group.Wait()
@@ -270,8 +279,7 @@
 	g.Expect(p.worst("near")).To(BeNumerically(">", capBytes/10))
 }
 
-// Answers used to come as fast as the network carried them: 3.6 MB in one second
-// over a link of 1 MB a second.
+// Answers come as fast as the network carries them: nothing paces them.
 func TestAnswersAreReadNoFasterThanTheLinkTakes(t *testing.T) {
 	g := NewWithT(t)
 	p := startPair(t, g)
