Plan a limit again only if something may have changed it

A round went through every part of every limit. The ledger now skips a limit that is settled: no report, new total, unconfirmed grant, unmet want, VM that has not reported, loan or falling average of demand.

--- a/internal/policy/divide/ledger.go
+++ b/internal/policy/divide/ledger.go
@@ -37,6 +37,8 @@
 	// isWarm says that some VM held something when it was fenced. If none did, the
 	// whole fleet has just started.
 	isWarm bool
+	// wasUnsure is what isUnsure was in the last Plan.
+	wasUnsure bool
 	// moved holds the resources that the last Plan dealt anew, sorted.
 	moved []contract.Resource
 	// membershipChanged says that the parts must be dealt anew.
@@ -68,6 +70,11 @@
 	dealtFor Total
 	dealt    bool
 	dealtAt  clock.Millis
+	// settled says that planning the entry again would change nothing, unless a
+	// report or the limits change it or reportedAt is long enough ago for demand
+	// to have fallen.
+	settled    bool
+	reportedAt clock.Millis
 	// pot holds tokens that VMs surrendered; at most what no VM is counted for.
 	pot   int64
 	parts map[string]*part
@@ -201,15 +208,20 @@
 // Totals takes over the limits in force.
 func (l *Ledger) Totals(totals map[contract.Resource]Total) {
 	for resource, total := range totals {
-		l.entry(resource).total = total
+		l.entry(resource).setTotal(total)
 	}
 	for resource, entry := range l.entries {
 		if _, inForce := totals[resource]; !inForce {
-			entry.total = Total{Place: entry.total.Place}
+			entry.setTotal(Total{Place: entry.total.Place})
 		}
 	}
 }
 
+func (e *entry) setTotal(total Total) {
+	e.settled = e.settled && total == e.total
+	e.total = total
+}
+
 func (l *Ledger) entry(resource contract.Resource) *entry {
 	known := l.entries[resource]
 	if known == nil {
@@ -265,6 +277,7 @@
 	entry := l.entry(holding.Resource)
 	part := entry.part(holder.id.Name)
 	now := l.clock.Now()
+	entry.settled, entry.reportedAt = false, now
 	window := entry.window(holding.Resource.Kind())
 	part.asked.observe(now, holding.Asked, window)
 	part.unmet.observe(now, holding.Unmet, window)
@@ -339,20 +352,28 @@
 		// A report that got lost may have had a change that the next ones do not.
 		plan[i].Offer.Full = !holder.reported || holder.unanswered >= offersUntilFull
 	}
+	unsure := everybody || l.isUnsure()
 	for _, resource := range l.resources {
-		l.planEntry(resource, l.entries[resource])
+		entry := l.entries[resource]
+		if entry.settled && !unsure && !l.wasUnsure && !l.hasFallingDemand(resource, entry) {
+			continue
+		}
+		l.planEntry(resource, entry)
+		entry.settled = true
 		for i, name := range l.names {
-			part := l.entries[resource].parts[name]
+			part := entry.parts[name]
 			if part == nil || !l.holders[name].reported {
 				continue
 			}
 			if part.acked < part.seq {
 				plan[i].Offer.Grants = append(plan[i].Offer.Grants, contract.Grant{Resource: resource, Seq: part.seq, Share: part.target, Tokens: part.given})
 			}
-			settling[i] = settling[i] || part.acked < part.seq || part.counted != part.target
+			isMoving := part.acked < part.seq || part.counted != part.target
+			settling[i] = settling[i] || isMoving
+			entry.settled = entry.settled && !isMoving && part.target == part.want
 		}
 	}
-	l.membershipChanged = false
+	l.membershipChanged, l.wasUnsure = false, unsure
 	due := plan[:0]
 	for i, name := range l.names {
 		if everybody || settling[i] || l.holders[name].isDue(l.clock.Now()) {
@@ -364,6 +385,23 @@
 	return due
 }
 
+// isUnsure reports whether the ledger waits for VMs to say what they hold or
+// borrow, which may move any resource.
+func (l *Ledger) isUnsure() bool {
+	for _, holder := range l.holders {
+		if !holder.reported || len(holder.borrowed) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// hasFallingDemand reports whether the averages of demand may still fall, and
+// with them the parts of a rate or a link.
+func (l *Ledger) hasFallingDemand(resource contract.Resource, entry *entry) bool {
+	return resource.Kind() != contract.KindSlots && l.clock.Now()-entry.reportedAt <= maxWindow+silenceAllowed+dealInterval
+}
+
 // isDue reports whether the VM is to be asked for a report, by what it said last.
 func (h *holder) isDue(now clock.Millis) bool {
 	return !h.reported || h.unanswered > 0 || h.active || len(h.borrowed) > 0 || now-h.askedAt >= restInterval
--- a/internal/policy/divide/ledger_test.go
+++ b/internal/policy/divide/ledger_test.go
@@ -344,3 +344,58 @@
 	d.report("b", 1, false, contract.Holding{Resource: artes, Seq: first["b"].Seq})
 	g.Expect(d.grants()).To(BeEmpty(), "nobody knows what runs at the VM that is away")
 }
+
+// After a long rest the ledger plans no resource again without a cause. Each of
+// these is one.
+func TestLedgerPlansAgainAfterALongRest(t *testing.T) {
+	sum := func(f *fleet, resource contract.Resource) (sum int64) {
+		for _, n := range f.nodes {
+			sum += n.holder.Part(resource).Share().Size
+		}
+		return sum
+	}
+	ticks := func(f *fleet, count int) {
+		for range count {
+			f.tick()
+			f.pass(tickInterval)
+		}
+	}
+	rested := func() *fleet {
+		f := newFleet(4, limits(1))
+		f.rest()
+		ticks(f, 320)
+		return f
+	}
+	t.Run("slots are short", func(t *testing.T) {
+		f := rested()
+		for range 8 {
+			f.nodes[1].holder.Part(endpoints[2]).NoteUnmet(4)
+			ticks(f, 1)
+		}
+		NewWithT(t).Expect(f.nodes[1].holder.Part(endpoints[2]).Share().Size).To(Equal(int64(3)), "the cap")
+	})
+	t.Run("limits grow, and offers get lost", func(t *testing.T) {
+		g := NewWithT(t)
+		f := rested()
+		f.totals = limits(2)
+		f.sync(f.nodes[0])
+		f.plan(f.nodes[0])
+		f.messages = nil
+		ticks(f, 4)
+		for resource, total := range f.totals {
+			g.Expect(sum(f, resource)).To(Equal(total.Size), string(resource))
+		}
+	})
+	t.Run("demand is reported before a deal is due", func(t *testing.T) {
+		f := rested()
+		part := f.nodes[2].holder.Part(link)
+		f.nodes[1].holder.Part(link).NoteUnmet(1_000_000)
+		ticks(f, 4)
+		before := part.Share().Rate
+		part.NoteUnmet(10_000_000)
+		ticks(f, 2)
+		NewWithT(t).Expect(part.Share().Rate).To(Equal(before))
+		ticks(f, 12)
+		NewWithT(t).Expect(part.Share().Rate).To(BeNumerically(">", before))
+	})
+}
