Close the stopping listener as soon as nobody accepts any more

Cause: the last Accept ended at its deadline, and the listener stayed open for as long again; what the kernel accepted meanwhile was reset at the close, and its caller could not know whether its request ran. What arrives between the deadline and the close, some microseconds, is still reset.

--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -276,9 +276,12 @@
 	}
 }
 
-// ended keeps net/http from taking the deadline of a stop for a passing error.
+// ended keeps net/http from taking the deadline of a stop for a passing error. It
+// closes the listener at once: what the kernel accepts while nobody takes it is
+// reset at the close.
 func (l *limitedListener) ended(err error) error {
 	if l.server.stopping() {
+		_ = l.Listener.Close()
 		return http.ErrServerClosed
 	}
 	return err
