Let a region that has all the traffic serve what waits

shift.allows kept at most 2 requests' credit. A region whose share is the whole earns one request's credit for each that comes, so what was lost at that limit while requests waited for a slot was missing for good: they waited for 250 ms and were refused region_full beside free slots. Where the last share and the cap together make up the whole there is nothing to bound, so no credit is counted.

A share is also at most the whole: requests that waited from an earlier window count in this one, and could make it more.

The test failed before: of 6 waiting requests the second got no slot after all 6 slots came free. TestShiftBetweenRegionsStaysUnderCap and the fuzz are unchanged and pass.

--- a/internal/policy/placement/shift.go
+++ b/internal/policy/placement/shift.go
@@ -51,7 +51,7 @@
 	}
 	for i := range s.areas {
 		area := &s.areas[i]
-		area.share = area.count * whole / s.total
+		area.share = min(area.count*whole/s.total, whole)
 		area.count, area.granted = 0, 0
 	}
 	s.total = 0
@@ -65,6 +65,12 @@
 		return true
 	}
 	area := s.area(region, home)
+	if area.share+s.cap >= whole {
+		// The cap leaves the region room for all of the traffic. Credit would be
+		// lost while requests wait, and what waits could then never catch up.
+		area.credit, area.granted = maxShiftCredit, s.total
+		return true
+	}
 	earned := (s.total - area.granted) * min(area.share+s.cap, whole)
 	area.credit = min(area.credit+earned, maxShiftCredit)
 	area.granted = s.total
