Let the wait for a slot follow the request's deadline

Each request waited at most 250 ms for a slot, also an upload with a minute to go, while a slot that runs uploads comes free about once in a second. A request now waits an eighth of what remains, at least 250 ms and at most 5 s, never beyond its deadline. Look-ups of 800 to 1,500 ms wait as before, orders of 3 s and 5 s for 375 and 625 ms, uploads of 60 s for 5 s.

The test failed before: with 60,000 ms remaining the wait was 250 ms.

--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -21,8 +21,12 @@
 const (
 	// borrowWait bounds the wait for a slot lent by a peer.
 	borrowWait = 20 * clock.Millis(1)
-	// queueWait bounds the wait for a slot of this VM's own.
+	// queueWait is how long a request with a near deadline waits for a slot.
 	queueWait = 250 * clock.Millis(1)
+	// queueWaitDivisor gives the part of the remaining time that a request with a
+	// far deadline waits, up to maxQueueWait.
+	queueWaitDivisor = 8
+	maxQueueWait     = 5 * clock.Second
 	// pollInterval is how often waiting requests look for slots that arrived by
 	// other ways than a request's end, such as a larger share.
 	pollInterval = 5 * clock.Millis(1)
--- a/internal/policy/placement/queue.go
+++ b/internal/policy/placement/queue.go
@@ -146,6 +146,13 @@
 	return 0
 }
 
+// slotWait is how long a request with some time remaining waits for a slot. Long
+// requests hold slots for long, so those that wait for them need more time too.
+func slotWait(remaining clock.Millis) clock.Millis {
+	wait := min(remaining/queueWaitDivisor, maxQueueWait)
+	return min(max(wait, queueWait), remaining)
+}
+
 // wait queues request until a slot is free, its time is over or ctx ends.
 func (p *Placer) wait(ctx context.Context, request *Request, choice move.Choice) (*Grant, reason.Reason) {
 	// A copy, so that requests which need not wait stay off the heap.
@@ -154,7 +161,7 @@
 	p.mu.Lock()
 	now := p.Clock.Now()
 	plan := p.plan(request.Service, choice)
-	w.deadline = now + min(queueWait, request.Remaining)
+	w.deadline = now + slotWait(request.Remaining)
 	w.spillAt = now + plan.patience()
 	plan.push(w, now)
 	p.mu.Unlock()
--- a/internal/policy/placement/queue_test.go
+++ b/internal/policy/placement/queue_test.go
@@ -1,9 +1,11 @@
 package placement
 
 import (
+	"context"
 	"fmt"
 	"testing"
 
+	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
@@ -59,6 +61,44 @@
 	})
 }
 
+// Uploads with a minute to go were refused after 250 ms, though a slot that runs
+// uploads comes free about once in a second.
+func TestUploadGaveUpAfterTheWaitOfAShortRequest(t *testing.T) {
+	g := NewWithT(t)
+	for remaining, wait := range map[clock.Millis]clock.Millis{
+		100:               100,
+		800:               250,
+		5 * clock.Second:  625,
+		60 * clock.Second: 5 * clock.Second,
+	} {
+		service := testService(1, 1)
+		service.Endpoints = service.Endpoints[2:]
+		placer, _, _ := testPlacer(service)
+		warm(placer, service)
+		request := testRequest(service)
+		running, _ := placer.try(&request, move.Choice{})
+		request.Remaining = remaining
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_, _ = placer.Place(context.Background(), request)
+		}()
+		var deadline clock.Millis
+		g.Eventually(func() bool {
+			placer.mu.Lock()
+			defer placer.mu.Unlock()
+			waiters := placer.plans["orders"].queue.waiters
+			if len(waiters) == 1 {
+				deadline = waiters[0].deadline
+			}
+			return len(waiters) == 1
+		}, "20s").Should(BeTrue())
+		g.Expect(deadline).To(Equal(wait), "with %d ms remaining", remaining)
+		running.Done(good(1000))
+		g.Eventually(ended, "20s").Should(BeClosed())
+	}
+}
+
 // A large workspace at five times its rate does not starve a small one: of the
 // slots that come free each gets its part.
 func TestLargeWorkspaceDoesNotStarveSmall(t *testing.T) {
