Measure uploads on warm endpoints

An endpoint's first 20 requests are up to twice as slow, and a run of 10 s has too few uploads to end that at any endpoint, whatever a warm-up of 3 s does. So all measured uploads met cold endpoints. Endpoints that take uploads now have no cold start in the measure; all others keep theirs. A longer warm-up was ruled out: 240 runs at 12 endpoints take 15 s at 16 uploads a second, in each of the runs.

The test fails with the former shape: 20 cold runs where 0 are wanted.

--- a/internal/standin/measure/measure.go
+++ b/internal/standin/measure/measure.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -35,7 +36,7 @@
 	warmTime = 3 * clock.Second
 	// spread is how much service times vary either way, in percent.
 	spread = 20
-	// coldRuns and coldPercent are the endpoints' cold start.
+	// coldRuns and coldPercent are the cold start of endpoints that take no uploads.
 	coldRuns    = 20
 	coldPercent = 100
 	// endTime is how long a run waits for requests under way at its end.
@@ -179,14 +180,21 @@
 	return &r.firm.ListedEntries()[0]
 }
 
-// shape gives an endpoint its service time and its cold start.
+// shape gives an endpoint its service time and its cold start. Endpoints that take
+// uploads have none: uploads are so few that the warm-up would not end it.
 func (r *run) shape(owner *document.Service, made *endpoint.Endpoint) {
 	made.ServiceTime = r.times()[owner.Name]
 	made.Spread, made.ByPath = spread, true
-	made.ColdRuns, made.ColdPercent = coldRuns, coldPercent
+	if !takesUploads(owner) {
+		made.ColdRuns, made.ColdPercent = coldRuns, coldPercent
+	}
 	made.OnArrival = r.watcher.arrive
 }
 
+func takesUploads(service *document.Service) bool {
+	return slices.ContainsFunc(service.Routes, func(route document.Route) bool { return route.Work == document.Upload })
+}
+
 // times are the service times of this run.
 func (m *Measure) times() map[string]clock.Millis {
 	times := map[string]clock.Millis{}
--- a/internal/standin/measure/score_test.go
+++ b/internal/standin/measure/score_test.go
@@ -110,6 +110,19 @@
 	g.Expect(measure.times()["orders"]).To(BeEquivalentTo(60))
 }
 
+// All measured uploads ran on cold endpoints, as there were fewer of them in a run
+// than it takes to warm the endpoints up.
+func TestMeasuredUploadsMetColdEndpoints(t *testing.T) {
+	g := NewWithT(t)
+	run := &run{Measure: &Measure{Firm: "munro-lennox", Stretch: 1}, watcher: newWatcher()}
+	for work, runs := range map[document.Work]int{document.Upload: 0, document.Order: coldRuns} {
+		made := &endpoint.Endpoint{}
+		look := document.Route{Prefix: "/look/", Work: document.Catalogue}
+		run.shape(&document.Service{Routes: []document.Route{look, {Prefix: "/", Work: work}}}, made)
+		g.Expect(made.ColdRuns).To(Equal(runs), "%s", work)
+	}
+}
+
 // requests draws a load against a service without sockets.
 func requests(seed uint64, factors map[string]float64) []*Request {
 	service := &document.Service{
