--- a/internal/control/follower/machine_test.go
+++ b/internal/control/follower/machine_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"io"
 	"maps"
@@ -19,6 +18,7 @@
 	"baobabladder.example/baobabladder/internal/control/follower"
 	"baobabladder.example/baobabladder/internal/control/freshness"
 	"baobabladder.example/baobabladder/internal/control/heartbeat"
+	"baobabladder.example/baobabladder/internal/standin/fuzz"
 	"baobabladder.example/baobabladder/internal/wire/peer"
 	"baobabladder.example/baobabladder/internal/wire/store"
 	"baobabladder.example/baobabladder/internal/world/key"
@@ -26,15 +26,7 @@
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
 
-// TestMain fixes seed and count unless a seed is given, so that the verdict is always the same.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "43")
-		_ = flag.Set("rapid.checks", "1000")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fuzz.Main(m, fuzz.Plan{Seed: 43, Checks: 1000})) }
 
 // fleet is a store, a network and some entry VMs on one manual clock.
 type fleet struct {
--- a/internal/control/lease/lease_test.go
+++ b/internal/control/lease/lease_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"os"
 	"testing"
 
@@ -11,19 +10,12 @@
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/control/lease"
+	"baobabladder.example/baobabladder/internal/standin/fuzz"
 	"baobabladder.example/baobabladder/internal/wire/store"
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
 
-// TestMain fixes seed and count unless a seed is given, so that the verdict is always the same.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "41")
-		_ = flag.Set("rapid.checks", "2000")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fuzz.Main(m, fuzz.Plan{Seed: 41, Checks: 2000})) }
 
 // fakeStore is one object with a fault for the next call.
 type fakeStore struct {
--- a/internal/control/mover/mover_test.go
+++ b/internal/control/mover/mover_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"net"
 	"os"
@@ -16,6 +15,7 @@
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/document"
 	"baobabladder.example/baobabladder/internal/policy/move"
+	"baobabladder.example/baobabladder/internal/standin/fuzz"
 	"baobabladder.example/baobabladder/internal/wire/peer"
 	"baobabladder.example/baobabladder/internal/wire/store"
 	"baobabladder.example/baobabladder/internal/world/membership"
@@ -23,18 +23,8 @@
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
 
-// TestMain fixes rapid's seed, so that the verdict is the same each time. A
-// longer run passes its own -rapid.seed and -rapid.checks.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "200", "rapid.steps": "100", "rapid.nofailfile": "true"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
+	os.Exit(fuzz.Main(m, fuzz.Plan{Seed: 20261204, Checks: 200, Steps: 100}))
 }
 
 // fakeStore is one object with versions, which may be out or lose answers.
--- a/internal/policy/lookup/lookup_test.go
+++ b/internal/policy/lookup/lookup_test.go
@@ -1,7 +1,6 @@
 package lookup_test
 
 import (
-	"flag"
 	"fmt"
 	"maps"
 	"net/netip"
@@ -15,18 +14,12 @@
 
 	"baobabladder.example/baobabladder/internal/base/document"
 	"baobabladder.example/baobabladder/internal/policy/lookup"
+	"baobabladder.example/baobabladder/internal/standin/fuzz"
 	"baobabladder.example/baobabladder/internal/world/membership"
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-		_ = flag.Set("rapid.nofailfile", "true")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fuzz.Main(m, fuzz.Plan{Seed: 20261204})) }
 
 // longest is the oracle: a scan over all blocks.
 func longest(blocks map[netip.Prefix]string, address netip.Addr) (region string) {
--- a/internal/policy/move/guard_test.go
+++ b/internal/policy/move/guard_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -10,20 +9,11 @@
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/document"
+	"baobabladder.example/baobabladder/internal/standin/fuzz"
 )
 
-// TestMain fixes rapid's seed, so that the verdict is the same each time. A
-// longer run passes its own -rapid.seed and -rapid.checks.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "200", "rapid.steps": "100", "rapid.nofailfile": "true"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
+	os.Exit(fuzz.Main(m, fuzz.Plan{Seed: 20261204, Checks: 200, Steps: 100}))
 }
 
 const (
--- a/internal/wire/operator/operator_test.go
+++ b/internal/wire/operator/operator_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -22,6 +21,7 @@
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/document"
 	"baobabladder.example/baobabladder/internal/control/freshness"
+	"baobabladder.example/baobabladder/internal/standin/fuzz"
 	"baobabladder.example/baobabladder/internal/wire/operator"
 	"baobabladder.example/baobabladder/internal/wire/store"
 	"baobabladder.example/baobabladder/internal/world/key"
@@ -29,14 +29,7 @@
 	"baobabladder.example/baobabladder/internal/world/replica"
 )
 
-// TestMain fixes the seed, so that the verdict is always the same.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "47")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fuzz.Main(m, fuzz.Plan{Seed: 47})) }
 
 // fakeStore loses answers and lets something happen before a write.
 type fakeStore struct {
--- a/internal/world/order/order_test.go
+++ b/internal/world/order/order_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"os"
 	"strconv"
@@ -15,22 +14,12 @@
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/fault"
 	"baobabladder.example/baobabladder/internal/base/reason"
+	"baobabladder.example/baobabladder/internal/standin/fuzz"
 	"baobabladder.example/baobabladder/internal/wire/store"
 	"baobabladder.example/baobabladder/internal/world/order"
 )
 
-// TestMain fixes the seed and the count, unless the command line names others.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "4", "rapid.checks": "400", "rapid.steps": "60", "rapid.nofailfile": "true"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fuzz.Main(m, fuzz.Plan{Seed: 4, Checks: 400, Steps: 60})) }
 
 // trouble is what befalls one call of the fake store.
 type trouble string
