--- a/internal/entry/process/steering.go
+++ b/internal/entry/process/steering.go
@@ -23,6 +23,7 @@
 	"baobabladder.example/baobabladder/internal/policy/retry"
 	"baobabladder.example/baobabladder/internal/wire/caller"
 	"baobabladder.example/baobabladder/internal/wire/endpoint"
+	"baobabladder.example/baobabladder/internal/wire/operator"
 	"baobabladder.example/baobabladder/internal/wire/store"
 	"baobabladder.example/baobabladder/internal/world/contract"
 	"baobabladder.example/baobabladder/internal/world/membership"
@@ -92,12 +93,22 @@
 	}
 	s.guard.Peers = s.mover
 	s.claims = &order.Claims{Store: known.store}
+	known.operator.Shares = s.shares
 	if err := known.server.Register(divider.ReceiverName, &divider.Receiver{Divider: s.divider}); err != nil {
 		return nil, err
 	}
 	return s, known.server.Register(mover.ReceiverName, &mover.Receiver{Mover: s.mover})
 }
 
+// shares lists the shares that this VM holds, for operators.
+func (s *steering) shares() []operator.ShareLine {
+	lines := []operator.ShareLine{}
+	for _, holding := range s.holder.Holdings() {
+		lines = append(lines, operator.ShareLine{Resource: holding.Resource, Share: holding.Share})
+	}
+	return lines
+}
+
 // spread takes an object that this VM wrote over into its own copy and tells all
 // peers of it, without waiting for the watch to bring it back.
 func (s *steering) spread(ctx context.Context, object store.Object) {
--- a/internal/world/contract/holder.go
+++ b/internal/world/contract/holder.go
@@ -1,6 +1,7 @@
 package contract
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -264,6 +265,21 @@
 	return part
 }
 
+// Holdings returns the resources of which this VM holds a share, sorted.
+func (h *Holder) Holdings() (holdings []Holding) {
+	parts := h.parts.Load()
+	if parts == nil {
+		return nil
+	}
+	for resource, part := range *parts {
+		if share := part.Share(); share != (Share{}) {
+			holdings = append(holdings, Holding{Resource: resource, Share: share})
+		}
+	}
+	slices.SortFunc(holdings, func(a, b Holding) int { return cmp.Compare(a.Resource, b.Resource) })
+	return holdings
+}
+
 // Term returns the newest term seen.
 func (h *Holder) Term() int64 {
 	h.mu.Lock()
@@ -333,16 +349,6 @@
 			report.Holdings = append(report.Holdings, holding)
 		}
 	}
-	slices.SortFunc(report.Holdings, func(a, b Holding) int { return compare(a.Resource, b.Resource) })
+	slices.SortFunc(report.Holdings, func(a, b Holding) int { return cmp.Compare(a.Resource, b.Resource) })
 	return report
 }
-
-func compare(a, b Resource) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
--- a/internal/world/contract/loan.go
+++ b/internal/world/contract/loan.go
@@ -1,6 +1,7 @@
 package contract
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -235,9 +236,9 @@
 func compareBorrowed(a, b Borrowed) int {
 	switch {
 	case a.Lender.Name != b.Lender.Name:
-		return compare(Resource(a.Lender.Name), Resource(b.Lender.Name))
+		return cmp.Compare(a.Lender.Name, b.Lender.Name)
 	case a.Lender.Incarnation != b.Lender.Incarnation:
 		return int(a.Lender.Incarnation - b.Lender.Incarnation)
 	}
-	return compare(a.Resource, b.Resource)
+	return cmp.Compare(a.Resource, b.Resource)
 }
