Name VMs of other regions before there is a fleet document; apply new documents plainly

Tried by hand as a newcomer: without a fleet document a caller was told only VMs of the asked VM's region, so the loss of that region would have left it none.

--- a/internal/entry/command/command.go
+++ b/internal/entry/command/command.go
@@ -103,7 +103,7 @@
 
 	apply := c.app.Command("apply", "Accept a document and put it in force on all VMs.")
 	c.fileArg(apply)
-	apply.Flag("based-on", "The revision that the text was edited from; 0 for a new document.").Required().Int64Var(&c.basedOn)
+	apply.Flag("based-on", "The revision that the text was edited from; 0 for a new document.").Default("0").Int64Var(&c.basedOn)
 	c.authorFlag(apply)
 	runs[apply.FullCommand()] = c.apply
 
--- a/internal/policy/lookup/lookup.go
+++ b/internal/policy/lookup/lookup.go
@@ -6,6 +6,7 @@
 
 import (
 	"hash/maphash"
+	"maps"
 	"net/netip"
 	"slices"
 	"sort"
@@ -51,8 +52,9 @@
 	return named
 }
 
-// NewRanking ranks the VMs that callers may be told to use; see Named. A nil
-// fleet knows one region only, home.
+// NewRanking ranks the VMs that callers may be told to use; see Named. Without a
+// fleet document, which a nil fleet stands for, home goes first and no other
+// region is known to be nearer than another.
 func NewRanking(fleet *document.Fleet, named []vm.VM, home string) *Ranking {
 	ranking := &Ranking{near: map[string][]string{}, vms: map[string][]vm.VM{}, fallback: home}
 	for _, v := range named {
@@ -61,7 +63,8 @@
 	for region, listed := range ranking.vms {
 		ranking.vms[region] = interleave(listed)
 	}
-	ranking.near[home] = []string{home}
+	others := slices.DeleteFunc(slices.Sorted(maps.Keys(ranking.vms)), func(name string) bool { return name == home })
+	ranking.near[home] = append([]string{home}, others...)
 	if fleet == nil {
 		return ranking
 	}
--- a/internal/policy/lookup/lookup_test.go
+++ b/internal/policy/lookup/lookup_test.go
@@ -162,4 +162,6 @@
 	answer := lookup.NewRanking(nil, lookup.Named(view()), "clyde").Pick("", netip.AddrFrom4([4]byte{192, 0, 2, 1}))
 	g.Expect(answer).NotTo(BeEmpty())
 	g.Expect(answer[0].Region).To(Equal("clyde"))
+	g.Expect(answer).To(HaveLen(lookup.MaxAnswer))
+	g.Expect(answer[lookup.MaxAnswer-1].Region).NotTo(Equal("clyde"), "the loss of a region must not leave a caller without a VM")
 }
