Pace answers from a far region: both ends of a link hold shares of it

Cause: since only VMs of the region in which a link begins held a share of it. Now VMs of both end regions hold a share by demand with a floor, VMs elsewhere none, and a VM short of bytes asks peers of both ends. An answer's bytes are paid for before they are read; paid after, so each answer at once added a piece of 16 KiB.

A link's rate was its whole cap and its burst of 0.25 s came on top, so a second could hold 1.25 times the cap. Now 0.8 of the cap is the rate and 0.2 s the burst.

TestOneVMCanUseAWholeLink has the far region that the real totals have, and reads too. It does not notice if the far end holds nothing, because peers give the bytes; TestVMsAtBothEndsOfALinkHoldIt does.

Left: heads, the VMs' own messages and what TCP's windows hold are not counted; a small body over a narrow link must fit into a part of the burst that is now shared by both ends.

--- a/internal/control/divider/divider_test.go
+++ b/internal/control/divider/divider_test.go
@@ -135,3 +135,17 @@
 	}
 	g.Eventually(free, patience.Duration()).Should(Equal(3))
 }
+
+// A VM that reads answers may stand at the link's far end from the peers that
+// have bytes.
+func TestPeersOfALinkAreThoseAtItsEnds(t *testing.T) {
+	g := NewWithT(t)
+	view := &membership.View{Self: "vm0"}
+	for i, region := range []string{"clyde", "clyde", "lothian", "moray"} {
+		view.Members = append(view.Members, membership.Member{VM: vm.VM{Name: fmt.Sprintf("vm%d", i), Region: region}, Reachable: true})
+	}
+	neighbours := &divider.Neighbours{View: func() *membership.View { return view }}
+	g.Expect(neighbours.NearLink(contract.LinkOf("clyde", "lothian"))).To(Equal([]string{"vm1", "vm2"}))
+	g.Expect(neighbours.NearLink(contract.LinkOf("lothian", "clyde"))).To(Equal([]string{"vm1", "vm2"}))
+	g.Expect(neighbours.NearLink(contract.LinkOf("clyde", "moray"))).To(Equal([]string{"vm1", "vm3"}))
+}
--- a/internal/control/divider/neighbours.go
+++ b/internal/control/divider/neighbours.go
@@ -28,14 +28,19 @@
 	return names(n.near())
 }
 
-// NearInRegion implements limit.Peers.
-func (n *Neighbours) NearInRegion() []string {
+// NearLink implements limit.Peers.
+func (n *Neighbours) NearLink(link contract.Resource) []string {
 	view := n.View()
 	self := view.Member(view.Self)
 	if self == nil {
 		return nil
 	}
-	return names(slices.DeleteFunc(n.near(), func(m membership.Member) bool { return m.Region != self.Region }))
+	return names(slices.DeleteFunc(n.near(), func(m membership.Member) bool { return !isAtLink(link, self.Region, m.Region) }))
+}
+
+// isAtLink reports whether a region is at an end of a link that has one end in own.
+func isAtLink(link contract.Resource, own, region string) bool {
+	return region == own || link == contract.LinkOf(own, region) || link == contract.LinkOf(region, own)
 }
 
 func names(members []membership.Member) []string {
--- a/internal/entry/process/link_test.go
+++ b/internal/entry/process/link_test.go
@@ -279,7 +279,7 @@
 	g.Expect(p.worst("near")).To(BeNumerically(">", capBytes/10))
 }
 
-// Answers come as fast as the network carries them: nothing paces them.
+// Only bodies were paced: answers came as fast as the network carried them.
 func TestAnswersAreReadNoFasterThanTheLinkTakes(t *testing.T) {
 	g := NewWithT(t)
 	p := startPair(t, g)
--- a/internal/entry/router/router_test.go
+++ b/internal/entry/router/router_test.go
@@ -496,6 +496,40 @@
 	g.Expect(s.waited.Load()).To(BeEquivalentTo(uploadBytes))
 }
 
+// Only bodies were paced: answers from a far region came as fast as the network
+// carried them. A head without content takes nothing of the link.
+func TestAnAnswerFromAFarRegionIsPacedOverItsLink(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(t)
+	s := &switches{}
+	r.router.Links, r.router.Region = s, "clyde"
+	next := *r.config.Load()
+	next.Fleet = &document.Fleet{Links: []document.Link{{A: "clyde", B: "lothian", Mbit: 8}}}
+	r.config.Store(&next)
+	const answerBytes = 100_000
+	r.answer(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", fmt.Sprint(answerBytes))
+		_, _ = w.Write(make([]byte, answerBytes))
+	})
+	_, _, err := r.ask("HEAD", "/cat/", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.waited.Load()).To(BeZero())
+	_, content, err := r.ask("GET", "/cat/", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(content).To(HaveLen(answerBytes))
+	g.Expect(s.waited.Load()).To(BeEquivalentTo(answerBytes))
+	r.answer(func(w http.ResponseWriter, _ *http.Request) {
+		for range 10 {
+			_, _ = w.Write(make([]byte, answerBytes/10))
+			_ = http.NewResponseController(w).Flush()
+		}
+	})
+	_, content, err = r.ask("GET", "/cat/", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(content).To(HaveLen(answerBytes))
+	g.Expect(s.waited.Load()).To(BeNumerically(">=", 2*answerBytes))
+}
+
 // A read deadline that outlived its body made net/http cancel the connection's
 // context, and with it all later requests on the connection.
 func TestABodyThatEndsEarlyLeavesNoCancelledConnection(t *testing.T) {
--- a/internal/entry/router/run.go
+++ b/internal/entry/router/run.go
@@ -101,6 +101,7 @@
 	answer, err := c.send(ctx, grant)
 	if err == nil {
 		result.Running, result.Slots = parseLoad(answer.Load)
+		c.pace(ctx, answer, grant.Endpoint.Region)
 		err = take(ctx, answer)
 		_ = answer.Body.Close()
 		result.Outcome = answerOutcome(answer, err)
--- a/internal/policy/divide/demand.go
+++ b/internal/policy/divide/demand.go
@@ -125,10 +125,9 @@
 			weight = slotWeight(entry.total.Place, holder.place, weight)
 		}
 		names = append(names, name)
-		from := entry.total.Place.Region
 		claims = append(claims, claim{
 			weight: weight, holds: entry.part(name).want.Size > 0, isDivider: name == l.self,
-			excluded: kind == contract.KindLink && from != "" && from != holder.place.Region,
+			excluded: entry.total.excludes(kind, holder.place.Region),
 		})
 	}
 	if len(names) == 0 {
--- a/internal/policy/divide/fleet_test.go
+++ b/internal/policy/divide/fleet_test.go
@@ -446,8 +446,11 @@
 	return names
 }
 
-func (p *peers) NearInRegion() []string {
-	return slices.DeleteFunc(p.Near(), func(name string) bool { return p.fleet.node(name).place.Region != p.self.place.Region })
+func (p *peers) NearLink(resource contract.Resource) []string {
+	if resource != link {
+		return nil
+	}
+	return slices.DeleteFunc(p.Near(), func(name string) bool { return p.fleet.node(name).place.Region == "r2" })
 }
 
 func (p *peers) Take(_ context.Context, peer string, request limit.TakeRequest) (limit.TakeReply, error) {
--- a/internal/policy/divide/follow_test.go
+++ b/internal/policy/divide/follow_test.go
@@ -63,35 +63,39 @@
 	}
 }
 
-// A VM that sends alone over a link has its peers' bytes too; the oracle counts
-// what it sends as soon as it may.
+// A VM that sends or reads alone over a link has its peers' bytes too; the oracle
+// counts what it moves as soon as it may.
 func TestOneVMCanUseAWholeLink(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		share := contract.Share{Rate: 1_000_000, Size: 250_000}
-		f := newTimedFleet(9, map[contract.Resource]divide.Total{link: {Share: share, Place: divide.Place{Region: "r0"}}})
-		f.roundTrip = 2
-		f.rest()
-		const piece, seconds = 32 << 10, 20
-		sent := int64(0)
-		sender := f.nodes[3]
-		ctx, cancel := context.WithTimeout(t.Context(), seconds*time.Second)
-		defer cancel()
-		var sending sync.WaitGroup
-		sending.Go(func() {
-			for sender.limiter.Wait(ctx, link, piece) == nil {
-				sent += piece
-			}
-		})
-		for range seconds * 4 {
-			f.pass(tickInterval)
-			f.mu.Lock()
-			f.tick()
-			f.mu.Unlock()
+	for name, index := range map[string]int{"sending": 3, "reading": 4} {
+		t.Run(name, func(t *testing.T) { synctest.Test(t, func(t *testing.T) { useWholeLink(t, index) }) })
+	}
+}
+
+func useWholeLink(t *testing.T, index int) {
+	g := NewWithT(t)
+	share := contract.Share{Rate: 1_000_000, Size: 250_000}
+	f := newTimedFleet(9, map[contract.Resource]divide.Total{link: {Share: share, Place: divide.Place{Region: "r0"}, FarRegion: "r1"}})
+	f.roundTrip = 2
+	f.rest()
+	const piece, seconds = 32 << 10, 20
+	sent := int64(0)
+	sender := f.nodes[index]
+	ctx, cancel := context.WithTimeout(t.Context(), seconds*time.Second)
+	defer cancel()
+	var sending sync.WaitGroup
+	sending.Go(func() {
+		for sender.limiter.Wait(ctx, link, piece) == nil {
+			sent += piece
 		}
-		sending.Wait()
-		t.Logf("%d bytes in %d s", sent, seconds)
-		g.Expect(sent).To(BeNumerically(">=", share.Rate*seconds*95/100))
-		g.Expect(sent).To(BeNumerically("<=", share.Rate*seconds+share.Size))
 	})
+	for range seconds * 4 {
+		f.pass(tickInterval)
+		f.mu.Lock()
+		f.tick()
+		f.mu.Unlock()
+	}
+	sending.Wait()
+	t.Logf("%d bytes in %d s", sent, seconds)
+	g.Expect(sent).To(BeNumerically(">=", share.Rate*seconds*95/100))
+	g.Expect(sent).To(BeNumerically("<=", share.Rate*seconds+share.Size))
 }
--- a/internal/policy/divide/ledger_test.go
+++ b/internal/policy/divide/ledger_test.go
@@ -143,6 +143,18 @@
 	}
 }
 
+// Only VMs that send uploads over a link, or read answers from it, hold a share.
+func TestVMsAtBothEndsOfALinkHoldIt(t *testing.T) {
+	g := NewWithT(t)
+	share := contract.Share{Rate: 1_000_000, Size: 250_000}
+	f := newFleet(9, map[contract.Resource]divide.Total{link: {Share: share, Place: divide.Place{Region: "r0"}, FarRegion: "r1"}})
+	f.rest()
+	for _, n := range f.nodes {
+		held := n.holder.Part(link).Share()
+		g.Expect(held != contract.Share{}).To(Equal(n.place.Region != "r2"), n.name)
+	}
+}
+
 func TestDrainedAndLeavingEndpointsHaveNoSlots(t *testing.T) {
 	g := NewWithT(t)
 	service := &document.Service{
@@ -158,6 +170,16 @@
 	g.Expect(totals[contract.RateOf("artes", "small")].Share).To(Equal(contract.Share{Rate: 2500, Size: 5000}))
 }
 
+// The rate was the whole cap, and the burst came on top of it.
+func TestNoSecondOfALinkHoldsMoreThanItsCap(t *testing.T) {
+	g := NewWithT(t)
+	fleet := &document.Fleet{Links: []document.Link{{A: "clyde", B: "lothian", Mbit: 8}}}
+	totals := divide.Totals(nil, fleet, nil)
+	for _, link := range []contract.Resource{contract.LinkOf("clyde", "lothian"), contract.LinkOf("lothian", "clyde")} {
+		g.Expect(totals[link].Rate + totals[link].Size).To(Equal(int64(1_000_000)))
+	}
+}
+
 // A divider that was paused does not know that its successor gave away what a
 // restarted VM had.
 func TestPausedDividerCannotGrantToRestartedVM(t *testing.T) {
--- a/internal/policy/divide/totals.go
+++ b/internal/policy/divide/totals.go
@@ -10,8 +10,9 @@
 const (
 	// bytesPerMbit is a link's bytes per second for each Mbit/s.
 	bytesPerMbit = 1_000_000 / 8
-	// linkBurst is how long a link's burst lasts at its full rate.
-	linkBurst = 250 * clock.Millis(1)
+	// linkBurst is the part of each second that a link's burst takes of its cap. The
+	// rate has only the rest, so that no second holds more than the cap.
+	linkBurst = 200 * clock.Millis(1)
 )
 
 // Place is where a VM or an endpoint stands.
@@ -24,9 +25,18 @@
 type Total struct {
 	contract.Share
 	// Place is where the endpoint of a KindSlots resource stands. Of a KindLink
-	// resource it has the region in which the link begins, whose VMs alone send over
-	// it, or nothing if that is not known.
+	// resource it has the region in which the link begins, whose VMs send uploads
+	// over it, or nothing if that is not known.
 	Place Place
+	// FarRegion is the region in which a KindLink resource ends, whose VMs read
+	// answers that come over it. VMs of other regions never use the link.
+	FarRegion string
+}
+
+// excludes reports whether a VM in a region can't use the resource: neither end of
+// the link is there.
+func (t *Total) excludes(kind contract.Kind, region string) bool {
+	return kind == contract.KindLink && t.Place.Region != "" && region != t.Place.Region && region != t.FarRegion
 }
 
 // Totals returns the limits that the documents state. An endpoint that is
@@ -76,9 +86,10 @@
 
 func addLinks(totals map[contract.Resource]Total, fleet *document.Fleet) {
 	for _, link := range fleet.Links {
-		rate := int64(link.Mbit) * bytesPerMbit
-		share := contract.Share{Rate: rate, Size: rate * int64(linkBurst) / int64(clock.Second)}
-		totals[contract.LinkOf(link.A, link.B)] = Total{Share: share, Place: Place{Region: link.A}}
-		totals[contract.LinkOf(link.B, link.A)] = Total{Share: share, Place: Place{Region: link.B}}
+		most := int64(link.Mbit) * bytesPerMbit
+		burst := most * int64(linkBurst) / int64(clock.Second)
+		share := contract.Share{Rate: most - burst, Size: burst}
+		totals[contract.LinkOf(link.A, link.B)] = Total{Share: share, Place: Place{Region: link.A}, FarRegion: link.B}
+		totals[contract.LinkOf(link.B, link.A)] = Total{Share: share, Place: Place{Region: link.B}, FarRegion: link.A}
 	}
 }
--- a/internal/policy/limit/bytes.go
+++ b/internal/policy/limit/bytes.go
@@ -28,7 +28,7 @@
 	rests map[string]clock.Millis
 }
 
-// Wait paces an upload: it returns when bytes of the link's shares were taken, or
+// Wait paces an upload or an answer: it returns when bytes of the link's shares were taken, or
 // with ctx's error.
 func (l *Limiter) Wait(ctx context.Context, resource contract.Resource, bytes int64) error {
 	part := l.Holder.Part(resource)
@@ -69,8 +69,8 @@
 	return min(bytes, linkPiece, max(1, part.Share().Size))
 }
 
-// bytesOfPeers asks the peers of this VM's region in turn until one gives bytes.
-// Other regions have none: the link does not begin there.
+// bytesOfPeers asks the peers at the link's ends in turn until one gives bytes.
+// Other regions have none.
 func (l *Limiter) bytesOfPeers(ctx context.Context, resource contract.Resource, want int64) int64 {
 	if l.Peers == nil {
 		return 0
@@ -80,7 +80,7 @@
 		return 0
 	}
 	defer gate.end()
-	for _, peer := range l.Peers.NearInRegion() {
+	for _, peer := range l.Peers.NearLink(resource) {
 		if gate.isResting(peer, l.Clock.Now()) {
 			continue
 		}
--- a/internal/policy/limit/limit.go
+++ b/internal/policy/limit/limit.go
@@ -47,13 +47,15 @@
 type Peers interface {
 	// Near returns the names of the reachable peers, nearest first.
 	Near() []string
-	// NearInRegion returns those of this VM's region.
-	NearInRegion() []string
+	// NearLink returns those of the two regions at the ends of a link, one of which
+	// is this VM's.
+	NearLink(link contract.Resource) []string
 	// Take asks one peer. It returns an error if the peer did not answer in time.
 	Take(ctx context.Context, peer string, request TakeRequest) (TakeReply, error)
 }
 
-// Limiter admits requests against workspaces' rates and uploads against links.
+// Limiter admits requests against workspaces' rates, and uploads and answers against
+// links.
 // Holder must be set; without Peers only the VM's own share counts.
 type Limiter struct {
 	Holder *contract.Holder
--- a/internal/policy/limit/limit_test.go
+++ b/internal/policy/limit/limit_test.go
@@ -31,7 +31,7 @@
 
 func (p *onePeer) Near() []string { return []string{"vm2"} }
 
-func (p *onePeer) NearInRegion() []string { return p.Near() }
+func (p *onePeer) NearLink(contract.Resource) []string { return p.Near() }
 
 func (p *onePeer) Take(ctx context.Context, _ string, request limit.TakeRequest) (limit.TakeReply, error) {
 	p.asked.Add(1)
