--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -235,7 +235,7 @@
 	for i := range plan.regions {
 		region := &plan.regions[i]
 		members := region.members(choice)
-		if members.opened == 0 {
+		if !members.canServe(request) {
 			continue
 		}
 		if region.far && nearServes && !spill {
@@ -369,7 +369,7 @@
 	for i := range plan.regions {
 		region := &plan.regions[i]
 		members := region.members(choice)
-		if region.far || members.opened == 0 || !region.health.usable(now) {
+		if region.far || !members.canServe(request) || !region.health.usable(now) {
 			continue
 		}
 		start := int(p.next() % uint64(len(members.nodes)))
@@ -394,6 +394,20 @@
 	return p.random
 }
 
+// canServe says whether any of the members may ever run the request: open, and
+// not tried before. Without one there is nothing to wait for.
+func (m *members) canServe(request *Request) bool {
+	if m.opened > len(request.Tried) {
+		return true
+	}
+	for _, n := range m.nodes {
+		if n.open && !tried(request.Tried, n) {
+			return true
+		}
+	}
+	return false
+}
+
 func tried(names []string, n *node) bool {
 	for _, name := range names {
 		if name == n.endpoint.Name {
--- a/internal/policy/placement/placement_test.go
+++ b/internal/policy/placement/placement_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"os"
 	"sync"
@@ -16,23 +15,14 @@
 	"baobabladder.example/baobabladder/internal/base/fault"
 	"baobabladder.example/baobabladder/internal/base/reason"
 	"baobabladder.example/baobabladder/internal/policy/move"
+	"baobabladder.example/baobabladder/internal/standin/fuzz"
 	"baobabladder.example/baobabladder/internal/world/contract"
 	"baobabladder.example/baobabladder/internal/world/membership"
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
 
-// TestMain fixes rapid's seed, so that the verdict is the same each time. A
-// longer run passes its own -rapid.seed and -rapid.checks.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "200", "rapid.steps": "100", "rapid.nofailfile": "true"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
+	os.Exit(fuzz.Main(m, fuzz.Plan{Seed: 20261204, Checks: 200, Steps: 100}))
 }
 
 // fakeSlots holds shares and counts by itself what is taken.
@@ -512,6 +502,22 @@
 	g.Expect(home.health.lost).To(BeTrue())
 }
 
+// A retry that has tried every endpoint waited an eighth of its time for a slot
+// that it could not use.
+func TestRetryWithoutAnotherEndpointDoesNotWait(t *testing.T) {
+	g := NewWithT(t)
+	service := testService(2, 3)
+	placer, _, _ := testPlacer(service)
+	request := testRequest(service)
+	for i := range service.Endpoints {
+		_, why := placer.try(&request, move.Choice{})
+		g.Expect(why).NotTo(Equal(reason.NoEndpoint), "%d endpoints are left", len(service.Endpoints)-i)
+		request.Tried = append(request.Tried, service.Endpoints[i].Name)
+	}
+	_, why := placer.try(&request, move.Choice{})
+	g.Expect(why).To(Equal(reason.NoEndpoint))
+}
+
 // A lost region's traffic goes to the others, and comes back when it does.
 func TestLostRegionIsLeftAndTriedAgain(t *testing.T) {
 	g := NewWithT(t)
