--- a/internal/policy/divide/machine_test.go
+++ b/internal/policy/divide/machine_test.go
@@ -1,7 +1,6 @@
 package divide_test
 
 import (
-	"flag"
 	"math/rand/v2"
 	"os"
 	"testing"
@@ -10,21 +9,12 @@
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/policy/divide"
+	"baobabladder.example/baobabladder/internal/standin/fuzz"
 	"baobabladder.example/baobabladder/internal/world/contract"
 )
 
-// TestMain fixes the seed and the number of checks unless the command line sets
-// them, so that the verdict is always the same.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "2000", "rapid.steps": "150", "rapid.nofailfile": "true"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
+	os.Exit(fuzz.Main(m, fuzz.Plan{Seed: 20261204, Checks: 2000, Steps: 150}))
 }
 
 var (
