Check key, knowledge and time again just before the first byte to an endpoint

Key and knowledge had been checked before the connection was made, and its timers had not run yet. Ruled out: the withdrawal had reached the other VMs, and new requests at the frozen VM were refused. Now the endpoint's client asks just before it writes. What is left is a freeze in the instant between that check and the write. TestAVMThatTurnsStaleWhileItConnectsSendsNothing fails without it.

--- a/internal/entry/router/router_test.go
+++ b/internal/entry/router/router_test.go
@@ -328,6 +328,24 @@
 	g.Expect(r.tap.received()).To(HaveLen(received), "a key withdrawn while its request waits runs nothing")
 }
 
+// A VM that was frozen while it connected sent a request 3 s after its key was
+// withdrawn: key and knowledge had been checked before the connection.
+func TestAVMThatTurnsStaleWhileItConnectsSendsNothing(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(t)
+	s := &switches{fresh: true}
+	r.router.Freshness = s
+	freeze := func() { s.fresh = false }
+	r.router.Client = &endpoint.Client{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		freeze()
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}}
+	r.refused(g, reason.StateStale, reason.RanNo, "GET", "/cat/", nil)
+	s.fresh, freeze = true, r.withdraw
+	r.refused(g, reason.KeyWithdrawn, reason.RanNo, "GET", "/cat/", nil)
+	g.Expect(r.tap.received()).To(BeEmpty())
+}
+
 // A key is good only in the services in which its workspace has a part.
 func TestAKeyOfAnotherServicesWorkspaceRunsNothing(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/entry/router/run.go
+++ b/internal/entry/router/run.go
@@ -162,9 +162,24 @@
 		Length:   c.body.length,
 		Fresh:    c.route.Work == document.Order,
 		AskFirst: c.body.stream != nil,
+		MaySend:  func() error { return c.maySend(ctx) },
 	})
 }
 
+// maySend checks anew what may have ended since the request was placed: its key,
+// this VM's knowledge and its time. A VM that was frozen goes on in the middle of
+// its requests, before its timers run.
+func (c *call) maySend(ctx context.Context) error {
+	if left(ctx) <= 0 {
+		return c.tooLate(ctx)
+	}
+	if err := c.checkFresh(); err != nil {
+		return err
+	}
+	_, err := c.checkKey()
+	return err
+}
+
 // outcome tells the placer how a request ended that got no answer.
 func outcome(err error) placement.Outcome {
 	if _, shed := fault.As[*endpoint.NotRunError](err); shed {
--- a/internal/wire/endpoint/endpoint.go
+++ b/internal/wire/endpoint/endpoint.go
@@ -65,6 +65,10 @@
 	// AskFirst sends the body only when the endpoint has asked for it or has been
 	// silent for a while, so that a shed request has lost nothing of its body.
 	AskFirst bool
+	// MaySend, when set, is asked just before the first byte goes out. Its error
+	// ends the request, which has not run then. What was true when the request was
+	// placed may not be after a connection was made, or after the VM was frozen.
+	MaySend func() error
 }
 
 // Answer is an endpoint's answer. Body must be closed.
@@ -127,7 +131,7 @@
 	head := formatHead(ctx, address, request)
 	if !request.Fresh {
 		if kept := c.pool.take(address, c.Clock.Now()); kept != nil {
-			err := kept.writeHead(ctx, head)
+			err := request.write(ctx, kept, head)
 			if err == nil {
 				return kept, nil
 			}
@@ -141,13 +145,23 @@
 	if err != nil {
 		return nil, failed(ctx, false, err)
 	}
-	if err := fresh.writeHead(ctx, head); err != nil {
+	if err := request.write(ctx, fresh, head); err != nil {
 		_ = fresh.Close()
 		return nil, failed(ctx, fresh.sent.Load() > 0, err)
 	}
 	return fresh, nil
 }
 
+// write writes the head if the request may still be sent.
+func (r *Request) write(ctx context.Context, connection *conn, head []byte) error {
+	if r.MaySend != nil {
+		if err := r.MaySend(); err != nil {
+			return err
+		}
+	}
+	return connection.writeHead(ctx, head)
+}
+
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout.Duration())
 	defer cancel()
