Count a connection's bytes, and a failing version's exposure, in one place each

The fleet's measure had its own copy of the peers' counted connection, and two tests of the guard the same loop. Both tests keep their requests and their bound.

--- a/internal/policy/move/guard_test.go
+++ b/internal/policy/move/guard_test.go
@@ -297,9 +297,16 @@
 	f.mover()
 	f.mover()
 	f.manual.Advance(clock.Second)
+	f.expectFailingVersionStops(t, 3000, func(i int) int { return i % 3 })
+}
+
+// expectFailingVersionStops sends requests through the VMs that vmOf names, of
+// which the new version fails all, and counts those that it gets.
+func (f *fleet) expectFailingVersionStops(t *testing.T, requests int, vmOf func(i int) int) {
+	t.Helper()
 	exposed := 0
-	for i := range 3000 {
-		if f.request(i%3, 0, func(isNew bool, _ int) (Outcome, int64) {
+	for i := range requests {
+		if f.request(vmOf(i), 0, func(isNew bool, _ int) (Outcome, int64) {
 			if isNew {
 				return Bad, 0
 			}
@@ -324,20 +331,7 @@
 		f.request(0, 0, goodAnswer)
 	}
 	f.guards[1].Merge("vm0", f.guards[0].Evidence())
-	exposed := 0
-	for range 1000 {
-		if f.request(1, 0, func(isNew bool, _ int) (Outcome, int64) {
-			if isNew {
-				return Bad, 0
-			}
-			return Good, 20_000
-		}).New {
-			exposed++
-		}
-	}
-	if exposed != minFailures {
-		t.Fatalf("%d requests on a version that failed each of them", exposed)
-	}
+	f.expectFailingVersionStops(t, 1000, func(int) int { return 1 })
 }
 
 // A version that hangs gives no answers; only some requests may wait on it.
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -22,6 +22,7 @@
 	"baobabladder.example/baobabladder/internal/entry/process"
 	"baobabladder.example/baobabladder/internal/standin/store"
 	"baobabladder.example/baobabladder/internal/wire/operator"
+	"baobabladder.example/baobabladder/internal/wire/peer"
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
 
@@ -184,25 +185,7 @@
 	if strings.Contains(f.storeURL, address) {
 		counter = &f.storeBytes
 	}
-	return &countedConn{Conn: conn, bytes: counter}, nil
-}
-
-// countedConn counts what passes both ways.
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
+	return &peer.CountedConn{Conn: conn, Bytes: counter}, nil
 }
 
 func (f *Fleet) awaitReady(ctx context.Context, vms []*entryVM) error {
--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -92,27 +92,29 @@
 	s.mu.Lock()
 	s.conns[conn] = true
 	s.mu.Unlock()
-	s.rpc.ServeConn(&countedConn{Conn: conn, bytes: &s.bytes})
+	s.rpc.ServeConn(&CountedConn{Conn: conn, Bytes: &s.bytes})
 	s.mu.Lock()
 	delete(s.conns, conn)
 	s.mu.Unlock()
 }
 
-// countedConn counts what passes through a connection.
-type countedConn struct {
+// CountedConn adds what passes through a connection, both ways, to Bytes.
+type CountedConn struct {
 	net.Conn
-	bytes *atomic.Int64
+	Bytes *atomic.Int64
 }
 
-func (c *countedConn) Read(p []byte) (int, error) {
+// Read implements net.Conn.
+func (c *CountedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
+	c.Bytes.Add(int64(n))
 	return n, err
 }
 
-func (c *countedConn) Write(p []byte) (int, error) {
+// Write implements net.Conn.
+func (c *CountedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
+	c.Bytes.Add(int64(n))
 	return n, err
 }
 
@@ -181,7 +183,7 @@
 	if err != nil {
 		return nil, err
 	}
-	fresh := rpc.NewClient(&countedConn{Conn: conn, bytes: &c.bytes})
+	fresh := rpc.NewClient(&CountedConn{Conn: conn, Bytes: &c.bytes})
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if client = c.conns[address]; client != nil {
