--- /dev/null
+++ b/internal/base/settings/node.go
@@ -0,0 +1,185 @@
+package settings
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/fault"
+)
+
+// Node is what a VM is told at its start in a deployment whose endpoints and VMs
+// register themselves in the platform's store.
+type Node struct {
+	Name       string
+	Region     string
+	DataCentre string
+	// Store is the IP:port of the platform's store.
+	Store string
+	// CallerAddress, ReadyAddress, LookupAddress, PeerAddress and MetricsAddress are
+	// IP:port to listen on: for requests, for the platform's question whether the VM
+	// is ready, for callers that ask which VMs to use, for other VMs, and for who
+	// reads the metrics.
+	CallerAddress  string
+	ReadyAddress   string
+	LookupAddress  string
+	PeerAddress    string
+	MetricsAddress string
+	// Peers holds the peer addresses of some VMs.
+	Peers []string
+	// Regions maps each data centre to its region.
+	Regions map[string]string
+	// LogLevel is a logrus level.
+	LogLevel string
+	Bounds   Bounds
+}
+
+// Bounds are the promises that the deployment asks for. Durations are written
+// with their unit, such as 2500ms or 6s.
+type Bounds struct {
+	// StopGrace is how long after a SIGTERM the process is killed.
+	StopGrace clock.Millis
+	// LookupLifetime is the longest that callers may keep a list of VMs.
+	LookupLifetime clock.Millis
+	// RetryRatio and RetrySlack bound second sends over all VMs in any RetryWindow.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow clock.Millis
+	// TrialShare is the part of a service's requests that a version on trial may get.
+	TrialShare float64
+	// ColdOverage and ColdSlack bound a cold endpoint's requests in a second over
+	// all VMs: its rate times ColdOverage plus ColdSlack.
+	ColdOverage float64
+	ColdSlack   float64
+}
+
+// nodeField is one key of a node's settings.
+type nodeField struct {
+	section, key string
+	fallback     string
+	// read takes the value over and returns what is allowed, or nothing if the value
+	// is.
+	read func(value string) (allowed string)
+}
+
+// LoadNode reads the settings file at path.
+func LoadNode(path string) (node Node, err error) {
+	defer fault.Annotate(&err, "reading the settings file %s", path)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Node{}, ErrInvalid.Wrap(err, "the file cannot be read")
+	}
+	return ParseNode(text)
+}
+
+// ParseNode reads and checks a node's settings.
+func ParseNode(text []byte) (node Node, err error) {
+	file, err := ini.LoadSources(ini.LoadOptions{SpaceBeforeInlineComment: true, IgnoreContinuation: true, KeyValueDelimiters: "="}, text)
+	if err != nil {
+		return Node{}, ErrInvalid.Wrap(err, "the text is not INI")
+	}
+	if err := node.checkKeys(file); err != nil {
+		return Node{}, err
+	}
+	for _, f := range node.fields() {
+		value := f.fallback
+		if section := file.Section(f.section); section.HasKey(f.key) && section.Key(f.key).Value() != "" {
+			value = section.Key(f.key).Value()
+		}
+		if allowed := f.read(value); allowed != "" {
+			return Node{}, ErrInvalid.New("section [%s], key %s: %q is not allowed: %s", f.section, f.key, value, allowed)
+		}
+	}
+	node.Regions = file.Section("data_centres").KeysHash()
+	if node.Regions[node.DataCentre] != node.Region {
+		return Node{}, ErrInvalid.New("section [data_centres], key %s: %q is not allowed: the VM's own region, %s", node.DataCentre, node.Regions[node.DataCentre], node.Region)
+	}
+	return node, nil
+}
+
+// checkKeys refuses sections and keys that are not known.
+func (n *Node) checkKeys(file *ini.File) error {
+	known := map[string]bool{}
+	for _, f := range n.fields() {
+		known[f.section+"/"+f.key] = true
+	}
+	for _, section := range file.Sections() {
+		switch section.Name() {
+		case "data_centres":
+			continue
+		case "vm", "bounds", ini.DefaultSection:
+		default:
+			return ErrInvalid.New("section [%s] is not allowed: known sections are [vm], [bounds] and [data_centres]", section.Name())
+		}
+		for _, key := range section.KeyStrings() {
+			if !known[section.Name()+"/"+key] {
+				return ErrInvalid.New("section [%s], key %s is not allowed", section.Name(), key)
+			}
+		}
+	}
+	return nil
+}
+
+// fields lists the keys of [vm] and [bounds]. An empty fallback makes a key
+// required.
+func (n *Node) fields() []nodeField {
+	text := func(into *string, check func(string) string) func(string) string {
+		return func(value string) string {
+			*into = value
+			return check(value)
+		}
+	}
+	b := &n.Bounds
+	return []nodeField{
+		{"vm", "name", "", text(&n.Name, checkName)},
+		{"vm", "region", "", text(&n.Region, checkName)},
+		{"vm", "data_centre", "", text(&n.DataCentre, checkName)},
+		{"vm", "store", "", text(&n.Store, checkAddress)},
+		{"vm", "caller_address", "", text(&n.CallerAddress, checkAddress)},
+		{"vm", "ready_address", "", text(&n.ReadyAddress, checkAddress)},
+		{"vm", "lookup_address", "", text(&n.LookupAddress, checkAddress)},
+		{"vm", "peer_address", "", text(&n.PeerAddress, checkAddress)},
+		{"vm", "metrics_address", "", text(&n.MetricsAddress, checkAddress)},
+		{"vm", "peers", noPeers, n.readPeers},
+		{"vm", "log_level", "info", text(&n.LogLevel, checkLevel)},
+		{"bounds", "stop_grace", "6s", readDuration(&b.StopGrace)},
+		{"bounds", "lookup_lifetime", "5s", readDuration(&b.LookupLifetime)},
+		{"bounds", "retry_ratio", "0.1", readNumber(&b.RetryRatio)},
+		{"bounds", "retry_slack", "10", readNumber(&b.RetrySlack)},
+		{"bounds", "retry_window", "10s", readDuration(&b.RetryWindow)},
+		{"bounds", "trial_share", "0.1", readNumber(&b.TrialShare)},
+		{"bounds", "cold_overage", "1", readNumber(&b.ColdOverage)},
+		{"bounds", "cold_slack", "1", readNumber(&b.ColdSlack)},
+	}
+}
+
+func (n *Node) readPeers(value string) (allowed string) {
+	n.Peers = splitPeers(value)
+	return checkPeers(value)
+}
+
+func readDuration(into *clock.Millis) func(string) string {
+	return func(value string) string {
+		parsed, err := time.ParseDuration(value)
+		if err != nil || parsed < time.Millisecond {
+			return "a duration above 0 with its unit, such as 2500ms or 6s"
+		}
+		*into = clock.FromDuration(parsed)
+		return ""
+	}
+}
+
+func readNumber(into *float64) func(string) string {
+	return func(value string) string {
+		parsed, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		if err != nil || parsed < 0 || parsed != parsed {
+			return "a number of 0 or more"
+		}
+		*into = parsed
+		return ""
+	}
+}
--- /dev/null
+++ b/internal/control/tracker/tracker.go
@@ -0,0 +1,282 @@
+// Package tracker keeps a VM's copy of the platform's objects: it lists a kind
+// once, watches what changes, and fetches from peers what it misses while the
+// store does not answer. A copy never goes back to an older revision.
+package tracker
+
+import (
+	"context"
+	"sync"
+
+	"github.com/joomcode/errorx"
+	"github.com/sirupsen/logrus"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+)
+
+var (
+	errorNamespace = errorx.NewNamespace("tracker")
+	// ErrHistoryGone says that the store forgot the changes after a revision: the
+	// kind must be listed again.
+	ErrHistoryGone = errorNamespace.NewType("history_gone")
+)
+
+const (
+	// watchWait is how long a watch waits for changes.
+	watchWait = 8 * clock.Second
+	// batchPause lets changes that come together be read by one call.
+	batchPause = 120 * clock.Millis(1)
+	firstRetry = 60 * clock.Millis(1)
+	maxRetry   = 700 * clock.Millis(1)
+	// lapseGrace is how long after an outage a removal is held back: entries that
+	// lapsed meanwhile are written again by their owners within 2 s.
+	lapseGrace = 2300 * clock.Millis(1)
+)
+
+// Object is one object of the platform.
+type Object struct {
+	Name     string
+	Revision int64
+	// Spec is what the owner wrote, Status what the system wrote.
+	Spec, Status []byte
+	Deleted      bool
+}
+
+// Source reads a kind of objects.
+type Source interface {
+	// List returns all objects of a kind and a revision to watch from.
+	List(ctx context.Context, kind string) (objects []Object, revision int64, err error)
+	// Watch waits for changes after a revision.
+	Watch(ctx context.Context, kind string, after int64, wait clock.Millis) (objects []Object, revision int64, err error)
+}
+
+// Feed follows one kind.
+type Feed struct {
+	Kind   string
+	Source Source
+	Clock  clock.Clock
+	Log    logrus.FieldLogger
+	// HoldLapsed says that removals just after an outage are held back.
+	HoldLapsed bool
+	// Changed is called after each change with all objects by name. It must not
+	// change them.
+	Changed func(objects map[string]Object)
+	Jitter  func(n clock.Millis) clock.Millis
+
+	mu sync.Mutex
+	// objects holds the copy. Guarded by mu.
+	objects map[string]Object
+	// revision is the store's that the copy is complete up to, 0 before the first
+	// list. Guarded by mu.
+	revision int64
+	// newest is the revision of the newest change in the copy, and fetching says
+	// that a peer is being asked for its copy. Guarded by mu.
+	newest   int64
+	fetching bool
+	// pending holds removals that are held back, with the time of their removal.
+	// Guarded by mu.
+	pending map[string]clock.Millis
+	// failing says that the last call failed; recoveredAt is when calls last
+	// succeeded again. Guarded by mu.
+	failing     bool
+	recoveredAt clock.Millis
+	// contactAt is when the last successful call was sent. Guarded by mu.
+	contactAt clock.Millis
+}
+
+// Run follows the kind until ctx ends.
+func (f *Feed) Run(ctx context.Context) {
+	retry := firstRetry
+	needsList := true
+	for ctx.Err() == nil {
+		err := f.step(ctx, needsList)
+		switch {
+		case err == nil:
+			needsList, retry = false, firstRetry
+			_ = clock.Sleep(ctx, batchPause)
+			continue
+		case errorx.IsOfType(err, ErrHistoryGone):
+			f.note("the store forgot its history, listing again", err)
+			needsList = true
+		default:
+			f.fail(err)
+		}
+		_ = clock.Sleep(ctx, retry/2+f.jitter(retry))
+		retry = min(2*retry, maxRetry)
+	}
+}
+
+func (f *Feed) jitter(n clock.Millis) clock.Millis {
+	if f.Jitter == nil {
+		return n / 2
+	}
+	return f.Jitter(n)
+}
+
+func (f *Feed) step(ctx context.Context, list bool) error {
+	sent := f.Clock.Now()
+	if list {
+		objects, revision, err := f.Source.List(ctx, f.Kind)
+		if err != nil {
+			return err
+		}
+		f.succeed(sent)
+		f.replace(objects, revision)
+		return nil
+	}
+	objects, revision, err := f.Source.Watch(ctx, f.Kind, f.Revision(), f.wait())
+	if err != nil {
+		return err
+	}
+	f.succeed(sent)
+	f.merge(objects, revision)
+	return nil
+}
+
+// wait is shorter while removals are held back, so that they are settled in time.
+func (f *Feed) wait() clock.Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.pending) > 0 || f.failing {
+		return lapseGrace / 4
+	}
+	return watchWait
+}
+
+func (f *Feed) note(what string, err error) {
+	if f.Log != nil {
+		f.Log.WithField("kind", f.Kind).WithError(err).Warn(what)
+	}
+}
+
+func (f *Feed) fail(err error) {
+	f.mu.Lock()
+	first := !f.failing
+	f.failing = true
+	f.mu.Unlock()
+	if first {
+		f.note("lost the store", err)
+	}
+}
+
+func (f *Feed) succeed(sent clock.Millis) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.contactAt = sent
+	if !f.failing {
+		return
+	}
+	f.failing = false
+	f.recoveredAt = f.Clock.Now()
+	if f.Log != nil {
+		f.Log.WithField("kind", f.Kind).Info("regained the store")
+	}
+}
+
+// Revision returns the revision that the copy is complete up to.
+func (f *Feed) Revision() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision
+}
+
+// InContact says whether the store answered the last call.
+func (f *Feed) InContact() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.failing && f.revision > 0
+}
+
+// Objects returns a copy of what is known, for peers that miss it.
+func (f *Feed) Objects() (objects []Object, revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, object := range f.objects {
+		objects = append(objects, object)
+	}
+	return objects, f.revision
+}
+
+// Adopt takes over a peer's copy if it is newer.
+func (f *Feed) Adopt(objects []Object, revision int64) {
+	if revision > f.Revision() {
+		f.replace(objects, revision)
+	}
+}
+
+// replace takes a listing. What it lacks was removed.
+func (f *Feed) replace(objects []Object, revision int64) {
+	listed := map[string]bool{}
+	for _, object := range objects {
+		listed[object.Name] = true
+	}
+	f.mu.Lock()
+	for name := range f.objects {
+		if !listed[name] {
+			objects = append(objects, Object{Name: name, Revision: revision, Deleted: true})
+		}
+	}
+	f.mu.Unlock()
+	f.merge(objects, revision)
+}
+
+// merge takes changes over into the copy and tells of them.
+func (f *Feed) merge(objects []Object, revision int64) {
+	f.mu.Lock()
+	changed := f.revision == 0
+	if f.objects == nil {
+		f.objects, f.pending = map[string]Object{}, map[string]clock.Millis{}
+	}
+	for _, object := range objects {
+		f.newest = max(f.newest, object.Revision)
+		changed = f.take(object) || changed
+	}
+	changed = f.settle() || changed
+	f.revision = max(f.revision, revision)
+	var copied map[string]Object
+	if changed {
+		copied = make(map[string]Object, len(f.objects))
+		for name, object := range f.objects {
+			copied[name] = object
+		}
+	}
+	f.mu.Unlock()
+	if changed && f.Changed != nil {
+		f.Changed(copied)
+	}
+}
+
+// take merges one object and reports whether the copy changed. Callers hold mu.
+func (f *Feed) take(object Object) bool {
+	known, found := f.objects[object.Name]
+	if found && object.Revision < known.Revision {
+		return false
+	}
+	if !object.Deleted {
+		delete(f.pending, object.Name)
+		f.objects[object.Name] = object
+		return !found || object.Revision != known.Revision
+	}
+	if !found {
+		return false
+	}
+	now := f.Clock.Now()
+	if f.HoldLapsed && f.recoveredAt > 0 && now-f.recoveredAt < lapseGrace {
+		f.pending[object.Name] = f.recoveredAt + lapseGrace
+		return false
+	}
+	delete(f.objects, object.Name)
+	return true
+}
+
+// settle carries out removals that were held back long enough. Callers hold mu.
+func (f *Feed) settle() (changed bool) {
+	now := f.Clock.Now()
+	for name, at := range f.pending {
+		if now >= at {
+			delete(f.pending, name)
+			delete(f.objects, name)
+			changed = true
+		}
+	}
+	return changed
+}
--- a/internal/entry/command/command.go
+++ b/internal/entry/command/command.go
@@ -14,8 +14,10 @@
 
 	"baobabladder.example/baobabladder/internal/base/document"
 	"baobabladder.example/baobabladder/internal/base/settings"
+	"baobabladder.example/baobabladder/internal/entry/node"
 	"baobabladder.example/baobabladder/internal/entry/process"
 	"baobabladder.example/baobabladder/internal/wire/operator"
+	"baobabladder.example/baobabladder/platform"
 )
 
 // Exit codes.
@@ -97,6 +99,10 @@
 	entry.Flag("settings", "The VM's settings file.").Required().StringVar(&c.settings)
 	runs[entry.FullCommand()] = c.entry
 
+	node := c.app.Command("gateway", "Run an entry VM of a deployment whose VMs and endpoints register themselves, until SIGTERM.")
+	node.Flag("settings", "The VM's settings file.").Envar(platform.SettingsVariable).Required().StringVar(&c.settings)
+	runs[node.FullCommand()] = c.gateway
+
 	check := c.app.Command("check", "Check a document without any VM.")
 	c.fileArg(check)
 	runs[check.FullCommand()] = c.check
@@ -175,6 +181,29 @@
 	return ExitOK
 }
 
+// gateway runs an entry VM on the users' platform.
+func (c *commands) gateway(ctx context.Context) int {
+	read, err := settings.LoadNode(c.settings)
+	if err != nil {
+		return c.fail(err)
+	}
+	log := logrus.New()
+	log.SetOutput(c.stdout)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	level, err := logrus.ParseLevel(read.LogLevel)
+	if err != nil {
+		return c.fail(err)
+	}
+	log.SetLevel(level)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	signal.Ignore(syscall.SIGHUP)
+	if err := (&node.Node{Settings: read, Platform: platform.New(read.Store), Log: log}).Run(ctx); err != nil {
+		return c.fail(err)
+	}
+	return ExitOK
+}
+
 // readDocument reads and checks the file.
 func (c *commands) readDocument() (text string, parsed *document.Document, err error) {
 	content, err := os.ReadFile(c.file)
--- /dev/null
+++ b/internal/entry/gateway/gateway.go
@@ -0,0 +1,116 @@
+// Package gateway answers one caller's request to a deployment whose endpoints
+// register themselves: it finds the route, checks the key and the quota, chooses
+// an endpoint, sends the request there and passes the answer back.
+// Gateway.serve can be read from top to bottom in the order in which a request
+// goes. It makes no call to the store.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/metric"
+	"baobabladder.example/baobabladder/internal/policy/balance"
+	"baobabladder.example/baobabladder/internal/policy/canary"
+	"baobabladder.example/baobabladder/internal/policy/quota"
+	"baobabladder.example/baobabladder/internal/policy/retry"
+	"baobabladder.example/baobabladder/internal/wire/caller"
+	"baobabladder.example/baobabladder/internal/wire/endpoint"
+	"baobabladder.example/baobabladder/internal/world/routing"
+)
+
+// Headers names the headers that callers and endpoints use beside HTTP's own.
+type Headers struct {
+	// Workspace tells the endpoint for whom the request runs.
+	Workspace string
+	// Endpoint names the endpoint that may run the request; any other one refuses.
+	Endpoint string
+	// ObjectCookie is the cookie that names what the request is about.
+	ObjectCookie string
+}
+
+// Sender sends requests to endpoints; see endpoint.Client.
+type Sender interface {
+	Send(ctx context.Context, address string, request *endpoint.Request) (*endpoint.Answer, error)
+}
+
+// Gateway answers callers' requests. All fields but Log must be set.
+type Gateway struct {
+	Headers  Headers
+	Client   Sender
+	Balancer *balance.Balancer
+	Quota    *quota.Limiter
+	Trials   *canary.Guard
+	// Budget bounds second sends over all VMs.
+	Budget  *retry.Window
+	Refuser caller.Refuser
+	// Retries is the metric "retries", Requests counts answers by outcome.
+	Retries *metric.Reasons
+	Clock   clock.Clock
+	Log     logrus.FieldLogger
+
+	// table is the configuration in force; nil before the first one is known.
+	table atomic.Pointer[routing.Table]
+	// splits spreads requests over the targets of a route.
+	splits splitter
+}
+
+// SetTable puts a configuration in force, unless a newer one is.
+func (g *Gateway) SetTable(table *routing.Table) bool {
+	for {
+		old := g.table.Load()
+		if old != nil && old.Version >= table.Version {
+			return false
+		}
+		if g.table.CompareAndSwap(old, table) {
+			return true
+		}
+	}
+}
+
+// Table returns the configuration in force, or nil.
+func (g *Gateway) Table() *routing.Table { return g.table.Load() }
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	c := &call{gateway: g, w: w, request: request, arrived: g.Clock.Now()}
+	err := g.serve(c)
+	switch {
+	case err == nil:
+	case c.answering:
+		// The caller must see that its answer is cut.
+		g.Refuser.Note(caller.AsRefusal(err), c.fields())
+		panic(http.ErrAbortHandler)
+	default:
+		if c.id != "" {
+			w.Header().Set(endpoint.RequestIDHeader, c.id)
+		}
+		g.Refuser.Refuse(w, err, c.fields())
+	}
+}
+
+func (g *Gateway) serve(c *call) (err error) {
+	if err := c.readHead(); err != nil {
+		return err
+	}
+	if err := c.findRoute(); err != nil {
+		return err
+	}
+	if err := c.authenticate(); err != nil {
+		return err
+	}
+	ctx, cancel := c.startDeadline()
+	defer cancel()
+	if err := c.admit(); err != nil {
+		return err
+	}
+	if err := c.takeBody(ctx); err != nil {
+		return err
+	}
+	c.chooseService()
+	return c.run(ctx)
+}
--- /dev/null
+++ b/internal/entry/node/known.go
@@ -0,0 +1,270 @@
+package node
+
+import (
+	"context"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/control/roster"
+	"baobabladder.example/baobabladder/internal/control/tracker"
+	"baobabladder.example/baobabladder/internal/policy/quota"
+	"baobabladder.example/baobabladder/internal/world/directory"
+	"baobabladder.example/baobabladder/internal/world/vm"
+)
+
+// known is what the VM has read from the store, decoded. Its zero value is ready.
+type known struct {
+	mu sync.Mutex
+	// endpoints and moves hold the readable entries by name. Guarded by mu.
+	endpoints map[string]directory.Endpoint
+	moves     map[string]directory.Move
+	// unreadable holds the revision of each entry that a log line called
+	// unreadable, by kind and name. Guarded by mu.
+	unreadable map[string]int64
+	evacuated  map[string]bool
+	vms        map[string]vm.VM
+}
+
+func (k *known) hasEndpoints() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.endpoints != nil
+}
+
+// isListed says whether the store holds a VM's registration as it is.
+func (k *known) isListed(self vm.VM) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	listed, found := k.vms[self.Name]
+	return k.vms != nil && found && listed == self
+}
+
+// isNewFault says whether an entry has not been called unreadable before.
+func (k *known) isNewFault(kind string, object tracker.Object) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.unreadable == nil {
+		k.unreadable = map[string]int64{}
+	}
+	id := kind + "/" + object.Name
+	if k.unreadable[id] == object.Revision {
+		return false
+	}
+	k.unreadable[id] = object.Revision
+	return true
+}
+
+// buildFeeds makes one feed for each kind of object.
+func (n *Node) buildFeeds() {
+	config, endpoints, moves, evacuations, vms := n.Platform.Kinds()
+	for _, kind := range []struct {
+		name    string
+		changed func(objects map[string]tracker.Object)
+		lapses  bool
+	}{
+		{config, n.takeConfig, false},
+		{endpoints, n.takeEndpoints, true},
+		{moves, n.takeMoves, false},
+		{evacuations, n.takeEvacuations, false},
+		{vms, n.takeVMs, false},
+	} {
+		n.feeds = append(n.feeds, &tracker.Feed{
+			Kind: kind.name, Source: n.Platform, Log: n.Log, HoldLapsed: kind.lapses, Changed: kind.changed, Jitter: jitter,
+		})
+	}
+}
+
+// skip logs an entry that can't be read, once.
+func (n *Node) skip(kind string, object tracker.Object, err error) {
+	if n.known.isNewFault(kind, object) {
+		n.Log.WithError(err).WithFields(logrus.Fields{"kind": kind, "object": object.Name, "revision": object.Revision}).
+			Warn("an object can't be read and is left out")
+	}
+}
+
+func (n *Node) takeConfig(objects map[string]tracker.Object) {
+	for _, object := range objects {
+		table, found, err := n.Platform.DecodeConfig(object)
+		if err != nil {
+			n.skip("config", object, err)
+		}
+		if found && n.gateway.SetTable(table) {
+			n.Log.WithFields(logrus.Fields{"version": table.Version, "revision": object.Revision}).Info("configuration in force")
+		}
+	}
+}
+
+func (n *Node) takeEndpoints(objects map[string]tracker.Object) {
+	now := n.clock.Now()
+	n.known.mu.Lock()
+	old := n.known.endpoints
+	n.known.mu.Unlock()
+	read := make(map[string]directory.Endpoint, len(objects))
+	for name, object := range objects {
+		if before, found := old[name]; found && before.Revision == object.Revision {
+			read[name] = before
+			continue
+		}
+		decoded, err := n.Platform.DecodeEndpoint(object, now, n.Settings.Regions)
+		if err != nil {
+			n.skip("endpoint", object, err)
+			continue
+		}
+		read[name] = decoded
+	}
+	n.known.mu.Lock()
+	n.known.endpoints = read
+	n.known.mu.Unlock()
+	n.updateDirectory()
+}
+
+func (n *Node) takeMoves(objects map[string]tracker.Object) {
+	now := n.clock.Now()
+	n.known.mu.Lock()
+	old := n.known.moves
+	n.known.mu.Unlock()
+	read := make(map[string]directory.Move, len(objects))
+	for _, object := range objects {
+		decoded, err := n.Platform.DecodeMove(object, now)
+		if err != nil {
+			n.skip("move", object, err)
+			continue
+		}
+		if before, found := old[decoded.Service]; found && before.To == decoded.To {
+			decoded.SeenAt = before.SeenAt
+		}
+		if before := old[decoded.Service]; before.To != decoded.To || before.State != decoded.State {
+			n.Log.WithFields(logrus.Fields{"service": decoded.Service, "to": decoded.To, "state": decoded.State}).Info("version move")
+		}
+		read[decoded.Service] = decoded
+	}
+	n.known.mu.Lock()
+	n.known.moves = read
+	n.known.mu.Unlock()
+	n.updateDirectory()
+}
+
+func (n *Node) takeEvacuations(objects map[string]tracker.Object) {
+	evacuated := map[string]bool{}
+	for name := range objects {
+		evacuated[name] = true
+	}
+	n.known.mu.Lock()
+	n.known.evacuated = evacuated
+	n.known.mu.Unlock()
+	n.Log.WithField("evacuated", len(evacuated)).Info("evacuations in force")
+	n.updateDirectory()
+}
+
+func (n *Node) takeVMs(objects map[string]tracker.Object) {
+	read := map[string]vm.VM{}
+	list := []vm.VM{}
+	for name, object := range objects {
+		decoded, err := n.Platform.DecodeVM(object)
+		if err != nil {
+			n.skip("vm", object, err)
+			continue
+		}
+		read[name] = decoded
+		list = append(list, decoded)
+	}
+	n.known.mu.Lock()
+	n.known.vms = read
+	n.known.mu.Unlock()
+	n.roster.List(list)
+}
+
+// updateDirectory passes what is known of endpoints on to the policies.
+func (n *Node) updateDirectory() {
+	n.known.mu.Lock()
+	defer n.known.mu.Unlock()
+	if n.known.endpoints == nil {
+		return
+	}
+	list := make([]directory.Endpoint, 0, len(n.known.endpoints))
+	for _, e := range n.known.endpoints {
+		list = append(list, e)
+	}
+	newest := directory.New(list, n.known.evacuated, n.known.moves)
+	n.guard.Update(newest.Moves)
+	n.balancer.Update(newest)
+}
+
+// state is what this VM tells its peers.
+func (n *Node) state() roster.State {
+	revisions := make(map[string]int64, len(n.feeds))
+	contact := true
+	for _, feed := range n.feeds {
+		revisions[feed.Kind] = feed.Newest()
+		contact = contact && feed.InContact()
+	}
+	return roster.State{
+		ID: n.id, VM: n.self, Ready: n.knowsEnough(), Stopping: n.stopping.Load(), Contact: contact,
+		Demand: n.quota.Demand(), Running: n.balancer.Running(), Trials: n.guard.Evidence(), Revisions: revisions,
+	}
+}
+
+// heard takes over what a peer told.
+func (n *Node) heard(state roster.State) {
+	n.guard.Hear(state.ID.Name, state.Trials)
+	for _, feed := range n.feeds {
+		if known := state.Revisions[feed.Kind]; known > feed.Newest() {
+			go feed.CatchUp(context.Background(), n.peers, state.VM.PeerAddress, known)
+		}
+	}
+}
+
+// spread passes what the peers told on to the policies, and writes down the
+// outcome of moves if this VM is the one to do so.
+func (n *Node) spread(ctx context.Context) {
+	for clock.Sleep(ctx, spreadInterval) == nil {
+		members := n.roster.Members()
+		running := map[string]int{}
+		demands := []quota.PeerDemand{}
+		for _, member := range members {
+			if member.ID.Name == n.id.Name {
+				continue
+			}
+			demands = append(demands, quota.PeerDemand{VM: member.ID.Name, Demand: member.Demand})
+			if !member.Heard {
+				continue
+			}
+			for id, count := range member.Running {
+				running[id] += count
+			}
+		}
+		n.quota.Update(demands)
+		n.balancer.Hear(running, len(members))
+		n.budget.Update(len(members))
+		n.settleMoves(ctx, members)
+	}
+}
+
+func (n *Node) settleMoves(ctx context.Context, members []roster.Member) {
+	verdicts := n.guard.Verdicts()
+	if len(verdicts) == 0 || !n.isWriter(members) {
+		return
+	}
+	for _, verdict := range verdicts {
+		fields := logrus.Fields{"service": verdict.Move.Service, "to": verdict.Move.To, "state": verdict.State, "why": verdict.Why}
+		if err := n.Platform.WriteMove(ctx, verdict.Move, verdict.State); err != nil {
+			n.Log.WithError(err).WithFields(fields).Warn("writing the state of a version move failed")
+			continue
+		}
+		n.Log.WithFields(fields).Info("wrote the state of a version move")
+	}
+}
+
+// isWriter says whether this VM writes outcomes down: the first by name of those
+// that serve and reach the store. Two may do so at once for a moment, which the
+// store's conditions make harmless.
+func (n *Node) isWriter(members []roster.Member) bool {
+	for _, member := range members {
+		if member.Heard && member.Ready && member.Contact && !member.Stopping {
+			return member.ID.Name == n.id.Name
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/entry/node/node.go
@@ -0,0 +1,274 @@
+// Package node puts together one VM of a deployment whose endpoints and VMs
+// register themselves in the platform's store. It opens the VM's listeners,
+// follows the store, exchanges states with the other VMs and stops in order.
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/fault"
+	"baobabladder.example/baobabladder/internal/base/metric"
+	"baobabladder.example/baobabladder/internal/base/settings"
+	"baobabladder.example/baobabladder/internal/control/roster"
+	"baobabladder.example/baobabladder/internal/control/tracker"
+	"baobabladder.example/baobabladder/internal/entry/gateway"
+	"baobabladder.example/baobabladder/internal/policy/balance"
+	"baobabladder.example/baobabladder/internal/policy/canary"
+	"baobabladder.example/baobabladder/internal/policy/quota"
+	"baobabladder.example/baobabladder/internal/policy/retry"
+	"baobabladder.example/baobabladder/internal/wire/caller"
+	"baobabladder.example/baobabladder/internal/wire/endpoint"
+	"baobabladder.example/baobabladder/internal/wire/peer"
+	"baobabladder.example/baobabladder/internal/world/directory"
+	"baobabladder.example/baobabladder/internal/world/routing"
+	"baobabladder.example/baobabladder/internal/world/vm"
+)
+
+const (
+	// spreadInterval is how often what peers told is passed on to the policies.
+	spreadInterval = 250 * clock.Millis(1)
+	// registerRetry is the pause between two tries to register.
+	registerRetry = 700 * clock.Millis(1)
+	// lookupLifetime is how long callers keep a list of VMs, unless less is allowed.
+	lookupLifetime = 2 * clock.Second
+	// noticePart and endMargin divide the time that a planned stop has: the first
+	// half goes to telling callers, and the process ends endMargin before its end.
+	noticePart = 2
+	endMargin  = 600 * clock.Millis(1)
+	// endpointConnect bounds the set-up of a connection to an endpoint.
+	endpointConnect = 350 * clock.Millis(1)
+	headTimeout     = 5 * clock.Second
+)
+
+// Platform is what the deployment's platform gives a VM.
+type Platform interface {
+	tracker.Source
+	// Kinds names the kinds of objects.
+	Kinds() (config, endpoints, moves, evacuations, vms string)
+	Headers() gateway.Headers
+	// EndpointHeaders names the headers in which endpoints tell their load, and
+	// that a request did not run.
+	EndpointHeaders() (load, notRun string)
+	DecodeConfig(object tracker.Object) (table *routing.Table, found bool, err error)
+	DecodeEndpoint(object tracker.Object, now clock.Millis, regions map[string]string) (directory.Endpoint, error)
+	DecodeMove(object tracker.Object, now clock.Millis) (directory.Move, error)
+	DecodeVM(object tracker.Object) (vm.VM, error)
+	// Register writes this VM's registration.
+	Register(ctx context.Context, self vm.VM) error
+	// WriteMove writes the state of a move, unless it is settled.
+	WriteMove(ctx context.Context, move directory.Move, state directory.MoveState) error
+	ReadyHandler(isReady func() bool) http.Handler
+	LookupHandler(named func(region, dataCentre string) []vm.VM, lifetime clock.Millis) http.Handler
+}
+
+// Node is one run of a VM. Settings, Platform and Log must be set.
+type Node struct {
+	Settings settings.Node
+	Platform Platform
+	Log      logrus.FieldLogger
+
+	clock    clock.Clock
+	id       vm.ID
+	self     vm.VM
+	metrics  *metric.Registry
+	peers    *peer.Client
+	server   *peer.Server
+	roster   *roster.Roster
+	gateway  *gateway.Gateway
+	balancer *balance.Balancer
+	quota    *quota.Limiter
+	guard    *canary.Guard
+	budget   *retry.Window
+	callers  *caller.Server
+	known    known
+	feeds    []*tracker.Feed
+	stopping atomic.Bool
+}
+
+// Run serves until ctx ends, and then stops as planned: peers learn that the VM
+// is stopping and name it no more, callers that still come are served, and the
+// process ends when the last request has, or its time is over.
+func (n *Node) Run(ctx context.Context) (err error) {
+	defer fault.Annotate(&err, "running VM %s", n.Settings.Name)
+	n.build()
+	listeners, err := n.listen()
+	if err != nil {
+		return err
+	}
+	if err := n.register(); err != nil {
+		return err
+	}
+	duties, endDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer endDuties()
+	n.Log.WithFields(logrus.Fields{"vm": n.Settings.Name, "data_centre": n.Settings.DataCentre}).Info("started")
+	n.start(duties, listeners)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		<-ctx.Done()
+		n.stop(duties)
+	}()
+	err = n.callers.Serve(listeners.callers)
+	if ctx.Err() != nil {
+		<-stopped
+	}
+	n.Log.Info("ended")
+	return err
+}
+
+// build makes the parts; nothing runs yet.
+func (n *Node) build() {
+	read := n.Settings
+	n.id = vm.ID{Name: read.Name, Incarnation: vm.Incarnation(n.clock.Wall())}
+	n.self = vm.VM{
+		Name: read.Name, Role: vm.Entry, State: vm.Live, Region: read.Region, DataCentre: read.DataCentre,
+		CallerAddress: read.CallerAddress, PeerAddress: read.PeerAddress,
+	}
+	n.metrics = metric.New()
+	n.peers = &peer.Client{}
+	n.server = peer.NewServer()
+	n.balancer = &balance.Balancer{
+		Region: read.Region, DataCentre: read.DataCentre,
+		Cold: balance.Cold{Overage: read.Bounds.ColdOverage, Slack: read.Bounds.ColdSlack},
+	}
+	n.quota = &quota.Limiter{}
+	n.guard = &canary.Guard{Share: read.Bounds.TrialShare}
+	n.budget = &retry.Window{Length: read.Bounds.RetryWindow, Ratio: read.Bounds.RetryRatio, Slack: read.Bounds.RetrySlack}
+	refuser := caller.Refuser{Counters: metric.ByReason(n.metrics.Scope, "refusals"), Log: n.Log, Exact: true}
+	load, notRun := n.Platform.EndpointHeaders()
+	n.gateway = &gateway.Gateway{
+		Headers: n.Platform.Headers(),
+		Client: &endpoint.Client{
+			LoadHeader: load, NotRunHeader: notRun, ConnectTimeout: endpointConnect, TakeUnframed: true,
+		},
+		Balancer: n.balancer, Quota: n.quota, Trials: n.guard, Budget: n.budget, Refuser: refuser,
+		Retries: metric.ByReason(n.metrics.Scope, "retries"), Log: n.Log,
+	}
+	n.callers = &caller.Server{Handler: n.gateway, Refuser: refuser, Notice: read.Bounds.StopGrace / noticePart}
+	n.buildFeeds()
+	n.roster = &roster.Roster{
+		Self: n.self, Peers: n.peers, Load: n.state, Heard: n.heard, Seeds: read.Peers, Log: n.Log,
+	}
+}
+
+// register makes the parts callable by peers.
+func (n *Node) register() error {
+	if err := n.server.Register(roster.ReceiverName, roster.NewReceiver(n.roster)); err != nil {
+		return err
+	}
+	return n.server.Register(tracker.ReceiverName, tracker.NewReceiver(n.feeds...))
+}
+
+// listeners are the VM's open ports.
+type listeners struct {
+	callers, ready, lookup, peers, metrics net.Listener
+}
+
+func (n *Node) listen() (open listeners, err error) {
+	read := n.Settings
+	for _, port := range []struct {
+		into    *net.Listener
+		address string
+	}{
+		{&open.callers, read.CallerAddress},
+		{&open.ready, read.ReadyAddress},
+		{&open.lookup, read.LookupAddress},
+		{&open.peers, read.PeerAddress},
+		{&open.metrics, read.MetricsAddress},
+	} {
+		if *port.into, err = net.Listen("tcp", port.address); err != nil {
+			return open, err
+		}
+	}
+	return open, nil
+}
+
+// start starts what goes on until the last request has ended.
+func (n *Node) start(ctx context.Context, open listeners) {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", n.metrics)
+	lifetime := min(lookupLifetime, n.Settings.Bounds.LookupLifetime)
+	go n.logEnd("serving peers", func() error { return n.server.Serve(open.peers) })
+	for _, served := range []struct {
+		what     string
+		listener net.Listener
+		handler  http.Handler
+	}{
+		{"answering whether the VM is ready", open.ready, n.Platform.ReadyHandler(n.isReady)},
+		{"answering lookups", open.lookup, n.Platform.LookupHandler(n.named, lifetime)},
+		{"serving metrics", open.metrics, mux},
+	} {
+		server := &http.Server{Handler: served.handler, ReadHeaderTimeout: headTimeout.Duration()}
+		go n.logEnd(served.what, func() error { return server.Serve(served.listener) })
+	}
+	for _, feed := range n.feeds {
+		go feed.Run(ctx)
+	}
+	go n.roster.Run(ctx)
+	go n.spread(ctx)
+	go n.keepRegistered(ctx)
+}
+
+func (n *Node) logEnd(what string, serve func() error) {
+	if err := serve(); err != nil && err != http.ErrServerClosed {
+		n.Log.WithError(err).Error(what + " ended")
+	}
+}
+
+// stop is a planned stop.
+func (n *Node) stop(ctx context.Context) {
+	n.stopping.Store(true)
+	n.Log.Info("stopping")
+	n.roster.Tell(ctx)
+	limit, cancel := context.WithTimeout(ctx, (n.Settings.Bounds.StopGrace - endMargin).Duration())
+	defer cancel()
+	var group sync.WaitGroup
+	group.Go(func() {
+		if err := n.callers.Shutdown(limit); err != nil {
+			n.Log.WithError(err).Warn("requests were still running at the end of the stop")
+		}
+	})
+	group.Wait()
+}
+
+// isReady says whether this VM serves callers.
+func (n *Node) isReady() bool {
+	return !n.stopping.Load() && n.knowsEnough()
+}
+
+func (n *Node) knowsEnough() bool {
+	return n.gateway.Table() != nil && n.known.hasEndpoints()
+}
+
+// named answers a lookup. A VM that hears of no other names itself.
+func (n *Node) named(region, dataCentre string) []vm.VM {
+	return roster.Named(n.roster.Members(), region, dataCentre)
+}
+
+// keepRegistered registers the VM until the store shows its registration.
+func (n *Node) keepRegistered(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !n.known.isListed(n.self) && !n.stopping.Load() {
+			if err := n.Platform.Register(ctx, n.self); err != nil {
+				n.Log.WithError(err).Warn("registering failed")
+			}
+		}
+		_ = clock.Sleep(ctx, registerRetry)
+	}
+}
+
+// jitter returns a random number from 0 up to below m.
+func jitter(m clock.Millis) clock.Millis {
+	if m <= 0 {
+		return 0
+	}
+	return clock.Millis(rand.Int64N(int64(m)))
+}
--- /dev/null
+++ b/internal/policy/balance/balance.go
@@ -0,0 +1,416 @@
+// Package balance chooses the endpoint that runs a request: the one from which
+// its answer is expected first, counting what the choice costs others. An
+// endpoint that served the request's object lately is faster, so that requests
+// for one object keep to one endpoint; a hash of object and endpoint lets all VMs
+// agree on it without a word. The package does no input or output.
+package balance
+
+import (
+	"hash/fnv"
+	"math"
+	"sync"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/document"
+	"baobabladder.example/baobabladder/internal/base/reason"
+	"baobabladder.example/baobabladder/internal/policy/canary"
+	"baobabladder.example/baobabladder/internal/world/directory"
+	"baobabladder.example/baobabladder/internal/world/routing"
+)
+
+const (
+	// homeWeight is how much likelier an object belongs to an endpoint of this VM's
+	// region than to one of another; bulkHomeWeight holds for uploads, whose bytes
+	// are dear between regions.
+	homeWeight     = 6
+	bulkHomeWeight = 40
+	// occupancyCost is what a millisecond of an endpoint's slot costs others.
+	occupancyCost = 0.5
+	// farMillis and nearMillis stand for the round trip to another region and to
+	// another data centre of this one, farPerKilobyte and nearPerKilobyte for the
+	// price of the bytes.
+	farMillis       = 60
+	nearMillis      = 3
+	farPerKilobyte  = 9
+	nearPerKilobyte = 3
+	// answerKilobytes is what an answer is expected to hold.
+	answerKilobytes = 2
+	// memorySpan is how long an object's endpoint is taken to be warm.
+	memorySpan = 30 * clock.Second
+	// maxMemory bounds the remembered objects.
+	maxMemory = 20_000
+	// queueDepth is how many requests may wait at an endpoint beyond its slots.
+	queueDepth = 4
+	// errorCost weighs an endpoint's part of failures, in times of the route's aim.
+	errorCost = 2.5
+	// refusedRetry is when a refused caller may try again.
+	refusedRetry = 250 * clock.Millis(1)
+	// coldSpacing is the span, a little above a second, in which a cold endpoint's
+	// rate is counted.
+	coldSpacing = 1080 * clock.Millis(1)
+)
+
+// Request is what is to be placed.
+type Request struct {
+	Route     *routing.Route
+	Workspace *routing.Workspace
+	Service   *routing.Service
+	// Object names what the request is about; empty if it is not known.
+	Object string
+	// Kilobytes is the size of the body.
+	Kilobytes float64
+	// Remaining is the time left.
+	Remaining clock.Millis
+	// Versions says which versions may run it.
+	Versions canary.Choice
+	// Tried names endpoints not to use again.
+	Tried []string
+}
+
+// Cold bounds what a cold endpoint gets in a second from all VMs together.
+type Cold struct {
+	// Overage multiplies the endpoint's stated rate, Slack is added to it.
+	Overage float64
+	Slack   float64
+}
+
+// Balancer places requests. Region, DataCentre and Cold must be set.
+type Balancer struct {
+	Clock              clock.Clock
+	Region, DataCentre string
+	Cold               Cold
+
+	mu sync.Mutex
+	// directory is the newest given to Update. Guarded by mu.
+	directory *directory.Directory
+	// nodes holds what is known of each endpoint, by ID. Guarded by mu.
+	nodes map[string]*node
+	// vms is how many VMs there are. Guarded by mu.
+	vms int
+	// memory maps an object to the endpoints that served it lately. Guarded by mu.
+	memory map[string]memory
+	// works holds what requests of a route take, by route. Guarded by mu.
+	works map[string]*work
+}
+
+// memory is where an object went last.
+type memory struct {
+	endpoint string
+	at       clock.Millis
+}
+
+// work is how long endpoints work on a route's requests, in milliseconds.
+type work struct {
+	cold, warm float64
+}
+
+// Grant is the choice of an endpoint for one request.
+type Grant struct {
+	Endpoint directory.Endpoint
+	// Cold says that the endpoint was cold when it was chosen.
+	Cold bool
+
+	balancer *Balancer
+	node     *node
+	request  *Request
+	sentAt   clock.Millis
+	// expected is the expected time in milliseconds, without the way.
+	expected float64
+	// alone says that no other request was expected on the endpoint's slot.
+	alone, warm bool
+	ended       bool
+}
+
+// Outcome is how a placed request ended.
+type Outcome string
+
+// The outcomes.
+const (
+	Answered Outcome = "answered"
+	Failed   Outcome = "failed"
+	// Shed requests were refused by the endpoint, which did not run them.
+	Shed Outcome = "shed"
+	// Moved says that another endpoint has the address.
+	Moved Outcome = "moved"
+	// Unreachable endpoints took no connection.
+	Unreachable Outcome = "unreachable"
+	Late        Outcome = "late"
+	Cancelled   Outcome = "cancelled"
+)
+
+// Result is what is known at a request's end.
+type Result struct {
+	Outcome Outcome
+	// Running and Waiting are the endpoint's report; Running is -1 without one.
+	Running, Waiting int
+}
+
+// Update takes over the directory.
+func (b *Balancer) Update(newest *directory.Directory) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.directory = newest
+	nodes := map[string]*node{}
+	for _, endpoints := range newest.Services {
+		for _, e := range endpoints {
+			n := b.nodes[e.ID]
+			if n == nil || n.endpoint.Started != e.Started || n.endpoint.Address != e.Address {
+				n = &node{reported: -1, hash: hash64(e.ID), speed: 1}
+			}
+			if n.moved && n.endpoint.Revision != e.Revision {
+				n.moved = false
+			}
+			n.endpoint = e
+			nodes[e.ID] = n
+		}
+	}
+	b.nodes = nodes
+}
+
+// Hear takes over what the other VMs run on each endpoint, and how many VMs
+// there are.
+func (b *Balancer) Hear(running map[string]int, vms int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.vms = vms
+	for id, n := range b.nodes {
+		n.others = running[id]
+	}
+}
+
+// Running returns this VM's requests on each endpoint that has some.
+func (b *Balancer) Running() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	running := map[string]int{}
+	for id, n := range b.nodes {
+		if len(n.starts) > 0 {
+			running[id] = len(n.starts)
+		}
+	}
+	return running
+}
+
+// Place chooses an endpoint. The error is a *reason.Refusal of a request that did
+// not run.
+func (b *Balancer) Place(request *Request) (*Grant, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Clock.Now()
+	if b.directory == nil {
+		return nil, reason.NotRun(reason.NotReady, refusedRetry, "no endpoint is known yet")
+	}
+	if request.Remaining <= 0 {
+		return nil, reason.NotRun(reason.DeadlinePassed, 0, "the deadline passed before an endpoint was chosen")
+	}
+	best, why := b.best(request, now, false)
+	if best.node == nil && why == reason.NoEndpoint {
+		best, why = b.best(request, now, true)
+	}
+	if best.node == nil {
+		return nil, reason.NotRun(why, refusedRetry, "no endpoint of %s can run the request in time", request.Service.Name)
+	}
+	return b.grant(request, best, now), nil
+}
+
+// candidate is an endpoint with what it would cost.
+type candidate struct {
+	node     *node
+	cost     float64
+	expected float64
+	wait     float64
+	warm     bool
+}
+
+// best compares the endpoints. desperate also looks at suspended ones. Callers
+// hold mu.
+func (b *Balancer) best(request *Request, now clock.Millis, desperate bool) (best candidate, why reason.Reason) {
+	why = reason.NoEndpoint
+	endpoints := b.directory.Services[request.Service.Name]
+	home := b.home(request, endpoints, now)
+	for i := range endpoints {
+		n := b.nodes[endpoints[i].ID]
+		if n == nil || !b.isAllowed(request, n) || !desperate && n.isSuspended(now) {
+			continue
+		}
+		if n.endpoint.ColdUntil > now && now < n.coldNext {
+			continue
+		}
+		c := b.weigh(request, n, n == home, now)
+		if int(n.load(now)) >= n.endpoint.Slots+queueDepth || c.expected > float64(request.Remaining) {
+			if why == reason.NoEndpoint {
+				why = reason.RegionFull
+			}
+			continue
+		}
+		if best.node == nil || c.cost < best.cost {
+			best = c
+		}
+	}
+	return best, why
+}
+
+// isAllowed says whether the endpoint may ever run the request. Callers hold mu.
+func (b *Balancer) isAllowed(request *Request, n *node) bool {
+	e := &n.endpoint
+	if e.Draining || n.moved || b.directory.Evacuated[e.DataCentre] || !request.Versions.Allows(e.Version) {
+		return false
+	}
+	for _, tried := range request.Tried {
+		if tried == e.ID {
+			return false
+		}
+	}
+	return routing.MayServe(request.Route, request.Workspace, e.Region)
+}
+
+// home returns the endpoint to which the request's object belongs: the one with
+// the highest weighted hash among those that may run it. Callers hold mu.
+func (b *Balancer) home(request *Request, endpoints []directory.Endpoint, now clock.Millis) (home *node) {
+	if request.Object == "" {
+		return nil
+	}
+	object := hash64(request.Object)
+	near := float64(homeWeight)
+	if request.Route.Work == document.Upload {
+		near = bulkHomeWeight
+	}
+	highest := 0.0
+	for i := range endpoints {
+		n := b.nodes[endpoints[i].ID]
+		if n == nil || !b.isAllowed(request, n) || n.isSuspended(now) || n.endpoint.ColdUntil > now {
+			continue
+		}
+		weight := float64(n.endpoint.Slots)
+		if n.endpoint.Region == b.Region {
+			weight *= near
+		}
+		draw := float64(mix(object^n.hash)>>11)/(1<<53) + 1e-18
+		if score := -weight / math.Log(draw); score > highest {
+			highest, home = score, n
+		}
+	}
+	return home
+}
+
+// weigh works out what running the request on an endpoint costs, in
+// milliseconds. Callers hold mu.
+func (b *Balancer) weigh(request *Request, n *node, isHome bool, now clock.Millis) candidate {
+	w := b.work(request.Route)
+	c := candidate{node: n}
+	took := w.cold
+	last, known := b.memory[request.Object]
+	switch {
+	case request.Object != "" && known && last.endpoint == n.endpoint.ID && now-last.at < memorySpan:
+		took, c.warm = w.warm, true
+	case isHome:
+		took = (2*w.warm + w.cold) / 3
+	}
+	if n.endpoint.ColdUntil > now {
+		took *= 2
+	}
+	took *= n.speed
+	slots := float64(n.endpoint.Slots)
+	if over := n.load(now) + 1 - slots; over > 0 {
+		c.wait = over / slots * (w.warm + w.cold) / 2 * n.speed
+	}
+	way, perKilobyte := 0.0, 0.0
+	switch {
+	case n.endpoint.Region != b.Region:
+		way, perKilobyte = farMillis, farPerKilobyte
+	case n.endpoint.DataCentre != b.DataCentre:
+		way, perKilobyte = nearMillis, nearPerKilobyte
+	}
+	c.expected = way + c.wait + took
+	c.cost = c.expected + occupancyCost*took + perKilobyte*(request.Kilobytes+answerKilobytes) + n.errors(now)*errorCost*float64(request.Route.Aim)
+	return c
+}
+
+func (b *Balancer) work(route *routing.Route) *work {
+	if b.works == nil {
+		b.works = map[string]*work{}
+	}
+	w := b.works[route.Name]
+	if w == nil {
+		aim := float64(max(route.Aim, 1))
+		w = &work{cold: 1.4 * aim, warm: 0.45 * aim}
+		b.works[route.Name] = w
+	}
+	return w
+}
+
+// grant records that the request goes to an endpoint. Callers hold mu.
+func (b *Balancer) grant(request *Request, c candidate, now clock.Millis) *Grant {
+	n := c.node
+	g := &Grant{
+		Endpoint: n.endpoint, Cold: n.endpoint.ColdUntil > now, balancer: b, node: n, request: request,
+		sentAt: now, expected: c.wait + c.expected - c.wait, alone: c.wait == 0, warm: c.warm,
+	}
+	if g.Cold {
+		allowed := max(request.Service.ColdRate*b.Cold.Overage+b.Cold.Slack-1, 1)
+		n.coldNext = now + clock.Millis(float64(coldSpacing)*max(float64(max(b.vms, 1))/allowed, 1))
+	}
+	n.starts = append(n.starts, now)
+	if request.Object != "" {
+		b.remember(request.Object, n.endpoint.ID, now)
+	}
+	return g
+}
+
+func (b *Balancer) remember(object, endpoint string, now clock.Millis) {
+	if b.memory == nil || len(b.memory) > maxMemory {
+		b.memory = map[string]memory{}
+	}
+	b.memory[object] = memory{endpoint, now}
+}
+
+// Done notes how the request went. Only the first call counts.
+func (g *Grant) Done(result Result) {
+	b := g.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if g.ended {
+		return
+	}
+	g.ended = true
+	now := b.Clock.Now()
+	g.node.end(g.sentAt)
+	took := float64(now - g.sentAt)
+	if result.Outcome == Answered && g.alone && !g.Cold {
+		b.work(g.request.Route).learn(took, g.warm)
+	}
+	g.node.note(result, took, g.expected, now)
+	if result.Outcome != Answered && result.Outcome != Cancelled && g.request.Object != "" {
+		delete(b.memory, g.request.Object)
+	}
+}
+
+// learnWeight is the divisor of a new value's part in an average.
+const learnWeight = 16
+
+func (w *work) learn(took float64, warm bool) {
+	if warm {
+		w.warm += (took - w.warm) / learnWeight
+		return
+	}
+	// An object that another VM warmed the endpoint for does not tell what a cold
+	// run takes.
+	if took > w.warm*1.5 {
+		w.cold += (took - w.cold) / learnWeight
+	}
+}
+
+func hash64(text string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(text))
+	return mix(h.Sum64())
+}
+
+// mix spreads the bits of a hash.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/policy/canary/canary.go
@@ -0,0 +1,252 @@
+// Package canary decides on version moves: how much of a service's traffic the
+// new version gets while it is on trial, when the trial has passed, and when it
+// is to be taken back. Every VM stops a bad version on what it knows itself and
+// what its peers tell; one of them writes the outcome down.
+package canary
+
+import (
+	"math"
+	"sync"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/world/directory"
+)
+
+const (
+	// evidenceSpan is how long an answer counts.
+	evidenceSpan = 4 * clock.Second
+	// minBad is how many bad answers it takes to take a version back.
+	minBad = 3.5
+	// worseBy is by how much the part of bad answers must be above the old
+	// version's.
+	worseBy = 0.15
+	// finishEarly is how long before its deadline a move is completed. The rest is
+	// for writing it down.
+	finishEarly = 2500 * clock.Millis(1)
+	// finishPart bounds finishEarly for short moves.
+	finishPart = 4
+	// exposureMargin keeps the new version's part below what is allowed.
+	exposureMargin = 0.75
+)
+
+// Evidence is what one VM saw of a service's versions lately.
+type Evidence struct {
+	// To is the version on trial.
+	To string
+	// Age is for how long the VM has known of the move.
+	Age clock.Millis
+	// NewAnswers and NewBad count answers of the new version, fading over time;
+	// the old version's likewise.
+	NewAnswers, NewBad float64
+	OldAnswers, OldBad float64
+	// Bad says that the VM found the new version bad.
+	Bad bool
+}
+
+// Choice says which versions may run a request.
+type Choice struct {
+	// Only, if set, is the only version allowed.
+	Only string
+	// Not, if set, is a version that is not allowed.
+	Not string
+}
+
+// Allows says whether a version may run the request.
+func (c Choice) Allows(version string) bool {
+	return (c.Only == "" || version == c.Only) && (c.Not == "" || version != c.Not)
+}
+
+// Verdict is what is to be written down of a move.
+type Verdict struct {
+	Move  directory.Move
+	State directory.MoveState
+	Why   string
+}
+
+// Guard keeps the trials of one VM. Share must be set.
+type Guard struct {
+	Clock clock.Clock
+	// Share is the part of a service's requests that a new version may get.
+	Share float64
+
+	mu sync.Mutex
+	// trials holds one trial for each service with a move. Guarded by mu.
+	trials map[string]*trial
+}
+
+// trial is one VM's part in a move.
+type trial struct {
+	move     directory.Move
+	evidence Evidence
+	at       clock.Millis
+	// peers is what the other VMs told last.
+	peers map[string]Evidence
+	// credit is how many requests the new version may still get.
+	credit float64
+}
+
+// Update takes over the moves asked for.
+func (g *Guard) Update(moves map[string]directory.Move) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.trials == nil {
+		g.trials = map[string]*trial{}
+	}
+	for service, move := range moves {
+		t := g.trials[service]
+		if t == nil || t.move.To != move.To {
+			t = &trial{evidence: Evidence{To: move.To}, at: g.Clock.Now(), peers: map[string]Evidence{}}
+			g.trials[service] = t
+			t.move = move
+			continue
+		}
+		seenAt := min(t.move.SeenAt, move.SeenAt)
+		t.move = move
+		t.move.SeenAt = seenAt
+	}
+	for service := range g.trials {
+		if _, found := moves[service]; !found {
+			delete(g.trials, service)
+		}
+	}
+}
+
+// Hear takes over what a peer told.
+func (g *Guard) Hear(vm string, heard map[string]Evidence) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	for service, evidence := range heard {
+		t := g.trials[service]
+		if t == nil || t.move.To != evidence.To {
+			continue
+		}
+		t.peers[vm] = evidence
+		t.move.SeenAt = min(t.move.SeenAt, now-evidence.Age)
+	}
+}
+
+// Choose says which versions may run the next request to a service.
+func (g *Guard) Choose(service string) Choice {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := g.trials[service]
+	if t == nil {
+		return Choice{}
+	}
+	switch t.move.State {
+	case directory.MoveDone:
+		return Choice{Only: t.move.To}
+	case directory.MoveTakenBack:
+		return Choice{Not: t.move.To}
+	}
+	if t.isBad(g.Clock.Now()) {
+		return Choice{Not: t.move.To}
+	}
+	t.credit = min(t.credit+g.Share*exposureMargin, 2)
+	if t.credit < 1 {
+		return Choice{Not: t.move.To}
+	}
+	t.credit--
+	return Choice{Only: t.move.To}
+}
+
+// Record counts an answer of a version. bad stands for a failure or an answer
+// that came far too late.
+func (g *Guard) Record(service, version string, bad bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := g.trials[service]
+	if t == nil {
+		return
+	}
+	t.fade(g.Clock.Now())
+	weight := 0.0
+	if bad {
+		weight = 1
+	}
+	if version == t.move.To {
+		t.evidence.NewAnswers++
+		t.evidence.NewBad += weight
+		return
+	}
+	t.evidence.OldAnswers++
+	t.evidence.OldBad += weight
+}
+
+// Evidence returns what this VM tells its peers, by service.
+func (g *Guard) Evidence() map[string]Evidence {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	told := make(map[string]Evidence, len(g.trials))
+	for service, t := range g.trials {
+		if t.move.State == directory.MoveDone || t.move.State == directory.MoveTakenBack {
+			continue
+		}
+		t.evidence.Bad = t.isBad(now)
+		t.evidence.Age = now - t.move.SeenAt
+		told[service] = t.evidence
+	}
+	return told
+}
+
+// Verdicts returns what is to be written down now.
+func (g *Guard) Verdicts() (verdicts []Verdict) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	for _, t := range g.trials {
+		if t.move.State == directory.MoveDone || t.move.State == directory.MoveTakenBack {
+			continue
+		}
+		early := min(finishEarly, t.move.Within/finishPart)
+		switch {
+		case t.isBad(now):
+			verdicts = append(verdicts, Verdict{Move: t.move, State: directory.MoveTakenBack, Why: "the new version answers worse than the old one"})
+		case now-t.move.SeenAt >= t.move.Within-early:
+			verdicts = append(verdicts, Verdict{Move: t.move, State: directory.MoveDone, Why: "the new version answered as well as the old one until its deadline"})
+		case t.move.State == directory.MoveAsked:
+			verdicts = append(verdicts, Verdict{Move: t.move, State: directory.MoveRunning, Why: "the trial has begun"})
+		}
+	}
+	return verdicts
+}
+
+func (t *trial) fade(now clock.Millis) {
+	factor := math.Exp(-float64(now-t.at) / float64(evidenceSpan))
+	t.at = now
+	t.evidence.NewAnswers *= factor
+	t.evidence.NewBad *= factor
+	t.evidence.OldAnswers *= factor
+	t.evidence.OldBad *= factor
+}
+
+// isBad judges on all VMs' evidence together. Once a version was found bad it
+// stays so.
+func (t *trial) isBad(now clock.Millis) bool {
+	if t.evidence.Bad {
+		return true
+	}
+	t.fade(now)
+	sum := t.evidence
+	for _, heard := range t.peers {
+		if heard.Bad {
+			t.evidence.Bad = true
+			return true
+		}
+		sum.NewAnswers += heard.NewAnswers
+		sum.NewBad += heard.NewBad
+		sum.OldAnswers += heard.OldAnswers
+		sum.OldBad += heard.OldBad
+	}
+	if sum.NewBad < minBad {
+		return false
+	}
+	old := 0.0
+	if sum.OldAnswers > 0 {
+		old = sum.OldBad / sum.OldAnswers
+	}
+	t.evidence.Bad = sum.NewBad/sum.NewAnswers > old+worseBy
+	return t.evidence.Bad
+}
--- a/internal/wire/caller/head.go
+++ b/internal/wire/caller/head.go
@@ -42,7 +42,12 @@
 // trailers. After an error nothing of the head may be logged or sent on: it may
 // hold a key.
 func ReadHead(request *http.Request) (head Head, err error) {
-	if head.Key, err = takeKey(request); err != nil {
+	return ReadHeadWith(request, key.WellFormed)
+}
+
+// ReadHeadWith is ReadHead for keys of another form.
+func ReadHeadWith(request *http.Request, isKey func(text string) bool) (head Head, err error) {
+	if head.Key, err = takeKey(request, isKey); err != nil {
 		return Head{}, err
 	}
 	if err := checkFields(request); err != nil {
@@ -58,11 +63,11 @@
 
 // takeKey removes the key from the request and returns it. A key anywhere but in
 // the one Authorization header is refused.
-func takeKey(request *http.Request) (text string, err error) {
+func takeKey(request *http.Request, isKey func(text string) bool) (text string, err error) {
 	values := request.Header[authorization]
 	delete(request.Header, authorization)
 	if len(values) == 1 {
-		if text, err = readBearer(values[0]); err != nil {
+		if text, err = readBearer(values[0], isKey); err != nil {
 			return "", err
 		}
 	}
@@ -76,15 +81,15 @@
 	return text, nil
 }
 
-func readBearer(value string) (text string, err error) {
+func readBearer(value string, isKey func(text string) bool) (text string, err error) {
 	if len(value) < len(bearer) || !strings.EqualFold(value[:len(bearer)], bearer) {
 		return "", nil
 	}
 	text = strings.TrimSpace(value[len(bearer):])
-	if strings.Count(text, key.Prefix) > 1 && !key.WellFormed(text) {
+	if strings.Count(text, key.Prefix) > 1 && !isKey(text) {
 		return "", reason.NotRun(reason.KeyDoubled, 0, "the Authorization header holds more than one key")
 	}
-	if !key.WellFormed(text) {
+	if !isKey(text) {
 		return "", reason.NotRun(reason.KeyUnknown, 0, "the key is malformed")
 	}
 	return text, nil
--- a/internal/wire/caller/refusal.go
+++ b/internal/wire/caller/refusal.go
@@ -36,13 +36,37 @@
 	// Counters is the metric "refusals".
 	Counters *metric.Reasons
 	Log      logrus.FieldLogger
+	// Exact gives Retry-After in fractions of a second, and refusals that are not
+	// the request's own fault one of two statuses: 503 if the request has not run
+	// and 502 or 504 if it may have.
+	Exact bool
 }
 
 // Refuse answers with a refusal, and counts and logs it with fields.
 func (r *Refuser) Refuse(w http.ResponseWriter, err error, fields logrus.Fields) {
 	refusal := AsRefusal(err)
 	r.Note(refusal, fields)
-	Refuse(w, refusal)
+	if !r.Exact {
+		Refuse(w, refusal)
+		return
+	}
+	write(w, refusal, exactStatus(refusal), strconv.FormatFloat(float64(refusal.RetryAfter)/float64(clock.Second), 'f', 3, 64))
+}
+
+// exactStatus returns a status that promises "not run" only if that is true.
+func exactStatus(refusal *reason.Refusal) int {
+	status := Status(refusal.Reason)
+	switch status {
+	case http.StatusBadGateway, http.StatusGatewayTimeout, http.StatusInternalServerError:
+		if refusal.Ran == reason.RanNo {
+			return http.StatusServiceUnavailable
+		}
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		if refusal.Ran != reason.RanNo {
+			return http.StatusBadGateway
+		}
+	}
+	return status
 }
 
 // Note counts and logs a refusal that can't be answered, or is answered
@@ -68,6 +92,11 @@
 // Refuse writes err as a refusal.
 func Refuse(w http.ResponseWriter, err error) {
 	refusal := AsRefusal(err)
+	write(w, refusal, Status(refusal.Reason), retryAfter(refusal))
+}
+
+// write writes a refusal with the given status and Retry-After.
+func write(w http.ResponseWriter, refusal *reason.Refusal, status int, retryAfter string) {
 	text := encode(refusal)
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
@@ -75,9 +104,9 @@
 	header.Set(ReasonHeader, string(refusal.Reason))
 	header.Set(RanHeader, string(refusal.Ran))
 	if refusal.RetryAfter > 0 {
-		header.Set("Retry-After", retryAfter(refusal))
+		header.Set("Retry-After", retryAfter)
 	}
-	w.WriteHeader(Status(refusal.Reason))
+	w.WriteHeader(status)
 	_, _ = w.Write(text)
 }
 
--- a/internal/wire/endpoint/conn.go
+++ b/internal/wire/endpoint/conn.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http/httputil"
 	"os"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +29,11 @@
 	copyBytes = 32 << 10
 	readBytes = 4 << 10
 	unlimited = -1
+	// idleMargin is kept to the idle time that an endpoint states: a request must
+	// not cross the endpoint's close.
+	idleMargin = 2 * clock.Second
+	// maxStrays bounds the late answers passed over before a request's own.
+	maxStrays = 2
 )
 
 // pastDeadline makes reads and writes under way end at once.
@@ -47,6 +54,34 @@
 	// watched yields the end of the watch on an idle connection.
 	watched   chan error
 	idleSince clock.Millis
+	// idleLimit is how long the connection may idle, 0 for the default.
+	idleLimit clock.Millis
+	// requests counts the requests sent on the connection.
+	requests int
+}
+
+// learnIdle reads the idle time that an endpoint states in whole seconds.
+func (c *conn) learnIdle(keepAlive string) {
+	_, value, found := strings.Cut(keepAlive, "timeout=")
+	if !found {
+		return
+	}
+	value, _, _ = strings.Cut(value, ",")
+	stated, err := strconv.Atoi(strings.TrimSpace(value))
+	if err != nil || stated <= 0 {
+		return
+	}
+	limit := clock.Millis(stated) * clock.Second
+	c.idleLimit = max(limit-idleMargin, limit/2)
+}
+
+// isFresh says whether an idle connection may still be used.
+func (c *conn) isFresh(now clock.Millis) bool {
+	limit := c.idleLimit
+	if limit == 0 {
+		limit = idleLimit
+	}
+	return now-c.idleSince < limit
 }
 
 func newConn(opened net.Conn, address string) *conn {
@@ -84,6 +119,7 @@
 // writeHead writes a request's head; it ends when ctx does.
 func (c *conn) writeHead(ctx context.Context, head []byte) error {
 	c.sent.Store(0)
+	c.requests++
 	if err := ctx.Err(); err != nil {
 		return err
 	}
@@ -177,7 +213,7 @@
 		if c == nil {
 			return nil
 		}
-		if c.wake() && now-c.idleSince < idleLimit {
+		if c.wake() && c.isFresh(now) {
 			return c
 		}
 		_ = c.Close()
@@ -207,7 +243,7 @@
 		p.idle = map[string][]*conn{}
 	}
 	p.idle[c.address] = append(p.idle[c.address], c)
-	if kept := p.idle[c.address]; len(kept) > maxIdle || now-kept[0].idleSince >= idleLimit {
+	if kept := p.idle[c.address]; len(kept) > maxIdle || !kept[0].isFresh(now) {
 		_ = kept[0].Close()
 		p.idle[c.address] = append([]*conn(nil), kept[1:]...)
 	}
--- a/internal/wire/endpoint/endpoint.go
+++ b/internal/wire/endpoint/endpoint.go
@@ -65,6 +65,8 @@
 	// AskFirst sends the body only when the endpoint has asked for it or has been
 	// silent for a while, so that a shed request has lost nothing of its body.
 	AskFirst bool
+	// Host is the Host header; empty stands for the endpoint's address.
+	Host string
 	// MaySend, when set, is asked just before the first byte goes out. Its error
 	// ends the request, which has not run then. What was true when the request was
 	// placed may not be after a connection was made, or after the VM was frozen.
@@ -87,6 +89,8 @@
 type NotRunError struct {
 	*reason.Refusal
 	Load string
+	// Status is the endpoint's.
+	Status int
 }
 
 // Unwrap returns the refusal that the caller gets.
@@ -99,6 +103,14 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Clock ages idle connections.
 	Clock clock.Clock
+	// LoadHeader and NotRunHeader are the endpoints' names for these headers; empty
+	// stands for the project's own.
+	LoadHeader, NotRunHeader string
+	// ConnectTimeout bounds the set-up of a connection; 0 is 1 s.
+	ConnectTimeout clock.Millis
+	// TakeUnframed accepts answers without a declared length: such an answer is
+	// whole if its connection ends in order.
+	TakeUnframed bool
 	// ContinueWait is how long a body that asks first waits for the endpoint's word;
 	// 0 is 500 ms.
 	ContinueWait clock.Millis
@@ -163,7 +175,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout.Duration())
+	ctx, cancel := context.WithTimeout(ctx, c.connectTimeout().Duration())
 	defer cancel()
 	dial := c.Dial
 	if dial == nil {
@@ -176,6 +188,27 @@
 	return newConn(opened, address), nil
 }
 
+func (c *Client) connectTimeout() clock.Millis {
+	if c.ConnectTimeout > 0 {
+		return c.ConnectTimeout
+	}
+	return connectTimeout
+}
+
+func (c *Client) loadHeader() string {
+	if c.LoadHeader != "" {
+		return c.LoadHeader
+	}
+	return LoadHeader
+}
+
+func (c *Client) notRunHeader() string {
+	if c.NotRunHeader != "" {
+		return c.NotRunHeader
+	}
+	return NotRunHeader
+}
+
 // failed returns the refusal for an exchange that broke.
 func failed(ctx context.Context, sent bool, err error) *reason.Refusal {
 	refusal := &reason.Refusal{Reason: reason.EndpointFailed, Ran: reason.RanNo, RetryAfter: retryAfter, Detail: "the endpoint gave no answer"}
--- a/internal/wire/endpoint/exchange.go
+++ b/internal/wire/endpoint/exchange.go
@@ -45,13 +45,34 @@
 	} else {
 		go e.writeBody()
 	}
-	response, err := e.readHead()
+	response, err := e.readOwnHead()
 	if err != nil {
 		return nil, e.broken(err)
 	}
 	return e.judge(response)
 }
 
+// readOwnHead passes over late answers to earlier requests of the connection,
+// which is closed after the request then. An answer without an id, or whose rest
+// doesn't come, can't be told from the request's own.
+func (e *exchange) readOwnHead() (*http.Response, error) {
+	for strays := 0; ; strays++ {
+		response, err := e.readHead()
+		if err != nil {
+			return nil, err
+		}
+		response.Close = response.Close || strays > 0
+		echoes := response.Header.Values(RequestIDHeader)
+		isStray := len(echoes) == 1 && echoes[0] != e.request.ID && e.connection.requests > 1
+		if !isStray || strays == maxStrays || response.Close && strays == 0 {
+			return response, nil
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, err
+		}
+	}
+}
+
 // readHead returns the final answer's head and passes over interim ones.
 func (e *exchange) readHead() (*http.Response, error) {
 	e.connection.headBudget = maxHeadBytes
@@ -87,12 +108,13 @@
 	if len(echoes) != 1 || echoes[0] != e.request.ID {
 		return nil, e.broken(reason.MayHaveRun(reason.AnswerCrossed, "the endpoint's answer was to another request"))
 	}
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !e.client.TakeUnframed {
 		return nil, e.broken(reason.MayHaveRun(reason.AnswerCut, "the endpoint's answer declares no length"))
 	}
 	body := &answerBody{exchange: e, body: response.Body, poisoned: response.Close}
-	load := response.Header.Get(LoadHeader)
-	if response.Header.Get(NotRunHeader) != "" {
+	load := response.Header.Get(e.client.loadHeader())
+	e.connection.learnIdle(response.Header.Get("Keep-Alive"))
+	if response.Header.Get(e.client.notRunHeader()) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		_, err := io.CopyN(io.Discard, body, maxHeadBytes)
 		_ = body.Close()
 		if response.StatusCode < http.StatusBadRequest {
@@ -101,9 +123,9 @@
 		if err != nil && err != io.EOF {
 			return nil, reason.MayHaveRun(reason.AnswerCut, "the endpoint's refusal was cut")
 		}
-		return nil, &NotRunError{Refusal: reason.NotRun(reason.EndpointShed, retryAfter, "the endpoint did not run the request"), Load: load}
+		return nil, &NotRunError{Refusal: reason.NotRun(reason.EndpointShed, retryAfter, "the endpoint did not run the request"), Load: load, Status: response.StatusCode}
 	}
-	return &Answer{Status: response.StatusCode, Header: answerHeader(response.Header), Length: response.ContentLength, Body: body, Load: load}, nil
+	return &Answer{Status: response.StatusCode, Header: e.client.answerHeader(response.Header), Length: response.ContentLength, Body: body, Load: load}, nil
 }
 
 // broken ends the exchange and returns its refusal. All of these exchanges have
--- a/internal/wire/endpoint/head.go
+++ b/internal/wire/endpoint/head.go
@@ -64,7 +64,11 @@
 		buffer.WriteString("\r\n")
 	}
 	line(request.Method, " ", request.Target, " HTTP/1.1")
-	line("Host: ", address)
+	host := address
+	if request.Host != "" {
+		host = request.Host
+	}
+	line("Host: ", host)
 	_ = request.Header.WriteSubset(buffer, withConnectionTokens(request.Header))
 	line(RequestIDHeader, ": ", request.ID)
 	if left, ok := remaining(ctx); ok {
@@ -110,7 +114,9 @@
 }
 
 // answerHeader returns what the caller may see of an answer's headers.
-func answerHeader(header http.Header) http.Header {
+func (c *Client) answerHeader(header http.Header) http.Header {
+	delete(header, http.CanonicalHeaderKey(c.loadHeader()))
+	delete(header, http.CanonicalHeaderKey(c.notRunHeader()))
 	exclude := withConnectionTokens(header)
 	for name := range header {
 		if (exclude[name] && name != RequestIDHeader) || entryHeaders[name] {
