Name an object by its service and the caller's word for it alone

Cause: the object's name held route and workspace, so that one object had as many endpoints as it had workspaces, and all of them were cold. What a request takes was learned by route, so new routes had none of it, and a wrong guess refused requests (all probes of added routes: 503).

Ruled out: quota (429s come with the planned cut of a quota).

--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -47,7 +47,7 @@
 	// workspace is nil on open routes.
 	workspace *routing.Workspace
 	service   *routing.Service
-	// object names what the request is about, with its route.
+	// object names what the request is about, with its service.
 	object string
 	// whole is a body that was read, stream one that is passed on as it comes.
 	whole  []byte
@@ -215,10 +215,7 @@
 	}
 	c.gateway.Budget.First(name)
 	if cookie, err := c.request.Cookie(c.gateway.Headers.ObjectCookie); err == nil {
-		c.object = c.route.Name + " " + cookie.Value
-		if c.workspace != nil {
-			c.object += " " + c.workspace.Name
-		}
+		c.object = name + " " + cookie.Value
 	}
 }
 
--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -89,7 +89,7 @@
 	vms int
 	// memory maps an object to the endpoints that served it lately. Guarded by mu.
 	memory map[string]memory
-	// works holds what requests of a route take, by route. Guarded by mu.
+	// works holds what requests take, by service and kind of work. Guarded by mu.
 	works map[string]*work
 }
 
@@ -99,7 +99,7 @@
 	at       clock.Millis
 }
 
-// work is how long endpoints work on a route's requests, in milliseconds.
+// work is how long endpoints work on one kind of requests, in milliseconds.
 type work struct {
 	cold, warm float64
 }
@@ -237,7 +237,7 @@
 			continue
 		}
 		c := b.weigh(request, n, n == home, now)
-		if int(n.load(now)) >= n.endpoint.Slots+queueDepth || c.expected > float64(request.Remaining) {
+		if int(n.load(now)) >= n.endpoint.Slots+queueDepth {
 			if why == reason.NoEndpoint {
 				why = reason.RegionFull
 			}
@@ -296,7 +296,7 @@
 // weigh works out what running the request on an endpoint costs, in
 // milliseconds. Callers hold mu.
 func (b *Balancer) weigh(request *Request, n *node, isHome bool, now clock.Millis) candidate {
-	w := b.work(request.Route)
+	w := b.work(request)
 	c := candidate{node: n}
 	took := w.cold
 	last, known := b.memory[request.Object]
@@ -326,15 +326,17 @@
 	return c
 }
 
-func (b *Balancer) work(route *routing.Route) *work {
+// work returns what requests of one kind to one service take. Callers hold mu.
+func (b *Balancer) work(request *Request) *work {
 	if b.works == nil {
 		b.works = map[string]*work{}
 	}
-	w := b.works[route.Name]
+	id := request.Service.Name + " " + string(request.Route.Work)
+	w := b.works[id]
 	if w == nil {
-		aim := float64(max(route.Aim, 1))
+		aim := float64(max(request.Route.Aim, 1))
 		w = &work{cold: 1.4 * aim, warm: 0.45 * aim}
-		b.works[route.Name] = w
+		b.works[id] = w
 	}
 	return w
 }
@@ -344,7 +346,7 @@
 	n := c.node
 	g := &Grant{
 		Endpoint: n.endpoint, Cold: n.endpoint.ColdUntil > now, balancer: b, node: n, request: request,
-		sentAt: now, expected: c.wait + c.expected - c.wait, alone: c.wait == 0, warm: c.warm,
+		sentAt: now, expected: c.expected, alone: c.wait == 0, warm: c.warm,
 	}
 	if g.Cold {
 		allowed := max(request.Service.ColdRate*b.Cold.Overage+b.Cold.Slack-1, 1)
@@ -377,9 +379,12 @@
 	g.node.end(g.sentAt)
 	took := float64(now - g.sentAt)
 	if result.Outcome == Answered && g.alone && !g.Cold {
-		b.work(g.request.Route).learn(took, g.warm)
+		b.work(g.request).learn(took, g.warm)
 	}
-	g.node.note(result, took, g.expected, now)
+	if g.alone && result.Outcome == Answered {
+		g.node.learnSpeed(took / max(g.expected, 1))
+	}
+	g.node.note(result, now)
 	if result.Outcome != Answered && result.Outcome != Cancelled && g.request.Object != "" {
 		delete(b.memory, g.request.Object)
 	}
--- a/internal/policy/balance/node.go
+++ b/internal/policy/balance/node.go
@@ -92,8 +92,14 @@
 	return n.errorPart * math.Exp(-float64(now-n.errorAt)/float64(errorSpan))
 }
 
+// learnSpeed takes in how many times as long as expected a request took that did
+// not wait.
+func (n *node) learnSpeed(ratio float64) {
+	n.speed = min(max(n.speed*(1+(ratio-1)/speedWeight), minSpeed), maxSpeed)
+}
+
 // note learns from a request's end.
-func (n *node) note(result Result, took, expected float64, now clock.Millis) {
+func (n *node) note(result Result, now clock.Millis) {
 	if result.Running >= 0 {
 		n.reported, n.reportedAt, n.ownThen = result.Running+result.Waiting, now, len(n.starts)
 	}
@@ -103,8 +109,6 @@
 		n.failures, n.suspensions = 0, 0
 		n.errorPart = n.errors(now) * (1 - errorWeight)
 		n.errorAt = now
-		ratio := took / max(expected, 1)
-		n.speed = min(max(n.speed+(n.speed*ratio-n.speed)/speedWeight, minSpeed), maxSpeed)
 	case Cancelled:
 	case Moved:
 		n.moved = true
