--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/policy/balance"
 	"baobabladder.example/baobabladder/internal/policy/canary"
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
@@ -43,6 +44,8 @@
 	Demand map[string]float64
 	// Running is how many of its requests run on each endpoint.
 	Running map[string]int
+	// Away is where it sent objects that do not belong there, by object.
+	Away map[string]balance.Away
 	// Trials is what it saw of new versions, by service.
 	Trials map[string]canary.Evidence
 	// Revisions is up to which change of the store it knows each kind of object.
--- a/internal/entry/node/known.go
+++ b/internal/entry/node/known.go
@@ -202,13 +202,14 @@
 	}
 	return roster.State{
 		ID: n.id, VM: n.self, Ready: n.knowsEnough(), Stopping: n.stopping.Load(), Contact: contact,
-		Demand: n.quota.Demand(), Running: n.balancer.Running(), Trials: n.guard.Evidence(), Revisions: revisions,
+		Demand: n.quota.Demand(), Running: n.balancer.Running(), Away: n.balancer.Away(), Trials: n.guard.Evidence(), Revisions: revisions,
 	}
 }
 
 // heard takes over what a peer told.
 func (n *Node) heard(state roster.State) {
 	n.guard.Hear(state.ID.Name, state.Trials)
+	n.balancer.HearAway(state.Away)
 	for _, feed := range n.feeds {
 		if known := state.Revisions[feed.Kind]; known > feed.Newest() {
 			go feed.CatchUp(context.Background(), n.peers, state.VM.PeerAddress, known)
--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -24,8 +24,10 @@
 	// are dear between regions.
 	homeWeight     = 6
 	bulkHomeWeight = 40
+	// homeCount is to how many endpoints an object belongs.
+	homeCount = 1
 	// occupancyCost is what a millisecond of an endpoint's slot costs others.
-	occupancyCost = 0.5
+	occupancyCost = 5
 	// farMillis and nearMillis stand for the round trip to another region and to
 	// another data centre of this one, farPerKilobyte and nearPerKilobyte for the
 	// price of the bytes.
@@ -39,8 +41,12 @@
 	memorySpan = 30 * clock.Second
 	// maxMemory bounds the remembered objects.
 	maxMemory = 20_000
+	// toldSpan is how long a move of an object is told to peers, and maxTold how many
+	// are told at once.
+	toldSpan = 0 * clock.Second
+	maxTold  = 64
 	// queueDepth is how many requests may wait at an endpoint beyond its slots.
-	queueDepth = 4
+	queueDepth = 12
 	// errorCost weighs an endpoint's part of failures, in times of the route's aim.
 	errorCost = 2.5
 	// refusedRetry is when a refused caller may try again.
@@ -97,6 +103,18 @@
 type memory struct {
 	endpoint string
 	at       clock.Millis
+	// since is when the object went to the endpoint first, and isAway says that it
+	// does not belong there.
+	since  clock.Millis
+	isAway bool
+}
+
+// Away tells peers of an object that went to another endpoint than the one to
+// which it belongs.
+type Away struct {
+	Endpoint string
+	// For is since when, as an age.
+	For clock.Millis
 }
 
 // work is how long endpoints work on one kind of requests, in milliseconds.
@@ -220,6 +238,7 @@
 	expected float64
 	wait     float64
 	warm     bool
+	isHome   bool
 }
 
 // best compares the endpoints. desperate also looks at suspended ones. Callers
@@ -297,14 +316,14 @@
 // milliseconds. Callers hold mu.
 func (b *Balancer) weigh(request *Request, n *node, isHome bool, now clock.Millis) candidate {
 	w := b.work(request)
-	c := candidate{node: n}
+	c := candidate{node: n, isHome: isHome}
 	took := w.cold
 	last, known := b.memory[request.Object]
 	switch {
 	case request.Object != "" && known && last.endpoint == n.endpoint.ID && now-last.at < memorySpan:
 		took, c.warm = w.warm, true
 	case isHome:
-		took = (2*w.warm + w.cold) / 3
+		took = w.warm
 	}
 	if n.endpoint.ColdUntil > now {
 		took *= 2
@@ -354,16 +373,54 @@
 	}
 	n.starts = append(n.starts, now)
 	if request.Object != "" {
-		b.remember(request.Object, n.endpoint.ID, now)
+		b.remember(request.Object, n.endpoint.ID, !c.isHome, now)
 	}
 	return g
 }
 
-func (b *Balancer) remember(object, endpoint string, now clock.Millis) {
+func (b *Balancer) remember(object, endpoint string, isAway bool, now clock.Millis) {
 	if b.memory == nil || len(b.memory) > maxMemory {
 		b.memory = map[string]memory{}
 	}
-	b.memory[object] = memory{endpoint, now}
+	last := b.memory[object]
+	if last.endpoint != endpoint {
+		last = memory{endpoint: endpoint, since: now, isAway: isAway}
+	}
+	last.at = now
+	b.memory[object] = last
+}
+
+// Away lists the objects that went away lately.
+func (b *Balancer) Away() map[string]Away {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Clock.Now()
+	away := map[string]Away{}
+	for object, last := range b.memory {
+		if last.isAway && now-last.since < toldSpan && len(away) < maxTold {
+			away[object] = Away{Endpoint: last.endpoint, For: now - last.since}
+		}
+	}
+	return away
+}
+
+// HearAway takes over where a peer sent objects that went away. The last change
+// counts.
+func (b *Balancer) HearAway(told map[string]Away) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Clock.Now()
+	for object, away := range told {
+		last, known := b.memory[object]
+		since := now - away.For
+		if known && (last.since >= since || last.endpoint == away.Endpoint) || b.nodes[away.Endpoint] == nil {
+			continue
+		}
+		if b.memory == nil {
+			b.memory = map[string]memory{}
+		}
+		b.memory[object] = memory{endpoint: away.Endpoint, at: now, since: since, isAway: true}
+	}
 }
 
 // Done notes how the request went. Only the first call counts.
