Run requests only where their object is warm once a service is short of room

Spilled requests ran cold and pushed other objects out of endpoints' memories, which made more requests spill.

Change: above 0.6 of the slots in use, a request runs at its object's endpoint or is refused at once when it can't end there in time.

--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -22,7 +22,7 @@
 	// homeWeight is how much likelier an object belongs to an endpoint of this VM's
 	// region than to one of another; bulkHomeWeight holds for uploads, whose bytes
 	// are dear between regions.
-	homeWeight     = 6
+	homeWeight     = 5
 	bulkHomeWeight = 40
 	// homeCount is to how many endpoints an object belongs.
 	homeCount = 1
@@ -47,6 +47,9 @@
 	maxTold  = 64
 	// queueDepth is how many requests may wait at an endpoint beyond its slots.
 	queueDepth = 12
+	// pressedPart is the part of a service's slots in use above which requests only
+	// go where their object is warm.
+	pressedPart = 0.6
 	// errorCost weighs an endpoint's part of failures, in times of the route's aim.
 	errorCost = 2.5
 	// refusedRetry is when a refused caller may try again.
@@ -247,6 +250,7 @@
 	why = reason.NoEndpoint
 	endpoints := b.directory.Services[request.Service.Name]
 	home := b.home(request, endpoints, now)
+	isPressed := home != nil && b.isPressed(endpoints, now)
 	for i := range endpoints {
 		n := b.nodes[endpoints[i].ID]
 		if n == nil || !b.isAllowed(request, n) || !desperate && n.isSuspended(now) {
@@ -256,7 +260,11 @@
 			continue
 		}
 		c := b.weigh(request, n, n == home, now)
-		if int(n.load(now)) >= n.endpoint.Slots+queueDepth {
+		isFull := int(n.load(now)) >= n.endpoint.Slots+queueDepth
+		if isPressed {
+			isFull = isFull || !c.warm && !c.isHome || c.expected > float64(request.Remaining)
+		}
+		if isFull {
 			if why == reason.NoEndpoint {
 				why = reason.RegionFull
 			}
@@ -269,6 +277,21 @@
 	return best, why
 }
 
+// isPressed says whether a service has so little room that a cold run would cost
+// others more than it brings. Callers hold mu.
+func (b *Balancer) isPressed(endpoints []directory.Endpoint, now clock.Millis) bool {
+	load, slots := 0.0, 0.0
+	for i := range endpoints {
+		n := b.nodes[endpoints[i].ID]
+		if n == nil || n.endpoint.Draining || n.isSuspended(now) || b.directory.Evacuated[n.endpoint.DataCentre] {
+			continue
+		}
+		load += n.load(now)
+		slots += float64(n.endpoint.Slots)
+	}
+	return load > pressedPart*slots
+}
+
 // isAllowed says whether the endpoint may ever run the request. Callers hold mu.
 func (b *Balancer) isAllowed(request *Request, n *node) bool {
 	e := &n.endpoint
