Log each request's decisions within a budget, and serve Prometheus metrics

Lines go through a bounded buffer to one writer; each kind has its budget a second; what is dropped is counted and told. baobabladder explain prints one request's way from several VMs' logs.

--- /dev/null
+++ b/internal/base/metric/help.go
@@ -0,0 +1,41 @@
+package metric
+
+import "strings"
+
+// help says what each metric means, by its name without the prefix.
+var help = map[string]string{
+	"configuration_version":  "Version of the configuration in force.",
+	"endpoint_outcomes":      "Tries at endpoints, by how they ended.",
+	"endpoints_known":        "Endpoints in the directory.",
+	"knowledge_age_seconds":  "Time since the store last answered, by kind of object.",
+	"limit_admitted_later":   "Requests that were admitted after a wait for their workspace's rate.",
+	"limit_bytes_from_peers": "Room on links that peers lent, in bytes.",
+	"limit_peers_asked":      "Requests that a peer was asked to admit.",
+	"limit_peers_unanswered": "Questions to peers for admission that got no answer.",
+	"limit_refused":          "Requests over their workspace's rate.",
+	"log_lines_dropped":      "Log lines that were not written, by kind.",
+	"operator_commands":      "Operators' commands, by command and outcome.",
+	"peers_heard":            "Other VMs that were heard lately.",
+	"refusals":               "Requests that got no endpoint's answer, by reason.",
+	"request_seconds":        "Time from a request's arrival to its answer's end, by kind of work and outcome.",
+	"retries":                "Second sends of requests, by the reason why the first failed.",
+	"store_calls":            "Calls to the store, by kind of object and outcome.",
+	"store_retries":          "Repeated calls to the store, by reason.",
+	"workspace_demand":       "Requests a second that this VM was asked for, by workspace with a rate.",
+}
+
+// Help returns what a metric means.
+func Help(name string) string {
+	if text, found := help[strings.TrimPrefix(name, prefix+"_")]; found {
+		return text
+	}
+	return "Not described."
+}
+
+// Names returns the names of all described metrics without the prefix.
+func Names() (names []string) {
+	for name := range help {
+		names = append(names, name)
+	}
+	return names
+}
--- a/internal/control/tracker/tracker.go
+++ b/internal/control/tracker/tracker.go
@@ -186,6 +186,13 @@
 	return !f.failing && f.revision > 0
 }
 
+// Age returns the time since the last call that the store answered was sent.
+func (f *Feed) Age() clock.Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Clock.Now() - f.contactAt
+}
+
 // Objects returns a copy of what is known, for peers that miss it.
 func (f *Feed) Objects() (objects []Object, revision int64) {
 	f.mu.Lock()
--- a/internal/entry/command/command.go
+++ b/internal/entry/command/command.go
@@ -12,8 +12,11 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/sirupsen/logrus"
 
+	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/document"
+	"baobabladder.example/baobabladder/internal/base/logging"
 	"baobabladder.example/baobabladder/internal/base/settings"
+	"baobabladder.example/baobabladder/internal/entry/explain"
 	"baobabladder.example/baobabladder/internal/entry/node"
 	"baobabladder.example/baobabladder/internal/entry/process"
 	"baobabladder.example/baobabladder/internal/wire/operator"
@@ -45,6 +48,9 @@
 
 const outputJSON = "json"
 
+// logEndWait is how long the last log lines may take at the end of a process.
+const logEndWait = 200 * clock.Millis(1)
+
 // commands holds the parsed arguments.
 type commands struct {
 	app    *kingpin.Application
@@ -57,6 +63,7 @@
 
 	settings string
 	file     string
+	files    []string
 	basedOn  int64
 	name     string
 	revision int64
@@ -139,6 +146,11 @@
 	runs[withdraw.FullCommand()] = c.withdraw
 	runs[keys.Command("list", "List the keys' ids and workspaces.").FullCommand()] = c.listKeys
 
+	explained := c.app.Command("explain", "Print one request's way from VMs' logs.")
+	explained.Flag("request", "The request's id.").Required().StringVar(&c.name)
+	explained.Arg("file", "Files of log lines.").Required().ExistingFilesVar(&c.files)
+	runs[explained.FullCommand()] = c.explain
+
 	runs[c.app.Command("status", "Print what a VM knows of itself and the others.").FullCommand()] = c.status
 	runs[c.app.Command("moves", "Print the state of the version moves.").FullCommand()] = c.moves
 	runs[c.app.Command("account", "Print what the VMs decided, when and why.").FullCommand()] = c.account
@@ -187,20 +199,35 @@
 	if err != nil {
 		return c.fail(err)
 	}
-	log := logrus.New()
-	log.SetOutput(c.stdout)
-	log.SetFormatter(&logrus.JSONFormatter{})
 	level, err := logrus.ParseLevel(read.LogLevel)
 	if err != nil {
 		return c.fail(err)
 	}
-	log.SetLevel(level)
+	writer := logging.NewWriter(c.stdout)
+	defer writer.Close(logEndWait)
+	log := logging.New(writer, level)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	signal.Ignore(syscall.SIGHUP)
-	if err := (&node.Node{Settings: read, Platform: platform.New(read.Store), Log: log}).Run(ctx); err != nil {
+	run := &node.Node{Settings: read, Platform: platform.New(read.Store), Log: log, Writer: writer}
+	if err := run.Run(ctx); err != nil {
+		return c.fail(err)
+	}
+	return ExitOK
+}
+
+// explain prints one request's way.
+func (c *commands) explain(context.Context) int {
+	way, err := explain.Read(c.name, c.files)
+	if err != nil {
 		return c.fail(err)
 	}
+	if err := way.Print(c.stdout); err != nil {
+		return c.fail(err)
+	}
+	if len(way.Lines) == 0 {
+		return ExitRefused
+	}
 	return ExitOK
 }
 
--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -53,8 +53,9 @@
 	whole  []byte
 	stream *streamed
 	length int64
-	// tried names the endpoints that failed the request.
+	// tried names the endpoints that failed the request; steps tells of each try.
 	tried []string
+	steps []step
 	// doubtful says that one of the tries may have run.
 	doubtful bool
 	// answering says that a byte of the answer may have gone to the caller.
@@ -234,8 +235,5 @@
 	if c.service != nil {
 		fields["service"] = c.service.Name
 	}
-	if len(c.tried) > 0 {
-		fields["tried"] = strings.Join(c.tried, " ")
-	}
 	return fields
 }
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/logging"
 	"baobabladder.example/baobabladder/internal/base/metric"
 	"baobabladder.example/baobabladder/internal/policy/balance"
 	"baobabladder.example/baobabladder/internal/policy/canary"
@@ -38,7 +39,8 @@
 	Send(ctx context.Context, address string, request *endpoint.Request) (*endpoint.Answer, error)
 }
 
-// Gateway answers callers' requests. All fields but Log must be set.
+// Gateway answers callers' requests. All fields but Latency, Outcome, Log and
+// Lines must be set.
 type Gateway struct {
 	Headers  Headers
 	Client   Sender
@@ -50,8 +52,14 @@
 	Refuser caller.Refuser
 	// Retries is the metric "retries", Requests counts answers by outcome.
 	Retries *metric.Reasons
+	// Latency is the histogram of answers' times, by kind of work.
+	Latency func(work, outcome string, took clock.Millis)
+	// Outcome counts how tries at endpoints end.
+	Outcome func(outcome string)
 	Clock   clock.Clock
-	Log     logrus.FieldLogger
+	// Log is nil for no log; Lines bounds it.
+	Log   logrus.FieldLogger
+	Lines logging.Budget
 
 	// table is the configuration in force; nil before the first one is known.
 	table atomic.Pointer[routing.Table]
@@ -79,20 +87,34 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	c := &call{gateway: g, w: w, request: request, arrived: g.Clock.Now()}
 	err := g.serve(c)
+	c.report(err)
+	c.measure(err)
 	switch {
 	case err == nil:
 	case c.answering:
 		// The caller must see that its answer is cut.
-		g.Refuser.Note(caller.AsRefusal(err), c.fields())
+		g.Refuser.Note(caller.AsRefusal(err), nil)
 		panic(http.ErrAbortHandler)
 	default:
 		if c.id != "" {
 			w.Header().Set(endpoint.RequestIDHeader, c.id)
 		}
-		g.Refuser.Refuse(w, err, c.fields())
+		g.Refuser.Refuse(w, err, nil)
 	}
 }
 
+// measure counts the request's time under how it ended.
+func (c *call) measure(err error) {
+	if c.gateway.Latency == nil || c.route == nil {
+		return
+	}
+	outcome := "answered"
+	if err != nil {
+		outcome = string(caller.AsRefusal(err).Reason)
+	}
+	c.gateway.Latency(string(c.route.Work), outcome, c.gateway.Clock.Now()-c.arrived)
+}
+
 func (g *Gateway) serve(c *call) (err error) {
 	if err := c.readHead(); err != nil {
 		return err
--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -85,10 +85,16 @@
 		return err
 	}
 	sent := c.gateway.Clock.Now()
+	status := 0
 	result := balance.Result{Outcome: balance.Cancelled, Running: -1}
 	defer func() {
 		grant.Done(result)
-		c.judge(grant, result.Outcome, c.gateway.Clock.Now()-sent)
+		took := c.gateway.Clock.Now() - sent
+		c.judge(grant, result.Outcome, took)
+		if c.gateway.Outcome != nil {
+			c.gateway.Outcome(string(result.Outcome))
+		}
+		c.steps = append(c.steps, step{at: sent - c.arrived, basis: grant.Basis, end: result.Outcome, took: took, status: status, err: err})
 		if err != nil {
 			c.tried = append(c.tried, grant.Endpoint.ID)
 		}
@@ -98,6 +104,7 @@
 		result.Outcome, result.Running, result.Waiting = failure(err)
 		return err
 	}
+	status = answer.Status
 	result.Running, result.Waiting = parseLoad(answer.Load)
 	err = c.pass(ctx, answer)
 	_ = answer.Body.Close()
--- a/internal/entry/node/known.go
+++ b/internal/entry/node/known.go
@@ -33,6 +33,12 @@
 	return k.endpoints != nil
 }
 
+func (k *known) countEndpoints() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.endpoints)
+}
+
 // isListed says whether the store holds a VM's registration as it is.
 func (k *known) isListed(self vm.VM) bool {
 	k.mu.Lock()
@@ -71,7 +77,7 @@
 		{vms, n.takeVMs, false},
 	} {
 		n.feeds = append(n.feeds, &tracker.Feed{
-			Kind: kind.name, Source: n.Platform, Log: n.Log, HoldLapsed: kind.lapses, Changed: kind.changed, Jitter: jitter,
+			Kind: kind.name, Source: countedSource{n.Platform, n.metrics.Scope}, Log: n.Log, HoldLapsed: kind.lapses, Changed: kind.changed, Jitter: jitter,
 		})
 	}
 }
@@ -240,6 +246,7 @@
 		n.balancer.Hear(running, len(members))
 		n.budget.Update(len(members))
 		n.settleMoves(ctx, members)
+		n.reportGauges(members)
 	}
 }
 
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -15,6 +15,7 @@
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/fault"
+	"baobabladder.example/baobabladder/internal/base/logging"
 	"baobabladder.example/baobabladder/internal/base/metric"
 	"baobabladder.example/baobabladder/internal/base/settings"
 	"baobabladder.example/baobabladder/internal/control/roster"
@@ -69,11 +70,13 @@
 	LookupHandler(named func(region, dataCentre string) []vm.VM, lifetime clock.Millis) http.Handler
 }
 
-// Node is one run of a VM. Settings, Platform and Log must be set.
+// Node is one run of a VM. All exported fields must be set.
 type Node struct {
 	Settings settings.Node
 	Platform Platform
-	Log      logrus.FieldLogger
+	// Log writes through Writer.
+	Log    logrus.FieldLogger
+	Writer *logging.Writer
 
 	clock    clock.Clock
 	id       vm.ID
@@ -142,7 +145,7 @@
 	n.quota = &quota.Limiter{}
 	n.guard = &canary.Guard{Share: read.Bounds.TrialShare}
 	n.budget = &retry.Window{Length: read.Bounds.RetryWindow, Ratio: read.Bounds.RetryRatio, Slack: read.Bounds.RetrySlack}
-	refuser := caller.Refuser{Counters: metric.ByReason(n.metrics.Scope, "refusals"), Log: n.Log, Exact: true}
+	refuser := caller.Refuser{Counters: metric.ByReason(n.metrics.Scope, "refusals"), Exact: true}
 	load, notRun := n.Platform.EndpointHeaders()
 	n.gateway = &gateway.Gateway{
 		Headers: n.Platform.Headers(),
@@ -151,6 +154,7 @@
 		},
 		Balancer: n.balancer, Quota: n.quota, Trials: n.guard, Budget: n.budget, Refuser: refuser,
 		Retries: metric.ByReason(n.metrics.Scope, "retries"), Log: n.Log,
+		Latency: latencies(n.metrics), Outcome: outcomes(n.metrics),
 	}
 	n.callers = &caller.Server{Handler: n.gateway, Refuser: refuser, Notice: read.Bounds.StopGrace / noticePart}
 	n.buildFeeds()
@@ -215,6 +219,7 @@
 	go n.roster.Run(ctx)
 	go n.spread(ctx)
 	go n.keepRegistered(ctx)
+	go logging.Report(ctx, n.Log, &n.gateway.Lines, n.Writer, dropped(n.metrics))
 }
 
 func (n *Node) logEnd(what string, serve func() error) {
--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -140,6 +140,26 @@
 	// alone says that no other request was expected on the endpoint's slot.
 	alone, warm bool
 	ended       bool
+	// Basis is what the choice rested on.
+	Basis Basis
+}
+
+// Basis is what a choice rested on, for the log.
+type Basis struct {
+	Endpoint, DataCentre, Version string
+	// Revision is the store's at the last change of the endpoint's entry.
+	Revision int64
+	// Why is "warm" for an endpoint that served the object lately, "home" for one to
+	// which it belongs, else "room".
+	Why string
+	// Load is how many requests the endpoint was thought to hold of its Slots, by
+	// knowledge of age LoadAge.
+	Load    int
+	LoadAge clock.Millis
+	Slots   int
+	// Expected is the time in milliseconds in which an answer was expected.
+	Expected float64
+	Cold     bool
 }
 
 // Outcome is how a placed request ended.
@@ -194,8 +214,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.vms = vms
+	now := b.Clock.Now()
 	for id, n := range b.nodes {
-		n.others = running[id]
+		n.others, n.othersAt = running[id], now
 	}
 }
 
@@ -390,6 +411,7 @@
 		Endpoint: n.endpoint, Cold: n.endpoint.ColdUntil > now, balancer: b, node: n, request: request,
 		sentAt: now, expected: c.expected, alone: c.wait == 0, warm: c.warm,
 	}
+	g.Basis = basis(c, g.Cold, now)
 	if g.Cold {
 		allowed := max(request.Service.ColdRate*b.Cold.Overage+b.Cold.Slack-1, 1)
 		n.coldNext = now + clock.Millis(float64(coldSpacing)*max(float64(max(b.vms, 1))/allowed, 1))
@@ -401,6 +423,21 @@
 	return g
 }
 
+func basis(c candidate, isCold bool, now clock.Millis) Basis {
+	e := &c.node.endpoint
+	why := "room"
+	switch {
+	case c.isHome:
+		why = "home"
+	case c.warm:
+		why = "warm"
+	}
+	return Basis{
+		Endpoint: e.ID, DataCentre: e.DataCentre, Version: e.Version, Revision: e.Revision, Why: why,
+		Load: int(c.node.load(now)), LoadAge: now - c.node.loadAt(now), Slots: e.Slots, Expected: c.expected, Cold: isCold,
+	}
+}
+
 func (b *Balancer) remember(object, endpoint string, isAway bool, now clock.Millis) {
 	if b.memory == nil || len(b.memory) > maxMemory {
 		b.memory = map[string]memory{}
--- a/internal/policy/balance/node.go
+++ b/internal/policy/balance/node.go
@@ -34,8 +34,9 @@
 	hash     uint64
 	// starts holds when this VM's requests on the endpoint were sent.
 	starts []clock.Millis
-	// others is what other VMs run there, as they told last.
-	others int
+	// others is what other VMs run there, as they had told by othersAt.
+	others   int
+	othersAt clock.Millis
 	// reported is the endpoint's word on its running and waiting requests, at
 	// reportedAt, when this VM had ownThen of its own there; -1 without one.
 	reported   int
@@ -66,6 +67,14 @@
 	return float64(own + n.others)
 }
 
+// loadAt is when what load rests on was learned.
+func (n *node) loadAt(now clock.Millis) clock.Millis {
+	if n.reported >= 0 && now-n.reportedAt < reportAge {
+		return n.reportedAt
+	}
+	return n.othersAt
+}
+
 func (n *node) isSuspended(now clock.Millis) bool {
 	return now < n.suspendedUntil || n.isHung(now)
 }
