Give each workspace's quota one owner, and let relays follow the store for their region

Change: one VM owns a workspace's bucket and is told what others admitted; near the limit they ask it first. In fleets of more than 16 VMs two relays a region follow the store and speak to other regions.

--- a/internal/control/tracker/fetch.go
+++ b/internal/control/tracker/fetch.go
@@ -20,6 +20,8 @@
 type Copy struct {
 	Objects  []Object
 	Revision int64
+	// InContact says that the store answers the VM.
+	InContact bool
 }
 
 // Receiver gives peers this VM's copies.
@@ -38,6 +40,7 @@
 func (r *Receiver) Fetch(kind string, reply *Copy) error {
 	if feed := r.feeds[kind]; feed != nil {
 		reply.Objects, reply.Revision = feed.Objects()
+		reply.InContact = feed.InContact()
 	}
 	return nil
 }
--- a/internal/control/tracker/tracker.go
+++ b/internal/control/tracker/tracker.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 
 	"github.com/joomcode/errorx"
@@ -72,6 +73,11 @@
 	// that a peer is being asked for its copy. Guarded by mu.
 	newest   int64
 	fetching bool
+	// changes holds the newest changes of the copy, all of those after keptFrom; more
+	// is closed at the next one. Guarded by mu.
+	changes  []change
+	keptFrom int64
+	more     chan struct{}
 	// pending holds removals that are held back, with the time of their removal.
 	// Guarded by mu.
 	pending map[string]clock.Millis
@@ -152,6 +158,7 @@
 	f.mu.Lock()
 	first := !f.failing
 	f.failing = true
+	f.wake()
 	f.mu.Unlock()
 	if first {
 		f.note("lost the store", err)
@@ -229,25 +236,32 @@
 // merge takes changes over into the copy and tells of them.
 func (f *Feed) merge(objects []Object, revision int64) {
 	f.mu.Lock()
-	changed := f.revision == 0
+	isFirst := f.revision == 0
 	if f.objects == nil {
 		f.objects, f.pending = map[string]Object{}, map[string]clock.Millis{}
 	}
+	var taken []Object
 	for _, object := range objects {
 		f.newest = max(f.newest, object.Revision)
-		changed = f.take(object) || changed
+		if f.take(object) {
+			taken = append(taken, object)
+		}
 	}
-	changed = f.settle() || changed
+	taken = append(taken, f.settle()...)
 	f.revision = max(f.revision, revision)
+	switch {
+	case isFirst:
+		f.keptFrom = f.revision
+		f.wake()
+	case len(taken) > 0:
+		f.keep(taken, f.revision)
+	}
 	var copied map[string]Object
-	if changed {
-		copied = make(map[string]Object, len(f.objects))
-		for name, object := range f.objects {
-			copied[name] = object
-		}
+	if isFirst || len(taken) > 0 {
+		copied = maps.Clone(f.objects)
 	}
 	f.mu.Unlock()
-	if changed && f.Changed != nil {
+	if copied != nil && f.Changed != nil {
 		f.Changed(copied)
 	}
 }
@@ -275,15 +289,16 @@
 	return true
 }
 
-// settle carries out removals that were held back long enough. Callers hold mu.
-func (f *Feed) settle() (changed bool) {
+// settle carries out removals that were held back long enough, and returns them.
+// Callers hold mu.
+func (f *Feed) settle() (removed []Object) {
 	now := f.Clock.Now()
 	for name, at := range f.pending {
 		if now >= at {
+			removed = append(removed, Object{Name: name, Revision: f.objects[name].Revision, Deleted: true})
 			delete(f.pending, name)
 			delete(f.objects, name)
-			changed = true
 		}
 	}
-	return changed
+	return removed
 }
--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -130,8 +130,8 @@
 
 func (c *call) mayRepeat() bool { return c.route.Work == document.Catalogue }
 
-func (c *call) admit() error {
-	wait, ok := c.gateway.Quota.Admit(c.workspace)
+func (c *call) admit(ctx context.Context) error {
+	wait, ok := c.gateway.Quota.Admit(ctx, c.workspace)
 	if !ok {
 		return reason.NotRun(reason.RateExceeded, wait, "workspace %s is over its rate", c.workspace.Name)
 	}
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -17,7 +17,6 @@
 	"baobabladder.example/baobabladder/internal/base/metric"
 	"baobabladder.example/baobabladder/internal/policy/balance"
 	"baobabladder.example/baobabladder/internal/policy/canary"
-	"baobabladder.example/baobabladder/internal/policy/quota"
 	"baobabladder.example/baobabladder/internal/policy/retry"
 	"baobabladder.example/baobabladder/internal/wire/caller"
 	"baobabladder.example/baobabladder/internal/wire/endpoint"
@@ -39,13 +38,21 @@
 	Send(ctx context.Context, address string, request *endpoint.Request) (*endpoint.Answer, error)
 }
 
+// Quota holds workspaces to their rate and burst over all VMs; see
+// admission.Admission.
+type Quota interface {
+	Admit(ctx context.Context, workspace *routing.Workspace) (wait clock.Millis, ok bool)
+	// Return gives back what Admit took for a request that did not run.
+	Return(workspace *routing.Workspace)
+}
+
 // Gateway answers callers' requests. All fields but Latency, Outcome, Log and
 // Lines must be set.
 type Gateway struct {
 	Headers  Headers
 	Client   Sender
 	Balancer *balance.Balancer
-	Quota    *quota.Limiter
+	Quota    Quota
 	Trials   *canary.Guard
 	// Budget bounds second sends over all VMs.
 	Budget  *retry.Window
@@ -127,7 +134,7 @@
 	}
 	ctx, cancel := c.startDeadline()
 	defer cancel()
-	if err := c.admit(); err != nil {
+	if err := c.admit(ctx); err != nil {
 		return err
 	}
 	if err := c.takeBody(ctx); err != nil {
--- a/internal/entry/node/known.go
+++ b/internal/entry/node/known.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"sync"
 
 	"github.com/sirupsen/logrus"
@@ -11,6 +12,7 @@
 	"baobabladder.example/baobabladder/internal/control/tracker"
 	"baobabladder.example/baobabladder/internal/policy/quota"
 	"baobabladder.example/baobabladder/internal/world/directory"
+	"baobabladder.example/baobabladder/internal/world/routing"
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
 
@@ -76,8 +78,9 @@
 		{evacuations, n.takeEvacuations, false},
 		{vms, n.takeVMs, false},
 	} {
+		source := &tracker.Relayed{Store: countedSource{n.Platform, n.metrics.Scope}, Peers: n.peers, Relays: n.relays}
 		n.feeds = append(n.feeds, &tracker.Feed{
-			Kind: kind.name, Source: countedSource{n.Platform, n.metrics.Scope}, Log: n.Log, HoldLapsed: kind.lapses, Changed: kind.changed, Jitter: jitter,
+			Kind: kind.name, Source: source, Log: n.Log, HoldLapsed: kind.lapses, Changed: kind.changed, Jitter: jitter,
 		})
 	}
 }
@@ -215,6 +218,9 @@
 // heard takes over what a peer told.
 func (n *Node) heard(state roster.State) {
 	n.guard.Hear(state.ID.Name, state.Trials)
+	for region, evidence := range state.Regions {
+		n.guard.Hear("region "+region, evidence)
+	}
 	n.balancer.HearAway(state.Away)
 	for _, feed := range n.feeds {
 		if known := state.Revisions[feed.Kind]; known > feed.Newest() {
@@ -245,14 +251,80 @@
 		n.quota.Update(demands)
 		n.balancer.Hear(running, len(members))
 		n.budget.Update(len(members))
-		n.settleMoves(ctx, members)
+		deciders, isMost := n.roster.Deciders(members)
+		n.duties.Store(&duties{deciders, isMost, partHeard(members)})
+		n.settleMoves(ctx, deciders)
 		n.reportGauges(members)
 	}
 }
 
-func (n *Node) settleMoves(ctx context.Context, members []roster.Member) {
+// duties is how duties for all VMs are divided, as this VM sees it.
+type duties struct {
+	deciders []roster.Member
+	isMost   bool
+	// part is the part of the known VMs that were heard lately.
+	part float64
+}
+
+func partHeard(members []roster.Member) float64 {
+	heard, known := 0, 0
+	for _, member := range members {
+		if member.Heard {
+			heard++
+		}
+		if member.Known {
+			known++
+		}
+	}
+	return float64(heard) / float64(max(known, 1))
+}
+
+// owner returns the VM that owns a workspace's quota: the one of the deciders with
+// the highest hash.
+func (n *Node) owner(workspace string) (owner vm.VM, known bool) {
+	d := n.duties.Load()
+	if d == nil || !d.isMost {
+		return vm.VM{}, false
+	}
+	var highest uint64
+	for i := range d.deciders {
+		if score := rendezvous(workspace, d.deciders[i].ID.Name); !known || score > highest {
+			owner, known, highest = d.deciders[i].VM, true, score
+		}
+	}
+	return owner, known
+}
+
+func rendezvous(key, name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(key))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(name))
+	sum := h.Sum64()
+	sum ^= sum >> 32
+	return sum * 0x9e3779b97f4a7c15
+}
+
+func (n *Node) part() float64 {
+	if d := n.duties.Load(); d != nil {
+		return d.part
+	}
+	return 0
+}
+
+func (n *Node) workspace(name string) *routing.Workspace {
+	if table := n.gateway.Table(); table != nil {
+		return table.Workspaces[name]
+	}
+	return nil
+}
+
+// relays is the roster's, which is made after the feeds.
+func (n *Node) relays() (others []vm.VM, isRelay bool) { return n.roster.Relays() }
+
+func (n *Node) settleMoves(ctx context.Context, deciders []roster.Member) {
 	verdicts := n.guard.Verdicts()
-	if len(verdicts) == 0 || !n.isWriter(members) {
+	if len(verdicts) == 0 || !n.isWriter(deciders) {
 		return
 	}
 	for _, verdict := range verdicts {
@@ -268,9 +340,9 @@
 // isWriter says whether this VM writes outcomes down: the first by name of those
 // that serve and reach the store. Two may do so at once for a moment, which the
 // store's conditions make harmless.
-func (n *Node) isWriter(members []roster.Member) bool {
-	for _, member := range members {
-		if member.Heard && member.Ready && member.Contact && !member.Stopping {
+func (n *Node) isWriter(deciders []roster.Member) bool {
+	for _, member := range deciders {
+		if member.Contact {
 			return member.ID.Name == n.id.Name
 		}
 	}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -18,6 +18,7 @@
 	"baobabladder.example/baobabladder/internal/base/logging"
 	"baobabladder.example/baobabladder/internal/base/metric"
 	"baobabladder.example/baobabladder/internal/base/settings"
+	"baobabladder.example/baobabladder/internal/control/admission"
 	"baobabladder.example/baobabladder/internal/control/roster"
 	"baobabladder.example/baobabladder/internal/control/tracker"
 	"baobabladder.example/baobabladder/internal/entry/gateway"
@@ -78,22 +79,24 @@
 	Log    logrus.FieldLogger
 	Writer *logging.Writer
 
-	clock    clock.Clock
-	id       vm.ID
-	self     vm.VM
-	metrics  *metric.Registry
-	peers    *peer.Client
-	server   *peer.Server
-	roster   *roster.Roster
-	gateway  *gateway.Gateway
-	balancer *balance.Balancer
-	quota    *quota.Limiter
-	guard    *canary.Guard
-	budget   *retry.Window
-	callers  *caller.Server
-	known    known
-	feeds    []*tracker.Feed
-	stopping atomic.Bool
+	clock     clock.Clock
+	id        vm.ID
+	self      vm.VM
+	metrics   *metric.Registry
+	peers     *peer.Client
+	server    *peer.Server
+	roster    *roster.Roster
+	gateway   *gateway.Gateway
+	balancer  *balance.Balancer
+	quota     *quota.Limiter
+	guard     *canary.Guard
+	budget    *retry.Window
+	callers   *caller.Server
+	admission *admission.Admission
+	duties    atomic.Pointer[duties]
+	known     known
+	feeds     []*tracker.Feed
+	stopping  atomic.Bool
 }
 
 // Run serves until ctx ends, and then stops as planned: peers learn that the VM
@@ -143,6 +146,10 @@
 		Cold: balance.Cold{Overage: read.Bounds.ColdOverage, Slack: read.Bounds.ColdSlack},
 	}
 	n.quota = &quota.Limiter{}
+	n.admission = &admission.Admission{
+		Self: read.Name, Peers: n.peers, Owner: n.owner, Workspace: n.workspace, Part: n.part,
+		Own: &quota.Owner{}, Local: n.quota,
+	}
 	n.guard = &canary.Guard{Share: read.Bounds.TrialShare}
 	n.budget = &retry.Window{Length: read.Bounds.RetryWindow, Ratio: read.Bounds.RetryRatio, Slack: read.Bounds.RetrySlack}
 	refuser := caller.Refuser{Counters: metric.ByReason(n.metrics.Scope, "refusals"), Exact: true}
@@ -152,7 +159,7 @@
 		Client: &endpoint.Client{
 			LoadHeader: load, NotRunHeader: notRun, ConnectTimeout: endpointConnect, TakeUnframed: true,
 		},
-		Balancer: n.balancer, Quota: n.quota, Trials: n.guard, Budget: n.budget, Refuser: refuser,
+		Balancer: n.balancer, Quota: n.admission, Trials: n.guard, Budget: n.budget, Refuser: refuser,
 		Retries: metric.ByReason(n.metrics.Scope, "retries"), Log: n.Log,
 		Latency: latencies(n.metrics), Outcome: outcomes(n.metrics),
 	}
@@ -168,6 +175,9 @@
 	if err := n.server.Register(roster.ReceiverName, roster.NewReceiver(n.roster)); err != nil {
 		return err
 	}
+	if err := n.server.Register(admission.ReceiverName, admission.NewReceiver(n.admission)); err != nil {
+		return err
+	}
 	return n.server.Register(tracker.ReceiverName, tracker.NewReceiver(n.feeds...))
 }
 
@@ -218,6 +228,7 @@
 	}
 	go n.roster.Run(ctx)
 	go n.spread(ctx)
+	go n.admission.Run(ctx)
 	go n.keepRegistered(ctx)
 	go logging.Report(ctx, n.Log, &n.gateway.Lines, n.Writer, dropped(n.metrics))
 }
--- a/internal/policy/canary/canary.go
+++ b/internal/policy/canary/canary.go
@@ -213,6 +213,25 @@
 	return verdicts
 }
 
+// Sum adds evidence on the same versions up.
+func Sum(parts []map[string]Evidence) map[string]Evidence {
+	sums := map[string]Evidence{}
+	for _, part := range parts {
+		for service, e := range part {
+			sum, found := sums[service]
+			if found && sum.To != e.To {
+				continue
+			}
+			sums[service] = Evidence{
+				To: e.To, Age: max(sum.Age, e.Age), Bad: sum.Bad || e.Bad,
+				NewAnswers: sum.NewAnswers + e.NewAnswers, NewBad: sum.NewBad + e.NewBad,
+				OldAnswers: sum.OldAnswers + e.OldAnswers, OldBad: sum.OldBad + e.OldBad,
+			}
+		}
+	}
+	return sums
+}
+
 func (t *trial) fade(now clock.Millis) {
 	factor := math.Exp(-float64(now-t.at) / float64(evidenceSpan))
 	t.at = now
