--- a/internal/control/admission/admission.go
+++ b/internal/control/admission/admission.go
@@ -261,7 +261,7 @@
 	defer a.mu.Unlock()
 	due := map[string]map[string]quota.Usage{}
 	for name, s := range a.states {
-		if s.used == 0 && s.missed == 0 && s.lastUsed == 0 {
+		if s.used == 0 && s.missed == 0 && s.lastUsed == 0 && s.tokens == 0 {
 			continue
 		}
 		owner, known := a.Owner(name)
@@ -271,7 +271,9 @@
 		if due[owner.Name] == nil {
 			due[owner.Name] = map[string]quota.Usage{}
 		}
-		due[owner.Name][name] = quota.Usage{Used: s.used, Want: s.missed * askAhead}
+		// Tokens left over go back to the owner, others may need them.
+		due[owner.Name][name] = quota.Usage{Used: s.used - s.tokens, Want: s.missed * askAhead}
+		s.tokens = 0
 		s.lastUsed, s.used, s.missed = s.used+s.missed, 0, 0
 	}
 	return due
--- a/internal/control/tracker/relay.go
+++ b/internal/control/tracker/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/world/vm"
@@ -11,8 +12,10 @@
 	watchMethod = ReceiverName + ".Watch"
 	// keptChanges is how many changes a feed keeps for peers that follow it.
 	keptChanges = 1024
-	// relayMargin is how long a relay's reply may take beyond the wait.
-	relayMargin = 1500 * clock.Millis(1)
+	// relayWait is how long a relay waits for changes, and relayMargin how much
+	// longer its reply may take.
+	relayWait   = 1500 * clock.Millis(1)
+	relayMargin = 600 * clock.Millis(1)
 )
 
 // Wanted asks a relay for changes.
@@ -45,41 +48,54 @@
 	Store  Source
 	Peers  Caller
 	Relays func() (others []vm.VM, isRelay bool)
+
+	calls atomic.Int64
 }
 
 // List implements Source.
 func (r *Relayed) List(ctx context.Context, kind string) (objects []Object, revision int64, err error) {
-	others, isRelay := r.Relays()
-	if isRelay || len(others) == 0 {
+	relay, found := r.relay()
+	if !found {
 		return r.Store.List(ctx, kind)
 	}
-	for _, relay := range others {
-		var copied Copy
-		if err = r.call(ctx, relay, fetchMethod, kind, &copied, fetchTimeout); err == nil && copied.InContact {
-			return copied.Objects, copied.Revision, nil
-		}
+	var copied Copy
+	if err := r.call(ctx, relay, fetchMethod, kind, &copied, fetchTimeout); err != nil {
+		return r.Store.List(ctx, kind)
 	}
-	return nil, 0, noRelay(err)
+	if !copied.InContact {
+		return nil, 0, ErrNoContact.New("the relay %s does not reach the store", relay.Name)
+	}
+	return copied.Objects, copied.Revision, nil
 }
 
-// Watch implements Source.
+// Watch implements Source. A relay is asked for a short time only, so that one
+// that is cut off delays no change for long.
 func (r *Relayed) Watch(ctx context.Context, kind string, after int64, wait clock.Millis) (objects []Object, revision int64, err error) {
-	others, isRelay := r.Relays()
-	if isRelay || len(others) == 0 {
+	relay, found := r.relay()
+	if !found {
 		return r.Store.Watch(ctx, kind, after, wait)
 	}
-	for _, relay := range others {
-		var changes Changes
-		err = r.call(ctx, relay, watchMethod, Wanted{kind, after, wait}, &changes, wait+relayMargin)
-		if err != nil || !changes.InContact {
-			continue
-		}
-		if changes.HistoryGone {
-			return nil, 0, ErrHistoryGone.New("the relay %s does not keep the changes asked for", relay.Name)
-		}
-		return changes.Objects, changes.Revision, nil
+	wait = min(wait, relayWait)
+	var changes Changes
+	if err := r.call(ctx, relay, watchMethod, Wanted{kind, after, wait}, &changes, wait+relayMargin); err != nil {
+		return r.Store.Watch(ctx, kind, after, wait)
+	}
+	switch {
+	case !changes.InContact:
+		return nil, 0, ErrNoContact.New("the relay %s does not reach the store", relay.Name)
+	case changes.HistoryGone:
+		return nil, 0, ErrHistoryGone.New("the relay %s does not keep the changes asked for", relay.Name)
+	}
+	return changes.Objects, changes.Revision, nil
+}
+
+// relay returns the relay to ask, the next one at each call.
+func (r *Relayed) relay() (relay vm.VM, found bool) {
+	others, isRelay := r.Relays()
+	if isRelay || len(others) == 0 {
+		return vm.VM{}, false
 	}
-	return nil, 0, noRelay(err)
+	return others[int(r.calls.Add(1))%len(others)], true
 }
 
 func (r *Relayed) call(ctx context.Context, relay vm.VM, method string, args, reply any, timeout clock.Millis) error {
@@ -88,15 +104,9 @@
 	return r.Peers.Call(ctx, relay.PeerAddress, method, args, reply)
 }
 
-// ErrNoRelay says that no relay could tell what the store holds.
-var ErrNoRelay = errorNamespace.NewType("no_relay")
-
-func noRelay(err error) error {
-	if err != nil {
-		return ErrNoRelay.Wrap(err, "no relay answered")
-	}
-	return ErrNoRelay.New("no relay reaches the store")
-}
+// ErrNoContact says that a relay does not reach the store itself. Its followers
+// do not ask the store then: in an outage all of them would.
+var ErrNoContact = errorNamespace.NewType("no_contact")
 
 // Watch replies with the changes after a revision, as soon as there is one.
 func (r *Receiver) Watch(wanted Wanted, reply *Changes) error {
