--- a/internal/control/admission/admission.go
+++ b/internal/control/admission/admission.go
@@ -20,8 +20,10 @@
 	// reportInterval is the pause between two reports to an owner.
 	reportInterval = 250 * clock.Millis(1)
 	callTimeout    = 400 * clock.Millis(1)
-	// ownerAge is how long an owner's last reply counts.
-	ownerAge = 1200 * clock.Millis(1)
+	// ownerAge is how long an owner's last reply counts. A VM that has nothing to
+	// report hears nothing; its first request after the owner became strict is
+	// reported, and its next one is not admitted freely.
+	ownerAge = 10 * clock.Second
 	// askAhead is how many tokens are asked for at once beside the one needed, in
 	// times of what the last interval needed.
 	askAhead = 1.0
@@ -92,15 +94,12 @@
 	now := a.Clock.Now()
 	a.mu.Lock()
 	s := a.state(workspace.Name)
-	if !s.hasReplied || now-s.repliedAt > ownerAge {
-		a.mu.Unlock()
-		return a.admitLocally(workspace)
-	}
-	if s.take() {
+	isCurrent := s.hasReplied && now-s.repliedAt < ownerAge
+	if isCurrent && s.take() {
 		a.mu.Unlock()
 		return 0, true
 	}
-	if now < s.waitUntil {
+	if isCurrent && now < s.waitUntil {
 		s.missed++
 		wait = s.waitUntil - now
 		a.mu.Unlock()
--- /dev/null
+++ b/internal/control/admission/admission_test.go
@@ -0,0 +1,140 @@
+package admission_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/control/admission"
+	"baobabladder.example/baobabladder/internal/policy/quota"
+	"baobabladder.example/baobabladder/internal/world/routing"
+	"baobabladder.example/baobabladder/internal/world/vm"
+)
+
+// fleet is some VMs whose calls reach each other unless a VM is cut off.
+type fleet struct {
+	manual    *clock.Manual
+	workspace *routing.Workspace
+	vms       []*admission.Admission
+	receivers map[string]*admission.Receiver
+	cut       map[string]bool
+	calls     int
+}
+
+func newFleet(count int, rate float64) *fleet {
+	f := &fleet{
+		manual: &clock.Manual{}, workspace: &routing.Workspace{Name: "w", Rate: rate, Burst: rate},
+		receivers: map[string]*admission.Receiver{}, cut: map[string]bool{},
+	}
+	for i := range count {
+		name := fmt.Sprint("vm-", i)
+		local := &quota.Limiter{Clock: f.manual.Clock()}
+		var others []quota.PeerDemand
+		for range count - 1 {
+			others = append(others, quota.PeerDemand{})
+		}
+		local.Update(others)
+		a := &admission.Admission{
+			Self: name, Peers: caller{f, name}, Clock: f.manual.Clock(), Own: &quota.Owner{Clock: f.manual.Clock()}, Local: local,
+			Owner:     func(string) (vm.VM, bool) { return vm.VM{Name: "vm-0", PeerAddress: "vm-0"}, !f.cut[name] },
+			Workspace: func(string) *routing.Workspace { return f.workspace },
+			Part:      func() float64 { return 1 },
+		}
+		f.vms = append(f.vms, a)
+		f.receivers[name] = admission.NewReceiver(a)
+	}
+	return f
+}
+
+// caller is how one VM calls the others.
+type caller struct {
+	fleet *fleet
+	from  string
+}
+
+// Call implements admission.Caller.
+func (c caller) Call(_ context.Context, address, _ string, args, reply any) error {
+	c.fleet.calls++
+	if c.fleet.cut[address] || c.fleet.cut[c.from] {
+		return errors.New("cut off")
+	}
+	return c.fleet.receivers[address].Report(args.(admission.Report), reply.(*admission.Reply))
+}
+
+// admit asks VMs in turn for a number of requests and returns how many are
+// admitted.
+func (f *fleet) admit(requests int) (admitted int) {
+	for i := range requests {
+		if _, ok := f.vms[i%len(f.vms)].Admit(context.Background(), f.workspace); ok {
+			admitted++
+		}
+	}
+	return admitted
+}
+
+// On fleets of 86 VMs each admitted a few from its own share before it had heard
+// of the owner, which went over the limit together.
+func TestManyVMsThatHaveNotHeardOfTheOwnerKeepTheLimit(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(86, 20)
+	admitted := 0
+	for range 50 {
+		admitted += f.admit(40)
+		f.manual.Advance(100)
+	}
+	g.Expect(float64(admitted)).To(BeNumerically("<=", (20*5+20)*1.1+20))
+	g.Expect(admitted).To(BeNumerically(">=", 80), "the rate is given in full")
+}
+
+func TestARefusalByTheOwnerSaysWhenToComeBack(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2, 2)
+	f.admit(50)
+	wait, ok := f.vms[1].Admit(context.Background(), f.workspace)
+	g.Expect(ok).To(BeFalse())
+	g.Expect(wait).To(BeNumerically(">", 0))
+	before := f.calls
+	_, ok = f.vms[1].Admit(context.Background(), f.workspace)
+	g.Expect(ok).To(BeFalse())
+	g.Expect(f.calls).To(Equal(before), "the owner is not asked before it has more")
+	f.manual.Advance(2 * clock.Second)
+	_, ok = f.vms[1].Admit(context.Background(), f.workspace)
+	g.Expect(ok).To(BeTrue())
+}
+
+func TestACutOffVMAdmitsFromItsShareOnly(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(4, 20)
+	f.cut["vm-3"] = true
+	admitted := 0
+	for range 100 {
+		for range 20 {
+			if _, ok := f.vms[3].Admit(context.Background(), f.workspace); ok {
+				admitted++
+			}
+		}
+		f.manual.Advance(100)
+	}
+	g.Expect(float64(admitted)).To(BeNumerically("<=", 0.25*(20*10+20)+2))
+	g.Expect(admitted).To(BeNumerically(">=", 40))
+}
+
+func TestARequestThatDidNotRunIsNotCounted(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1, 5)
+	f.admit(100)
+	f.vms[0].Return(f.workspace)
+	g.Expect(f.admit(1)).To(Equal(1))
+	g.Expect(f.admit(1)).To(Equal(0))
+}
+
+func TestAWorkspaceWithoutARateAsksNobody(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2, 0)
+	g.Expect(f.admit(1000)).To(Equal(1000))
+	g.Expect(f.calls).To(BeZero())
+}
--- /dev/null
+++ b/internal/control/roster/roster_test.go
@@ -0,0 +1,183 @@
+package roster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/policy/canary"
+	"baobabladder.example/baobabladder/internal/world/vm"
+)
+
+// fleet is VMs that call each other under one clock.
+type fleet struct {
+	manual *clock.Manual
+	vms    map[string]*Roster
+	states map[string]*State
+	// cut names VMs that reach nobody.
+	cut   map[string]bool
+	calls int
+}
+
+func newFleet(count int) *fleet {
+	f := &fleet{manual: &clock.Manual{}, vms: map[string]*Roster{}, states: map[string]*State{}, cut: map[string]bool{}}
+	f.manual.Advance(clock.Minute)
+	var all []vm.VM
+	for i := range count {
+		region := string("abc"[i%3])
+		all = append(all, vm.VM{Name: fmt.Sprintf("vm-%02d", i), Region: region, DataCentre: fmt.Sprint(region, i%2+1), PeerAddress: fmt.Sprintf("vm-%02d", i)})
+	}
+	for _, one := range all {
+		state := &State{ID: vm.ID{Name: one.Name, Incarnation: 1}, VM: one, Ready: true, Contact: true}
+		f.states[one.Name] = state
+		roster := &Roster{Self: one, Peers: caller{f, one.Name}, Load: func() State { return *state }, Clock: f.manual.Clock()}
+		roster.List(all)
+		f.vms[one.Name] = roster
+	}
+	return f
+}
+
+type caller struct {
+	fleet *fleet
+	from  string
+}
+
+// Call implements Caller.
+func (c caller) Call(_ context.Context, address, _ string, args, reply any) error {
+	c.fleet.calls++
+	if c.fleet.cut[address] || c.fleet.cut[c.from] {
+		return errors.New("cut off")
+	}
+	return NewReceiver(c.fleet.vms[address]).Exchange(args.(State), reply.(*State))
+}
+
+// run lets all VMs exchange their states for a time.
+func (f *fleet) run(time clock.Millis) {
+	for passed := clock.Millis(0); passed < time; passed += exchangeInterval {
+		for _, roster := range f.vms {
+			for name, address := range roster.targets() {
+				roster.call(context.Background(), name, address)
+			}
+		}
+		f.manual.Advance(exchangeInterval)
+	}
+}
+
+func names(vms []vm.VM) (list []string) {
+	for _, one := range vms {
+		list = append(list, one.Name)
+	}
+	return list
+}
+
+func TestAVMThatIsSilentIsNamedNoMore(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(9)
+	f.run(2 * clock.Second)
+	g.Expect(names(Named(f.vms["vm-01"].Members(), "a", "a1"))).To(Equal([]string{"vm-00", "vm-06"}))
+	f.cut["vm-00"] = true
+	// Users allow 7 s; half of it is left to callers who keep an answer.
+	f.run(3500)
+	g.Expect(names(Named(f.vms["vm-01"].Members(), "a", "a1"))).NotTo(ContainElement("vm-00"))
+	f.cut["vm-00"] = false
+	f.run(2 * clock.Second)
+	g.Expect(names(Named(f.vms["vm-01"].Members(), "a", "a1"))).To(ContainElement("vm-00"))
+}
+
+func TestAVMThatStopsIsNamedNoMoreAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(9)
+	f.run(2 * clock.Second)
+	f.states["vm-00"].Stopping = true
+	f.run(exchangeInterval)
+	g.Expect(names(Named(f.vms["vm-01"].Members(), "a", "a1"))).NotTo(ContainElement("vm-00"))
+}
+
+func TestACallerIsSentToItsRegionWhileThereIsAVM(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(9)
+	f.run(2 * clock.Second)
+	g.Expect(names(Named(f.vms["vm-01"].Members(), "a", "another data centre"))).To(Equal([]string{"vm-00", "vm-03", "vm-06"}))
+	g.Expect(Named(f.vms["vm-01"].Members(), "a region without VMs", "")).To(HaveLen(9))
+}
+
+func TestALargeFleetKnowsAllVMsThroughItsRelays(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(48)
+	f.run(8 * clock.Second)
+	for name, roster := range f.vms {
+		heard := 0
+		for _, member := range roster.Members() {
+			if member.Heard {
+				heard++
+			}
+		}
+		g.Expect(heard).To(Equal(48), name)
+	}
+	f.calls = 0
+	f.run(exchangeInterval)
+	g.Expect(f.calls).To(BeNumerically("<", 48*47/2), "not every pair exchanges states")
+}
+
+func TestARelaysDutyPassesOn(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(48)
+	f.run(6 * clock.Second)
+	others, isRelay := f.vms["vm-06"].Relays()
+	g.Expect(isRelay).To(BeFalse())
+	g.Expect(names(others)).To(Equal([]string{"vm-00", "vm-03"}))
+	f.cut["vm-00"] = true
+	f.states["vm-03"].Contact = false
+	f.run(6 * clock.Second)
+	others, isRelay = f.vms["vm-12"].Relays()
+	g.Expect(isRelay).To(BeFalse())
+	g.Expect(names(others)).To(Equal([]string{"vm-06", "vm-09"}), "those that the store answers go first")
+}
+
+func TestEvidenceOnANewVersionReachesOtherRegions(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(48)
+	for _, state := range f.states {
+		if state.VM.Region == "a" {
+			state.Trials = map[string]canary.Evidence{"s": {To: "v2", NewAnswers: 1, NewBad: 1}}
+		}
+	}
+	heard := 0.0
+	f.vms["vm-46"].Heard = func(state State) {
+		if told, found := state.Regions["a"]; found {
+			heard = max(heard, told["s"].NewBad)
+		}
+	}
+	f.run(8 * clock.Second)
+	g.Expect(heard).To(Equal(16.0))
+}
+
+func TestOnlyTheSideWithMostVMsDecides(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(9)
+	f.run(2 * clock.Second)
+	_, isMost := f.vms["vm-08"].Deciders(f.vms["vm-08"].Members())
+	g.Expect(isMost).To(BeTrue())
+	f.cut["vm-08"] = true
+	f.run(4 * clock.Second)
+	deciders, isMost := f.vms["vm-08"].Deciders(f.vms["vm-08"].Members())
+	g.Expect(isMost).To(BeFalse())
+	g.Expect(deciders).To(HaveLen(1))
+	_, isMost = f.vms["vm-07"].Deciders(f.vms["vm-07"].Members())
+	g.Expect(isMost).To(BeTrue())
+}
+
+func TestAnOldRunsWordIsPassedOver(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2)
+	old := *f.states["vm-01"]
+	f.states["vm-01"].ID.Incarnation = 2
+	f.run(clock.Second)
+	old.Stopping = true
+	f.vms["vm-00"].hear(old)
+	g.Expect(Named(f.vms["vm-00"].Members(), "b", "b2")).To(HaveLen(1))
+}
--- a/internal/control/tracker/tracker.go
+++ b/internal/control/tracker/tracker.go
@@ -31,6 +31,11 @@
 	// lapseGrace is how long after an outage a removal is held back: entries that
 	// lapsed meanwhile are written again by their owners within 2 s.
 	lapseGrace = 2300 * clock.Millis(1)
+	// shortestOutage is the shortest outage in which entries may lapse.
+	shortestOutage = 2 * clock.Second
+	// othersSpan is for how long another VM must be answered to show that the store
+	// is there. At the end of an outage some VMs are answered before others.
+	othersSpan = 1200 * clock.Millis(1)
 )
 
 // Object is one object of the platform.
@@ -56,8 +61,12 @@
 	Source Source
 	Clock  clock.Clock
 	Log    logrus.FieldLogger
-	// HoldLapsed says that removals just after an outage are held back.
-	HoldLapsed bool
+	// Lapses, when set, says whether removals just after an outage of the store are
+	// held back: owners write entries again that lapsed meanwhile.
+	Lapses func() bool
+	// Others, when set, says whether the store answers another VM. It is no outage of
+	// the store then.
+	Others func() bool
 	// Changed is called after each change with all objects by name. It must not
 	// change them.
 	Changed func(objects map[string]Object)
@@ -85,6 +94,9 @@
 	// succeeded again. Guarded by mu.
 	failing     bool
 	recoveredAt clock.Millis
+	// failedAt is when calls began to fail, and othersAt since when another VM was
+	// answered meanwhile, 0 if none was. Guarded by mu.
+	failedAt, othersAt clock.Millis
 	// contactAt is when the last successful call was sent. Guarded by mu.
 	contactAt clock.Millis
 }
@@ -155,9 +167,19 @@
 }
 
 func (f *Feed) fail(err error) {
+	othersReach := f.Others != nil && f.Others()
 	f.mu.Lock()
+	now := f.Clock.Now()
 	first := !f.failing
-	f.failing = true
+	if first {
+		f.failing, f.failedAt, f.othersAt = true, now, 0
+	}
+	switch {
+	case !othersReach:
+		f.othersAt = 0
+	case f.othersAt == 0:
+		f.othersAt = now
+	}
 	f.wake()
 	f.mu.Unlock()
 	if first {
@@ -173,9 +195,13 @@
 		return
 	}
 	f.failing = false
-	f.recoveredAt = f.Clock.Now()
+	now := f.Clock.Now()
+	isOutage := now-f.failedAt >= shortestOutage && (f.othersAt == 0 || now-f.othersAt < othersSpan)
+	if isOutage {
+		f.recoveredAt = now
+	}
 	if f.Log != nil {
-		f.Log.WithField("kind", f.Kind).Info("regained the store")
+		f.Log.WithFields(logrus.Fields{"kind": f.Kind, "after_ms": now - f.failedAt, "is_outage": isOutage}).Info("regained the store")
 	}
 }
 
@@ -281,7 +307,7 @@
 		return false
 	}
 	now := f.Clock.Now()
-	if f.HoldLapsed && f.recoveredAt > 0 && now-f.recoveredAt < lapseGrace {
+	if f.Lapses != nil && f.Lapses() && f.recoveredAt > 0 && now-f.recoveredAt < lapseGrace {
 		f.pending[object.Name] = f.recoveredAt + lapseGrace
 		return false
 	}
--- a/internal/entry/node/known.go
+++ b/internal/entry/node/known.go
@@ -10,6 +10,7 @@
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/control/roster"
 	"baobabladder.example/baobabladder/internal/control/tracker"
+	"baobabladder.example/baobabladder/internal/policy/balance"
 	"baobabladder.example/baobabladder/internal/policy/quota"
 	"baobabladder.example/baobabladder/internal/world/directory"
 	"baobabladder.example/baobabladder/internal/world/routing"
@@ -79,9 +80,15 @@
 		{vms, n.takeVMs, false},
 	} {
 		source := &tracker.Relayed{Store: countedSource{n.Platform, n.metrics.Scope}, Peers: n.peers, Relays: n.relays}
-		n.feeds = append(n.feeds, &tracker.Feed{
-			Kind: kind.name, Source: source, Log: n.Log, HoldLapsed: kind.lapses, Changed: kind.changed, Jitter: jitter,
-		})
+		feed := &tracker.Feed{Kind: kind.name, Source: source, Log: n.Log, Changed: kind.changed, Jitter: jitter, Others: n.othersReachStore}
+		if kind.lapses {
+			// A relay holds back for those that follow it.
+			feed.Lapses = func() bool {
+				_, isRelay := n.relays()
+				return isRelay
+			}
+		}
+		n.feeds = append(n.feeds, feed)
 	}
 }
 
@@ -236,7 +243,9 @@
 		members := n.roster.Members()
 		running := map[string]int{}
 		demands := []quota.PeerDemand{}
+		vms := make([]balance.VM, 0, len(members))
 		for _, member := range members {
+			vms = append(vms, balance.VM{Name: member.ID.Name, Region: member.VM.Region})
 			if member.ID.Name == n.id.Name {
 				continue
 			}
@@ -249,7 +258,7 @@
 			}
 		}
 		n.quota.Update(demands)
-		n.balancer.Hear(running, len(members))
+		n.balancer.Hear(running, vms)
 		n.budget.Update(len(members))
 		deciders, isMost := n.roster.Deciders(members)
 		n.duties.Store(&duties{deciders, isMost, partHeard(members)})
@@ -319,6 +328,16 @@
 	return nil
 }
 
+// othersReachStore says whether the store answers another VM.
+func (n *Node) othersReachStore() bool {
+	for _, member := range n.roster.Members() {
+		if member.ID.Name != n.id.Name && member.Heard && member.Contact {
+			return true
+		}
+	}
+	return false
+}
+
 // relays is the roster's, which is made after the feeds.
 func (n *Node) relays() (others []vm.VM, isRelay bool) { return n.roster.Relays() }
 
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -142,7 +142,7 @@
 	n.peers = &peer.Client{}
 	n.server = peer.NewServer()
 	n.balancer = &balance.Balancer{
-		Region: read.Region, DataCentre: read.DataCentre,
+		VM: read.Name, Region: read.Region, DataCentre: read.DataCentre,
 		Cold: balance.Cold{Overage: read.Bounds.ColdOverage, Slack: read.Bounds.ColdSlack},
 	}
 	n.quota = &quota.Limiter{}
--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -57,6 +57,8 @@
 	// coldSpacing is the span, a little above a second, in which a cold endpoint's
 	// rate is counted.
 	coldSpacing = 1080 * clock.Millis(1)
+	// coldMargin is left of what is allowed, for VMs that are not known yet.
+	coldMargin = 0.75
 )
 
 // Request is what is to be placed.
@@ -83,19 +85,25 @@
 	Slack   float64
 }
 
-// Balancer places requests. Region, DataCentre and Cold must be set.
+// VM is one of the VMs that send requests to endpoints.
+type VM struct {
+	Name, Region string
+}
+
+// Balancer places requests. VM, Region, DataCentre and Cold must be set.
 type Balancer struct {
-	Clock              clock.Clock
-	Region, DataCentre string
-	Cold               Cold
+	Clock clock.Clock
+	// VM is this VM's name; Region and DataCentre are where it is.
+	VM, Region, DataCentre string
+	Cold                   Cold
 
 	mu sync.Mutex
 	// directory is the newest given to Update. Guarded by mu.
 	directory *directory.Directory
 	// nodes holds what is known of each endpoint, by ID. Guarded by mu.
 	nodes map[string]*node
-	// vms is how many VMs there are. Guarded by mu.
-	vms int
+	// vms holds all VMs, this one included. Guarded by mu.
+	vms []VM
 	// memory maps an object to the endpoints that served it lately. Guarded by mu.
 	memory map[string]memory
 	// works holds what requests take, by service and kind of work. Guarded by mu.
@@ -208,9 +216,9 @@
 	b.nodes = nodes
 }
 
-// Hear takes over what the other VMs run on each endpoint, and how many VMs
-// there are.
-func (b *Balancer) Hear(running map[string]int, vms int) {
+// Hear takes over what the other VMs run on each endpoint, and which VMs there
+// are.
+func (b *Balancer) Hear(running map[string]int, vms []VM) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.vms = vms
@@ -277,7 +285,7 @@
 		if n == nil || !b.isAllowed(request, n) || !desperate && n.isSuspended(now) {
 			continue
 		}
-		if n.endpoint.ColdUntil > now && now < n.coldNext {
+		if n.endpoint.ColdUntil > now && (now < n.coldNext || !b.feeds(request.Service, n)) {
 			continue
 		}
 		c := b.weigh(request, n, n == home, now)
@@ -313,6 +321,33 @@
 	return load > pressedPart*slots
 }
 
+// feeds says whether this VM is one of those that may send to a cold endpoint: as
+// many as requests are allowed in a second, of the endpoint's region if possible.
+// Callers hold mu.
+func (b *Balancer) feeds(service *routing.Service, n *node) bool {
+	allowed := int(max(service.ColdRate*b.Cold.Overage+b.Cold.Slack-coldMargin, 1))
+	if len(b.vms) <= allowed {
+		return true
+	}
+	before := 0
+	own := rank(VM{b.VM, b.Region}, n)
+	for _, vm := range b.vms {
+		if vm.Name != b.VM && rank(vm, n) > own {
+			before++
+		}
+	}
+	return before < allowed
+}
+
+// rank orders VMs as feeders of an endpoint.
+func rank(vm VM, n *node) uint64 {
+	score := mix(hash64(vm.Name)^n.hash) >> 1
+	if vm.Region == n.endpoint.Region {
+		score |= 1 << 63
+	}
+	return score
+}
+
 // isAllowed says whether the endpoint may ever run the request. Callers hold mu.
 func (b *Balancer) isAllowed(request *Request, n *node) bool {
 	e := &n.endpoint
@@ -413,8 +448,7 @@
 	}
 	g.Basis = basis(c, g.Cold, now)
 	if g.Cold {
-		allowed := max(request.Service.ColdRate*b.Cold.Overage+b.Cold.Slack-1, 1)
-		n.coldNext = now + clock.Millis(float64(coldSpacing)*max(float64(max(b.vms, 1))/allowed, 1))
+		n.coldNext = now + coldSpacing
 	}
 	n.starts = append(n.starts, now)
 	if request.Object != "" {
--- /dev/null
+++ b/internal/policy/canary/canary_test.go
@@ -0,0 +1,137 @@
+package canary_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/policy/canary"
+	"baobabladder.example/baobabladder/internal/world/directory"
+)
+
+const (
+	within = 12 * clock.Second
+	share  = 0.1
+)
+
+// trial drives one VM's guard through a move with one request each 10 ms.
+type trial struct {
+	manual *clock.Manual
+	guard  *canary.Guard
+	// sent and sentNew count requests and those of the new version.
+	sent, sentNew int
+}
+
+func newTrial() *trial {
+	manual := &clock.Manual{}
+	t := &trial{manual: manual, guard: &canary.Guard{Clock: manual.Clock(), Share: share}}
+	t.update(directory.MoveRunning)
+	return t
+}
+
+func (t *trial) update(state directory.MoveState) {
+	t.guard.Update(map[string]directory.Move{"s": {Service: "s", To: "v2", Within: within, SeenAt: t.manual.Clock().Now(), State: state}})
+}
+
+// run sends requests for a time; every n-th answer of a version is bad, 0 for none.
+func (t *trial) run(time clock.Millis, badNew, badOld int) {
+	for end := t.manual.Clock().Now() + time; t.manual.Clock().Now() < end; t.manual.Advance(10) {
+		t.sent++
+		version, bad := "v1", badOld
+		if t.guard.Choose("s").Allows("v2") {
+			version, bad = "v2", badNew
+			t.sentNew++
+		}
+		t.guard.Record("s", version, bad > 0 && t.sent%bad == 0)
+	}
+}
+
+func (t *trial) verdict() directory.MoveState {
+	verdicts := t.guard.Verdicts()
+	if len(verdicts) == 0 {
+		return directory.MoveRunning
+	}
+	return verdicts[0].State
+}
+
+func TestAGoodVersionIsDoneBeforeItsTime(t *testing.T) {
+	g := NewWithT(t)
+	trial := newTrial()
+	trial.run(within/2, 0, 0)
+	g.Expect(trial.verdict()).To(Equal(directory.MoveRunning))
+	trial.run(within/2-clock.Second, 0, 0)
+	g.Expect(trial.verdict()).To(Equal(directory.MoveDone))
+	g.Expect(float64(trial.sentNew)).To(BeNumerically("<=", share*float64(trial.sent)))
+	g.Expect(trial.sentNew).To(BeNumerically(">", 0))
+}
+
+func TestABadVersionIsTakenBackAndGetsNoMore(t *testing.T) {
+	for name, healthy := range map[string]clock.Millis{"at once": 0, "late": 6 * clock.Second} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			trial := newTrial()
+			trial.run(healthy, 0, 0)
+			trial.run(3*clock.Second, 1, 0)
+			g.Expect(trial.verdict()).To(Equal(directory.MoveTakenBack))
+			before := trial.sentNew
+			trial.run(2*clock.Second, 1, 0)
+			g.Expect(trial.sentNew).To(Equal(before))
+		})
+	}
+}
+
+// A fault that both versions share says nothing about the new one.
+func TestAFaultOfTheWholeServiceTakesNoVersionBack(t *testing.T) {
+	g := NewWithT(t)
+	trial := newTrial()
+	trial.run(within-3*clock.Second, 3, 3)
+	g.Expect(trial.verdict()).To(Equal(directory.MoveRunning))
+}
+
+func TestAPeersVerdictHoldsHere(t *testing.T) {
+	g := NewWithT(t)
+	trial := newTrial()
+	trial.guard.Hear("vm-2", map[string]canary.Evidence{"s": {To: "v2", Bad: true}})
+	g.Expect(trial.verdict()).To(Equal(directory.MoveTakenBack))
+	g.Expect(trial.guard.Choose("s").Allows("v2")).To(BeFalse())
+}
+
+func TestTheEvidenceOfManyVMsIsJudgedTogether(t *testing.T) {
+	g := NewWithT(t)
+	trial := newTrial()
+	for _, peer := range []string{"vm-2", "vm-3", "vm-4", "vm-5"} {
+		trial.guard.Hear(peer, map[string]canary.Evidence{"s": {To: "v2", NewAnswers: 2, NewBad: 1, OldAnswers: 30}})
+	}
+	g.Expect(trial.verdict()).To(Equal(directory.MoveTakenBack))
+}
+
+// A VM that starts in the middle of a move takes over for how long it has gone on.
+func TestAVMThatStartsLateKnowsTheMovesAge(t *testing.T) {
+	g := NewWithT(t)
+	trial := newTrial()
+	trial.manual.Advance(clock.Second)
+	trial.guard.Hear("vm-2", map[string]canary.Evidence{"s": {To: "v2", Age: within - 2*clock.Second}})
+	g.Expect(trial.verdict()).To(Equal(directory.MoveDone))
+}
+
+func TestASettledMoveDecidesWhichVersionServes(t *testing.T) {
+	g := NewWithT(t)
+	trial := newTrial()
+	trial.update(directory.MoveDone)
+	g.Expect(trial.guard.Choose("s")).To(Equal(canary.Choice{Only: "v2"}))
+	trial.update(directory.MoveTakenBack)
+	g.Expect(trial.guard.Choose("s")).To(Equal(canary.Choice{Not: "v2"}))
+	g.Expect(trial.guard.Choose("another service").Allows("v2")).To(BeTrue())
+}
+
+func TestSumKeepsWorstAndOldest(t *testing.T) {
+	g := NewWithT(t)
+	sum := canary.Sum([]map[string]canary.Evidence{
+		{"s": {To: "v2", Age: 5, NewAnswers: 1}},
+		{"s": {To: "v2", Age: 9, NewAnswers: 2, Bad: true}, "r": {To: "v1", OldBad: 1}},
+		{"s": {To: "v3", NewAnswers: 7}},
+	})
+	g.Expect(sum["s"]).To(Equal(canary.Evidence{To: "v2", Age: 9, NewAnswers: 3, Bad: true}))
+	g.Expect(sum["r"].OldBad).To(Equal(1.0))
+}
--- /dev/null
+++ b/internal/policy/quota/quota_test.go
@@ -0,0 +1,187 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/policy/quota"
+	"baobabladder.example/baobabladder/internal/world/routing"
+)
+
+// The bound that the users state: in any window a workspace gets at most what its
+// rate and burst allow, and a little more.
+const (
+	window  = 5 * clock.Second
+	overage = 1.1
+	slack   = 20
+)
+
+func bound(workspace *routing.Workspace) float64 {
+	return (workspace.Rate*float64(window)/float64(clock.Second)+workspace.Burst)*overage + slack
+}
+
+// mostInWindow returns the most admissions in any window.
+func mostInWindow(admitted []clock.Millis) (most int) {
+	first := 0
+	for at := range admitted {
+		for admitted[at]-admitted[first] >= window {
+			first++
+		}
+		most = max(most, at-first+1)
+	}
+	return most
+}
+
+func TestSharesOfAllVMsTogetherKeepALimit(t *testing.T) {
+	for _, vms := range []int{1, 8, 30} {
+		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
+			g := NewWithT(t)
+			manual := &clock.Manual{}
+			workspace := &routing.Workspace{Name: "w", Rate: 40, Burst: 40}
+			var limiters []*quota.Limiter
+			for range vms {
+				limiters = append(limiters, &quota.Limiter{Clock: manual.Clock()})
+			}
+			var admitted []clock.Millis
+			for now := clock.Millis(0); now < 20*clock.Second; now += 10 {
+				for i, limiter := range limiters {
+					if now%250 == 0 {
+						limiter.Update(demandOfOthers(limiters, i))
+					}
+					// The demand moves from VM to VM, and is five times the rate.
+					if (int(now/clock.Second)+i)%vms < max(vms/4, 1) {
+						for range max(8/vms, 1) {
+							if _, ok := limiter.Admit(workspace); ok {
+								admitted = append(admitted, now)
+							}
+						}
+					}
+				}
+				manual.Advance(10)
+			}
+			g.Expect(float64(mostInWindow(admitted))).To(BeNumerically("<=", bound(workspace)))
+		})
+	}
+}
+
+func demandOfOthers(limiters []*quota.Limiter, self int) (others []quota.PeerDemand) {
+	for i, limiter := range limiters {
+		if i != self {
+			others = append(others, quota.PeerDemand{VM: fmt.Sprint(i), Demand: limiter.Demand()})
+		}
+	}
+	return others
+}
+
+func TestARefusalSaysWhenAShareHasRoomAgain(t *testing.T) {
+	g := NewWithT(t)
+	manual := &clock.Manual{}
+	limiter := &quota.Limiter{Clock: manual.Clock()}
+	workspace := &routing.Workspace{Name: "w", Rate: 10, Burst: 2}
+	for range 2 {
+		_, ok := limiter.Admit(workspace)
+		g.Expect(ok).To(BeTrue())
+	}
+	wait, ok := limiter.Admit(workspace)
+	g.Expect(ok).To(BeFalse())
+	manual.Advance(wait)
+	_, ok = limiter.Admit(workspace)
+	g.Expect(ok).To(BeTrue())
+}
+
+func TestAWorkspaceWithoutARateHasNoLimit(t *testing.T) {
+	g := NewWithT(t)
+	limiter := &quota.Limiter{}
+	for range 1000 {
+		_, ok := limiter.Admit(&routing.Workspace{Name: "w"})
+		g.Expect(ok).To(BeTrue())
+	}
+	_, ok := limiter.Admit(nil)
+	g.Expect(ok).To(BeTrue())
+}
+
+// A workspace that suddenly sends several times its rate is bounded although VMs
+// hear of it only with their next report.
+func TestAnOwnerBoundsAWorkspaceThatTurnsHot(t *testing.T) {
+	for _, rate := range []float64{5, 20, 100} {
+		t.Run(fmt.Sprint(rate, " a second"), func(t *testing.T) {
+			g := NewWithT(t)
+			manual := &clock.Manual{}
+			owner := &quota.Owner{Clock: manual.Clock()}
+			workspace := &routing.Workspace{Name: "w", Rate: rate, Burst: rate}
+			const (
+				vms      = 20
+				interval = 250
+				step     = 5
+			)
+			type vm struct {
+				used, missed float64
+				grant        quota.Grant
+			}
+			var (
+				all      [vms]vm
+				admitted []clock.Millis
+				owed     float64
+				arrivals int
+			)
+			for now := clock.Millis(0); now < 20*clock.Second; now += step {
+				demand := rate / 1.6
+				if now > 8*clock.Second {
+					demand *= 7.5
+				}
+				for owed += demand * step / 1000; owed >= 1; owed-- {
+					arrivals++
+					v := &all[arrivals*7%vms]
+					if v.grant.Strict && v.grant.Tokens < 1 {
+						v.grant = owner.Report(workspace, quota.Usage{Used: v.used, Want: 1 + v.missed}, 1)
+						v.used, v.missed = 0, 0
+					}
+					switch {
+					case !v.grant.Strict:
+						v.used++
+						admitted = append(admitted, now)
+					case v.grant.Tokens >= 1:
+						v.grant.Tokens--
+						admitted = append(admitted, now)
+					default:
+						v.missed++
+					}
+				}
+				for i := range all {
+					if v := &all[i]; (now+clock.Millis(i)*step)%interval == 0 {
+						kept := v.grant.Tokens
+						v.grant = owner.Report(workspace, quota.Usage{Used: v.used - kept, Want: v.missed}, 1)
+						v.used, v.missed = 0, 0
+					}
+				}
+				manual.Advance(step)
+			}
+			g.Expect(float64(mostInWindow(admitted))).To(BeNumerically("<=", bound(workspace)))
+			g.Expect(len(admitted)).To(BeNumerically(">", int(rate*10)), "a hot workspace still gets its rate")
+		})
+	}
+}
+
+func TestANewOwnerDoesNotGiveTheBurstAgain(t *testing.T) {
+	g := NewWithT(t)
+	workspace := &routing.Workspace{Name: "w", Rate: 10, Burst: 100}
+	grant := (&quota.Owner{}).Report(workspace, quota.Usage{Want: 1000}, 1)
+	g.Expect(grant.Strict).To(BeTrue())
+	g.Expect(grant.Tokens).To(BeNumerically("<", 50))
+}
+
+func TestAnOwnerThatReachesHalfOfTheVMsGivesHalf(t *testing.T) {
+	g := NewWithT(t)
+	manual := &clock.Manual{}
+	owner := &quota.Owner{Clock: manual.Clock()}
+	workspace := &routing.Workspace{Name: "w", Rate: 100, Burst: 100}
+	given := 0.0
+	for range 100 {
+		given += owner.Report(workspace, quota.Usage{Want: 50}, 0.5).Tokens
+		manual.Advance(100)
+	}
+	g.Expect(given).To(BeNumerically("<=", 0.5*(100*10+100)))
+}
--- /dev/null
+++ b/internal/policy/retry/window_test.go
@@ -0,0 +1,59 @@
+package retry_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/policy/retry"
+)
+
+func TestAWindowBoundsSecondSendsOfAllVMs(t *testing.T) {
+	g := NewWithT(t)
+	const (
+		vms    = 8
+		length = 10 * clock.Second
+		ratio  = 0.2
+		slack  = 56
+	)
+	manual := &clock.Manual{}
+	var windows []*retry.Window
+	for range vms {
+		w := &retry.Window{Clock: manual.Clock(), Length: length, Ratio: ratio, Slack: slack}
+		w.Update(vms)
+		windows = append(windows, w)
+	}
+	var firsts, seconds []clock.Millis
+	for now := clock.Millis(0); now < 4*length; now += 100 {
+		for _, w := range windows {
+			w.First("s")
+			firsts = append(firsts, now)
+			for w.Take("s") {
+				seconds = append(seconds, now)
+			}
+		}
+		manual.Advance(100)
+	}
+	for end := length; end < 4*length; end += 100 {
+		g.Expect(float64(within(seconds, end-length, end))).To(BeNumerically("<=", ratio*float64(within(firsts, end-length, end))+slack))
+	}
+	g.Expect(seconds).NotTo(BeEmpty())
+}
+
+func within(times []clock.Millis, from, to clock.Millis) (count int) {
+	for _, at := range times {
+		if at >= from && at < to {
+			count++
+		}
+	}
+	return count
+}
+
+func TestServicesHaveBudgetsOfTheirOwn(t *testing.T) {
+	g := NewWithT(t)
+	w := &retry.Window{Length: clock.Second, Slack: 1}
+	g.Expect(w.Take("a")).To(BeTrue())
+	g.Expect(w.Take("a")).To(BeFalse())
+	g.Expect(w.Take("b")).To(BeTrue())
+}
