Take a new version back on failures and lateness unlike the old one's, not on first runs

Late answers count half now, slow is 2.2 times what an endpoint without the object takes, and evidence lasts 8 s.

Ruled out: the endpoints' cold start (told apart already).

--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -12,6 +12,7 @@
 	"baobabladder.example/baobabladder/internal/base/fault"
 	"baobabladder.example/baobabladder/internal/base/reason"
 	"baobabladder.example/baobabladder/internal/policy/balance"
+	"baobabladder.example/baobabladder/internal/policy/canary"
 	"baobabladder.example/baobabladder/internal/wire/caller"
 	"baobabladder.example/baobabladder/internal/wire/endpoint"
 )
@@ -21,8 +22,6 @@
 	// to the caller, so that a cut one can be tried again or refused.
 	maxWholeAnswer = 256 << 10
 	copyBytes      = 32 << 10
-	// lateAims is in how many times its aim an answer is far too late.
-	lateAims = 1.6
 )
 
 // run sends the request until an answer was passed on or no try is left.
@@ -117,12 +116,16 @@
 	if grant.Cold {
 		return
 	}
-	switch outcome {
-	case balance.Answered:
-		c.gateway.Trials.Record(c.service.Name, grant.Endpoint.Version, float64(took) > lateAims*float64(c.route.Aim))
-	case balance.Failed, balance.Late:
-		c.gateway.Trials.Record(c.service.Name, grant.Endpoint.Version, true)
+	bad := 0.0
+	switch {
+	case outcome == balance.Failed:
+		bad = 1
+	case outcome == balance.Late, outcome == balance.Answered && grant.IsSlow(took):
+		bad = canary.Late
+	case outcome != balance.Answered:
+		return
 	}
+	c.gateway.Trials.Record(c.service.Name, grant.Endpoint.Version, bad)
 }
 
 func (c *call) send(ctx context.Context, grant *balance.Grant) (*endpoint.Answer, error) {
--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -145,6 +145,9 @@
 	sentAt   clock.Millis
 	// expected is the expected time in milliseconds, without the way.
 	expected float64
+	// usual is the time in milliseconds that an endpoint without the object takes,
+	// with the way and the wait.
+	usual float64
 	// alone says that no other request was expected on the endpoint's slot.
 	alone, warm bool
 	ended       bool
@@ -268,6 +271,7 @@
 	node     *node
 	cost     float64
 	expected float64
+	usual    float64
 	wait     float64
 	warm     bool
 	isHome   bool
@@ -420,6 +424,7 @@
 		way, perKilobyte = nearMillis, nearPerKilobyte
 	}
 	c.expected = way + c.wait + took
+	c.usual = way + c.wait + w.cold
 	c.cost = c.expected + occupancyCost*took + perKilobyte*(request.Kilobytes+answerKilobytes) + n.errors(now)*errorCost*float64(request.Route.Aim)
 	return c
 }
@@ -444,7 +449,7 @@
 	n := c.node
 	g := &Grant{
 		Endpoint: n.endpoint, Cold: n.endpoint.ColdUntil > now, balancer: b, node: n, request: request,
-		sentAt: now, expected: c.expected, alone: c.wait == 0, warm: c.warm,
+		sentAt: now, expected: c.expected, usual: c.usual, alone: c.wait == 0, warm: c.warm,
 	}
 	g.Basis = basis(c, g.Cold, now)
 	if g.Cold {
@@ -541,6 +546,13 @@
 	}
 }
 
+// slowTimes is how many times as long as usual a slow answer takes.
+const slowTimes = 2.2
+
+// IsSlow says whether an answer took far longer than an endpoint that does not
+// have the object at hand usually takes. A new version's endpoints have none.
+func (g *Grant) IsSlow(took clock.Millis) bool { return float64(took) > slowTimes*g.usual }
+
 // learnWeight is the divisor of a new value's part in an average.
 const learnWeight = 16
 
--- a/internal/policy/balance/balance_test.go
+++ b/internal/policy/balance/balance_test.go
@@ -259,3 +259,18 @@
 	f.manual.Advance(hungAfter + 1)
 	g.Expect(f.place(t, request("x")).Endpoint.ID).NotTo(Equal(home.Endpoint.ID))
 }
+
+// Good versions were taken back: the first run of each object on their endpoints
+// takes three times as long as a later one, which was counted as slow.
+func TestAFirstRunOfAnObjectIsNotSlow(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(4)
+	for range 40 {
+		grant := f.place(t, request("x"))
+		f.manual.Advance(264)
+		grant.Done(Result{Outcome: Answered, Running: -1})
+	}
+	first := f.place(t, request("y"))
+	g.Expect(first.IsSlow(1000)).To(BeFalse())
+	g.Expect(first.IsSlow(8 * 264)).To(BeTrue())
+}
--- a/internal/policy/canary/canary.go
+++ b/internal/policy/canary/canary.go
@@ -14,12 +14,12 @@
 
 const (
 	// evidenceSpan is how long an answer counts.
-	evidenceSpan = 4 * clock.Second
+	evidenceSpan = 8 * clock.Second
 	// minBad is how many bad answers it takes to take a version back.
-	minBad = 3.5
+	minBad = 5
 	// worseBy is by how much the part of bad answers must be above the old
 	// version's.
-	worseBy = 0.15
+	worseBy = 0.2
 	// finishEarly is how long before its deadline a move is completed. The rest is
 	// for writing it down.
 	finishEarly = 2500 * clock.Millis(1)
@@ -151,9 +151,13 @@
 	return Choice{Only: t.move.To}
 }
 
-// Record counts an answer of a version. bad stands for a failure or an answer
-// that came far too late.
-func (g *Guard) Record(service, version string, bad bool) {
+// Late is what an answer that came late, or not in time, counts as: others than
+// the version may be the cause.
+const Late = 0.5
+
+// Record counts an answer of a version. bad is 0 for a good one and 1 for a
+// failure; see Late.
+func (g *Guard) Record(service, version string, bad float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t := g.trials[service]
@@ -161,17 +165,13 @@
 		return
 	}
 	t.fade(g.Clock.Now())
-	weight := 0.0
-	if bad {
-		weight = 1
-	}
 	if version == t.move.To {
 		t.evidence.NewAnswers++
-		t.evidence.NewBad += weight
+		t.evidence.NewBad += bad
 		return
 	}
 	t.evidence.OldAnswers++
-	t.evidence.OldBad += weight
+	t.evidence.OldBad += bad
 }
 
 // Evidence returns what this VM tells its peers, by service.
