Never load a VM's state under the roster's lock; follow only relays that the store answers

Cause: in fleets of more than 16 VMs a feed asked the roster, under its own lock, whether the VM was a relay; the roster loaded the VM's state under its lock, which asked the feed.

Ruled out on the way, and mended too: relays that followed other relays told their followers that nothing had changed; a relay that was turned away became one again at once; watches of relays are short, since the store may hold them without a word.

--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -50,7 +50,7 @@
 	ID vm.ID
 	VM vm.VM
 	// Ready says that the VM knows enough to serve, Stopping that it has begun a
-	// planned stop, Contact that the store answers it.
+	// planned stop, Contact that the store answers it, as far as it knows.
 	Ready, Stopping, Contact bool
 	// Demand is the requests a second that it was asked for, by workspace.
 	Demand map[string]float64
@@ -167,7 +167,7 @@
 // targets returns the peers that this VM calls: of each pair the VM with the
 // smaller name calls the other, and calls both ways while one of them is silent.
 func (r *Roster) targets() map[string]string {
-	now := r.Clock.Now()
+	now, self := r.Clock.Now(), r.Load()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	targets := map[string]string{}
@@ -178,7 +178,7 @@
 			}
 		}
 	}
-	relays := r.relays(now)
+	relays := r.relays(now, &self)
 	isRelay := slices.Contains(relays[r.Self.Region], r.Self.Name)
 	for name, listed := range r.listed {
 		if name == r.Self.Name {
@@ -201,8 +201,9 @@
 
 // relays returns the relays of each region: the first VMs by name, those that
 // the store answers before the others, without those that were silent lately.
-// Callers hold mu.
-func (r *Roster) relays(now clock.Millis) map[string][]string {
+// Callers hold mu. self is what Load returned before: it may ask for what holds
+// locks of its own, so that it is never called under this one.
+func (r *Roster) relays(now clock.Millis, self *State) map[string][]string {
 	relays := map[string][]string{}
 	if !r.isLarge() {
 		return relays
@@ -210,7 +211,7 @@
 	for _, needsContact := range []bool{true, false} {
 		for _, name := range slices.Sorted(maps.Keys(r.listed)) {
 			region := r.listed[name].Region
-			if len(relays[region]) < relaysPerRegion && !slices.Contains(relays[region], name) && r.mayRelay(name, needsContact, now) {
+			if len(relays[region]) < relaysPerRegion && !slices.Contains(relays[region], name) && r.mayRelay(name, self, needsContact, now) {
 				relays[region] = append(relays[region], name)
 			}
 		}
@@ -218,9 +219,8 @@
 	return relays
 }
 
-func (r *Roster) mayRelay(name string, needsContact bool, now clock.Millis) bool {
+func (r *Roster) mayRelay(name string, self *State, needsContact bool, now clock.Millis) bool {
 	if name == r.Self.Name {
-		self := r.Load()
 		return !self.Stopping && (!needsContact || self.Contact)
 	}
 	h, found := r.heard[name]
@@ -274,7 +274,7 @@
 	}
 	// Shares of quotas by demand are for small fleets.
 	state.Demand = nil
-	if !slices.Contains(r.relays(now)[r.Self.Region], r.Self.Name) {
+	if !slices.Contains(r.relays(now, &state)[r.Self.Region], r.Self.Name) {
 		return state
 	}
 	region := r.listed[peer].Region
@@ -444,13 +444,13 @@
 // Relays returns the relays of this VM's region but for itself, and whether it is
 // one. In a small fleet every VM is its own relay.
 func (r *Roster) Relays() (others []vm.VM, isRelay bool) {
-	now := r.Clock.Now()
+	now, self := r.Clock.Now(), r.Load()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.isLarge() {
 		return nil, true
 	}
-	for _, name := range r.relays(now)[r.Self.Region] {
+	for _, name := range r.relays(now, &self)[r.Self.Region] {
 		if name == r.Self.Name {
 			return nil, true
 		}
@@ -459,13 +459,21 @@
 	return others, false
 }
 
+// IsFollowed says whether this VM is a relay in a large fleet.
+func (r *Roster) IsFollowed() bool {
+	now, self := r.Clock.Now(), r.Load()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isLarge() && slices.Contains(r.relays(now, &self)[r.Self.Region], r.Self.Name)
+}
+
 // Deciders returns the VMs among which duties for all are divided: all that were
 // heard in a small fleet, and the relays in a large one. isMost says whether this
 // VM knows of more than half of the registered VMs.
 func (r *Roster) Deciders(members []Member) (deciders []Member, isMost bool) {
-	now := r.Clock.Now()
+	now, self := r.Clock.Now(), r.Load()
 	r.mu.Lock()
-	isLarge, relays, listed := r.isLarge(), r.relays(now), len(r.listed)
+	isLarge, relays, listed := r.isLarge(), r.relays(now, &self), len(r.listed)
 	r.mu.Unlock()
 	heard := 0
 	for _, member := range members {
--- a/internal/control/tracker/relay.go
+++ b/internal/control/tracker/relay.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/world/vm"
@@ -14,8 +14,12 @@
 	keptChanges = 1024
 	// relayWait is how long a relay waits for changes, and relayMargin how much
 	// longer its reply may take.
-	relayWait   = 1500 * clock.Millis(1)
-	relayMargin = 600 * clock.Millis(1)
+	relayWait   = 1000 * clock.Millis(1)
+	relayMargin = 500 * clock.Millis(1)
+	// patience is how long a VM waits for its relays to reach the store, and
+	// directPause the time between its own calls afterwards.
+	patience    = 1000 * clock.Millis(1)
+	directPause = 2 * clock.Second
 )
 
 // Wanted asks a relay for changes.
@@ -43,59 +47,105 @@
 
 // Relayed is a Source that asks the relays of a VM's region in place of the store,
 // so that the store's calls do not grow with the fleet. Where the VM is a relay
-// itself, or has none, it asks the store.
+// itself, or has none, it asks the store. It serves one feed.
 type Relayed struct {
 	Store  Source
 	Peers  Caller
 	Relays func() (others []vm.VM, isRelay bool)
-
-	calls atomic.Int64
+	Clock  clock.Clock
+
+	mu sync.Mutex
+	// answeredAt is when a relay or the store last answered, and directAt when the
+	// store was last asked because no relay reached it. Guarded by mu.
+	answeredAt, directAt clock.Millis
+	// isDirect says that the last answer was the store's own. Guarded by mu.
+	isDirect bool
 }
 
 // List implements Source.
 func (r *Relayed) List(ctx context.Context, kind string) (objects []Object, revision int64, err error) {
-	relay, found := r.relay()
-	if !found {
-		return r.Store.List(ctx, kind)
-	}
 	var copied Copy
-	if err := r.call(ctx, relay, fetchMethod, kind, &copied, fetchTimeout); err != nil {
-		return r.Store.List(ctx, kind)
-	}
-	if !copied.InContact {
-		return nil, 0, ErrNoContact.New("the relay %s does not reach the store", relay.Name)
+	isRelayed, err := r.ask(ctx, fetchMethod, kind, fetchTimeout, func() any { copied = Copy{}; return &copied }, func() bool { return copied.InContact })
+	if isRelayed || err != nil {
+		return copied.Objects, copied.Revision, err
 	}
-	return copied.Objects, copied.Revision, nil
+	objects, revision, err = r.Store.List(ctx, kind)
+	r.note(err, true)
+	return objects, revision, err
 }
 
 // Watch implements Source. A relay is asked for a short time only, so that one
 // that is cut off delays no change for long.
 func (r *Relayed) Watch(ctx context.Context, kind string, after int64, wait clock.Millis) (objects []Object, revision int64, err error) {
-	relay, found := r.relay()
-	if !found {
-		return r.Store.Watch(ctx, kind, after, wait)
-	}
-	wait = min(wait, relayWait)
+	short := min(wait, relayWait)
 	var changes Changes
-	if err := r.call(ctx, relay, watchMethod, Wanted{kind, after, wait}, &changes, wait+relayMargin); err != nil {
-		return r.Store.Watch(ctx, kind, after, wait)
-	}
+	isRelayed, err := r.ask(ctx, watchMethod, Wanted{kind, after, short}, short+relayMargin, func() any { changes = Changes{}; return &changes }, func() bool { return changes.InContact })
 	switch {
-	case !changes.InContact:
-		return nil, 0, ErrNoContact.New("the relay %s does not reach the store", relay.Name)
-	case changes.HistoryGone:
-		return nil, 0, ErrHistoryGone.New("the relay %s does not keep the changes asked for", relay.Name)
+	case err != nil:
+		return nil, 0, err
+	case isRelayed && changes.HistoryGone:
+		return nil, 0, ErrHistoryGone.New("no relay keeps the changes asked for")
+	case isRelayed:
+		return changes.Objects, changes.Revision, nil
 	}
-	return changes.Objects, changes.Revision, nil
+	objects, revision, err = r.Store.Watch(ctx, kind, after, wait)
+	r.note(err, true)
+	return objects, revision, err
 }
 
-// relay returns the relay to ask, the next one at each call.
-func (r *Relayed) relay() (relay vm.VM, found bool) {
+// ask asks one relay after the other until one replies that reaches the store.
+// isRelayed is false if the store is to be asked: by a relay, where no relay
+// answers at all, and now and then where none reaches the store.
+func (r *Relayed) ask(ctx context.Context, method string, args any, timeout clock.Millis, reply func() any, isInContact func() bool) (isRelayed bool, err error) {
 	others, isRelay := r.Relays()
 	if isRelay || len(others) == 0 {
-		return vm.VM{}, false
+		return false, nil
+	}
+	hasReplied := false
+	for _, relay := range others {
+		if err := r.call(ctx, relay, method, args, reply(), timeout); err != nil {
+			continue
+		}
+		hasReplied = true
+		if isInContact() {
+			r.note(nil, false)
+			return true, nil
+		}
+	}
+	if !hasReplied || r.mayAskStore() {
+		return false, nil
 	}
-	return others[int(r.calls.Add(1))%len(others)], true
+	return false, ErrNoContact.New("no relay reaches the store")
+}
+
+func (r *Relayed) note(err error, isDirect bool) {
+	if err != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answeredAt = r.Clock.Now()
+	r.isDirect = isDirect
+}
+
+// mayAskStore says whether the store may be asked although relays say that it does
+// not answer them: it may turn just them away.
+func (r *Relayed) mayAskStore() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	if now-r.answeredAt < patience || now-r.directAt < directPause {
+		return false
+	}
+	r.directAt = now
+	return true
+}
+
+// IsDirect says whether the last answer was the store's own.
+func (r *Relayed) IsDirect() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isDirect
 }
 
 func (r *Relayed) call(ctx context.Context, relay vm.VM, method string, args, reply any, timeout clock.Millis) error {
@@ -144,7 +194,7 @@
 	if f.more == nil {
 		f.more = make(chan struct{})
 	}
-	changes = Changes{Revision: max(f.revision, after), InContact: !f.failing && f.revision > 0}
+	changes = Changes{Revision: max(f.revision, after), InContact: f.isInContact()}
 	changes.HistoryGone = after < f.keptFrom
 	for _, kept := range f.changes {
 		if kept.upTo > after {
--- a/internal/control/tracker/tracker.go
+++ b/internal/control/tracker/tracker.go
@@ -22,8 +22,10 @@
 )
 
 const (
-	// watchWait is how long a watch waits for changes.
-	watchWait = 8 * clock.Second
+	// watchWait is how long a watch waits for changes, followedWait that of a feed
+	// which others follow.
+	watchWait    = 8 * clock.Second
+	followedWait = 1400 * clock.Millis(1)
 	// batchPause lets changes that come together be read by one call.
 	batchPause = 120 * clock.Millis(1)
 	firstRetry = 60 * clock.Millis(1)
@@ -67,6 +69,12 @@
 	// Others, when set, says whether the store answers another VM. It is no outage of
 	// the store then.
 	Others func() bool
+	// Followed, when set, says whether other VMs follow this feed. It watches for a
+	// shorter time then: a watch may be held without a word while the store turns
+	// this VM away, and its followers must not wait for that.
+	Followed func() bool
+	// Batch is the pause between two calls, 0 for a short one.
+	Batch clock.Millis
 	// Changed is called after each change with all objects by name. It must not
 	// change them.
 	Changed func(objects map[string]Object)
@@ -110,7 +118,7 @@
 		switch {
 		case err == nil:
 			needsList, retry = false, firstRetry
-			_ = clock.Sleep(ctx, batchPause)
+			_ = clock.Sleep(ctx, max(f.Batch, batchPause))
 			continue
 		case errorx.IsOfType(err, ErrHistoryGone):
 			f.note("the store forgot its history, listing again", err)
@@ -152,10 +160,14 @@
 
 // wait is shorter while removals are held back, so that they are settled in time.
 func (f *Feed) wait() clock.Millis {
+	isFollowed := f.Followed != nil && f.Followed()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.pending) > 0 || f.failing {
+	switch {
+	case len(f.pending) > 0 || f.failing:
 		return lapseGrace / 4
+	case isFollowed:
+		return followedWait
 	}
 	return watchWait
 }
@@ -212,11 +224,18 @@
 	return f.revision
 }
 
-// InContact says whether the store answered the last call.
+// InContact says whether the store itself answered the last call. A feed that
+// follows a relay can't be followed.
 func (f *Feed) InContact() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.failing && f.revision > 0
+	return f.isInContact()
+}
+
+// isInContact is InContact for callers that hold mu.
+func (f *Feed) isInContact() bool {
+	relayed, isRelayed := f.Source.(*Relayed)
+	return !f.failing && f.revision > 0 && (!isRelayed || relayed.IsDirect())
 }
 
 // Age returns the time since the last call that the store answered was sent.
@@ -261,6 +280,8 @@
 
 // merge takes changes over into the copy and tells of them.
 func (f *Feed) merge(objects []Object, revision int64) {
+	// Who answers this may ask for the feed's state.
+	mayLapse := f.Lapses != nil && f.Lapses()
 	f.mu.Lock()
 	isFirst := f.revision == 0
 	if f.objects == nil {
@@ -269,7 +290,7 @@
 	var taken []Object
 	for _, object := range objects {
 		f.newest = max(f.newest, object.Revision)
-		if f.take(object) {
+		if f.take(object, mayLapse) {
 			taken = append(taken, object)
 		}
 	}
@@ -293,7 +314,7 @@
 }
 
 // take merges one object and reports whether the copy changed. Callers hold mu.
-func (f *Feed) take(object Object) bool {
+func (f *Feed) take(object Object, mayLapse bool) bool {
 	known, found := f.objects[object.Name]
 	if found && object.Revision < known.Revision {
 		return false
@@ -307,7 +328,7 @@
 		return false
 	}
 	now := f.Clock.Now()
-	if f.Lapses != nil && f.Lapses() && f.recoveredAt > 0 && now-f.recoveredAt < lapseGrace {
+	if mayLapse && f.recoveredAt > 0 && now-f.recoveredAt < lapseGrace {
 		f.pending[object.Name] = f.recoveredAt + lapseGrace
 		return false
 	}
--- a/internal/entry/node/known.go
+++ b/internal/entry/node/known.go
@@ -68,19 +68,29 @@
 // buildFeeds makes one feed for each kind of object.
 func (n *Node) buildFeeds() {
 	config, endpoints, moves, evacuations, vms := n.Platform.Kinds()
+	n.direct = &directSource{Source: n.Platform, scope: n.metrics.Scope}
 	for _, kind := range []struct {
 		name    string
 		changed func(objects map[string]tracker.Object)
-		lapses  bool
+		// lapses says that entries are removed while the store is away, isUrgent that
+		// changes must be in force soon.
+		lapses, isUrgent bool
 	}{
-		{config, n.takeConfig, false},
-		{endpoints, n.takeEndpoints, true},
-		{moves, n.takeMoves, false},
-		{evacuations, n.takeEvacuations, false},
-		{vms, n.takeVMs, false},
+		{config, n.takeConfig, false, true},
+		{endpoints, n.takeEndpoints, true, true},
+		{moves, n.takeMoves, false, false},
+		{evacuations, n.takeEvacuations, false, true},
+		{vms, n.takeVMs, false, false},
 	} {
-		source := &tracker.Relayed{Store: countedSource{n.Platform, n.metrics.Scope}, Peers: n.peers, Relays: n.relays}
+		source := &tracker.Relayed{Store: n.direct, Peers: n.peers, Relays: n.relays}
 		feed := &tracker.Feed{Kind: kind.name, Source: source, Log: n.Log, Changed: kind.changed, Jitter: jitter, Others: n.othersReachStore}
+		if kind.name == vms {
+			// VMs register at the same time and change seldom.
+			feed.Batch = registrationBatch
+		}
+		if kind.isUrgent {
+			feed.Followed = n.isFollowed
+		}
 		if kind.lapses {
 			// A relay holds back for those that follow it.
 			feed.Lapses = func() bool {
@@ -211,13 +221,13 @@
 // state is what this VM tells its peers.
 func (n *Node) state() roster.State {
 	revisions := make(map[string]int64, len(n.feeds))
-	contact := true
+	isLoaded := true
 	for _, feed := range n.feeds {
 		revisions[feed.Kind] = feed.Newest()
-		contact = contact && feed.InContact()
+		isLoaded = isLoaded && feed.Revision() > 0
 	}
 	return roster.State{
-		ID: n.id, VM: n.self, Ready: n.knowsEnough(), Stopping: n.stopping.Load(), Contact: contact,
+		ID: n.id, VM: n.self, Ready: n.knowsEnough(), Stopping: n.stopping.Load(), Contact: isLoaded && n.direct.mayReach(),
 		Demand: n.quota.Demand(), Running: n.balancer.Running(), Away: n.balancer.Away(), Trials: n.guard.Evidence(), Revisions: revisions,
 	}
 }
@@ -367,3 +377,6 @@
 	}
 	return false
 }
+
+// isFollowed is the roster's, which is made after the feeds.
+func (n *Node) isFollowed() bool { return n.roster.IsFollowed() }
--- a/internal/entry/node/metrics.go
+++ b/internal/entry/node/metrics.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync"
 
+	"github.com/joomcode/errorx"
 	"github.com/uber-go/tally/v4"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
@@ -31,30 +33,55 @@
 	}
 }
 
-// countedSource counts the calls to the store.
-type countedSource struct {
+// directSource calls the store, counts the calls and remembers whether the store
+// answers this VM.
+type directSource struct {
 	tracker.Source
 	scope tally.Scope
+	clock clock.Clock
+
+	mu sync.Mutex
+	// answeredAt and failedAt are when the last call ended that was answered, or was
+	// not. Guarded by mu.
+	answeredAt, failedAt clock.Millis
+	hasFailed            bool
 }
 
 // List implements tracker.Source.
-func (c countedSource) List(ctx context.Context, kind string) (objects []tracker.Object, revision int64, err error) {
-	defer func() { c.count(kind, "list", err) }()
-	return c.Source.List(ctx, kind)
+func (d *directSource) List(ctx context.Context, kind string) (objects []tracker.Object, revision int64, err error) {
+	defer func() { d.note(kind, "list", err) }()
+	return d.Source.List(ctx, kind)
 }
 
 // Watch implements tracker.Source.
-func (c countedSource) Watch(ctx context.Context, kind string, after int64, wait clock.Millis) (objects []tracker.Object, revision int64, err error) {
-	defer func() { c.count(kind, "watch", err) }()
-	return c.Source.Watch(ctx, kind, after, wait)
+func (d *directSource) Watch(ctx context.Context, kind string, after int64, wait clock.Millis) (objects []tracker.Object, revision int64, err error) {
+	defer func() { d.note(kind, "watch", err) }()
+	return d.Source.Watch(ctx, kind, after, wait)
 }
 
-func (c countedSource) count(kind, call string, err error) {
+func (d *directSource) note(kind, call string, err error) {
+	isAnswer := err == nil || errorx.IsOfType(err, tracker.ErrHistoryGone)
 	outcome := "answered"
-	if err != nil {
+	d.mu.Lock()
+	if isAnswer {
+		d.answeredAt = d.clock.Now()
+	} else {
 		outcome = "failed"
+		d.failedAt, d.hasFailed = d.clock.Now(), true
 	}
-	c.scope.Tagged(map[string]string{"kind": kind, "call": call, "outcome": outcome}).Counter("store_calls").Inc(1)
+	d.mu.Unlock()
+	d.scope.Tagged(map[string]string{"kind": kind, "call": call, "outcome": outcome}).Counter("store_calls").Inc(1)
+}
+
+// turnedAwaySpan is how long a VM that the store did not answer is taken not to
+// reach it, unless it is answered before. Such a VM follows others meanwhile.
+const turnedAwaySpan = 10 * clock.Second
+
+// mayReach says whether the store answers this VM, as far as it knows.
+func (d *directSource) mayReach() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.hasFailed || d.answeredAt > d.failedAt || d.clock.Now()-d.failedAt > turnedAwaySpan
 }
 
 // reportGauges shows what the VM knows.
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -38,6 +38,11 @@
 const (
 	// spreadInterval is how often what peers told is passed on to the policies.
 	spreadInterval = 250 * clock.Millis(1)
+	// registrationBatch is the pause between two looks at the registered VMs.
+	registrationBatch = 400 * clock.Millis(1)
+	// relayPatience is how long a starting VM waits for its registration before it
+	// reads the rest from the store.
+	relayPatience = 1500 * clock.Millis(1)
 	// registerRetry is the pause between two tries to register.
 	registerRetry = 700 * clock.Millis(1)
 	// lookupLifetime is how long callers keep a list of VMs, unless less is allowed.
@@ -97,6 +102,7 @@
 	duties    atomic.Pointer[duties]
 	known     known
 	feeds     []*tracker.Feed
+	direct    *directSource
 	stopping  atomic.Bool
 	once      sync.Once
 }
@@ -225,9 +231,7 @@
 		server := &http.Server{Handler: served.handler, ReadHeaderTimeout: headTimeout.Duration()}
 		go n.logEnd(served.what, func() error { return server.Serve(served.listener) })
 	}
-	for _, feed := range n.feeds {
-		go feed.Run(ctx)
-	}
+	go n.startFeeds(ctx)
 	go n.roster.Run(ctx)
 	go n.spread(ctx)
 	go n.admission.Run(ctx)
@@ -235,6 +239,21 @@
 	go logging.Report(ctx, n.Log, &n.gateway.Lines, n.Writer, dropped(n.metrics))
 }
 
+// startFeeds follows the registered VMs first: who knows the relays of its region
+// asks them for the rest, and the store answers few when a large fleet starts.
+func (n *Node) startFeeds(ctx context.Context) {
+	last := len(n.feeds) - 1
+	go n.feeds[last].Run(ctx)
+	for waited := clock.Millis(0); waited < relayPatience && !n.known.isListed(n.self); waited += spreadInterval {
+		if clock.Sleep(ctx, spreadInterval) != nil {
+			return
+		}
+	}
+	for _, feed := range n.feeds[:last] {
+		go feed.Run(ctx)
+	}
+}
+
 func (n *Node) logEnd(what string, serve func() error) {
 	if err := serve(); err != nil && err != http.ErrServerClosed {
 		n.Log.WithError(err).Error(what + " ended")
