--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -459,6 +459,13 @@
 	return others, false
 }
 
+// IsSmall says whether the store has told of VMs, and of few.
+func (r *Roster) IsSmall() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.listed) > 0 && !r.isLarge()
+}
+
 // IsFollowed says whether this VM is a relay in a large fleet.
 func (r *Roster) IsFollowed() bool {
 	now, self := r.Clock.Now(), r.Load()
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -43,6 +43,7 @@
 	// relayPatience is how long a starting VM waits for its registration before it
 	// reads the rest from the store.
 	relayPatience = 1500 * clock.Millis(1)
+	startStep     = 20 * clock.Millis(1)
 	// registerRetry is the pause between two tries to register.
 	registerRetry = 700 * clock.Millis(1)
 	// lookupLifetime is how long callers keep a list of VMs, unless less is allowed.
@@ -244,8 +245,8 @@
 func (n *Node) startFeeds(ctx context.Context) {
 	last := len(n.feeds) - 1
 	go n.feeds[last].Run(ctx)
-	for waited := clock.Millis(0); waited < relayPatience && !n.known.isListed(n.self); waited += spreadInterval {
-		if clock.Sleep(ctx, spreadInterval) != nil {
+	for waited := clock.Millis(0); waited < relayPatience && !n.known.isListed(n.self) && !n.roster.IsSmall(); waited += startStep {
+		if clock.Sleep(ctx, startStep) != nil {
 			return
 		}
 	}
