Fill few endpoints of a version on trial, and keep a move's start over restarts

All VMs restarted at 13 s forgot when the move had begun, and it ended 9 s late.

Change: requests of a trial fill one endpoint after the other; the written state of a move holds when it began.

--- a/internal/entry/node/known.go
+++ b/internal/entry/node/known.go
@@ -158,9 +158,7 @@
 			n.skip("move", object, err)
 			continue
 		}
-		if before, found := old[decoded.Service]; found && before.To == decoded.To {
-			decoded.SeenAt = before.SeenAt
-		}
+		decoded.SeenAt = n.moveBegan(old[decoded.Service], decoded)
 		if before := old[decoded.Service]; before.To != decoded.To || before.State != decoded.State {
 			n.Log.WithFields(logrus.Fields{"service": decoded.Service, "to": decoded.To, "state": decoded.State}).Info("version move")
 		}
@@ -172,6 +170,21 @@
 	n.updateDirectory()
 }
 
+// moveBegan returns when a move began, by this VM's clock: when it was first seen
+// here, or earlier by what another VM wrote down. That rests on two VMs' wall
+// clocks, and is bounded by the time that the move may take.
+func (n *Node) moveBegan(before, newest directory.Move) clock.Millis {
+	began := newest.SeenAt
+	if before.To == newest.To {
+		began = before.SeenAt
+	}
+	if newest.StartedWall == 0 {
+		return began
+	}
+	age := min(max(n.clock.Wall()-newest.StartedWall, 0), newest.Within)
+	return min(began, n.clock.Now()-age)
+}
+
 func (n *Node) takeEvacuations(objects map[string]tracker.Object) {
 	evacuated := map[string]bool{}
 	for name := range objects {
@@ -357,6 +370,9 @@
 		return
 	}
 	for _, verdict := range verdicts {
+		if verdict.Move.StartedWall == 0 {
+			verdict.Move.StartedWall = n.clock.Wall() - (n.clock.Now() - verdict.Move.SeenAt)
+		}
 		fields := logrus.Fields{"service": verdict.Move.Service, "to": verdict.Move.To, "state": verdict.State, "why": verdict.Why}
 		if err := n.Platform.WriteMove(ctx, verdict.Move, verdict.State); err != nil {
 			n.Log.WithError(err).WithFields(fields).Warn("writing the state of a version move failed")
--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -303,6 +303,9 @@
 			}
 			continue
 		}
+		if request.Versions.Pack {
+			c.cost += b.packCost(request, n, endpoints, now)
+		}
 		if best.node == nil || c.cost < best.cost {
 			best = c
 		}
@@ -310,6 +313,30 @@
 	return best, why
 }
 
+// packStep is above the difference that any other cost makes, in milliseconds.
+const packStep = 1e6
+
+// packCost orders the endpoints that may run the request in a circle, those
+// without a free slot after all others. Callers hold mu.
+func (b *Balancer) packCost(request *Request, n *node, endpoints []directory.Endpoint, now clock.Millis) float64 {
+	place, count := 0, 0
+	for i := range endpoints {
+		other := b.nodes[endpoints[i].ID]
+		if other == nil || !b.isAllowed(request, other) {
+			continue
+		}
+		count++
+		if other.hash < n.hash {
+			place++
+		}
+	}
+	place = (place + count - request.Versions.Turn%max(count, 1)) % max(count, 1)
+	if int(n.load(now)) >= n.endpoint.Slots {
+		place += count
+	}
+	return packStep * float64(place)
+}
+
 // isPressed says whether a service has so little room that a cold run would cost
 // others more than it brings. Callers hold mu.
 func (b *Balancer) isPressed(endpoints []directory.Endpoint, now clock.Millis) bool {
--- a/internal/policy/balance/balance_test.go
+++ b/internal/policy/balance/balance_test.go
@@ -274,3 +274,25 @@
 	g.Expect(first.IsSlow(1000)).To(BeFalse())
 	g.Expect(first.IsSlow(8 * 264)).To(BeTrue())
 }
+
+// A version that fails under load only passed its trial: its endpoints had a
+// fourteenth of the others' load each.
+func TestAVersionOnTrialGetsItsRequestsOnFewEndpoints(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(16)
+	r := request("")
+	r.Versions = canary.Choice{Only: "v1", Pack: true}
+	first := f.place(t, r).Endpoint.ID
+	for range testSlots - 1 {
+		g.Expect(f.place(t, r).Endpoint.ID).To(Equal(first))
+	}
+	g.Expect(f.place(t, r).Endpoint.ID).NotTo(Equal(first), "a full endpoint is followed by the next")
+	r.Versions.Turn = 1
+	seen := map[string]bool{}
+	for turn := range 16 {
+		f = newFleet(16)
+		r.Versions.Turn = turn
+		seen[f.place(t, r).Endpoint.ID] = true
+	}
+	g.Expect(seen).To(HaveLen(16), "in turn all of them get some")
+}
--- a/internal/policy/canary/canary.go
+++ b/internal/policy/canary/canary.go
@@ -25,6 +25,8 @@
 	finishEarly = 2500 * clock.Millis(1)
 	// finishPart bounds finishEarly for short moves.
 	finishPart = 4
+	// packTurn is how long the same endpoints of a new version are filled.
+	packTurn = 1500 * clock.Millis(1)
 	// exposureMargin keeps the new version's part below what is allowed.
 	exposureMargin = 0.75
 )
@@ -49,6 +51,11 @@
 	Only string
 	// Not, if set, is a version that is not allowed.
 	Not string
+	// Pack says that few endpoints of the version are to be filled, one after the
+	// other beginning with number Turn, and not all a little: some faults show only
+	// under load.
+	Pack bool
+	Turn int
 }
 
 // Allows says whether a version may run the request.
@@ -148,7 +155,8 @@
 		return Choice{Not: t.move.To}
 	}
 	t.credit--
-	return Choice{Only: t.move.To}
+	turn := int((g.Clock.Now() - t.move.SeenAt) / packTurn)
+	return Choice{Only: t.move.To, Pack: true, Turn: max(turn, 0)}
 }
 
 // Late is what an answer that came late, or not in time, counts as: others than
--- a/internal/world/directory/directory.go
+++ b/internal/world/directory/directory.go
@@ -63,7 +63,10 @@
 	Within clock.Millis
 	// SeenAt is when this VM first knew of the move, by its clock.
 	SeenAt clock.Millis
-	State  MoveState
+	// StartedWall is the wall time in Unix milliseconds at which the move's trial
+	// began, by the VM that wrote it down; 0 before.
+	StartedWall clock.Millis
+	State       MoveState
 	// Revision is the store's at the last change.
 	Revision int64
 }
