--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -261,7 +261,8 @@
 		best, why = b.best(request, now, true)
 	}
 	if best.node == nil {
-		return nil, reason.NotRun(why, refusedRetry, "no endpoint of %s can run the request in time", request.Service.Name)
+		load, slots := b.room(b.directory.Services[request.Service.Name], now)
+		return nil, reason.NotRun(why, refusedRetry, "no endpoint of %s can run the request in time: %.0f requests on %.0f slots", request.Service.Name, load, slots)
 	}
 	return b.grant(request, best, now), nil
 }
@@ -340,7 +341,13 @@
 // isPressed says whether a service has so little room that a cold run would cost
 // others more than it brings. Callers hold mu.
 func (b *Balancer) isPressed(endpoints []directory.Endpoint, now clock.Millis) bool {
-	load, slots := 0.0, 0.0
+	load, slots := b.room(endpoints, now)
+	return load > pressedPart*slots
+}
+
+// room returns how many requests the endpoints that may be used are thought to
+// hold, and their slots. Callers hold mu.
+func (b *Balancer) room(endpoints []directory.Endpoint, now clock.Millis) (load, slots float64) {
 	for i := range endpoints {
 		n := b.nodes[endpoints[i].ID]
 		if n == nil || n.endpoint.Draining || n.isSuspended(now) || b.directory.Evacuated[n.endpoint.DataCentre] {
@@ -349,7 +356,7 @@
 		load += n.load(now)
 		slots += float64(n.endpoint.Slots)
 	}
-	return load > pressedPart*slots
+	return load, slots
 }
 
 // feeds says whether this VM is one of those that may send to a cold endpoint: as
