--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -6,6 +6,7 @@
 package balance
 
 import (
+	"fmt"
 	"hash/fnv"
 	"math"
 	"sync"
@@ -256,13 +257,19 @@
 	if request.Remaining <= 0 {
 		return nil, reason.NotRun(reason.DeadlinePassed, 0, "the deadline passed before an endpoint was chosen")
 	}
-	best, why := b.best(request, now, false)
-	if best.node == nil && why == reason.NoEndpoint {
-		best, why = b.best(request, now, true)
+	best, passed := b.best(request, now, false)
+	if best.node == nil && passed.reason() == reason.NoEndpoint {
+		best, passed = b.best(request, now, true)
+	}
+	if best.node == nil && request.Versions.Pack {
+		// A request of a trial goes to the old version where the new one has no room.
+		request.Versions = canary.Choice{Not: request.Versions.Only}
+		best, passed = b.best(request, now, false)
 	}
 	if best.node == nil {
 		load, slots := b.room(b.directory.Services[request.Service.Name], now)
-		return nil, reason.NotRun(why, refusedRetry, "no endpoint of %s can run the request in time: %.0f requests on %.0f slots", request.Service.Name, load, slots)
+		return nil, reason.NotRun(passed.reason(), refusedRetry, "no endpoint of %s can run the request in time: %.0f requests on %.0f slots; %s",
+			request.Service.Name, load, slots, passed)
 	}
 	return b.grant(request, best, now), nil
 }
@@ -280,28 +287,33 @@
 
 // best compares the endpoints. desperate also looks at suspended ones. Callers
 // hold mu.
-func (b *Balancer) best(request *Request, now clock.Millis, desperate bool) (best candidate, why reason.Reason) {
-	why = reason.NoEndpoint
+func (b *Balancer) best(request *Request, now clock.Millis, desperate bool) (best candidate, passed passedOver) {
 	endpoints := b.directory.Services[request.Service.Name]
 	home := b.home(request, endpoints, now)
 	isPressed := home != nil && b.isPressed(endpoints, now)
 	for i := range endpoints {
 		n := b.nodes[endpoints[i].ID]
-		if n == nil || !b.isAllowed(request, n) || !desperate && n.isSuspended(now) {
+		switch {
+		case n == nil || !b.isAllowed(request, n):
+			passed.closed++
 			continue
-		}
-		if n.endpoint.ColdUntil > now && (now < n.coldNext || !b.feeds(request.Service, n)) {
+		case !desperate && n.isSuspended(now):
+			passed.suspended++
+			continue
+		case n.endpoint.ColdUntil > now && (now < n.coldNext || !b.feeds(request.Service, n)):
+			passed.cold++
 			continue
 		}
 		c := b.weigh(request, n, n == home, now)
-		isFull := int(n.load(now)) >= n.endpoint.Slots+queueDepth
-		if isPressed {
-			isFull = isFull || !c.warm && !c.isHome || c.expected > float64(request.Remaining)
-		}
-		if isFull {
-			if why == reason.NoEndpoint {
-				why = reason.RegionFull
-			}
+		switch {
+		case int(n.load(now)) >= n.endpoint.Slots+queueDepth:
+			passed.full++
+			continue
+		case isPressed && !c.warm && !c.isHome:
+			passed.strange++
+			continue
+		case isPressed && c.expected > float64(request.Remaining):
+			passed.slow++
 			continue
 		}
 		if request.Versions.Pack {
@@ -311,7 +323,29 @@
 			best = c
 		}
 	}
-	return best, why
+	return best, passed
+}
+
+// passedOver counts the endpoints that were not chosen, by why.
+type passedOver struct {
+	// closed endpoints may not run the request at all.
+	closed, suspended, cold, full int
+	// strange endpoints don't have the request's object, slow ones would end too
+	// late, while the service is short of room.
+	strange, slow int
+}
+
+// String tells the counts that are not 0.
+func (p passedOver) String() string {
+	return fmt.Sprintf("endpoints closed %d, suspended %d, cold %d, full %d, without the object %d, too slow %d",
+		p.closed, p.suspended, p.cold, p.full, p.strange, p.slow)
+}
+
+func (p passedOver) reason() reason.Reason {
+	if p.full+p.strange+p.slow > 0 {
+		return reason.RegionFull
+	}
+	return reason.NoEndpoint
 }
 
 // packStep is above the difference that any other cost makes, in milliseconds.
--- a/internal/policy/balance/balance_test.go
+++ b/internal/policy/balance/balance_test.go
@@ -296,3 +296,23 @@
 	}
 	g.Expect(seen).To(HaveLen(16), "in turn all of them get some")
 }
+
+// A twelfth of a service's requests was refused, with two thirds of its slots
+// free, while the endpoints of the version on trial were cold.
+func TestATrialsRequestGoesToTheOldVersionWhereTheNewOneHasNoRoom(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(4)
+	f.endpoints[3].Version = "v2"
+	f.endpoints[3].ColdUntil = clock.Minute
+	f.update(nil)
+	for range 3 {
+		r := request("")
+		r.Versions = canary.Choice{Only: "v2", Pack: true}
+		grant := f.place(t, r)
+		grant.Done(Result{Outcome: Answered, Running: -1})
+		if grant.Endpoint.Version == "v1" {
+			return
+		}
+	}
+	g.Expect("a cold endpoint").To(BeEmpty(), "gets one request a second from this VM")
+}
