--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -25,8 +25,6 @@
 	// are dear between regions.
 	homeWeight     = 5
 	bulkHomeWeight = 40
-	// homeCount is to how many endpoints an object belongs.
-	homeCount = 1
 	// occupancyCost is what a millisecond of an endpoint's slot costs others.
 	occupancyCost = 5
 	// farMillis and nearMillis stand for the round trip to another region and to
