Start the processes of tests in process groups of their own

Cause: the system sends SIGHUP and SIGCONT to a process group that loses its last parent outside the group while one of its processes is stopped. The shell that had started the tests in the background ended while the test held a VM frozen; entry VMs keep the default action for SIGHUP, which ends them.

Shown by running the one spec under a shell that ends 3 s into the freeze: it failed with the recorded message at the recorded line before, and passes after. The new spec asks for the process group; it needs no such shell.

--- a/cmd/baobabladder/path_test.go
+++ b/cmd/baobabladder/path_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -54,14 +55,28 @@
 	}
 }
 
-// start runs a program until the end of the test.
+// start runs a program until the end of the test. It leads a process group of its
+// own: when the shell that started the tests ends, the system hangs up on process
+// groups without a parent that have a stopped process, which would end a VM that a
+// test froze.
 func start(program string, args ...string) *gexec.Session {
-	session, err := gexec.Start(exec.Command(program, args...), GinkgoWriter, GinkgoWriter)
+	command := exec.Command(program, args...)
+	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	session, err := gexec.Start(command, GinkgoWriter, GinkgoWriter)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { session.Kill().Wait("5s") })
 	return session
 }
 
+var _ = Describe("a process of a test", func() {
+	It("leads a process group of its own, so that a hang-up of the tests' group misses it while it is frozen", func() {
+		process := start(standin, "store", "--address", freeAddress()).Command.Process
+		group, err := syscall.Getpgid(process.Pid)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(group).To(Equal(process.Pid))
+	})
+})
+
 const serviceText = `
 [service]
 name = catalogue
--- a/cmd/baobabladder/proof_test.go
+++ b/cmd/baobabladder/proof_test.go
@@ -315,7 +315,7 @@
 }
 
 func (v *entryVM) signal(signal syscall.Signal) {
-	Expect(v.process.Command.Process.Signal(signal)).To(Succeed())
+	Expect(v.process.Command.Process.Signal(signal)).To(Succeed(), "%s, exit code %d", v.Name, v.process.ExitCode())
 }
 
 // kill ends a VM at once and waits for its end.
