Leave a region's slots to requests bound to it, and short regions to their own

Routes or workspaces with homes may run in one region only, and requests that may run anywhere filled its few endpoints.

Change: bound requests claim their region's slots; a region with few slots for its part of the VMs is home to fewer objects of others; an endpoint that would answer after the deadline is the last choice.

--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -7,11 +7,9 @@
 
 import (
 	"fmt"
-	"math"
 	"sync"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
-	"baobabladder.example/baobabladder/internal/base/document"
 	"baobabladder.example/baobabladder/internal/base/hashing"
 	"baobabladder.example/baobabladder/internal/base/reason"
 	"baobabladder.example/baobabladder/internal/policy/canary"
@@ -20,11 +18,6 @@
 )
 
 const (
-	// homeWeight is how much likelier an object belongs to an endpoint of this VM's
-	// region than to one of another; bulkHomeWeight holds for uploads, whose bytes
-	// are dear between regions.
-	homeWeight     = 5
-	bulkHomeWeight = 40
 	// occupancyCost is what a millisecond of an endpoint's slot costs others.
 	occupancyCost = 5
 	// farMillis and nearMillis stand for the round trip to another region and to
@@ -49,6 +42,9 @@
 	// pressedPart is the part of a service's slots in use above which requests only
 	// go where their object is warm.
 	pressedPart = 0.6
+	// tooLateCost is added for an endpoint that would answer after the deadline, in
+	// times of the route's aim: a run there is lost, and its slot with it.
+	tooLateCost = 10
 	// errorCost weighs an endpoint's part of failures, in times of the route's aim.
 	errorCost = 2.5
 	// refusedRetry is when a refused caller may try again.
@@ -101,32 +97,22 @@
 	directory *directory.Directory
 	// nodes holds what is known of each endpoint, by ID. Guarded by mu.
 	nodes map[string]*node
-	// vms holds all VMs, this one included. Guarded by mu.
-	vms []VM
+	// vms holds all VMs, this one included, and vmsIn counts them by region. Guarded
+	// by mu.
+	vms   []VM
+	vmsIn map[string]float64
+	// slots counts each service's slots by region, slotsOf in all of them. Guarded
+	// by mu.
+	slots   map[place]float64
+	slotsOf map[string]float64
+	// claims holds what requests need that are bound to a region. Guarded by mu.
+	claims map[place]*claim
 	// memory maps an object to the endpoints that served it lately. Guarded by mu.
 	memory map[string]memory
 	// works holds what requests take, by service and kind of work. Guarded by mu.
 	works map[string]*work
 }
 
-// memory is where an object went last.
-type memory struct {
-	endpoint string
-	at       clock.Millis
-	// since is when the object went to the endpoint first, and isAway says that it
-	// does not belong there.
-	since  clock.Millis
-	isAway bool
-}
-
-// Away tells peers of an object that went to another endpoint than the one to
-// which it belongs.
-type Away struct {
-	Endpoint string
-	// For is since when, as an age.
-	For clock.Millis
-}
-
 // work is how long endpoints work on one kind of requests, in milliseconds.
 type work struct {
 	cold, warm float64
@@ -201,6 +187,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.directory = newest
+	b.countSlots()
 	nodes := map[string]*node{}
 	for _, endpoints := range newest.Services {
 		for _, e := range endpoints {
@@ -224,6 +211,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.vms = vms
+	b.vmsIn = map[string]float64{}
+	for _, vm := range vms {
+		b.vmsIn[vm.Region]++
+	}
 	now := b.Clock.Now()
 	for id, n := range b.nodes {
 		n.others, n.othersAt = running[id], now
@@ -255,6 +246,9 @@
 	if request.Remaining <= 0 {
 		return nil, reason.NotRun(reason.DeadlinePassed, 0, "the deadline passed before an endpoint was chosen")
 	}
+	if request.isBound() {
+		b.claim(request, now)
+	}
 	best, passed := b.best(request, now, false)
 	if best.node == nil && passed.reason() == reason.NoEndpoint {
 		best, passed = b.best(request, now, true)
@@ -314,6 +308,9 @@
 			passed.slow++
 			continue
 		}
+		if c.expected > float64(request.Remaining) {
+			c.cost += tooLateCost * float64(request.Route.Aim)
+		}
 		if request.Versions.Pack {
 			c.cost += b.packCost(request, n, endpoints, now)
 		}
@@ -432,35 +429,6 @@
 	return routing.MayServe(request.Route, request.Workspace, e.Region)
 }
 
-// home returns the endpoint to which the request's object belongs: the one with
-// the highest weighted hash among those that may run it. Callers hold mu.
-func (b *Balancer) home(request *Request, endpoints []directory.Endpoint, now clock.Millis) (home *node) {
-	if request.Object == "" {
-		return nil
-	}
-	object := hashing.Text(request.Object)
-	near := float64(homeWeight)
-	if request.Route.Work == document.Upload {
-		near = bulkHomeWeight
-	}
-	highest := 0.0
-	for i := range endpoints {
-		n := b.nodes[endpoints[i].ID]
-		if n == nil || !b.isAllowed(request, n) || n.isSuspended(now) || n.endpoint.ColdUntil > now {
-			continue
-		}
-		weight := float64(n.endpoint.Slots)
-		if n.endpoint.Region == b.Region {
-			weight *= near
-		}
-		draw := float64(hashing.Mix(object^n.hash)>>11)/(1<<53) + 1e-18
-		if score := -weight / math.Log(draw); score > highest {
-			highest, home = score, n
-		}
-	}
-	return home
-}
-
 // weigh works out what running the request on an endpoint costs, in
 // milliseconds. Callers hold mu.
 func (b *Balancer) weigh(request *Request, n *node, isHome bool, now clock.Millis) candidate {
@@ -492,6 +460,9 @@
 	c.expected = way + c.wait + took
 	c.usual = way + c.wait + w.cold
 	c.cost = c.expected + occupancyCost*took + perKilobyte*(request.Kilobytes+answerKilobytes) + n.errors(now)*errorCost*float64(request.Route.Aim)
+	if !request.isBound() {
+		c.cost += (1 - b.unclaimed(request.Service.Name, n.endpoint.Region, now)) * claimCost * float64(request.Route.Aim)
+	}
 	return c
 }
 
@@ -543,51 +514,6 @@
 	}
 }
 
-func (b *Balancer) remember(object, endpoint string, isAway bool, now clock.Millis) {
-	if b.memory == nil || len(b.memory) > maxMemory {
-		b.memory = map[string]memory{}
-	}
-	last := b.memory[object]
-	if last.endpoint != endpoint {
-		last = memory{endpoint: endpoint, since: now, isAway: isAway}
-	}
-	last.at = now
-	b.memory[object] = last
-}
-
-// Away lists the objects that went away lately.
-func (b *Balancer) Away() map[string]Away {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.Clock.Now()
-	away := map[string]Away{}
-	for object, last := range b.memory {
-		if last.isAway && now-last.since < toldSpan && len(away) < maxTold {
-			away[object] = Away{Endpoint: last.endpoint, For: now - last.since}
-		}
-	}
-	return away
-}
-
-// HearAway takes over where a peer sent objects that went away. The last change
-// counts.
-func (b *Balancer) HearAway(told map[string]Away) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.Clock.Now()
-	for object, away := range told {
-		last, known := b.memory[object]
-		since := now - away.For
-		if known && (last.since >= since || last.endpoint == away.Endpoint) || b.nodes[away.Endpoint] == nil {
-			continue
-		}
-		if b.memory == nil {
-			b.memory = map[string]memory{}
-		}
-		b.memory[object] = memory{endpoint: away.Endpoint, at: now, since: since, isAway: true}
-	}
-}
-
 // Done notes how the request went. Only the first call counts.
 func (g *Grant) Done(result Result) {
 	b := g.balancer
--- /dev/null
+++ b/internal/policy/balance/home_test.go
@@ -0,0 +1,95 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/document"
+	"baobabladder.example/baobabladder/internal/world/directory"
+	"baobabladder.example/baobabladder/internal/world/routing"
+)
+
+// newUnevenFleet is a balancer in region a over regions with as many VMs each, but
+// with so many endpoints.
+func newUnevenFleet(endpoints map[string]int) *fleet {
+	f := &fleet{manual: &clock.Manual{}}
+	f.manual.Advance(clock.Minute)
+	f.balancer = &Balancer{Clock: f.manual.Clock(), VM: "vm-0", Region: "a", DataCentre: "a1", Cold: Cold{Overage: 1.5, Slack: 5}}
+	vms := []VM{}
+	for _, region := range []string{"a", "b", "c"} {
+		for i := range 3 {
+			vms = append(vms, VM{Name: fmt.Sprint("vm-", region, i), Region: region})
+		}
+		for i := range endpoints[region] {
+			id := fmt.Sprint(region, i)
+			f.endpoints = append(f.endpoints, directory.Endpoint{
+				ID: id, Service: testService.Name, Address: id, Slots: testSlots, Region: region, DataCentre: region + "1", Version: "v1", Revision: 1,
+			})
+		}
+	}
+	f.update(nil)
+	f.balancer.Hear(nil, vms)
+	return f
+}
+
+// placed places a request for each of so many objects, one after the other, and
+// counts where they run.
+func (f *fleet) placed(t *testing.T, objects int) map[string]int {
+	regions := map[string]int{}
+	for i := range objects {
+		grant := f.place(t, request(fmt.Sprint("object ", i)))
+		regions[grant.Endpoint.Region]++
+		grant.Done(Result{Outcome: Answered, Running: -1})
+	}
+	return regions
+}
+
+// Requests that may run anywhere filled the two endpoints of a region to which
+// others were bound: a fifth of a day's requests was refused on a half-empty service.
+func TestRequestsThatMayRunElsewhereLeaveARegionToThoseBoundToIt(t *testing.T) {
+	g := NewWithT(t)
+	f := newUnevenFleet(map[string]int{"a": 2, "b": 7, "c": 7})
+	before := f.placed(t, 200)["a"]
+	g.Expect(before).To(BeNumerically(">", 50))
+
+	home := &routing.Route{Name: "home", Work: document.Catalogue, Aim: 600, Timeout: 1200, Tries: 2, Homes: []string{"a"}}
+	for i := range 200 {
+		bound := request(fmt.Sprint("bound ", i%5))
+		bound.Route = home
+		grant, err := f.balancer.Place(bound)
+		if err == nil {
+			g.Expect(grant.Endpoint.Region).To(Equal("a"))
+			grant.Done(Result{Outcome: Answered, Running: -1})
+		}
+		f.manual.Advance(25)
+	}
+	g.Expect(f.placed(t, 200)["a"]).To(BeNumerically("<", before/5))
+
+	f.manual.Advance(10 * claimSpan)
+	g.Expect(f.placed(t, 200)["a"]).To(BeNumerically(">", before/2), "nobody is bound to the region any more")
+}
+
+// Endpoints of a region with few slots had queues while those of others had none.
+func TestARegionThatIsShortOfSlotsTakesFewObjectsOfOthers(t *testing.T) {
+	g := NewWithT(t)
+	f := newUnevenFleet(map[string]int{"a": 6, "b": 2, "c": 10})
+	regions := f.placed(t, 3000)
+	perSlot := func(region string, endpoints int) float64 { return float64(regions[region]) / float64(endpoints) }
+	g.Expect(perSlot("b", 2)).To(BeNumerically("<", perSlot("c", 10)/3))
+	g.Expect(perSlot("a", 6)).To(BeNumerically(">", perSlot("c", 10)))
+}
+
+// Requests waited at their object's endpoint until their time was over, although
+// another would have answered in time.
+func TestAnEndpointThatWouldAnswerTooLateIsTheLastChoice(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(16)
+	home := f.place(t, request("x"))
+	for range testSlots + 8 {
+		f.balancer.nodes[home.Endpoint.ID].starts = append(f.balancer.nodes[home.Endpoint.ID].starts, f.manual.Clock().Now())
+	}
+	g.Expect(f.place(t, request("x")).Endpoint.ID).NotTo(Equal(home.Endpoint.ID))
+}
