Give workspaces their whole bursts at the first start of the system

Cause: a new owner of a workspace's quota begins with a part of the burst, as the one before may have given the rest.

Change: the setting first_start, which the platform tells; 4 s after such a start, when the VMs agree on the owners, each fills what it owns and nobody has asked for.

Ruled out: filling whenever an owner is new (a restart would give the burst again); letting VMs report what they used lately to a new owner (VMs that died can't).

--- a/internal/base/settings/node.go
+++ b/internal/base/settings/node.go
@@ -31,6 +31,9 @@
 	MetricsAddress string
 	// Peers holds the peer addresses of some VMs.
 	Peers []string
+	// FirstStart says that the whole system starts for the first time: nobody has
+	// used anything of the workspaces' bursts yet.
+	FirstStart bool
 	// Regions maps each data centre to its region.
 	Regions map[string]string
 	// LogLevel is a logrus level.
@@ -145,6 +148,7 @@
 		{"vm", "peer_address", "", text(&n.PeerAddress, checkAddress)},
 		{"vm", "metrics_address", "", text(&n.MetricsAddress, checkAddress)},
 		{"vm", "peers", noPeers, n.readPeers},
+		{"vm", "first_start", "false", readBool(&n.FirstStart)},
 		{"vm", "log_level", "info", text(&n.LogLevel, checkLevel)},
 		{"bounds", "stop_grace", "6s", readDuration(&b.StopGrace)},
 		{"bounds", "lookup_lifetime", "5s", readDuration(&b.LookupLifetime)},
@@ -173,6 +177,17 @@
 	}
 }
 
+func readBool(into *bool) func(string) string {
+	return func(value string) string {
+		parsed, err := strconv.ParseBool(value)
+		if err != nil {
+			return "true or false"
+		}
+		*into = parsed
+		return ""
+	}
+}
+
 func readNumber(into *float64) func(string) string {
 	return func(value string) string {
 		parsed, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
--- a/internal/entry/node/duties.go
+++ b/internal/entry/node/duties.go
@@ -133,6 +133,28 @@
 	return owner, known
 }
 
+// settleTime is how long VMs that start together take to agree on the owners of
+// quotas.
+const settleTime = 4 * clock.Second
+
+// fillBursts gives the workspaces that this VM owns their whole bursts, once the VMs
+// of a system that starts for the first time know each other. An owner that comes
+// later begins with a part, as the one before may have given the rest.
+func (n *Node) fillBursts(ctx context.Context) {
+	if !n.Settings.FirstStart || clock.Sleep(ctx, settleTime) != nil {
+		return
+	}
+	table := n.gateway.Table()
+	if table == nil {
+		return
+	}
+	for name, workspace := range table.Workspaces {
+		if owner, known := n.owner(name); known && owner.Name == n.id.Name {
+			n.admission.Own.Fill(workspace)
+		}
+	}
+}
+
 func (n *Node) part() float64 {
 	if d := n.duties.Load(); d != nil {
 		return d.part
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -236,6 +236,7 @@
 	go n.roster.Run(ctx)
 	go n.spread(ctx)
 	go n.admission.Run(ctx)
+	go n.fillBursts(ctx)
 	go n.keepRegistered(ctx)
 	go logging.Report(ctx, n.Log, &n.gateway.Lines, n.Writer, dropped(n.metrics))
 }
--- a/internal/policy/quota/owner.go
+++ b/internal/policy/quota/owner.go
@@ -91,6 +91,17 @@
 	return grant
 }
 
+// Fill gives a workspace its whole burst, unless it was already asked for. It is for
+// an owner at the first start of the system, when nobody can have used any of it.
+func (o *Owner) Fill(workspace *routing.Workspace) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.accounts[workspace.Name] == nil {
+		a := o.account(workspace.Name, workspace.Burst)
+		a.tokens, a.isStrict = workspace.Burst, false
+	}
+}
+
 func (o *Owner) account(name string, burst float64) *account {
 	if o.accounts == nil {
 		o.accounts = map[string]*account{}
--- a/internal/policy/quota/quota_test.go
+++ b/internal/policy/quota/quota_test.go
@@ -174,6 +174,21 @@
 	g.Expect(grant.Tokens).To(BeNumerically("<", 50))
 }
 
+// Callers within their rate were refused in the first seconds of a new system.
+func TestAtTheFirstStartAWorkspaceHasItsWholeBurst(t *testing.T) {
+	g := NewWithT(t)
+	manual := &clock.Manual{}
+	owner := &quota.Owner{Clock: manual.Clock()}
+	workspace := &routing.Workspace{Name: "w", Rate: 10, Burst: 20}
+	owner.Fill(workspace)
+	g.Expect(owner.Report(workspace, quota.Usage{Used: 1}, 1).Strict).To(BeFalse(), "far below the limit VMs admit freely")
+	given := owner.Report(workspace, quota.Usage{Used: 14, Want: 100}, 1).Tokens
+	g.Expect(given).To(BeNumerically("==", 5), "but not above it")
+
+	owner.Fill(workspace)
+	g.Expect(owner.Report(workspace, quota.Usage{Want: 100}, 1).Tokens).To(BeZero(), "what was used is not given again")
+}
+
 func TestAnOwnerThatReachesHalfOfTheVMsGivesHalf(t *testing.T) {
 	g := NewWithT(t)
 	manual := &clock.Manual{}
