Take a version back whose answers often come late, or that fails with few requests

Late answers counted half, so 45 of 100 late ones were 0.22 against the 0.2 that is allowed.

Change: late answers count three quarters (one slow endpoint of four still takes nothing back); all answers since the move began are judged too, plain failures more strictly.

Ruled out: judging by each endpoint's part (more words between VMs); a lower bound of slowness (the parts above 1.4, 1.7 and 2.2 times the usual time are the same).

Failures that endpoints answered, and refusals over a rate, have log budgets of their own: of the failed requests that were looked for in logs, one was missing for each reason.

--- a/internal/base/logging/budget.go
+++ b/internal/base/logging/budget.go
@@ -15,8 +15,11 @@
 
 // The kinds of lines about requests.
 const (
-	// Refused requests did not run.
+	// Refused requests did not run; those over their workspace's rate are Limited.
 	Refused Kind = "refused"
+	Limited Kind = "limited"
+	// Failed requests were answered with a failure by an endpoint.
+	Failed Kind = "failed"
 	// Unknown requests may have run, but have no answer.
 	Unknown Kind = "unknown"
 	// Resent requests were sent to more than one endpoint.
@@ -28,7 +31,9 @@
 )
 
 // linesPerSecond is each kind's budget.
-var linesPerSecond = map[Kind]int64{Refused: 20, Unknown: 40, Resent: 20, Slow: 10, Sampled: 5}
+var linesPerSecond = map[Kind]int64{
+	Refused: 20, Limited: 10, Unknown: 40, Failed: 20, Resent: 20, Slow: 10, Sampled: 5,
+}
 
 // sampleOf is one of how many ordinary requests is logged.
 const sampleOf = 64
--- a/internal/entry/gateway/trail.go
+++ b/internal/entry/gateway/trail.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"net/http"
+
 	"github.com/sirupsen/logrus"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
@@ -56,10 +58,14 @@
 // kind says which budget pays for the request's lines, and whether it is logged.
 func (c *call) kind(err error) (kind logging.Kind, keep bool) {
 	switch {
+	case err != nil && caller.AsRefusal(err).Reason == reason.RateExceeded:
+		return logging.Limited, true
 	case err != nil && caller.AsRefusal(err).Ran == reason.RanNo:
 		return logging.Refused, true
 	case err != nil:
 		return logging.Unknown, true
+	case c.status() >= http.StatusInternalServerError:
+		return logging.Failed, true
 	case len(c.steps) > 1:
 		return logging.Resent, true
 	case c.route != nil && c.gateway.Clock.Now()-c.arrived > c.route.Aim:
@@ -69,6 +75,14 @@
 	}
 }
 
+// status is that of the answer that was passed on, 0 without one.
+func (c *call) status() int {
+	if len(c.steps) == 0 {
+		return 0
+	}
+	return c.steps[len(c.steps)-1].status
+}
+
 // fields are what a log line says of a try.
 func (s *step) fields(id string, number int) logrus.Fields {
 	fields := logrus.Fields{
--- a/internal/policy/canary/canary.go
+++ b/internal/policy/canary/canary.go
@@ -20,6 +20,16 @@
 	// worseBy is by how much the part of bad answers must be above the old
 	// version's.
 	worseBy = 0.2
+	// minBadEver is minBad for all answers since the move began: a service with few
+	// requests shows too few in evidenceSpan.
+	minBadEver = 4
+	// minFailed and failsMoreBy are the same for plain failures, which no slow endpoint
+	// or cold object causes.
+	minFailed   = 3
+	failsMoreBy = 0.1
+	// failDeviations is how many standard deviations of the failures expected from the
+	// old version's part are left to chance.
+	failDeviations = 2
 	// finishEarly is how long before its deadline a move is completed. The rest is
 	// for writing it down.
 	finishEarly = 2500 * clock.Millis(1)
@@ -41,6 +51,9 @@
 	// the old version's likewise.
 	NewAnswers, NewBad float64
 	OldAnswers, OldBad float64
+	// EverAnswers, EverBad and EverFailed count answers of the new version without
+	// fading, those that failed apart.
+	EverAnswers, EverBad, EverFailed float64
 	// Bad says that the VM found the new version bad.
 	Bad bool
 }
@@ -161,7 +174,7 @@
 
 // Late is what an answer that came late, or not in time, counts as: others than
 // the version may be the cause.
-const Late = 0.5
+const Late = 0.75
 
 // Record counts an answer of a version. bad is 0 for a good one and 1 for a
 // failure; see Late.
@@ -176,6 +189,11 @@
 	if version == t.move.To {
 		t.evidence.NewAnswers++
 		t.evidence.NewBad += bad
+		t.evidence.EverAnswers++
+		t.evidence.EverBad += bad
+		if bad >= 1 {
+			t.evidence.EverFailed++
+		}
 		return
 	}
 	t.evidence.OldAnswers++
@@ -230,16 +248,39 @@
 			if found && sum.To != e.To {
 				continue
 			}
-			sums[service] = Evidence{
-				To: e.To, Age: max(sum.Age, e.Age), Bad: sum.Bad || e.Bad,
-				NewAnswers: sum.NewAnswers + e.NewAnswers, NewBad: sum.NewBad + e.NewBad,
-				OldAnswers: sum.OldAnswers + e.OldAnswers, OldBad: sum.OldBad + e.OldBad,
-			}
+			e.Age, e.Bad = max(sum.Age, e.Age), sum.Bad || e.Bad
+			e.add(&sum)
+			sums[service] = e
 		}
 	}
 	return sums
 }
 
+// add counts the answers of another VM.
+func (e *Evidence) add(other *Evidence) {
+	e.NewAnswers += other.NewAnswers
+	e.NewBad += other.NewBad
+	e.OldAnswers += other.OldAnswers
+	e.OldBad += other.OldBad
+	e.EverAnswers += other.EverAnswers
+	e.EverBad += other.EverBad
+	e.EverFailed += other.EverFailed
+}
+
+// isWorse says whether the new version answers worse than the old one.
+func (e *Evidence) isWorse() bool {
+	old := e.OldBad / max(e.OldAnswers, 1)
+	switch {
+	case e.NewBad >= minBad && e.NewBad > (old+worseBy)*e.NewAnswers:
+		return true
+	case e.EverBad >= minBadEver && e.EverBad > (old+worseBy)*e.EverAnswers:
+		return true
+	default:
+		chance := failDeviations * math.Sqrt(old*e.EverAnswers)
+		return e.EverFailed >= minFailed && e.EverFailed > (old+failsMoreBy)*e.EverAnswers+chance
+	}
+}
+
 func (t *trial) fade(now clock.Millis) {
 	factor := math.Exp(-float64(now-t.at) / float64(evidenceSpan))
 	t.at = now
@@ -262,18 +303,8 @@
 			t.evidence.Bad = true
 			return true
 		}
-		sum.NewAnswers += heard.NewAnswers
-		sum.NewBad += heard.NewBad
-		sum.OldAnswers += heard.OldAnswers
-		sum.OldBad += heard.OldBad
-	}
-	if sum.NewBad < minBad {
-		return false
-	}
-	old := 0.0
-	if sum.OldAnswers > 0 {
-		old = sum.OldBad / sum.OldAnswers
+		sum.add(&heard)
 	}
-	t.evidence.Bad = sum.NewBad/sum.NewAnswers > old+worseBy
+	t.evidence.Bad = sum.isWorse()
 	return t.evidence.Bad
 }
--- a/internal/policy/canary/canary_test.go
+++ b/internal/policy/canary/canary_test.go
@@ -165,3 +165,56 @@
 	}
 	g.Expect(trial.verdict()).To(Equal(directory.MoveTakenBack))
 }
+
+// A version of which every other answer came late was completed: late answers counted
+// half, so that their part was hardly above what is allowed.
+func TestAVersionWhoseAnswersOftenComeLateIsTakenBack(t *testing.T) {
+	g := NewWithT(t)
+	trial := newTrial()
+	for i := range 60 {
+		late := 0.0
+		if i%20 < 9 {
+			late = canary.Late
+		}
+		trial.guard.Record("s", "v2", late)
+		old := 0.0
+		if i%20 == 0 {
+			old = canary.Late
+		}
+		trial.guard.Record("s", "v1", old)
+		trial.manual.Advance(100)
+	}
+	g.Expect(trial.verdict()).To(Equal(directory.MoveTakenBack))
+}
+
+// One endpoint of four may be slow without its version being bad.
+func TestOneSlowEndpointOfFourTakesNoVersionBack(t *testing.T) {
+	g := NewWithT(t)
+	trial := newTrial()
+	for i := range 60 {
+		late := 0.0
+		if i%4 == 0 {
+			late = canary.Late
+		}
+		trial.guard.Record("s", "v2", late)
+		trial.guard.Record("s", "v1", 0)
+		trial.manual.Advance(100)
+	}
+	g.Expect(trial.verdict()).To(Equal(directory.MoveRunning))
+}
+
+// A version that failed three answers of ten was completed: its service has two
+// requests a second on trial, too few for the last seconds to decide.
+func TestAVersionWithFewRequestsIsJudgedByAllOfThem(t *testing.T) {
+	g := NewWithT(t)
+	trial := newTrial()
+	for i := range 20 {
+		bad := 0.0
+		if i%10 < 3 {
+			bad = 1
+		}
+		trial.guard.Record("s", "v2", bad)
+		trial.manual.Advance(600)
+	}
+	g.Expect(trial.verdict()).To(Equal(directory.MoveTakenBack))
+}
