--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -105,8 +105,8 @@
 	// by mu.
 	slots   map[place]float64
 	slotsOf map[string]float64
-	// claims holds what requests need that are bound to a region. Guarded by mu.
-	claims map[place]*claim
+	// reservations holds what requests need that are bound to a region. Guarded by mu.
+	reservations map[place]*reservation
 	// memory maps an object to the endpoints that served it lately. Guarded by mu.
 	memory map[string]memory
 	// works holds what requests take, by service and kind of work. Guarded by mu.
@@ -247,7 +247,7 @@
 		return nil, reason.NotRun(reason.DeadlinePassed, 0, "the deadline passed before an endpoint was chosen")
 	}
 	if request.isBound() {
-		b.claim(request, now)
+		b.reserve(request, now)
 	}
 	best, passed := b.best(request, now, false)
 	if best.node == nil && passed.reason() == reason.NoEndpoint {
@@ -461,7 +461,7 @@
 	c.usual = way + c.wait + w.cold
 	c.cost = c.expected + occupancyCost*took + perKilobyte*(request.Kilobytes+answerKilobytes) + n.errors(now)*errorCost*float64(request.Route.Aim)
 	if !request.isBound() {
-		c.cost += (1 - b.unclaimed(request.Service.Name, n.endpoint.Region, now)) * claimCost * float64(request.Route.Aim)
+		c.cost += (1 - b.unreserved(request.Service.Name, n.endpoint.Region, now)) * reservationCost * float64(request.Route.Aim)
 	}
 	return c
 }
--- a/internal/policy/balance/home.go
+++ b/internal/policy/balance/home.go
@@ -20,13 +20,13 @@
 	// belongs to a region that has few slots, or many, for its VMs.
 	leastAbundance = 0.05
 	mostAbundance  = 3.0
-	// claimSpan smooths what requests need that are bound to a region.
-	claimSpan = 3 * clock.Second
-	// claimCost is the cost of a slot in a region that such requests need whole, in
-	// times of the route's aim, and leastUnclaimed the part that others always count
+	// reservationSpan smooths what requests need that are bound to a region.
+	reservationSpan = 3 * clock.Second
+	// reservationCost is the cost of a slot in a region that such requests need whole, in
+	// times of the route's aim, and leastUnreserved the part that others always count
 	// on.
-	claimCost      = 1
-	leastUnclaimed = 0.02
+	reservationCost = 1
+	leastUnreserved = 0.02
 )
 
 // place is one service in one region.
@@ -34,15 +34,15 @@
 	service, region string
 }
 
-// claim is how many requests bound to a place are under way or turned away there,
+// reservation is how many requests bound to a place are under way or turned away there,
 // as this VM sees it, smoothed.
-type claim struct {
+type reservation struct {
 	load float64
 	at   clock.Millis
 }
 
-func (c *claim) now(now clock.Millis) float64 {
-	return c.load * math.Exp(-float64(now-c.at)/float64(claimSpan))
+func (r *reservation) now(now clock.Millis) float64 {
+	return r.load * math.Exp(-float64(now-r.at)/float64(reservationSpan))
 }
 
 // isBound says whether only some regions may run the request.
@@ -63,39 +63,39 @@
 	}
 }
 
-// claim counts a request for the regions to which it is bound. Callers hold mu.
-func (b *Balancer) claim(request *Request, now clock.Millis) {
+// reserve counts a request for the regions to which it is bound. Callers hold mu.
+func (b *Balancer) reserve(request *Request, now clock.Millis) {
 	var regions []string
 	for region := range b.vmsIn {
 		if b.slots[place{request.Service.Name, region}] > 0 && routing.MayServe(request.Route, request.Workspace, region) {
 			regions = append(regions, region)
 		}
 	}
-	if b.claims == nil {
-		b.claims = map[place]*claim{}
+	if b.reservations == nil {
+		b.reservations = map[place]*reservation{}
 	}
 	took := b.work(request).warm / float64(max(len(regions), 1))
 	for _, region := range regions {
 		at := place{request.Service.Name, region}
-		c := b.claims[at]
-		if c == nil {
-			c = &claim{}
-			b.claims[at] = c
+		r := b.reservations[at]
+		if r == nil {
+			r = &reservation{}
+			b.reservations[at] = r
 		}
-		c.load, c.at = c.now(now)+took/float64(claimSpan), now
+		r.load, r.at = r.now(now)+took/float64(reservationSpan), now
 	}
 }
 
-// unclaimed is the part of a region's slots that requests bound to it leave to
+// unreserved is the part of a region's slots that requests bound to it leave to
 // others, if callers ask the other VMs for as many. Callers hold mu.
-func (b *Balancer) unclaimed(service, region string, now clock.Millis) float64 {
+func (b *Balancer) unreserved(service, region string, now clock.Millis) float64 {
 	at := place{service, region}
-	c := b.claims[at]
-	if c == nil || b.slots[at] == 0 {
+	r := b.reservations[at]
+	if r == nil || b.slots[at] == 0 {
 		return 1
 	}
-	claimed := c.now(now) * float64(max(len(b.vms), 1)) / (pressedPart * b.slots[at])
-	return max(1-claimed, leastUnclaimed)
+	reserved := r.now(now) * float64(max(len(b.vms), 1)) / (pressedPart * b.slots[at])
+	return max(1-reserved, leastUnreserved)
 }
 
 // abundance is above 1 for a region that has more of a service's slots than its part
@@ -150,7 +150,7 @@
 		weight = homeWeight
 	}
 	if !request.isBound() {
-		weight *= b.unclaimed(request.Service.Name, region, now)
+		weight *= b.unreserved(request.Service.Name, region, now)
 	}
 	return weight
 }
--- a/internal/policy/balance/home_test.go
+++ b/internal/policy/balance/home_test.go
@@ -68,7 +68,7 @@
 	}
 	g.Expect(f.placed(t, 200)["a"]).To(BeNumerically("<", before/5))
 
-	f.manual.Advance(10 * claimSpan)
+	f.manual.Advance(10 * reservationSpan)
 	g.Expect(f.placed(t, 200)["a"]).To(BeNumerically(">", before/2), "nobody is bound to the region any more")
 }
 
