--- a/internal/base/settings/node_test.go
+++ b/internal/base/settings/node_test.go
@@ -21,6 +21,7 @@
 peer_address = 10.1.0.23:8383
 metrics_address = 10.1.0.23:7460
 peers = 10.1.0.23:8383,10.2.0.40:8383
+first_start = true
 
 [data_centres]
 leith = lothian
@@ -38,6 +39,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(node.Peers).To(Equal([]string{"10.1.0.23:8383", "10.2.0.40:8383"}))
 	g.Expect(node.Regions).To(Equal(map[string]string{"leith": "lothian", "dyce": "grampian"}))
+	g.Expect(node.FirstStart).To(BeTrue())
 	g.Expect(node.Bounds.StopGrace).To(Equal(6 * clock.Second))
 	g.Expect(node.Bounds.RetryRatio).To(Equal(0.2))
 	g.Expect(node.Bounds.LookupLifetime).To(Equal(5*clock.Second), "what is not set has its default")
@@ -52,6 +54,7 @@
 		"unknown key":     {"cold_slack = 5", "cold_slck = 5", "section [bounds], key cold_slck is not allowed"},
 		"unknown section": {"[bounds]", "[bound]", "section [bound] is not allowed"},
 		"another region":  {"leith = lothian", "leith = clyde", `section [data_centres], key leith: "clyde" is not allowed: the VM's own region, lothian`},
+		"no truth":        {"first_start = true", "first_start = maybe", `key first_start: "maybe" is not allowed: true or false`},
 		"no peer":         {"10.2.0.40:8383", "x", "key peers"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/policy/canary/canary_test.go
+++ b/internal/policy/canary/canary_test.go
@@ -166,24 +166,31 @@
 	g.Expect(trial.verdict()).To(Equal(directory.MoveTakenBack))
 }
 
+// record records answers of both versions in turn, 0.1 s apart, as bad as told.
+func (t *trial) record(turns int, newBad, oldBad func(turn int) float64) {
+	for turn := range turns {
+		t.guard.Record("s", "v2", newBad(turn))
+		t.guard.Record("s", "v1", oldBad(turn))
+		t.manual.Advance(100)
+	}
+}
+
+// lateIn returns late for so many answers of each so many.
+func lateIn(late, all int) func(turn int) float64 {
+	return func(turn int) float64 {
+		if turn%all < late {
+			return canary.Late
+		}
+		return 0
+	}
+}
+
 // A version of which every other answer came late was completed: late answers counted
 // half, so that their part was hardly above what is allowed.
 func TestAVersionWhoseAnswersOftenComeLateIsTakenBack(t *testing.T) {
 	g := NewWithT(t)
 	trial := newTrial()
-	for i := range 60 {
-		late := 0.0
-		if i%20 < 9 {
-			late = canary.Late
-		}
-		trial.guard.Record("s", "v2", late)
-		old := 0.0
-		if i%20 == 0 {
-			old = canary.Late
-		}
-		trial.guard.Record("s", "v1", old)
-		trial.manual.Advance(100)
-	}
+	trial.record(60, lateIn(9, 20), lateIn(1, 20))
 	g.Expect(trial.verdict()).To(Equal(directory.MoveTakenBack))
 }
 
@@ -191,15 +198,7 @@
 func TestOneSlowEndpointOfFourTakesNoVersionBack(t *testing.T) {
 	g := NewWithT(t)
 	trial := newTrial()
-	for i := range 60 {
-		late := 0.0
-		if i%4 == 0 {
-			late = canary.Late
-		}
-		trial.guard.Record("s", "v2", late)
-		trial.guard.Record("s", "v1", 0)
-		trial.manual.Advance(100)
-	}
+	trial.record(60, lateIn(1, 4), lateIn(0, 4))
 	g.Expect(trial.verdict()).To(Equal(directory.MoveRunning))
 }
 
