--- a/internal/standin/firm/firm.go
+++ b/internal/standin/firm/firm.go
@@ -103,9 +103,11 @@
 	}
 	ctx, stopAll := context.WithCancel(ctx)
 	f = &Firm{Plan: plan, Network: &link.Network{}, Store: store.New(), Endpoints: map[string]*endpoint.Endpoint{}, stopAll: stopAll}
+	started := f
 	defer func() {
+		// A failed start returns no firm, but what it has started must end.
 		if err != nil {
-			f.Stop()
+			started.Stop()
 		}
 	}()
 	if err := f.startStore(ctx); err != nil {
