Let the early answer of a test come once the body was begun

Such a body stays open, so that another endpoint can have it, as endBody says; the test asked for it to be closed.

--- a/internal/wire/endpoint/endpoint_test.go
+++ b/internal/wire/endpoint/endpoint_test.go
@@ -383,11 +383,30 @@
 	g.Expect(body.closed).NotTo(BeClosed())
 }
 
+// signalling closes begun at its first read.
+type signalling struct {
+	io.Reader
+	once  sync.Once
+	begun chan struct{}
+}
+
+// Read implements io.Reader.
+func (s *signalling) Read(buffer []byte) (int, error) {
+	s.once.Do(func() { close(s.begun) })
+	return s.Reader.Read(buffer)
+}
+
 func TestAnEarlyAnswerEndsTheBody(t *testing.T) {
 	g := NewWithT(t)
-	h := newHostile(t, says("HTTP/1.1 413 Big\r\nRequest-Id: ID\r\nContent-Length: 2\r\n\r\nok", false))
+	tooLarge := says("HTTP/1.1 413 Big\r\nRequest-Id: ID\r\nContent-Length: 2\r\n\r\nok", false)
+	begun := make(chan struct{})
+	h := newHostile(t, func(h *hostile, connection net.Conn, reader *bufio.Reader) {
+		// A body that was not begun when the answer comes stays open, for another endpoint.
+		<-begun
+		tooLarge(h, connection, reader)
+	})
 	reader, writer := io.Pipe()
-	body := &upload{Reader: reader, closed: make(chan struct{})}
+	body := &upload{Reader: &signalling{Reader: reader, begun: begun}, closed: make(chan struct{})}
 	go func() {
 		<-body.closed
 		_ = writer.CloseWithError(errors.New("closed"))
