Guard what running requests look at in the fleets of two tests

The timed tests hold the fleet's lock around each tick, the machine did not, nor did the death of a VM. In the mover's test, the count of calls was shared. Ruled out: the product; the race detector names the tests' files only, for all packages but the commands, the demo and platform, which were not run with it.

--- a/internal/control/mover/mover_test.go
+++ b/internal/control/mover/mover_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -95,7 +96,7 @@
 	// cut VMs neither call nor are called, and their copies are not updated.
 	cut map[string]bool
 	// calls counts calls between the VMs.
-	calls int
+	calls atomic.Int64
 	// copies is each VM's copy of the state.
 	copies []json.RawMessage
 }
@@ -161,7 +162,7 @@
 }
 
 func (c *fakeCaller) Call(_ context.Context, address, method string, args, reply any) error {
-	c.fleet.calls++
+	c.fleet.calls.Add(1)
 	if c.fleet.cut[c.from] || c.fleet.cut[address] {
 		return peer.ErrUnreachable.New("cut")
 	}
@@ -352,12 +353,12 @@
 	mover.View = func() *membership.View { return view }
 	f.cut["vm1"] = true
 	mover.Guard.Suspend(move.Suspension{Service: "orders", Attempt: 1, To: "v2"})
-	f.calls = 0
+	f.calls.Store(0)
 	for range 100 {
 		mover.Tell(context.Background())
 		f.manual.Advance(syncInterval)
 	}
-	g.Expect(f.calls).To(BeNumerically("<=", 25), "calls in 10 s")
+	g.Expect(f.calls.Load()).To(BeNumerically("<=", 25), "calls in 10 s")
 	f.cut = map[string]bool{}
 	f.manual.Advance(longestWait)
 	mover.Tell(context.Background())
--- a/internal/policy/divide/liveness_test.go
+++ b/internal/policy/divide/liveness_test.go
@@ -175,9 +175,13 @@
 }
 
 func (r *trial) outlive(dead int) {
+	r.fleet.mu.Lock()
 	r.fleet.kill(r.fleet.nodes[dead])
+	r.fleet.mu.Unlock()
 	r.run(2 * clock.Second)
+	r.fleet.mu.Lock()
 	delete(r.fleet.listed, r.fleet.nodes[dead].name)
+	r.fleet.mu.Unlock()
 	r.run(3 * clock.Second)
 	if dead == 0 {
 		r.fleet.lead(r.fleet.nodes[1])
--- a/internal/policy/divide/machine_test.go
+++ b/internal/policy/divide/machine_test.go
@@ -67,6 +67,15 @@
 func actions(f *fleet) map[string]func(*rapid.T) {
 	acts := (*node).acts
 	leads := func(n *node) bool { return n.acts() && n.ledger != nil }
+	// changing is for actions that change what requests look at that still run by
+	// themselves.
+	changing := func(action func(*rapid.T)) func(*rapid.T) {
+		return func(t *rapid.T) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			action(t)
+		}
+	}
 	return map[string]func(*rapid.T){
 		"": func(t *rapid.T) {
 			if f.err != nil {
@@ -125,8 +134,8 @@
 		"rush":       func(t *rapid.T) { f.rush(rapid.SampledFrom([]clock.Millis{0, 0, 30_000}).Draw(t, "after")) },
 		"rush again": func(t *rapid.T) { f.rush(rapid.SampledFrom([]clock.Millis{0, 0, 30_000}).Draw(t, "after")) },
 		"end all":    func(*rapid.T) { f.endAll() },
-		"tick":       func(*rapid.T) { f.tick() },
-		"tick again": func(*rapid.T) { f.tick() },
+		"tick":       changing(func(*rapid.T) { f.tick() }),
+		"tick again": changing(func(*rapid.T) { f.tick() }),
 		"plan again": func(t *rapid.T) {
 			n := some(t, f, leads)
 			for _, other := range f.nodes {
@@ -137,22 +146,22 @@
 		"plan":        func(t *rapid.T) { f.plan(some(t, f, leads)) },
 		"new divider": func(t *rapid.T) { f.lead(some(t, f, acts)) },
 		"lapse":       func(t *rapid.T) { some(t, f, leads).ledger = nil },
-		"freeze":      func(t *rapid.T) { some(t, f, acts).frozen = true },
-		"thaw":        func(t *rapid.T) { some(t, f, func(n *node) bool { return n.frozen }).frozen = false },
-		"cut":         func(t *rapid.T) { some(t, f, func(n *node) bool { return n.alive && !n.cut }).cut = true },
-		"mend":        func(t *rapid.T) { some(t, f, func(n *node) bool { return n.cut }).cut = false },
-		"kill":        func(t *rapid.T) { f.kill(some(t, f, func(n *node) bool { return n.alive })) },
-		"restart":     func(t *rapid.T) { f.start(some(t, f, func(n *node) bool { return !n.alive })) },
-		"replace": func(t *rapid.T) {
+		"freeze":      changing(func(t *rapid.T) { some(t, f, acts).frozen = true }),
+		"thaw":        changing(func(t *rapid.T) { some(t, f, func(n *node) bool { return n.frozen }).frozen = false }),
+		"cut":         changing(func(t *rapid.T) { some(t, f, func(n *node) bool { return n.alive && !n.cut }).cut = true }),
+		"mend":        changing(func(t *rapid.T) { some(t, f, func(n *node) bool { return n.cut }).cut = false }),
+		"kill":        changing(func(t *rapid.T) { f.kill(some(t, f, func(n *node) bool { return n.alive })) }),
+		"restart":     changing(func(t *rapid.T) { f.start(some(t, f, func(n *node) bool { return !n.alive })) }),
+		"replace": changing(func(t *rapid.T) {
 			n := some(t, f, func(n *node) bool { return n.alive })
 			f.kill(n)
 			f.start(n)
 			f.fence(n)
-		},
+		}),
 		"unlist": func(t *rapid.T) { delete(f.listed, some(t, f, isListedDead(f)).name) },
-		"sync":   func(t *rapid.T) { f.sync(some(t, f, acts)) },
+		"sync":   changing(func(t *rapid.T) { f.sync(some(t, f, acts)) }),
 		"fence":  func(t *rapid.T) { f.fence(some(t, f, func(n *node) bool { return n.acts() && !n.isFenced })) },
-		"restart all": func(t *rapid.T) {
+		"restart all": changing(func(t *rapid.T) {
 			if rapid.IntRange(0, 4).Draw(t, "really") > 0 {
 				t.Skip("rare")
 			}
@@ -160,7 +169,7 @@
 				f.kill(n)
 				f.start(n)
 			}
-		},
+		}),
 		"lean":       func(t *rapid.T) { f.lean(some(t, f, acts)) },
 		"lean again": func(t *rapid.T) { f.lean(some(t, f, acts)) },
 		"new document": func(t *rapid.T) {
@@ -170,11 +179,11 @@
 			f.totals = limits(rapid.Int64Range(1, 3).Draw(t, "scale"))
 			f.oracle.raise(f.totals)
 		},
-		"rest": func(t *rapid.T) {
+		"rest": changing(func(t *rapid.T) {
 			if rapid.IntRange(0, 4).Draw(t, "really") > 0 {
 				t.Skip("rare")
 			}
 			f.rest()
-		},
+		}),
 	}
 }
