Give processes that are told their ports an address of their own

Cause: the firm took free ports by asking for any, closed them and then started the VMs; whoever asked for any port meanwhile could be given one of them, and the VM's start failed. A loop of starts beside goroutines that ask for ports and keep them for 0.4 s shows the same words, 'entry-1 does not serve after 15000 ms': 10 of 10. Ruled out: outgoing connections, 8 goroutines that dial without a pause: 0 of 15; and load alone: 2 of 2 runs of the demo passed beside five busy processors.

--- a/cmd/baobabladder/path_test.go
+++ b/cmd/baobabladder/path_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,6 +17,7 @@
 	"github.com/onsi/gomega/gexec"
 
 	"baobabladder.example/baobabladder/internal/base/document"
+	"baobabladder.example/baobabladder/internal/standin/loopback"
 	"baobabladder.example/baobabladder/internal/wire/store"
 	"baobabladder.example/baobabladder/internal/world/key"
 )
@@ -38,21 +38,13 @@
 	DeferCleanup(gexec.CleanupBuildArtifacts)
 })
 
-// nextPort is the next port to try. Ports below the system's ephemeral ones are
-// taken neither by outgoing connections nor by listeners that leave the choice to
-// the system, as a port that was free a moment ago may be.
-var nextPort = 10_000 + os.Getpid()%500*16
+// host is where the test's processes listen.
+var host = loopback.New()
 
-// freeAddress returns a loopback address at which nobody listens, each once.
 func freeAddress() string {
-	for {
-		nextPort++
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
-		if listener, err := net.Listen("tcp", address); err == nil {
-			Expect(listener.Close()).To(Succeed())
-			return address
-		}
-	}
+	address, err := host.Address()
+	Expect(err).NotTo(HaveOccurred())
+	return address
 }
 
 // start runs a program until the end of the test. It leads a process group of its
--- a/internal/entry/process/link_test.go
+++ b/internal/entry/process/link_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"path"
 	"strconv"
 	"sync"
@@ -22,6 +21,7 @@
 	"baobabladder.example/baobabladder/internal/base/settings"
 	"baobabladder.example/baobabladder/internal/entry/process"
 	"baobabladder.example/baobabladder/internal/standin/link"
+	"baobabladder.example/baobabladder/internal/standin/loopback"
 	"baobabladder.example/baobabladder/internal/standin/store"
 	wire "baobabladder.example/baobabladder/internal/wire/store"
 	"baobabladder.example/baobabladder/internal/world/vm"
@@ -83,19 +83,13 @@
 	return listener
 }
 
-// nextPort is the next port to try, below the system's ephemeral ports.
-var nextPort = 18_000 + os.Getpid()%100*16
-
-// free returns an address at which nobody listens, each once.
-func free() string {
-	for {
-		nextPort++
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
-		if listener, err := net.Listen("tcp", address); err == nil {
-			_ = listener.Close()
-			return address
-		}
-	}
+// host is where the tests' VMs listen.
+var host = loopback.New()
+
+func free(g *WithT) string {
+	address, err := host.Address()
+	g.Expect(err).NotTo(HaveOccurred())
+	return address
 }
 
 // serve serves until the end of the test.
@@ -203,7 +197,7 @@
 func (p *pair) start(t *testing.T, g *WithT, name, region, storeAddress string) {
 	read := settings.Settings{
 		Name: name, Region: region, DataCentre: region + "-1", Store: "http://" + storeAddress + "/",
-		CallerAddress: free(), PeerAddress: free(), OperatorAddress: free(),
+		CallerAddress: free(g), PeerAddress: free(g), OperatorAddress: free(g),
 	}
 	place := link.Place{VM: name, Region: region, DataCentre: region + "-1"}
 	p.network.Locate(read.PeerAddress, place)
--- a/internal/standin/firm/firm.go
+++ b/internal/standin/firm/firm.go
@@ -22,6 +22,7 @@
 	"baobabladder.example/baobabladder/internal/base/settings"
 	"baobabladder.example/baobabladder/internal/standin/endpoint"
 	"baobabladder.example/baobabladder/internal/standin/link"
+	"baobabladder.example/baobabladder/internal/standin/loopback"
 	"baobabladder.example/baobabladder/internal/standin/store"
 	wireCaller "baobabladder.example/baobabladder/internal/wire/caller"
 	wire "baobabladder.example/baobabladder/internal/wire/store"
@@ -208,8 +209,8 @@
 
 // addDocument starts a document's endpoints and writes it to the store.
 func (f *Firm) addDocument(ctx context.Context, text string) error {
-	listeners := map[string]net.Listener{}
-	text, err := replaceAddresses(text, listeners)
+	listeners := listeners{}
+	text, err := replaceAddresses(text, listeners.open)
 	if err != nil {
 		return err
 	}
@@ -233,20 +234,32 @@
 	return f.write(ctx, parsed.Name, text)
 }
 
-// replaceAddresses puts a listening address in place of each address in text.
-func replaceAddresses(text string, listeners map[string]net.Listener) (replaced string, err error) {
+// replaceAddresses puts a free address in place of each address in text.
+func replaceAddresses(text string, free func() (string, error)) (replaced string, err error) {
 	replaced = addressPattern.ReplaceAllStringFunc(text, func(old string) string {
-		listener, e := net.Listen("tcp", "127.0.0.1:0")
+		address, e := free()
 		if e != nil {
 			err = e
 			return old
 		}
-		listeners[listener.Addr().String()] = listener
-		return listener.Addr().String()
+		return address
 	})
 	return replaced, err
 }
 
+// listeners holds open listeners by address.
+type listeners map[string]net.Listener
+
+// open opens a listener and returns its address.
+func (l listeners) open() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	l[listener.Addr().String()] = listener
+	return listener.Addr().String(), nil
+}
+
 func (f *Firm) setFleet(fleet *document.Fleet) {
 	f.Fleet = fleet
 	if f.Near {
@@ -278,13 +291,12 @@
 	f.start(declared.Name, func() error { return made.Serve(ctx, listener) })
 }
 
-// addEntries starts all entry VMs. Their ports are held together until each has
-// its own, so that none is given out twice.
+// addEntries starts all entry VMs.
 func (f *Firm) addEntries(ctx context.Context, texts []string) error {
-	listeners := map[string]net.Listener{}
+	host := loopback.New()
 	var all []settings.Settings
 	for _, text := range texts {
-		text, err := replaceAddresses(placePattern.ReplaceAllString(text, ""), listeners)
+		text, err := replaceAddresses(placePattern.ReplaceAllString(text, ""), host.Address)
 		if err != nil {
 			return err
 		}
@@ -297,9 +309,6 @@
 		}
 		all = append(all, read)
 	}
-	for _, listener := range listeners {
-		_ = listener.Close()
-	}
 	for _, read := range all {
 		f.listed = append(f.listed, wireCaller.EntryVM{Name: read.Name, Address: read.CallerAddress, Region: read.Region, DataCentre: read.DataCentre})
 	}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"baobabladder.example/baobabladder/internal/base/fault"
 	"baobabladder.example/baobabladder/internal/base/settings"
 	"baobabladder.example/baobabladder/internal/entry/process"
+	"baobabladder.example/baobabladder/internal/standin/loopback"
 	"baobabladder.example/baobabladder/internal/standin/store"
 	"baobabladder.example/baobabladder/internal/wire/operator"
 	"baobabladder.example/baobabladder/internal/wire/peer"
@@ -29,11 +30,8 @@
 const (
 	// dataCentresPerRegion is about the letter's 93 data centres in 28 regions.
 	dataCentresPerRegion = 3
-	// firstPort and endPort bound the ports of the VMs.
-	firstPort    = 20000
-	endPort      = 32000
-	startTimeout = 60 * clock.Second
-	pollInterval = 50 * clock.Millis(1)
+	startTimeout         = 60 * clock.Second
+	pollInterval         = 50 * clock.Millis(1)
 )
 
 var (
@@ -48,8 +46,7 @@
 	vms      []*entryVM
 	running  sync.WaitGroup
 	stopAll  context.CancelFunc
-	// nextPort is the next port to try.
-	nextPort int
+	host     *loopback.Host
 	// peerBytes and storeBytes count both directions of all VMs' connections.
 	peerBytes, storeBytes atomic.Int64
 }
@@ -67,7 +64,7 @@
 func Start(ctx context.Context, vms, dataCentres int) (f *Fleet, err error) {
 	defer fault.Annotate(&err, "starting %d entry VMs in %d data centres", vms, dataCentres)
 	ctx, stopAll := context.WithCancel(ctx)
-	f = &Fleet{store: store.New(), stopAll: stopAll, nextPort: firstPort}
+	f = &Fleet{store: store.New(), stopAll: stopAll, host: loopback.New()}
 	if err := f.startStore(ctx); err != nil {
 		f.Stop()
 		return nil, err
@@ -130,28 +127,13 @@
 		LogLevel:   "error",
 	}
 	for _, address := range []*string{&read.CallerAddress, &read.PeerAddress, &read.OperatorAddress} {
-		if *address, err = f.freeAddress(); err != nil {
+		if *address, err = f.host.Address(); err != nil {
 			return settings.Settings{}, err
 		}
 	}
 	return read, nil
 }
 
-// freeAddress returns the next loopback address that nobody listens on. Its port
-// lies below those that outgoing connections take, so that none of the fleet's
-// own connections can be given it before its VM listens.
-func (f *Fleet) freeAddress() (string, error) {
-	for f.nextPort < endPort {
-		address := fmt.Sprintf("127.0.0.1:%d", f.nextPort)
-		f.nextPort++
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
-			return address, listener.Close()
-		}
-	}
-	return "", errNotReady.New("no port from %d to %d is free", firstPort, endPort-1)
-}
-
 func listed(read settings.Settings) vm.VM {
 	return vm.VM{
 		Name: read.Name, Role: vm.Entry, State: vm.Live, Region: read.Region, DataCentre: read.DataCentre,
