Exchange states of large fleets through relays, and tell changes only

Now a VM of a large fleet exchanges states with the two relays of its region only. A relay's word on its region's VMs has a version and is left out when the peer knows it; what the region's VMs run, and their evidence, comes as a sum from one relay. A VM is heard if the VM itself or any fresh word says so, so that one relay's loss hides nobody. Relays come from different data centres, so that one that is cut off has its own at once. A VM that is asked tells what it hears even if it is no relay: relays that resign went silent for those who had not learned it. Ruled out: carrying ages for each VM (words then change always); one word for both relays (each would renew what it heard from the other).

--- /dev/null
+++ b/internal/control/roster/relays.go
@@ -0,0 +1,144 @@
+package roster
+
+import (
+	"slices"
+	"sort"
+
+	"baobabladder.example/baobabladder/internal/base/hashing"
+	"baobabladder.example/baobabladder/internal/world/vm"
+)
+
+// relaysPerRegion is how many VMs of a region speak for it.
+const relaysPerRegion = 2
+
+// standing is how well a VM suits as a relay.
+type standing int
+
+const (
+	// reaching VMs are heard, and the store answers them.
+	reaching standing = iota
+	// standby VMs are heard, or were never called.
+	standby
+	// missing VMs were heard once.
+	missing
+	unfit
+)
+
+// chooseRelays returns the relays of each region: the first of each data centre in
+// turn, the best suited before the others. Callers hold mu.
+func (r *Roster) chooseRelays(known map[string]Brief, self *State) map[string][]string {
+	relays := map[string][]string{}
+	candidates := r.candidates()
+	for wanted := reaching; wanted < unfit; wanted++ {
+		for _, name := range candidates {
+			region := r.listed[name].Region
+			if len(relays[region]) < relaysPerRegion && r.standing(name, known, self) == wanted {
+				relays[region] = append(relays[region], name)
+			}
+		}
+	}
+	return relays
+}
+
+// candidates returns the registered VMs in the order in which they become relays:
+// the first of each data centre by name, then the second of each. A data centre
+// that is cut off so has a relay soon. Callers hold mu.
+func (r *Roster) candidates() []string {
+	names := make([]string, 0, len(r.listed))
+	for name := range r.listed {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	turns, counts := make(map[string]int, len(names)), map[string]int{}
+	for _, name := range names {
+		dataCentre := r.listed[name].DataCentre
+		turns[name] = counts[dataCentre]
+		counts[dataCentre]++
+	}
+	sort.SliceStable(names, func(i, j int) bool { return turns[names[i]] < turns[names[j]] })
+	return names
+}
+
+func (r *Roster) standing(name string, known map[string]Brief, self *State) standing {
+	brief, isKnown := known[name]
+	if name == r.Self.Name {
+		brief, isKnown = briefOf(self, true), true
+	}
+	switch {
+	case brief.Heard && brief.Stopping:
+		return unfit
+	case brief.Heard && brief.Contact:
+		return reaching
+	case brief.Heard:
+		return standby
+	case r.Clock.Now() < r.silentUntil[name]:
+		return unfit
+	case !isKnown:
+		return standby
+	default:
+		return missing
+	}
+}
+
+// isRelay says whether a VM of this VM's region is one of its relays. Callers hold
+// mu.
+func (r *Roster) isRelay(name string, self *State) bool {
+	return slices.Contains(r.view(self).relays[r.Self.Region], name)
+}
+
+// source names the relay that tells this VM what the others of the region run.
+// Callers hold mu.
+func (r *Roster) source(self *State) string {
+	relays := r.view(self).relays[r.Self.Region]
+	if len(relays) == 0 {
+		return ""
+	}
+	return relays[hashing.Text(r.Self.Name)%uint64(len(relays))]
+}
+
+// Relays returns the relays of this VM's region but for itself, and whether it is
+// one. In a small fleet every VM is its own relay.
+func (r *Roster) Relays() (others []vm.VM, isRelay bool) {
+	self := r.self()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.isLarge() || r.isRelay(r.Self.Name, &self) {
+		return nil, true
+	}
+	for _, name := range r.view(&self).relays[r.Self.Region] {
+		others = append(others, r.listed[name])
+	}
+	return others, false
+}
+
+// IsFollowed says whether this VM is a relay in a large fleet.
+func (r *Roster) IsFollowed() bool {
+	self := r.self()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isLarge() && r.isRelay(r.Self.Name, &self)
+}
+
+// Deciders returns the VMs among which duties for all are divided: all that were
+// heard in a small fleet, and the relays in a large one. isMost says whether this
+// VM knows of more than half of the registered VMs.
+func (r *Roster) Deciders(members []Member) (deciders []Member, isMost bool) {
+	self := r.self()
+	r.mu.Lock()
+	isLarge, relays, listed := r.isLarge(), r.view(&self).relays, len(r.listed)
+	r.mu.Unlock()
+	heard := 0
+	for _, member := range members {
+		if !member.Heard {
+			continue
+		}
+		heard++
+		if !member.Ready || member.Stopping {
+			continue
+		}
+		if !isLarge || slices.Contains(relays[member.VM.Region], member.ID.Name) {
+			deciders = append(deciders, member)
+		}
+	}
+	return deciders, heard*2 > listed
+}
--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -2,17 +2,16 @@
 // store; the registered VMs exchange their state with each other directly, and
 // one that was not heard lately counts as lost. No list from outside is needed.
 //
-// In a fleet of more than pairFleet VMs only those of one region exchange states.
-// The first of each region are its relays: they exchange states with the relays
-// of the other regions, and tell what they heard there.
+// In a fleet of more than pairFleet VMs a VM exchanges states with the relays of
+// its region only, and those with the relays of the other regions. Relays tell
+// which VMs they hear, in words that are sent again only when they change, and
+// what the VMs of their region do together.
 package roster
 
 import (
 	"context"
-	"maps"
-	"slices"
-	"sort"
 	"sync"
+	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 
@@ -34,10 +33,11 @@
 	lostIntervals  = 3
 	lostMargin     = 200 * clock.Millis(1)
 	forgottenAfter = 30 * clock.Second
-	// relaysPerRegion is how many VMs of a region speak to other regions.
-	relaysPerRegion = 2
 	// silentPause is how long a VM that did not answer is no relay.
 	silentPause = 5 * clock.Second
+	// viewAge is how old the summary of what was heard may be, and what this VM
+	// tells of itself.
+	viewAge = 100 * clock.Millis(1)
 )
 
 // ReceiverName names the receiver of exchanges.
@@ -45,7 +45,7 @@
 
 const exchangeMethod = ReceiverName + ".Exchange"
 
-// State is what a VM tells its peers of itself.
+// State is what a VM tells a peer: of itself, and as a relay of others.
 type State struct {
 	ID vm.ID
 	VM vm.VM
@@ -60,21 +60,21 @@
 	Away map[string]balance.Away
 	// Trials is what it saw of new versions, by service.
 	Trials map[string]canary.Evidence
-	// Briefs tells a VM of another region than the teller's, or from there, which VMs
-	// there are; Regions tells the evidence of whole regions on new versions.
-	Briefs  []Brief
-	Regions map[string]map[string]canary.Evidence
 	// Revisions is up to which change of the store it knows each kind of object.
 	Revisions map[string]int64
-}
-
-// Brief is what a relay tells of a VM that it heard, or heard of.
-type Brief struct {
-	ID                       vm.ID
-	VM                       vm.VM
-	Ready, Stopping, Contact bool
-	// Age is how long ago the VM was heard.
-	Age clock.Millis
+	// Versions names the words that it knows, by author, so that they are not sent
+	// again, and WantsRunning asks a relay for RegionRunning.
+	Versions     map[string]Version
+	WantsRunning bool
+
+	// Words is told by relays: which VMs there are.
+	Words []Word
+	// RegionRunning is how many requests of the region's other VMs run on each
+	// endpoint, if it was asked for.
+	RegionRunning map[string]int
+	// Regions is the evidence on new versions, by region; that of the peer's region
+	// leaves out its own.
+	Regions map[string]map[string]canary.Evidence
 }
 
 // Member is one VM as this VM sees it.
@@ -104,14 +104,28 @@
 	Clock clock.Clock
 	Log   logrus.FieldLogger
 
+	// loaded is what Load returned last.
+	loaded atomic.Pointer[loaded]
+
 	mu sync.Mutex
 	// listed holds the registered VMs by name. Guarded by mu.
 	listed map[string]vm.VM
-	// heard holds the last state of each VM that was ever heard. Guarded by mu.
+	// heard holds the last state of each VM that told one itself. Guarded by mu.
 	heard map[string]hearing
-	// evidence is what relays told of other regions' evidence on new versions.
-	// Guarded by mu.
+	// words holds the last word of each relay, by author, and own this VM's as a
+	// relay. Guarded by mu.
+	words map[string]told
+	own   Word
+	// seen is the summary of heard and words; nil if it has to be made anew. Guarded
+	// by mu.
+	seen *view
+	// evidence is what relays told of regions' evidence on new versions. Guarded by
+	// mu.
 	evidence map[string]map[string]canary.Evidence
+	// regionRunning is what a relay told last of the requests of the region's other
+	// VMs, at regionRunningAt. Guarded by mu.
+	regionRunning   map[string]int
+	regionRunningAt clock.Millis
 	// lost names the VMs that a log line called lost. Guarded by mu.
 	lost map[string]bool
 	// calling names the peers with an exchange under way. Guarded by mu.
@@ -121,13 +135,16 @@
 	silentUntil map[string]clock.Millis
 }
 
-// hearing is the last word of or about a VM.
+// hearing is the last state that a VM told.
 type hearing struct {
 	state State
-	// at is when the VM was heard, by this VM or by who told of it.
-	at clock.Millis
-	// isTold says that another VM told of it.
-	isTold bool
+	at    clock.Millis
+}
+
+// loaded is what this VM tells of itself, as it was at a time.
+type loaded struct {
+	state State
+	at    clock.Millis
 }
 
 // List takes over the registered VMs.
@@ -138,6 +155,7 @@
 	for _, listed := range vms {
 		r.listed[listed.Name] = listed
 	}
+	r.seen = nil
 }
 
 // SetSeeds replaces the addresses to ask while no VM is known.
@@ -164,11 +182,24 @@
 	}
 }
 
-// targets returns the peers that this VM calls: of each pair the VM with the
-// smaller name calls the other, and calls both ways while one of them is silent.
-// Relays call those of other regions both ways: each may think of others as relays.
+// self returns what this VM tells of itself. It holds no lock: Load may ask for
+// what holds locks of its own.
+func (r *Roster) self() State {
+	now := r.Clock.Now()
+	last := r.loaded.Load()
+	if last == nil || now-last.at >= viewAge {
+		last = &loaded{r.Load(), now}
+		r.loaded.Store(last)
+	}
+	return last.state
+}
+
+// targets returns the peers that this VM calls. In a small fleet and among the
+// relays of a region the VM with the smaller name calls the other, and both call
+// while one of them is silent. Relays call those of other regions both ways: each
+// may think of others as relays. Other VMs call the relays of their region.
 func (r *Roster) targets() map[string]string {
-	now, self := r.Clock.Now(), r.Load()
+	self := r.self()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	targets := map[string]string{}
@@ -179,57 +210,31 @@
 			}
 		}
 	}
-	relays := r.relays(now, &self)
-	isRelay := slices.Contains(relays[r.Self.Region], r.Self.Name)
-	for name, listed := range r.listed {
-		if name == r.Self.Name {
-			continue
-		}
-		if r.isLarge() && listed.Region != r.Self.Region && !(isRelay && slices.Contains(relays[listed.Region], name)) {
-			continue
-		}
-		h, found := r.heard[name]
-		isFar := r.isLarge() && listed.Region != r.Self.Region
-		if name > r.Self.Name || isFar || !found || h.isTold || now-h.at > r.lostAfter() {
-			targets[name] = listed.PeerAddress
-		}
-	}
-	return targets
-}
-
-// isLarge says whether the fleet is too large for each pair of VMs to exchange
-// states. Callers hold mu.
-func (r *Roster) isLarge() bool { return len(r.listed) > pairFleet }
-
-// relays returns the relays of each region: the first VMs by name, those that
-// the store answers before the others, without those that were silent lately.
-// Callers hold mu. self is what Load returned before: it may ask for what holds
-// locks of its own, so that it is never called under this one.
-func (r *Roster) relays(now clock.Millis, self *State) map[string][]string {
-	relays := map[string][]string{}
 	if !r.isLarge() {
-		return relays
-	}
-	for _, needsContact := range []bool{true, false} {
-		for _, name := range slices.Sorted(maps.Keys(r.listed)) {
-			region := r.listed[name].Region
-			if len(relays[region]) < relaysPerRegion && !slices.Contains(relays[region], name) && r.mayRelay(name, self, needsContact, now) {
-				relays[region] = append(relays[region], name)
+		for name, listed := range r.listed {
+			if name != r.Self.Name && r.callsFirst(name) {
+				targets[name] = listed.PeerAddress
+			}
+		}
+		return targets
+	}
+	isRelay := r.isRelay(r.Self.Name, &self)
+	for region, relays := range r.view(&self).relays {
+		for _, name := range relays {
+			isNear := region == r.Self.Region
+			if name != r.Self.Name && (isRelay && (!isNear || r.callsFirst(name)) || !isRelay && isNear) {
+				targets[name] = r.listed[name].PeerAddress
 			}
 		}
 	}
-	return relays
+	return targets
 }
 
-func (r *Roster) mayRelay(name string, self *State, needsContact bool, now clock.Millis) bool {
-	if name == r.Self.Name {
-		return !self.Stopping && (!needsContact || self.Contact)
-	}
+// callsFirst says whether it is for this VM to call the other of a pair. Callers
+// hold mu.
+func (r *Roster) callsFirst(name string) bool {
 	h, found := r.heard[name]
-	if !found {
-		return !needsContact && now >= r.silentUntil[name]
-	}
-	return now-h.at <= r.limit(h) && !h.state.Stopping && (!needsContact || h.state.Contact)
+	return name > r.Self.Name || !found || r.Clock.Now()-h.at > r.lostAfter()
 }
 
 func (r *Roster) begin(name string) bool {
@@ -249,7 +254,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout.Duration())
 	defer cancel()
 	var reply State
-	err := r.Peers.Call(ctx, address, exchangeMethod, r.stateFor(name), &reply)
+	err := r.Peers.Call(ctx, address, exchangeMethod, r.stateFor(name, false), &reply)
 	r.mu.Lock()
 	delete(r.calling, name)
 	if r.silentUntil == nil {
@@ -265,10 +270,10 @@
 	}
 }
 
-// stateFor returns what this VM tells a peer.
-func (r *Roster) stateFor(peer string) State {
-	state := r.Load()
-	now := r.Clock.Now()
+// stateFor returns what this VM tells a peer, which may be unknown. A VM that is
+// asked is taken for a relay, and tells what it hears even if it is none.
+func (r *Roster) stateFor(peer string, isAsked bool) State {
+	state := r.self()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.isLarge() {
@@ -276,59 +281,29 @@
 	}
 	// Shares of quotas by demand are for small fleets.
 	state.Demand = nil
-	if !slices.Contains(r.relays(now, &state)[r.Self.Region], r.Self.Name) {
+	state.Versions = r.versions()
+	if isAsked || r.isRelay(r.Self.Name, &state) {
+		r.addWords(&state, peer)
 		return state
 	}
-	region := r.listed[peer].Region
-	if region != r.Self.Region {
-		state.Running, state.Away = nil, nil
-	}
-	state.Regions = r.regionEvidence(state.Trials, region, now)
-	for _, h := range r.heard {
-		if h.state.VM.Region == region || now-h.at > r.lostAfter() {
-			continue
-		}
-		state.Briefs = append(state.Briefs, Brief{
-			ID: h.state.ID, VM: h.state.VM, Ready: h.state.Ready, Stopping: h.state.Stopping, Contact: h.state.Contact, Age: now - h.at,
-		})
-	}
+	state.WantsRunning = r.source(&state) == peer
 	return state
 }
 
-// regionEvidence returns the evidence of this VM's region and of those that it was
-// told of, but for the one that is told. Callers hold mu.
-func (r *Roster) regionEvidence(own map[string]canary.Evidence, told string, now clock.Millis) map[string]map[string]canary.Evidence {
-	regions := map[string]map[string]canary.Evidence{}
-	for region, evidence := range r.evidence {
-		if region != told {
-			regions[region] = evidence
-		}
-	}
-	if told == r.Self.Region || len(own) == 0 {
-		return regions
-	}
-	sums := []map[string]canary.Evidence{own}
-	for _, h := range r.heard {
-		if !h.isTold && h.state.VM.Region == r.Self.Region && now-h.at < r.lostAfter() {
-			sums = append(sums, h.state.Trials)
-		}
-	}
-	regions[r.Self.Region] = canary.Sum(sums)
-	return regions
-}
-
-// Tell exchanges states with all peers at once, such as when a stop begins.
+// Tell exchanges states with the VMs of the region at once, or with all in a small
+// fleet, such as when a stop begins.
 func (r *Roster) Tell(ctx context.Context) {
+	r.loaded.Store(nil)
 	r.mu.Lock()
 	peers := make([]vm.VM, 0, len(r.listed))
 	for name, listed := range r.listed {
-		if name != r.Self.Name {
+		if name != r.Self.Name && (!r.isLarge() || listed.Region == r.Self.Region) {
 			peers = append(peers, listed)
 		}
 	}
 	r.mu.Unlock()
 	for _, listed := range peers {
-		go r.call(ctx, "", listed.PeerAddress)
+		go r.call(ctx, listed.Name, listed.PeerAddress)
 	}
 }
 
@@ -336,104 +311,61 @@
 	if state.ID.Name == "" || state.ID.Name == r.Self.Name {
 		return
 	}
-	if !r.note(state, r.Clock.Now(), false) {
+	if !r.note(state) {
 		return
 	}
-	for _, brief := range state.Briefs {
-		if brief.ID.Name != r.Self.Name && brief.VM.Region != r.Self.Region {
-			told := State{ID: brief.ID, VM: brief.VM, Ready: brief.Ready, Stopping: brief.Stopping, Contact: brief.Contact}
-			r.note(told, r.Clock.Now()-brief.Age, true)
-		}
+	if len(state.Words) > 0 {
+		r.takeWords(&state)
 	}
-	r.mu.Lock()
-	for region, evidence := range state.Regions {
-		if r.evidence == nil {
-			r.evidence = map[string]map[string]canary.Evidence{}
-		}
-		if region != r.Self.Region {
-			r.evidence[region] = evidence
-		}
-	}
-	r.mu.Unlock()
 	if r.Heard != nil {
 		r.Heard(state)
 	}
 }
 
-// note takes the word of or about a VM over, unless a newer one is known, and
-// reports whether it did.
-func (r *Roster) note(state State, at clock.Millis, isTold bool) bool {
+// note takes the state that a VM told over, unless one of a later run is known,
+// and reports whether it did.
+func (r *Roster) note(state State) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	name := state.ID.Name
 	known, found := r.heard[name]
-	if found && (known.state.ID.Incarnation > state.ID.Incarnation || isTold && known.at >= at) {
+	if found && known.state.ID.Incarnation > state.ID.Incarnation {
 		return false
 	}
-	if isTold && found && !known.isTold && r.Clock.Now()-known.at < r.lostAfter() {
-		// What only the VM itself tells is kept, the rest is newer.
-		known.at = at
-		known.state.Ready, known.state.Stopping, known.state.Contact = state.Ready, state.Stopping, state.Contact
-		r.heard[name] = known
-		return true
-	}
 	if r.heard == nil {
 		r.heard = map[string]hearing{}
 	}
-	r.heard[name] = hearing{state, at, isTold}
-	if r.lost[name] && r.Clock.Now()-at < r.lostAfter() {
-		delete(r.lost, name)
-		if r.Log != nil {
-			r.Log.WithField("peer", name).Info("regained a peer")
-		}
+	now := r.Clock.Now()
+	if !found || now-known.at > r.lostAfter() || known.state.Ready != state.Ready || known.state.Stopping != state.Stopping || known.state.Contact != state.Contact {
+		r.seen = nil
 	}
+	state.Words, state.RegionRunning, state.Regions = nil, nil, nil
+	r.heard[name] = hearing{state, now}
 	return true
 }
 
 func (r *Roster) logLost() {
-	now := r.Clock.Now()
+	self, now := r.self(), r.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.lost == nil {
 		r.lost = map[string]bool{}
 	}
-	for name, h := range r.heard {
-		if now-h.at > r.limit(h) && !r.lost[name] {
-			r.lost[name] = true
-			if r.Log != nil {
-				r.Log.WithFields(logrus.Fields{"peer": name, "silent_ms": now - h.at}).Warn("lost a peer")
-			}
+	for name, brief := range r.view(&self).vms {
+		if brief.Heard != r.lost[name] || r.Log == nil {
+			continue
 		}
-	}
-}
-
-// Members returns all VMs, this one included, sorted by name.
-func (r *Roster) Members() []Member {
-	now := r.Clock.Now()
-	self := r.Load()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	members := []Member{{State: self, Heard: true, Known: true}}
-	for _, h := range r.heard {
-		if now-h.at < forgottenAfter {
-			members = append(members, Member{State: h.state, Heard: now-h.at < r.limit(h), Known: true})
+		r.lost[name] = !brief.Heard
+		if brief.Heard {
+			r.Log.WithField("peer", name).Info("regained a peer")
+			continue
 		}
-	}
-	for name, listed := range r.listed {
-		if _, found := r.heard[name]; !found && name != r.Self.Name {
-			members = append(members, Member{State: State{ID: vm.ID{Name: name}, VM: listed}})
+		line := r.Log.WithField("peer", name)
+		if h, found := r.heard[name]; found {
+			line = line.WithField("silent_ms", now-h.at)
 		}
+		line.Warn("lost a peer")
 	}
-	sort.Slice(members, func(i, j int) bool { return members[i].ID.Name < members[j].ID.Name })
-	return members
-}
-
-// limit is how old the last word of a VM may be. What is told takes longer.
-func (r *Roster) limit(h hearing) clock.Millis {
-	if h.isTold {
-		return 2 * r.lostAfter()
-	}
-	return r.lostAfter()
 }
 
 func (r *Roster) lostAfter() clock.Millis { return lostIntervals*r.interval() + lostMargin }
@@ -445,23 +377,9 @@
 	return exchangeInterval
 }
 
-// Relays returns the relays of this VM's region but for itself, and whether it is
-// one. In a small fleet every VM is its own relay.
-func (r *Roster) Relays() (others []vm.VM, isRelay bool) {
-	now, self := r.Clock.Now(), r.Load()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.isLarge() {
-		return nil, true
-	}
-	for _, name := range r.relays(now, &self)[r.Self.Region] {
-		if name == r.Self.Name {
-			return nil, true
-		}
-		others = append(others, r.listed[name])
-	}
-	return others, false
-}
+// isLarge says whether the fleet is too large for each pair of VMs to exchange
+// states. Callers hold mu.
+func (r *Roster) isLarge() bool { return len(r.listed) > pairFleet }
 
 // IsSmall says whether the store has told of VMs, and of few.
 func (r *Roster) IsSmall() bool {
@@ -470,38 +388,6 @@
 	return len(r.listed) > 0 && !r.isLarge()
 }
 
-// IsFollowed says whether this VM is a relay in a large fleet.
-func (r *Roster) IsFollowed() bool {
-	now, self := r.Clock.Now(), r.Load()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.isLarge() && slices.Contains(r.relays(now, &self)[r.Self.Region], r.Self.Name)
-}
-
-// Deciders returns the VMs among which duties for all are divided: all that were
-// heard in a small fleet, and the relays in a large one. isMost says whether this
-// VM knows of more than half of the registered VMs.
-func (r *Roster) Deciders(members []Member) (deciders []Member, isMost bool) {
-	now, self := r.Clock.Now(), r.Load()
-	r.mu.Lock()
-	isLarge, relays, listed := r.isLarge(), r.relays(now, &self), len(r.listed)
-	r.mu.Unlock()
-	heard := 0
-	for _, member := range members {
-		if !member.Heard {
-			continue
-		}
-		heard++
-		if !member.Ready || member.Stopping {
-			continue
-		}
-		if !isLarge || slices.Contains(relays[member.VM.Region], member.ID.Name) {
-			deciders = append(deciders, member)
-		}
-	}
-	return deciders, heard*2 > listed
-}
-
 // Receiver answers peers' exchanges.
 type Receiver struct{ roster *Roster }
 
@@ -511,6 +397,6 @@
 // Exchange takes a peer's state and replies with this VM's.
 func (r *Receiver) Exchange(state State, reply *State) error {
 	r.roster.hear(state)
-	*reply = r.roster.stateFor(state.ID.Name)
+	*reply = r.roster.stateFor(state.ID.Name, true)
 	return nil
 }
--- a/internal/control/roster/roster_test.go
+++ b/internal/control/roster/roster_test.go
@@ -21,6 +21,10 @@
 	// cut names VMs that reach nobody.
 	cut   map[string]bool
 	calls int
+	// apart, if set, is a data centre that is cut off from the others.
+	apart string
+	// briefs counts what relays told of single VMs.
+	briefs int
 }
 
 func newFleet(count int) *fleet {
@@ -57,10 +61,15 @@
 // Call implements Caller.
 func (c caller) Call(_ context.Context, address, _ string, args, reply any) error {
 	c.fleet.calls++
-	if c.fleet.cut[address] || c.fleet.cut[c.from] {
+	from, to := c.fleet.states[c.from].VM.DataCentre, c.fleet.states[address].VM.DataCentre
+	if c.fleet.cut[address] || c.fleet.cut[c.from] || from != to && (from == c.fleet.apart || to == c.fleet.apart) {
 		return errors.New("cut off")
 	}
-	return NewReceiver(c.fleet.vms[address]).Exchange(args.(State), reply.(*State))
+	err := NewReceiver(c.fleet.vms[address]).Exchange(args.(State), reply.(*State))
+	for _, word := range append(args.(State).Words, reply.(*State).Words...) {
+		c.fleet.briefs += len(word.VMs)
+	}
+	return err
 }
 
 // run lets all VMs exchange their states for a time.
@@ -131,6 +140,80 @@
 	g.Expect(f.calls).To(BeNumerically("<", 48*47/2), "not every pair exchanges states")
 }
 
+// At 302 VMs a relay told each VM of its region of all VMs elsewhere at each
+// exchange, 8 MB a second.
+func TestALargeFleetTellsChangesOnly(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(300)
+	f.run(12 * clock.Second)
+	f.calls, f.briefs = 0, 0
+	f.run(2 * clock.Second)
+	g.Expect(f.briefs).To(BeZero())
+	rounds := int(2 * clock.Second / exchangeInterval)
+	relays := 3 * relaysPerRegion
+	g.Expect(f.calls).To(BeNumerically("<=", rounds*(300*relaysPerRegion+relays*relays)), "VMs exchange states with relays only")
+	f.states["vm-50"].Stopping = true
+	f.run(2 * clock.Second)
+	g.Expect(f.briefs).To(BeNumerically(">", 0))
+	for _, name := range []string{"vm-40", "vm-53", "vm-100"} {
+		g.Expect(names(Named(f.vms[name].Members(), "c", "c1"))).NotTo(ContainElement("vm-50"), name)
+	}
+}
+
+func TestAVMOfALargeFleetThatIsSilentIsNamedNoMore(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(48)
+	f.run(8 * clock.Second)
+	f.cut["vm-20"] = true
+	// Users allow 7 s; two are left to callers who keep an answer.
+	f.run(5 * clock.Second)
+	for name, roster := range f.vms {
+		if name != "vm-20" {
+			g.Expect(names(Named(roster.Members(), "c", "c1"))).NotTo(ContainElement("vm-20"), name)
+		}
+	}
+	f.cut["vm-20"] = false
+	f.run(3 * clock.Second)
+	for name, roster := range f.vms {
+		g.Expect(names(Named(roster.Members(), "c", "c1"))).To(ContainElement("vm-20"), name)
+	}
+}
+
+func TestADataCentreThatIsCutOffKnowsItsVMs(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(60)
+	f.run(8 * clock.Second)
+	f.apart = "a2"
+	f.run(12 * clock.Second)
+	_, isRelay := f.vms["vm-03"].Relays()
+	g.Expect(isRelay).To(BeTrue(), "the first VM of each data centre is a relay")
+	for name, roster := range f.vms {
+		named := names(Named(roster.Members(), "a", "a2"))
+		if f.states[name].VM.DataCentre == "a2" {
+			g.Expect(named).To(Equal([]string{"vm-03", "vm-09", "vm-15", "vm-21", "vm-27", "vm-33", "vm-39", "vm-45", "vm-51", "vm-57"}), name)
+			continue
+		}
+		g.Expect(named).NotTo(ContainElement("vm-09"), name)
+	}
+	f.apart = ""
+	f.run(8 * clock.Second)
+	for name, roster := range f.vms {
+		g.Expect(names(Named(roster.Members(), "a", "a2"))).To(HaveLen(10), name)
+	}
+}
+
+func TestRelaysTellWhatTheOthersOfTheRegionRun(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(48)
+	for _, state := range f.states {
+		state.Running = map[string]int{"in " + state.VM.Region: 1, "everywhere": 2}
+	}
+	f.run(8 * clock.Second)
+	for name, roster := range f.vms {
+		g.Expect(roster.Running()).To(Equal(map[string]int{"in " + f.states[name].VM.Region: 15, "everywhere": 30}), name)
+	}
+}
+
 func TestARelaysDutyPassesOn(t *testing.T) {
 	g := NewWithT(t)
 	f := newFleet(48)
--- /dev/null
+++ b/internal/control/roster/words.go
@@ -0,0 +1,267 @@
+package roster
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/policy/canary"
+	"baobabladder.example/baobabladder/internal/world/vm"
+)
+
+// wordLimits is how many times as old as a state a word may be: it comes over one
+// or two relays.
+const wordLimits = 2
+
+// Word is what a relay says of the VMs of its region.
+type Word struct {
+	Region, Author string
+	Version        Version
+	// Age is how long ago the author said so.
+	Age clock.Millis
+	// VMs is sorted by name. It is left out if the peer knows this version.
+	VMs []Brief
+}
+
+// Version tells words of an author apart.
+type Version struct {
+	Run    vm.Incarnation
+	Number int64
+}
+
+// Brief is a VM in a relay's word.
+type Brief struct {
+	ID vm.ID
+	// Heard says that the relay heard the VM lately.
+	Heard, Ready, Stopping, Contact bool
+}
+
+// told is a word and when its author said so, by this VM's clock.
+type told struct {
+	word Word
+	at   clock.Millis
+}
+
+// view is a summary of what is known. It does not change.
+type view struct {
+	at clock.Millis
+	// vms holds the VMs that were ever heard, and not yet forgotten, without this one.
+	vms map[string]Brief
+	// relays names the relays by region.
+	relays map[string][]string
+}
+
+// view returns the summary of what was heard. Callers hold mu.
+func (r *Roster) view(self *State) *view {
+	now := r.Clock.Now()
+	if r.seen != nil && now-r.seen.at < viewAge {
+		return r.seen
+	}
+	seen := &view{at: now, vms: map[string]Brief{}}
+	for name, h := range r.heard {
+		if now-h.at < forgottenAfter {
+			seen.vms[name] = briefOf(&h.state, now-h.at <= r.lostAfter())
+		}
+	}
+	for _, told := range r.newestWords(forgottenAfter) {
+		isFresh := now-told.at <= wordLimits*r.lostAfter()
+		for _, brief := range told.word.VMs {
+			brief.Heard = brief.Heard && isFresh
+			known, found := seen.vms[brief.ID.Name]
+			if brief.ID.Name != r.Self.Name && (!found || brief.knowsMore(&known)) {
+				seen.vms[brief.ID.Name] = brief
+			}
+		}
+	}
+	if r.isLarge() {
+		seen.relays = r.chooseRelays(seen.vms, self)
+	}
+	r.seen = seen
+	return seen
+}
+
+func briefOf(state *State, isHeard bool) Brief {
+	return Brief{ID: state.ID, Heard: isHeard, Ready: state.Ready, Stopping: state.Stopping, Contact: state.Contact}
+}
+
+// knowsMore says whether a word goes before what the VM itself told, or a newer
+// word did: if it is of a later run, or its author hears the VM alone.
+func (b *Brief) knowsMore(known *Brief) bool {
+	if b.ID.Incarnation != known.ID.Incarnation {
+		return b.ID.Incarnation > known.ID.Incarnation
+	}
+	return b.Heard && !known.Heard
+}
+
+// newestWords returns the words that are not older than a limit, the newest first.
+// Callers hold mu.
+func (r *Roster) newestWords(limit clock.Millis) []told {
+	now := r.Clock.Now()
+	words := make([]told, 0, len(r.words))
+	for _, told := range r.words {
+		if now-told.at <= limit {
+			words = append(words, told)
+		}
+	}
+	slices.SortFunc(words, func(a, b told) int {
+		return cmp.Or(cmp.Compare(b.at, a.at), strings.Compare(a.word.Author, b.word.Author))
+	})
+	return words
+}
+
+// versions names the words that this VM knows. Callers hold mu.
+func (r *Roster) versions() map[string]Version {
+	versions := make(map[string]Version, len(r.words))
+	for author, told := range r.words {
+		versions[author] = told.word.Version
+	}
+	return versions
+}
+
+// ownWord returns this VM's word as a relay. Callers hold mu.
+func (r *Roster) ownWord(self *State) Word {
+	now := r.Clock.Now()
+	vms := []Brief{briefOf(self, true)}
+	for _, h := range r.heard {
+		if h.state.VM.Region == r.Self.Region && now-h.at < forgottenAfter {
+			vms = append(vms, briefOf(&h.state, now-h.at <= r.lostAfter()))
+		}
+	}
+	slices.SortFunc(vms, func(a, b Brief) int { return strings.Compare(a.ID.Name, b.ID.Name) })
+	if !slices.Equal(vms, r.own.VMs) {
+		number := r.own.Version.Number + 1
+		r.own = Word{Region: r.Self.Region, Author: r.Self.Name, Version: Version{self.ID.Incarnation, number}, VMs: vms}
+	}
+	return r.own
+}
+
+// addWords adds to state what a relay tells a peer. Callers hold mu.
+func (r *Roster) addWords(state *State, peer string) {
+	now := r.Clock.Now()
+	known := r.heard[peer].state
+	region := r.listed[peer].Region
+	isNear := region == r.Self.Region
+	words := []Word{r.ownWord(state)}
+	for _, told := range r.newestWords(wordLimits * r.lostAfter()) {
+		// A peer hears the relays of its region itself.
+		if told.word.Region == region || told.word.Region == r.Self.Region {
+			continue
+		}
+		word := told.word
+		word.Age = now - told.at
+		words = append(words, word)
+	}
+	for i := range words {
+		if known.Versions[words[i].Author] == words[i].Version {
+			words[i].VMs = nil
+		}
+	}
+	state.Words = words
+	if !isNear {
+		state.Running, state.Away = nil, nil
+	}
+	if isNear && slices.Contains(r.view(state).relays[region], peer) {
+		// Relays of a region hear its VMs themselves.
+		state.Regions = r.regionEvidence(region)
+		return
+	}
+	state.Regions = r.regionEvidence(region)
+	state.Regions[r.Self.Region] = r.ownEvidence(state.Trials, peer)
+	if isNear && known.WantsRunning {
+		state.RegionRunning = r.sumRunning(state.Running, peer)
+	}
+	state.Trials, state.Running = nil, nil
+}
+
+// takeWords takes over what a relay told.
+func (r *Roster) takeWords(state *State) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	if r.words == nil {
+		r.words, r.evidence = map[string]told{}, map[string]map[string]canary.Evidence{}
+	}
+	for _, word := range state.Words {
+		r.takeWord(word, now)
+	}
+	maps.DeleteFunc(r.words, func(_ string, told told) bool { return now-told.at > forgottenAfter })
+	for region, evidence := range state.Regions {
+		if region != r.Self.Region {
+			r.evidence[region] = evidence
+		}
+	}
+	if state.RegionRunning != nil {
+		r.regionRunning, r.regionRunningAt = state.RegionRunning, now
+	}
+}
+
+func (r *Roster) takeWord(word Word, now clock.Millis) {
+	last, found := r.words[word.Author]
+	at := now - word.Age
+	if word.Author == r.Self.Name || found && last.at > at {
+		return
+	}
+	isKnown := found && last.word.Version == word.Version
+	if !isKnown && len(word.VMs) == 0 {
+		// It was left out for an earlier run of this VM, and comes when the author
+		// has heard what this one knows.
+		return
+	}
+	if isKnown {
+		word.VMs = last.word.VMs
+	} else {
+		r.seen = nil
+	}
+	r.words[word.Author] = told{word, at}
+}
+
+// regionEvidence returns what was told of the evidence of other regions than this
+// VM's and a peer's. Callers hold mu.
+func (r *Roster) regionEvidence(peers string) map[string]map[string]canary.Evidence {
+	regions := map[string]map[string]canary.Evidence{}
+	for region, evidence := range r.evidence {
+		if region != peers {
+			regions[region] = evidence
+		}
+	}
+	return regions
+}
+
+// ownEvidence returns the evidence of this VM's region but for a peer's. Callers
+// hold mu.
+func (r *Roster) ownEvidence(own map[string]canary.Evidence, peer string) map[string]canary.Evidence {
+	sums := []map[string]canary.Evidence{own}
+	for _, h := range r.near(peer) {
+		sums = append(sums, h.state.Trials)
+	}
+	return canary.Sum(sums)
+}
+
+// sumRunning returns how many requests the VMs of the region run on each endpoint,
+// but for a peer's. Callers hold mu.
+func (r *Roster) sumRunning(own map[string]int, peer string) map[string]int {
+	running := map[string]int{}
+	for id, count := range own {
+		running[id] += count
+	}
+	for _, h := range r.near(peer) {
+		for id, count := range h.state.Running {
+			running[id] += count
+		}
+	}
+	return running
+}
+
+// near returns the states of this VM's region that were told lately, but for one
+// VM's. Callers hold mu.
+func (r *Roster) near(except string) (near []hearing) {
+	now := r.Clock.Now()
+	for name, h := range r.heard {
+		if name != except && h.state.VM.Region == r.Self.Region && now-h.at <= r.lostAfter() {
+			near = append(near, h)
+		}
+	}
+	return near
+}
--- a/internal/entry/node/duties.go
+++ b/internal/entry/node/duties.go
@@ -33,8 +33,12 @@
 // heard takes over what a peer told.
 func (n *Node) heard(state roster.State) {
 	n.guard.Hear(state.ID.Name, state.Trials)
+	_, isRelay := n.roster.Relays()
 	for region, evidence := range state.Regions {
-		n.guard.Hear("region "+region, evidence)
+		// A relay hears the VMs of its region themselves.
+		if !isRelay || region != n.self.Region {
+			n.guard.Hear("region "+region, evidence)
+		}
 	}
 	n.balancer.HearAway(state.Away)
 	for _, feed := range n.feeds {
@@ -47,9 +51,14 @@
 // spread passes what the peers told on to the policies, and writes down the
 // outcome of moves if this VM is the one to do so.
 func (n *Node) spread(ctx context.Context) {
+	wasRelay := true
 	for clock.Sleep(ctx, spreadInterval) == nil {
 		members := n.roster.Members()
-		running := map[string]int{}
+		if _, isRelay := n.roster.Relays(); isRelay != wasRelay {
+			// Evidence comes from the VMs themselves or as their region's sum, not both.
+			n.guard.ForgetPeers()
+			wasRelay = isRelay
+		}
 		demands := []quota.PeerDemand{}
 		vms := make([]balance.VM, 0, len(members))
 		for _, member := range members {
@@ -58,15 +67,9 @@
 				continue
 			}
 			demands = append(demands, quota.PeerDemand{VM: member.ID.Name, Demand: member.Demand})
-			if !member.Heard {
-				continue
-			}
-			for id, count := range member.Running {
-				running[id] += count
-			}
 		}
 		n.quota.Update(demands)
-		n.balancer.Hear(running, vms)
+		n.balancer.Hear(n.roster.Running(), vms)
 		n.budget.Update(len(members))
 		deciders, isMost := n.roster.Deciders(members)
 		n.setDuties(&duties{deciders, isMost, partHeard(members)})
--- a/internal/policy/canary/canary.go
+++ b/internal/policy/canary/canary.go
@@ -146,6 +146,15 @@
 	}
 }
 
+// ForgetPeers forgets what peers told, such as when others will tell the same.
+func (g *Guard) ForgetPeers() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, t := range g.trials {
+		t.peers = map[string]Evidence{}
+	}
+}
+
 // Choose says which versions may run the next request to a service.
 func (g *Guard) Choose(service string) Choice {
 	g.mu.Lock()
