Pack copies and sums that many VMs are sent, and share followers between relays

Cause of the bytes that are left at 302 VMs: the first relay of each region gave all VMs of the region their copy of the store's objects when they started, and at each exchange what the region runs, each time encoded anew. Now both are packed (gob, flate), once for all who ask until they change, and half of the region's VMs ask the second relay first. A VM takes its own part out of the sum itself. What a relay tells of objects that went elsewhere goes to those who ask it for the sum.

--- a/internal/control/roster/relays.go
+++ b/internal/control/roster/relays.go
@@ -93,11 +93,16 @@
 	if len(relays) == 0 {
 		return ""
 	}
-	return relays[hashing.Text(r.Self.Name)%uint64(len(relays))]
+	return relays[r.firstOf(relays)]
+}
+
+// firstOf returns which of its relays this VM asks first.
+func (r *Roster) firstOf(relays []string) int {
+	return int(hashing.Text(r.Self.Name) % uint64(max(len(relays), 1)))
 }
 
 // Relays returns the relays of this VM's region but for itself, and whether it is
-// one. In a small fleet every VM is its own relay.
+// one. Not all VMs have the same first. In a small fleet every VM is its own relay.
 func (r *Roster) Relays() (others []vm.VM, isRelay bool) {
 	self := r.self()
 	r.mu.Lock()
@@ -105,8 +110,10 @@
 	if !r.isLarge() || r.isRelay(r.Self.Name, &self) {
 		return nil, true
 	}
-	for _, name := range r.view(&self).relays[r.Self.Region] {
-		others = append(others, r.listed[name])
+	names := r.view(&self).relays[r.Self.Region]
+	first := r.firstOf(names)
+	for i := range names {
+		others = append(others, r.listed[names[(first+i)%len(names)]])
 	}
 	return others, false
 }
--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -69,9 +69,9 @@
 
 	// Words is told by relays: which VMs there are.
 	Words []Word
-	// RegionRunning is how many requests of the region's other VMs run on each
-	// endpoint, if it was asked for.
-	RegionRunning map[string]int
+	// RegionRunning is how many requests of the region's VMs run on each endpoint, if
+	// it was asked for: a packed map[string]int, see pack.
+	RegionRunning []byte
 	// Regions is the evidence on new versions, by region; that of the peer's region
 	// leaves out its own.
 	Regions map[string]map[string]canary.Evidence
@@ -126,6 +126,12 @@
 	// VMs, at regionRunningAt. Guarded by mu.
 	regionRunning   map[string]int
 	regionRunningAt clock.Millis
+	// toldRunning is what this VM told last of its own requests. Guarded by mu.
+	toldRunning map[string]int
+	// packedRunning is what this VM tells as a relay, as of packedRunningAt. Guarded
+	// by mu.
+	packedRunning   []byte
+	packedRunningAt clock.Millis
 	// lost names the VMs that a log line called lost. Guarded by mu.
 	lost map[string]bool
 	// calling names the peers with an exchange under way. Guarded by mu.
@@ -287,6 +293,9 @@
 		return state
 	}
 	state.WantsRunning = r.source(&state) == peer
+	if state.WantsRunning {
+		r.toldRunning = state.Running
+	}
 	return state
 }
 
--- a/internal/control/roster/words.go
+++ b/internal/control/roster/words.go
@@ -7,13 +7,18 @@
 	"strings"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/pack"
 	"baobabladder.example/baobabladder/internal/policy/canary"
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
 
-// wordLimits is how many times as old as a state a word may be: it comes over one
-// or two relays.
-const wordLimits = 2
+const (
+	// wordLimits is how many times as old as a state a word may be: it comes over one
+	// or two relays.
+	wordLimits = 2
+	// runningAge is how old a relay's sum of what its region runs may be.
+	runningAge = 250 * clock.Millis(1)
+)
 
 // Word is what a relay says of the VMs of its region.
 type Word struct {
@@ -159,9 +164,6 @@
 		}
 	}
 	state.Words = words
-	if !isNear {
-		state.Running, state.Away = nil, nil
-	}
 	if isNear && slices.Contains(r.view(state).relays[region], peer) {
 		// Relays of a region hear its VMs themselves.
 		state.Regions = r.regionEvidence(region)
@@ -170,7 +172,9 @@
 	state.Regions = r.regionEvidence(region)
 	state.Regions[r.Self.Region] = r.ownEvidence(state.Trials, peer)
 	if isNear && known.WantsRunning {
-		state.RegionRunning = r.sumRunning(state.Running, peer)
+		state.RegionRunning = r.packRunning(state.Running)
+	} else {
+		state.Away = nil
 	}
 	state.Trials, state.Running = nil, nil
 }
@@ -192,9 +196,27 @@
 			r.evidence[region] = evidence
 		}
 	}
-	if state.RegionRunning != nil {
-		r.regionRunning, r.regionRunningAt = state.RegionRunning, now
+	if len(state.RegionRunning) > 0 {
+		r.takeRunning(state.RegionRunning, now)
+	}
+}
+
+// takeRunning takes over what the region's VMs run, without this one's part. Callers
+// hold mu.
+func (r *Roster) takeRunning(packed []byte, now clock.Millis) {
+	running := map[string]int{}
+	if err := pack.Decode(packed, &running); err != nil {
+		if r.Log != nil {
+			r.Log.WithError(err).Warn("reading what the region runs failed")
+		}
+		return
+	}
+	for id, own := range r.toldRunning {
+		if running[id] -= own; running[id] <= 0 {
+			delete(running, id)
+		}
 	}
+	r.regionRunning, r.regionRunningAt = running, now
 }
 
 func (r *Roster) takeWord(word Word, now clock.Millis) {
@@ -239,19 +261,31 @@
 	return canary.Sum(sums)
 }
 
-// sumRunning returns how many requests the VMs of the region run on each endpoint,
-// but for a peer's. Callers hold mu.
-func (r *Roster) sumRunning(own map[string]int, peer string) map[string]int {
+// packRunning returns how many requests the VMs of the region run on each endpoint.
+// Callers hold mu.
+func (r *Roster) packRunning(own map[string]int) []byte {
+	now := r.Clock.Now()
+	if r.packedRunning != nil && now-r.packedRunningAt < runningAge {
+		return r.packedRunning
+	}
 	running := map[string]int{}
 	for id, count := range own {
 		running[id] += count
 	}
-	for _, h := range r.near(peer) {
+	for _, h := range r.near("") {
 		for id, count := range h.state.Running {
 			running[id] += count
 		}
 	}
-	return running
+	packed, err := pack.Encode(running)
+	if err != nil {
+		if r.Log != nil {
+			r.Log.WithError(err).Warn("telling what the region runs failed")
+		}
+		return nil
+	}
+	r.packedRunning, r.packedRunningAt = packed, now
+	return packed
 }
 
 // near returns the states of this VM's region that were told lately, but for one
--- a/internal/control/tracker/fetch.go
+++ b/internal/control/tracker/fetch.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/pack"
 )
 
 // ReceiverName names the receiver of fetches.
@@ -18,7 +19,8 @@
 
 // Copy is a VM's copy of one kind.
 type Copy struct {
-	Objects  []Object
+	// Packed holds the objects, see pack.
+	Packed   []byte
 	Revision int64
 	// InContact says that the store answers the VM.
 	InContact bool
@@ -37,12 +39,50 @@
 }
 
 // Fetch replies with this VM's copy of a kind.
-func (r *Receiver) Fetch(kind string, reply *Copy) error {
-	if feed := r.feeds[kind]; feed != nil {
-		reply.Objects, reply.Revision = feed.Objects()
-		reply.InContact = feed.InContact()
+func (r *Receiver) Fetch(kind string, reply *Copy) (err error) {
+	feed := r.feeds[kind]
+	if feed == nil {
+		return nil
 	}
-	return nil
+	reply.InContact = feed.InContact()
+	reply.Packed, reply.Revision, err = feed.pack()
+	return err
+}
+
+// packing is a copy packed for peers; when many VMs start, all of them ask for it.
+type packing struct {
+	packed   []byte
+	revision int64
+}
+
+// pack returns the copy for peers that miss it.
+func (f *Feed) pack() (packed []byte, revision int64, err error) {
+	f.mu.Lock()
+	last := f.packing
+	f.mu.Unlock()
+	if last != nil {
+		return last.packed, last.revision, nil
+	}
+	objects, revision, changes := f.known()
+	packed, err = pack.Encode(objects)
+	if err != nil {
+		return nil, 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.packings == changes {
+		f.packing = &packing{packed, revision}
+	}
+	return packed, revision, nil
+}
+
+// unpack returns the objects of a copy.
+func (c *Copy) unpack() (objects []Object, err error) {
+	if len(c.Packed) == 0 {
+		return nil, nil
+	}
+	err = pack.Decode(c.Packed, &objects)
+	return objects, err
 }
 
 // Caller calls peers; see peer.Client.
@@ -67,7 +107,12 @@
 		f.note("fetching a peer's copy failed", err)
 		return
 	}
-	f.Adopt(fetched.Objects, fetched.Revision)
+	objects, err := fetched.unpack()
+	if err != nil {
+		f.note("reading a peer's copy failed", err)
+		return
+	}
+	f.Adopt(objects, fetched.Revision)
 	if f.Log != nil {
 		f.Log.WithField("kind", f.Kind).WithField("revision", fetched.Revision).Info("took over a peer's copy")
 	}
--- a/internal/control/tracker/relay.go
+++ b/internal/control/tracker/relay.go
@@ -66,8 +66,12 @@
 func (r *Relayed) List(ctx context.Context, kind string) (objects []Object, revision int64, err error) {
 	var copied Copy
 	isRelayed, err := r.ask(ctx, fetchMethod, kind, fetchTimeout, func() any { copied = Copy{}; return &copied }, func() bool { return copied.InContact })
-	if isRelayed || err != nil {
-		return copied.Objects, copied.Revision, err
+	if err != nil {
+		return nil, 0, err
+	}
+	if isRelayed {
+		objects, err = copied.unpack()
+		return objects, copied.Revision, err
 	}
 	objects, revision, err = r.Store.List(ctx, kind)
 	r.note(err, true)
--- a/internal/control/tracker/tracker.go
+++ b/internal/control/tracker/tracker.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 
 	"github.com/joomcode/errorx"
@@ -90,6 +91,10 @@
 	// that a peer is being asked for its copy. Guarded by mu.
 	newest   int64
 	fetching bool
+	// packing is the copy for peers, nil if it has to be made, and packings counts
+	// its changes. Guarded by mu.
+	packing  *packing
+	packings int64
 	// changes holds the newest changes of the copy, all of those after keptFrom; more
 	// is closed at the next one. Guarded by mu.
 	changes  []change
@@ -245,14 +250,15 @@
 	return f.Clock.Now() - f.contactAt
 }
 
-// Objects returns a copy of what is known, for peers that miss it.
-func (f *Feed) Objects() (objects []Object, revision int64) {
+// known returns the copy, sorted by name, up to which revision, and after how many
+// changes.
+func (f *Feed) known() (objects []Object, revision, changes int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, object := range f.objects {
-		objects = append(objects, object)
+	for _, name := range slices.Sorted(maps.Keys(f.objects)) {
+		objects = append(objects, f.objects[name])
 	}
-	return objects, f.revision
+	return objects, f.revision, f.packings
 }
 
 // Adopt takes over a peer's copy if it is newer.
@@ -295,6 +301,10 @@
 		}
 	}
 	taken = append(taken, f.settle()...)
+	if len(taken) > 0 || revision > f.revision {
+		f.packing = nil
+		f.packings++
+	}
 	f.revision = max(f.revision, revision)
 	switch {
 	case isFirst:
