Name words that are told again only, and pass on those of relays

Cause: VMs that start together take themselves for relays at first, so each VM remembered 118 words in a fleet of 300, and named them all in each exchange, 4 KB both ways. Now a VM names fresh words, passes on those of relays, and relays name none to VMs that tell of nobody.

--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -390,13 +390,6 @@
 // states. Callers hold mu.
 func (r *Roster) isLarge() bool { return len(r.listed) > pairFleet }
 
-// IsSmall says whether the store has told of VMs, and of few.
-func (r *Roster) IsSmall() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.listed) > 0 && !r.isLarge()
-}
-
 // Receiver answers peers' exchanges.
 type Receiver struct{ roster *Roster }
 
--- a/internal/control/roster/roster_test.go
+++ b/internal/control/roster/roster_test.go
@@ -152,6 +152,9 @@
 	rounds := int(2 * clock.Second / exchangeInterval)
 	relays := 3 * relaysPerRegion
 	g.Expect(f.calls).To(BeNumerically("<=", rounds*(300*relaysPerRegion+relays*relays)), "VMs exchange states with relays only")
+	for name, roster := range f.vms {
+		g.Expect(len(roster.versions())).To(BeNumerically("<=", relays), "%s names only words that are told again", name)
+	}
 	f.states["vm-50"].Stopping = true
 	f.run(2 * clock.Second)
 	g.Expect(f.briefs).To(BeNumerically(">", 0))
--- a/internal/control/roster/words.go
+++ b/internal/control/roster/words.go
@@ -116,11 +116,12 @@
 	return words
 }
 
-// versions names the words that this VM knows. Callers hold mu.
+// versions names the words that this VM knows and that a relay may send again.
+// Callers hold mu.
 func (r *Roster) versions() map[string]Version {
-	versions := make(map[string]Version, len(r.words))
-	for author, told := range r.words {
-		versions[author] = told.word.Version
+	versions := map[string]Version{}
+	for _, told := range r.newestWords(wordLimits * r.lostAfter()) {
+		versions[told.word.Author] = told.word.Version
 	}
 	return versions
 }
@@ -148,10 +149,12 @@
 	known := r.heard[peer].state
 	region := r.listed[peer].Region
 	isNear := region == r.Self.Region
+	relays := r.view(state).relays
 	words := []Word{r.ownWord(state)}
 	for _, told := range r.newestWords(wordLimits * r.lostAfter()) {
-		// A peer hears the relays of its region itself.
-		if told.word.Region == region || told.word.Region == r.Self.Region {
+		// A peer hears the relays of its region itself. Where VMs start together, many
+		// take themselves for relays at first.
+		if told.word.Region == region || told.word.Region == r.Self.Region || !slices.Contains(relays[told.word.Region], told.word.Author) {
 			continue
 		}
 		word := told.word
@@ -164,13 +167,17 @@
 		}
 	}
 	state.Words = words
-	if isNear && slices.Contains(r.view(state).relays[region], peer) {
+	if isNear && slices.Contains(relays[region], peer) {
 		// Relays of a region hear its VMs themselves.
 		state.Regions = r.regionEvidence(region)
 		return
 	}
 	state.Regions = r.regionEvidence(region)
 	state.Regions[r.Self.Region] = r.ownEvidence(state.Trials, peer)
+	if isNear {
+		// The peer tells nothing of others.
+		state.Versions = nil
+	}
 	if isNear && known.WantsRunning {
 		state.RegionRunning = r.packRunning(state.Running)
 	} else {
