Call the store less often

Now changes that come within a second are read 0.3 s apart, a VM waits for its registration before it follows the other kinds, and only the watch of endpoints is short: a call that fails ends the watches that have waited for 1.2 s, so that all kinds learn of a lost store at once, as before.

--- a/internal/control/tracker/tracker.go
+++ b/internal/control/tracker/tracker.go
@@ -27,8 +27,11 @@
 	// which others follow.
 	watchWait    = 8 * clock.Second
 	followedWait = 1400 * clock.Millis(1)
-	// batchPause lets changes that come together be read by one call.
+	// batchPause lets changes that come together be read by one call, and burstPause
+	// those of many endpoints that start, while changes come within burstSpan.
 	batchPause = 120 * clock.Millis(1)
+	burstPause = 300 * clock.Millis(1)
+	burstSpan  = 1 * clock.Second
 	firstRetry = 60 * clock.Millis(1)
 	maxRetry   = 700 * clock.Millis(1)
 	// lapseGrace is how long after an outage a removal is held back: entries that
@@ -112,6 +115,10 @@
 	failedAt, othersAt clock.Millis
 	// contactAt is when the last successful call was sent. Guarded by mu.
 	contactAt clock.Millis
+	// changedAt is when the copy last changed, and isBurst says that it had changed
+	// just before. Guarded by mu.
+	changedAt clock.Millis
+	isBurst   bool
 }
 
 // Run follows the kind until ctx ends.
@@ -123,7 +130,7 @@
 		switch {
 		case err == nil:
 			needsList, retry = false, firstRetry
-			_ = clock.Sleep(ctx, max(f.Batch, batchPause))
+			_ = clock.Sleep(ctx, f.pause())
 			continue
 		case errorx.IsOfType(err, ErrHistoryGone):
 			f.note("the store forgot its history, listing again", err)
@@ -136,6 +143,16 @@
 	}
 }
 
+// pause returns how long to wait between two calls. Only those to the store are few.
+func (f *Feed) pause() clock.Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.isBurst && f.isInContact() {
+		return max(f.Batch, burstPause)
+	}
+	return max(f.Batch, batchPause)
+}
+
 func (f *Feed) jitter(n clock.Millis) clock.Millis {
 	if f.Jitter == nil {
 		return n / 2
@@ -306,6 +323,10 @@
 		f.packings++
 	}
 	f.revision = max(f.revision, revision)
+	f.isBurst = len(taken) > 0 && f.Clock.Now()-f.changedAt < burstSpan
+	if len(taken) > 0 {
+		f.changedAt = f.Clock.Now()
+	}
 	switch {
 	case isFirst:
 		f.keptFrom = f.revision
--- a/internal/control/tracker/tracker_test.go
+++ b/internal/control/tracker/tracker_test.go
@@ -117,6 +117,22 @@
 	g.Expect(f.names).To(Equal([]string{"b"}))
 }
 
+// When 394 endpoints registered, each VM that followed the store called it eight
+// times a second.
+func TestChangesThatComeInABurstAreReadByFewCalls(t *testing.T) {
+	g := NewWithT(t)
+	f := newFollower(t)
+	f.manual.Advance(clock.Minute)
+	f.watch(t, 11, Object{Name: "a", Revision: 11})
+	g.Expect(f.pause()).To(Equal(batchPause), "a change alone is followed at once")
+	f.manual.Advance(batchPause)
+	f.watch(t, 12, Object{Name: "b", Revision: 12})
+	g.Expect(f.pause()).To(Equal(burstPause))
+	f.manual.Advance(burstSpan)
+	f.watch(t, 13, Object{Name: "c", Revision: 13})
+	g.Expect(f.pause()).To(Equal(batchPause))
+}
+
 func TestAFailedCallLeavesTheCopyAsItIs(t *testing.T) {
 	g := NewWithT(t)
 	f := newFollower(t, Object{Name: "a", Revision: 8})
--- a/internal/entry/node/known.go
+++ b/internal/entry/node/known.go
@@ -72,15 +72,14 @@
 	for _, kind := range []struct {
 		name    string
 		changed func(objects map[string]tracker.Object)
-		// lapses says that entries are removed while the store is away, isUrgent that
-		// changes must be in force soon.
-		lapses, isUrgent bool
+		// lapses says that entries are removed while the store is away.
+		lapses bool
 	}{
-		{config, n.takeConfig, false, true},
-		{endpoints, n.takeEndpoints, true, true},
-		{moves, n.takeMoves, false, false},
-		{evacuations, n.takeEvacuations, false, true},
-		{vms, n.takeVMs, false, false},
+		{config, n.takeConfig, false},
+		{endpoints, n.takeEndpoints, true},
+		{moves, n.takeMoves, false},
+		{evacuations, n.takeEvacuations, false},
+		{vms, n.takeVMs, false},
 	} {
 		source := &tracker.Relayed{Store: n.direct, Peers: n.peers, Relays: n.relays}
 		feed := &tracker.Feed{Kind: kind.name, Source: source, Log: n.Log, Changed: kind.changed, Jitter: jitter, Others: n.othersReachStore}
@@ -88,10 +87,9 @@
 			// VMs register at the same time and change seldom.
 			feed.Batch = registrationBatch
 		}
-		if kind.isUrgent {
-			feed.Followed = n.isFollowed
-		}
 		if kind.lapses {
+			// One kind that is asked for often shows for all whether the store answers.
+			feed.Followed = n.isFollowed
 			// A relay holds back for those that follow it.
 			feed.Lapses = func() bool {
 				_, isRelay := n.relays()
--- a/internal/entry/node/metrics.go
+++ b/internal/entry/node/metrics.go
@@ -1,17 +1,12 @@
 package node
 
 import (
-	"context"
-	"sync"
-
-	"github.com/joomcode/errorx"
 	"github.com/uber-go/tally/v4"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/logging"
 	"baobabladder.example/baobabladder/internal/base/metric"
 	"baobabladder.example/baobabladder/internal/control/roster"
-	"baobabladder.example/baobabladder/internal/control/tracker"
 )
 
 // latencyBuckets are the upper bounds of the latency histogram.
@@ -33,57 +28,6 @@
 	}
 }
 
-// directSource calls the store, counts the calls and remembers whether the store
-// answers this VM.
-type directSource struct {
-	tracker.Source
-	scope tally.Scope
-	clock clock.Clock
-
-	mu sync.Mutex
-	// answeredAt and failedAt are when the last call ended that was answered, or was
-	// not. Guarded by mu.
-	answeredAt, failedAt clock.Millis
-	hasFailed            bool
-}
-
-// List implements tracker.Source.
-func (d *directSource) List(ctx context.Context, kind string) (objects []tracker.Object, revision int64, err error) {
-	defer func() { d.note(kind, "list", err) }()
-	return d.Source.List(ctx, kind)
-}
-
-// Watch implements tracker.Source.
-func (d *directSource) Watch(ctx context.Context, kind string, after int64, wait clock.Millis) (objects []tracker.Object, revision int64, err error) {
-	defer func() { d.note(kind, "watch", err) }()
-	return d.Source.Watch(ctx, kind, after, wait)
-}
-
-func (d *directSource) note(kind, call string, err error) {
-	isAnswer := err == nil || errorx.IsOfType(err, tracker.ErrHistoryGone)
-	outcome := "answered"
-	d.mu.Lock()
-	if isAnswer {
-		d.answeredAt = d.clock.Now()
-	} else {
-		outcome = "failed"
-		d.failedAt, d.hasFailed = d.clock.Now(), true
-	}
-	d.mu.Unlock()
-	d.scope.Tagged(map[string]string{"kind": kind, "call": call, "outcome": outcome}).Counter("store_calls").Inc(1)
-}
-
-// turnedAwaySpan is how long a VM that the store did not answer is taken not to
-// reach it, unless it is answered before. Such a VM follows others meanwhile.
-const turnedAwaySpan = 10 * clock.Second
-
-// mayReach says whether the store answers this VM, as far as it knows.
-func (d *directSource) mayReach() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return !d.hasFailed || d.answeredAt > d.failedAt || d.clock.Now()-d.failedAt > turnedAwaySpan
-}
-
 // reportGauges shows what the VM knows.
 func (n *Node) reportGauges(members []roster.Member) {
 	scope := n.metrics.Scope
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -246,7 +246,7 @@
 func (n *Node) startFeeds(ctx context.Context) {
 	last := len(n.feeds) - 1
 	go n.feeds[last].Run(ctx)
-	for waited := clock.Millis(0); waited < relayPatience && !n.known.isListed(n.self) && !n.roster.IsSmall(); waited += startStep {
+	for waited := clock.Millis(0); waited < relayPatience && !n.known.isListed(n.self); waited += startStep {
 		if clock.Sleep(ctx, startStep) != nil {
 			return
 		}
