Pack many changes once for all VMs that follow

A relay told each entry that registered to each VM that follows it, as it is. From four changes on they are packed, once for all who know the same.

--- a/internal/base/pack/pack.go
+++ b/internal/base/pack/pack.go
@@ -7,6 +7,7 @@
 	"compress/flate"
 	"encoding/gob"
 	"io"
+	"sync"
 
 	"baobabladder.example/baobabladder/internal/base/fault"
 )
@@ -14,14 +15,20 @@
 // maxUnpacked bounds what is unpacked, in bytes.
 const maxUnpacked = 64 << 20
 
+// writers holds writers for further use: a new one takes some 600 KB.
+var writers = sync.Pool{New: func() any {
+	// It fails for unknown levels only.
+	writer, _ := flate.NewWriter(io.Discard, flate.BestSpeed)
+	return writer
+}}
+
 // Encode packs a value.
 func Encode(value any) (packed []byte, err error) {
 	defer fault.Annotate(&err, "packing a %T", value)
 	var buffer bytes.Buffer
-	writer, err := flate.NewWriter(&buffer, flate.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
+	writer := writers.Get().(*flate.Writer)
+	defer writers.Put(writer)
+	writer.Reset(&buffer)
 	if err := gob.NewEncoder(writer).Encode(value); err != nil {
 		return nil, err
 	}
--- a/internal/control/tracker/relay.go
+++ b/internal/control/tracker/relay.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/pack"
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
 
@@ -12,6 +13,8 @@
 	watchMethod = ReceiverName + ".Watch"
 	// keptChanges is how many changes a feed keeps for peers that follow it.
 	keptChanges = 1024
+	// manyChanges is from how many changes on they are packed.
+	manyChanges = 4
 	// relayWait is how long a relay waits for changes, and relayMargin how much
 	// longer its reply may take.
 	relayWait   = 1000 * clock.Millis(1)
@@ -31,7 +34,9 @@
 
 // Changes is a relay's reply.
 type Changes struct {
+	// Objects holds few changes, Packed more of them, see pack.
 	Objects  []Object
+	Packed   []byte
 	Revision int64
 	// InContact says that the store answers the relay.
 	InContact bool
@@ -90,7 +95,10 @@
 	case isRelayed && changes.HistoryGone:
 		return nil, 0, ErrHistoryGone.New("no relay keeps the changes asked for")
 	case isRelayed:
-		return changes.Objects, changes.Revision, nil
+		if len(changes.Packed) > 0 {
+			err = pack.Decode(changes.Packed, &changes.Objects)
+		}
+		return changes.Objects, changes.Revision, err
 	}
 	objects, revision, err = r.Store.Watch(ctx, kind, after, wait)
 	r.note(err, true)
@@ -171,6 +179,33 @@
 	ctx, cancel := context.WithTimeout(context.Background(), wanted.Wait.Duration())
 	defer cancel()
 	*reply = feed.changesAfter(ctx, wanted.After)
+	return feed.packChanges(wanted.After, reply)
+}
+
+// packedChanges is what several peers ask for that know the same.
+type packedChanges struct {
+	after, upTo int64
+	packed      []byte
+}
+
+// packChanges packs changes, if they are many.
+func (f *Feed) packChanges(after int64, changes *Changes) (err error) {
+	if len(changes.Objects) < manyChanges {
+		return nil
+	}
+	f.mu.Lock()
+	last := f.packedChanges
+	f.mu.Unlock()
+	if last == nil || last.after != after || last.upTo != changes.Revision {
+		last = &packedChanges{after: after, upTo: changes.Revision}
+		if last.packed, err = pack.Encode(changes.Objects); err != nil {
+			return err
+		}
+		f.mu.Lock()
+		f.packedChanges = last
+		f.mu.Unlock()
+	}
+	changes.Objects, changes.Packed = nil, last.packed
 	return nil
 }
 
--- a/internal/control/tracker/tracker.go
+++ b/internal/control/tracker/tracker.go
@@ -100,6 +100,8 @@
 	// its changes. Guarded by mu.
 	packing  *packing
 	packings int64
+	// packedChanges is what was packed last for peers that follow. Guarded by mu.
+	packedChanges *packedChanges
 	// changes holds the newest changes of the copy, all of those after keptFrom; more
 	// is closed at the next one. Guarded by mu.
 	changes  []change
--- a/internal/control/tracker/tracker_test.go
+++ b/internal/control/tracker/tracker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -231,6 +232,29 @@
 	g.Expect(direct.lists).To(BeNumerically("~", 5, 1))
 }
 
+// At 302 VMs and 3000 endpoints, a relay told each entry that registered to each VM
+// of its region as it is.
+func TestManyChangesArePackedOnceForAllWhoFollow(t *testing.T) {
+	g := NewWithT(t)
+	relay, follows, _, _ := relayed(t)
+	var many []Object
+	for i := range int64(100) {
+		many = append(many, Object{Name: fmt.Sprint("endpoint-", i), Revision: 11 + i, Spec: []byte(`{"address":"10.0.0.1:80","zone":"n1"}`)})
+	}
+	relay.watch(t, 110, many...)
+	receiver := NewReceiver(relay.Feed)
+	var first, second Changes
+	g.Expect(receiver.Watch(Wanted{Kind: "endpoints", After: 10}, &first)).To(Succeed())
+	g.Expect(first.Objects).To(BeEmpty())
+	g.Expect(len(first.Packed)).To(BeNumerically("<", 2500))
+	g.Expect(receiver.Watch(Wanted{Kind: "endpoints", After: 10}, &second)).To(Succeed())
+	g.Expect(&second.Packed[0]).To(BeIdenticalTo(&first.Packed[0]))
+	objects, revision, err := follows.Watch(context.Background(), "endpoints", 10, clock.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(revision).To(Equal(int64(110)))
+	g.Expect(objects).To(Equal(many))
+}
+
 func TestAFollowerThatIsFarBehindListsAgain(t *testing.T) {
 	g := NewWithT(t)
 	relay, follows, _, _ := relayed(t)
