Compare a new version's failures with failures, and judge once more at its deadline

Cause: a version that fails 3 answers of 10 shows 2 failures in the 12 answers of a short trial once in four; with the old version's late answers counted as if they were failures, chance was thought to explain them, and the version was completed. Now failures are compared with failures; at the deadline two are enough, if they are a part of 0.12 more than the old version's and one deviation.

--- a/internal/entry/node/duties.go
+++ b/internal/entry/node/duties.go
@@ -194,7 +194,12 @@
 		if verdict.Move.StartedWall == 0 {
 			verdict.Move.StartedWall = n.clock.Wall() - (n.clock.Now() - verdict.Move.SeenAt)
 		}
-		fields := logrus.Fields{"service": verdict.Move.Service, "to": verdict.Move.To, "state": verdict.State, "why": verdict.Why}
+		evidence := verdict.Evidence
+		fields := logrus.Fields{
+			"service": verdict.Move.Service, "to": verdict.Move.To, "state": verdict.State, "why": verdict.Why,
+			"answers": evidence.EverAnswers, "bad": evidence.EverBad, "failed": evidence.EverFailed,
+			"old_answers": evidence.OldAnswers, "old_bad": evidence.OldBad, "old_failed": evidence.OldFailed,
+		}
 		if err := n.Platform.WriteMove(ctx, verdict.Move, verdict.State); err != nil {
 			n.Log.WithError(err).WithFields(fields).Warn("writing the state of a version move failed")
 			continue
--- a/internal/policy/canary/canary.go
+++ b/internal/policy/canary/canary.go
@@ -27,9 +27,13 @@
 	// or cold object causes.
 	minFailed   = 3
 	failsMoreBy = 0.1
-	// failDeviations is how many standard deviations of the failures expected from the
-	// old version's part are left to chance.
-	failDeviations = 2
+	// minFailedLast and failsMoreByLast are the same at the deadline: a version that is
+	// completed wrongly runs all requests, one that is taken back wrongly none.
+	minFailedLast   = 2
+	failsMoreByLast = 0.12
+	// failDeviations is how many standard deviations are left to chance.
+	failDeviations     = 2
+	failDeviationsLast = 1
 	// finishEarly is how long before its deadline a move is completed. The rest is
 	// for writing it down.
 	finishEarly = 2500 * clock.Millis(1)
@@ -51,6 +55,8 @@
 	// the old version's likewise.
 	NewAnswers, NewBad float64
 	OldAnswers, OldBad float64
+	// OldFailed counts answers of the old version that failed, fading.
+	OldFailed float64
 	// EverAnswers, EverBad and EverFailed count answers of the new version without
 	// fading, those that failed apart.
 	EverAnswers, EverBad, EverFailed float64
@@ -81,6 +87,8 @@
 	Move  directory.Move
 	State directory.MoveState
 	Why   string
+	// Evidence is that of all VMs, on which the verdict rests.
+	Evidence Evidence
 }
 
 // Guard keeps the trials of one VM. Share must be set.
@@ -207,6 +215,9 @@
 	}
 	t.evidence.OldAnswers++
 	t.evidence.OldBad += bad
+	if bad >= 1 {
+		t.evidence.OldFailed++
+	}
 }
 
 // Evidence returns what this VM tells its peers, by service.
@@ -235,19 +246,32 @@
 		if t.move.State == directory.MoveDone || t.move.State == directory.MoveTakenBack {
 			continue
 		}
-		early := min(finishEarly, t.move.Within/finishPart)
-		switch {
-		case t.isBad(now):
-			verdicts = append(verdicts, Verdict{Move: t.move, State: directory.MoveTakenBack, Why: "the new version answers worse than the old one"})
-		case now-t.move.SeenAt >= t.move.Within-early:
-			verdicts = append(verdicts, Verdict{Move: t.move, State: directory.MoveDone, Why: "the new version answered as well as the old one until its deadline"})
-		case t.move.State == directory.MoveAsked:
-			verdicts = append(verdicts, Verdict{Move: t.move, State: directory.MoveRunning, Why: "the trial has begun"})
+		if verdict, isDue := t.verdict(now); isDue {
+			verdict.Move, verdict.Evidence = t.move, t.sum(now)
+			verdicts = append(verdicts, verdict)
 		}
 	}
 	return verdicts
 }
 
+func (t *trial) verdict(now clock.Millis) (verdict Verdict, isDue bool) {
+	early := min(finishEarly, t.move.Within/finishPart)
+	isOver := now-t.move.SeenAt >= t.move.Within-early
+	switch {
+	case t.isBad(now):
+		return Verdict{State: directory.MoveTakenBack, Why: "the new version answers worse than the old one"}, true
+	case isOver && t.isDoubtful(now):
+		t.evidence.Bad = true
+		return Verdict{State: directory.MoveTakenBack, Why: "the new version failed more often than the old one until its deadline"}, true
+	case isOver:
+		return Verdict{State: directory.MoveDone, Why: "the new version answered as well as the old one until its deadline"}, true
+	case t.move.State == directory.MoveAsked:
+		return Verdict{State: directory.MoveRunning, Why: "the trial has begun"}, true
+	default:
+		return Verdict{}, false
+	}
+}
+
 // Sum adds evidence on the same versions up.
 func Sum(parts []map[string]Evidence) map[string]Evidence {
 	sums := map[string]Evidence{}
@@ -271,6 +295,7 @@
 	e.NewBad += other.NewBad
 	e.OldAnswers += other.OldAnswers
 	e.OldBad += other.OldBad
+	e.OldFailed += other.OldFailed
 	e.EverAnswers += other.EverAnswers
 	e.EverBad += other.EverBad
 	e.EverFailed += other.EverFailed
@@ -285,11 +310,24 @@
 	case e.EverBad >= minBadEver && e.EverBad > (old+worseBy)*e.EverAnswers:
 		return true
 	default:
-		chance := failDeviations * math.Sqrt(old*e.EverAnswers)
-		return e.EverFailed >= minFailed && e.EverFailed > (old+failsMoreBy)*e.EverAnswers+chance
+		return e.failsMore(minFailed, failsMoreBy, failDeviations)
 	}
 }
 
+// isDoubtful says whether the new version is not to be completed.
+func (e *Evidence) isDoubtful() bool {
+	return e.failsMore(minFailedLast, failsMoreByLast, failDeviationsLast)
+}
+
+// failsMore says whether the new version failed often enough, and in a greater part
+// of its answers than the old one, beyond chance: some standard deviations of the
+// failures expected from the old one's part.
+func (e *Evidence) failsMore(least, by, deviations float64) bool {
+	old := e.OldFailed / max(e.OldAnswers, 1)
+	chance := deviations * math.Sqrt(old*e.EverAnswers)
+	return e.EverFailed >= least && e.EverFailed > (old+by)*e.EverAnswers+chance
+}
+
 func (t *trial) fade(now clock.Millis) {
 	factor := math.Exp(-float64(now-t.at) / float64(evidenceSpan))
 	t.at = now
@@ -297,6 +335,7 @@
 	t.evidence.NewBad *= factor
 	t.evidence.OldAnswers *= factor
 	t.evidence.OldBad *= factor
+	t.evidence.OldFailed *= factor
 }
 
 // isBad judges on all VMs' evidence together. Once a version was found bad it
@@ -305,15 +344,28 @@
 	if t.evidence.Bad {
 		return true
 	}
-	t.fade(now)
-	sum := t.evidence
 	for _, heard := range t.peers {
 		if heard.Bad {
 			t.evidence.Bad = true
 			return true
 		}
-		sum.add(&heard)
 	}
+	sum := t.sum(now)
 	t.evidence.Bad = sum.isWorse()
 	return t.evidence.Bad
 }
+
+func (t *trial) isDoubtful(now clock.Millis) bool {
+	sum := t.sum(now)
+	return sum.isDoubtful()
+}
+
+// sum returns all VMs' evidence.
+func (t *trial) sum(now clock.Millis) Evidence {
+	t.fade(now)
+	sum := t.evidence
+	for _, heard := range t.peers {
+		sum.add(&heard)
+	}
+	return sum
+}
--- a/internal/policy/canary/canary_test.go
+++ b/internal/policy/canary/canary_test.go
@@ -217,3 +217,27 @@
 	}
 	g.Expect(trial.verdict()).To(Equal(directory.MoveTakenBack))
 }
+
+// With one request a second on trial, a version that fails three answers of ten shows
+// fewer than three failures in one trial of four.
+func TestAVersionThatFailedTwiceInAShortTrialIsNotCompleted(t *testing.T) {
+	for failures, state := range map[int]directory.MoveState{1: directory.MoveDone, 2: directory.MoveTakenBack} {
+		g := NewWithT(t)
+		trial := newTrial()
+		for i := range 12 {
+			bad := 0.0
+			if i%6 == 0 && i/6 < failures {
+				bad = 1
+			}
+			trial.guard.Record("s", "v2", bad)
+			trial.guard.Record("s", "v1", lateIn(1, 4)(i))
+			for range 9 {
+				trial.guard.Record("s", "v1", 0)
+			}
+		}
+		trial.guard.Record("s", "v1", 1)
+		g.Expect(trial.verdict()).To(Equal(directory.MoveRunning))
+		trial.manual.Advance(within - clock.Second)
+		g.Expect(trial.verdict()).To(Equal(state), "%d failures", failures)
+	}
+}
