Count answers by how much longer than usual they take

Cause: about a fifth of its answers came late, 0.18 by weight at 116 answers, under the old version's 0.012 and the margin of 0.2; whether it was taken back was left to chance. What tells them apart is the time: 36 of 128 answers of the bad version took 2.2 times as long as usual or more, none of the good one's 42. Such answers now count 0.95 in place of 0.75, late ones below that 0.75 as before, and those whose request had less time left than is usual nothing.

--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -120,7 +120,12 @@
 	switch {
 	case outcome == balance.Failed:
 		bad = 1
-	case outcome == balance.Late, outcome == balance.Answered && grant.IsSlow(took):
+	case outcome == balance.Late && !grant.IsDue(took):
+		// The request had little time left, which is no fault of the endpoint.
+		return
+	case (outcome == balance.Late || outcome == balance.Answered) && grant.IsSlow(took):
+		bad = canary.Slow
+	case outcome == balance.Late:
 		bad = canary.Late
 	case outcome != balance.Answered:
 		return
--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -545,6 +545,10 @@
 // have the object at hand usually takes. A new version's endpoints have none.
 func (g *Grant) IsSlow(took clock.Millis) bool { return float64(took) > slowTimes*g.usual }
 
+// IsDue says whether an endpoint that does not have the object at hand usually has
+// answered by then.
+func (g *Grant) IsDue(took clock.Millis) bool { return float64(took) >= g.usual }
+
 // learnWeight is the divisor of a new value's part in an average.
 const learnWeight = 16
 
--- a/internal/policy/balance/balance_test.go
+++ b/internal/policy/balance/balance_test.go
@@ -268,6 +268,8 @@
 	first := f.place(t, request("y"))
 	g.Expect(first.IsSlow(1000)).To(BeFalse())
 	g.Expect(first.IsSlow(8 * 264)).To(BeTrue())
+	g.Expect(first.IsDue(264)).To(BeFalse())
+	g.Expect(first.IsDue(1200)).To(BeTrue())
 }
 
 // A version that fails under load only passed its trial: its endpoints had a
--- a/internal/policy/canary/canary.go
+++ b/internal/policy/canary/canary.go
@@ -189,9 +189,13 @@
 	return Choice{Only: t.move.To, Pack: true, Turn: max(turn, 0)}
 }
 
-// Late is what an answer that came late, or not in time, counts as: others than
-// the version may be the cause.
-const Late = 0.75
+// Late is what an answer that came late, or not in time, counts as, and Slow what one
+// does that took far longer than usual: others than the version may be the cause,
+// most so where the time that a route allows is hardly more than what is usual.
+const (
+	Late = 0.75
+	Slow = 0.95
+)
 
 // Record counts an answer of a version. bad is 0 for a good one and 1 for a
 // failure; see Late.
--- a/internal/policy/canary/canary_test.go
+++ b/internal/policy/canary/canary_test.go
@@ -194,7 +194,20 @@
 	g.Expect(trial.verdict()).To(Equal(directory.MoveTakenBack))
 }
 
-// One endpoint of four may be slow without its version being bad.
+// A version of which one answer of four took far longer than usual was completed.
+func TestAVersionWhoseAnswersAreSlowIsTakenBack(t *testing.T) {
+	g := NewWithT(t)
+	trial := newTrial()
+	trial.record(60, func(turn int) float64 {
+		if turn%4 == 0 {
+			return canary.Slow
+		}
+		return 0
+	}, lateIn(1, 60))
+	g.Expect(trial.verdict()).To(Equal(directory.MoveTakenBack))
+}
+
+// One endpoint of four may be late without its version being bad.
 func TestOneSlowEndpointOfFourTakesNoVersionBack(t *testing.T) {
 	g := NewWithT(t)
 	trial := newTrial()
