End a VM that is told to stop before it serves

Serve now closes the listener itself if the stop had begun. Ruled out: a limit of connections, a reader of logs that stands still (the writer waits for a bounded time), a paused process (the soak wakes it).

--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -111,7 +111,12 @@
 	s.init()
 	s.mu.Lock()
 	s.listener = listener
+	isLate := s.isStopping
 	s.mu.Unlock()
+	if isLate {
+		// The stop may have looked for a listener already.
+		go s.closeListener()
+	}
 	err := s.http.Serve(&limitedListener{Listener: listener, server: s})
 	if s.stopping() {
 		<-s.ended
