Take no VM for a relay before those that go first were heard

Cause, as far as traced: when all VMs start, each took itself, or whom it heard first, for a relay, and so for an owner of quotas; every new owner begins with 0.3 of a burst. Now in the first moments none goes before a VM that was not heard yet and may be there. The test fails before with any of 86 VMs as a decider.

--- a/internal/control/roster/relays.go
+++ b/internal/control/roster/relays.go
@@ -29,10 +29,11 @@
 func (r *Roster) chooseRelays(known map[string]Brief, self *State) map[string][]string {
 	relays := map[string][]string{}
 	candidates := r.candidates()
+	standings := r.standings(candidates, known, self)
 	for wanted := reaching; wanted < unfit; wanted++ {
-		for _, name := range candidates {
+		for i, name := range candidates {
 			region := r.listed[name].Region
-			if len(relays[region]) < relaysPerRegion && r.standing(name, known, self) == wanted {
+			if len(relays[region]) < relaysPerRegion && standings[i] == wanted {
 				relays[region] = append(relays[region], name)
 			}
 		}
@@ -40,6 +41,26 @@
 	return relays
 }
 
+// standings returns how well each candidate suits. Where all VMs start together they
+// hear some before others, and would take these for relays: in the first moments none
+// goes before one that was not heard yet and may be there. Callers hold mu.
+func (r *Roster) standings(candidates []string, known map[string]Brief, self *State) []standing {
+	standings := make([]standing, len(candidates))
+	hasJustStarted := r.Clock.Now()-r.listedAt < r.lostAfter()
+	isWaitedFor := map[string]bool{}
+	for i, name := range candidates {
+		region := r.listed[name].Region
+		standings[i] = r.standing(name, known, self)
+		if hasJustStarted && isWaitedFor[region] {
+			standings[i] = max(standings[i], standby)
+		}
+		if _, isKnown := known[name]; !isKnown && name != r.Self.Name && standings[i] == standby {
+			isWaitedFor[region] = true
+		}
+	}
+	return standings
+}
+
 // candidates returns the registered VMs in the order in which they become relays:
 // the first of each data centre by name, then the second of each. A data centre
 // that is cut off so has a relay soon. Callers hold mu.
--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -108,8 +108,9 @@
 	loaded atomic.Pointer[loaded]
 
 	mu sync.Mutex
-	// listed holds the registered VMs by name. Guarded by mu.
-	listed map[string]vm.VM
+	// listed holds the registered VMs by name, known since listedAt. Guarded by mu.
+	listed   map[string]vm.VM
+	listedAt clock.Millis
 	// heard holds the last state of each VM that told one itself. Guarded by mu.
 	heard map[string]hearing
 	// words holds the last word of each relay, by author, and own this VM's as a
@@ -157,6 +158,9 @@
 func (r *Roster) List(vms []vm.VM) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if len(r.listed) == 0 {
+		r.listedAt = r.Clock.Now()
+	}
 	r.listed = map[string]vm.VM{}
 	for _, listed := range vms {
 		r.listed[listed.Name] = listed
--- a/internal/control/roster/roster_test.go
+++ b/internal/control/roster/roster_test.go
@@ -217,6 +217,28 @@
 	}
 }
 
+// After a loss of power each of 86 VMs took itself for a relay until it heard the
+// others, and answered for quotas: a hot workspace had 14 owners.
+func TestVMsThatStartTogetherAgreeOnTheirRelays(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(86)
+	relays := []string{"vm-00", "vm-01", "vm-02", "vm-03", "vm-04", "vm-05"}
+	for range 8 {
+		for name, roster := range f.vms {
+			deciders, _ := roster.Deciders(roster.Members())
+			for _, decider := range deciders {
+				g.Expect(relays).To(ContainElement(decider.ID.Name), "as %s sees it", name)
+			}
+		}
+		f.run(exchangeInterval)
+	}
+	for name, roster := range f.vms {
+		deciders, isMost := roster.Deciders(roster.Members())
+		g.Expect(isMost).To(BeTrue(), name)
+		g.Expect(deciders).To(HaveLen(len(relays)), name)
+	}
+}
+
 // One relay of each region gave all its VMs their copies.
 func TestRelaysShareThoseThatAsk(t *testing.T) {
 	g := NewWithT(t)
