--- a/internal/policy/balance/affinity.go
+++ b/internal/policy/balance/affinity.go
@@ -2,6 +2,18 @@
 
 import "baobabladder.example/baobabladder/internal/base/clock"
 
+const (
+	// affinityTTL is how long after a request for an object its endpoint counts as
+	// warm.
+	affinityTTL = 30 * clock.Second
+	// maxAffinities bounds the number of stored affinities; all are dropped beyond it.
+	maxAffinities = 20_000
+	// relocationAnnounceTime is how long a relocation is announced to peers.
+	// maxAnnouncedRelocations bounds the relocations in one announcement.
+	relocationAnnounceTime  = 2 * clock.Second
+	maxAnnouncedRelocations = 64
+)
+
 // affinity records the endpoint that last served an object.
 type affinity struct {
 	endpoint   string
--- /dev/null
+++ b/internal/policy/balance/candidate.go
@@ -0,0 +1,237 @@
+package balance
+
+import (
+	"fmt"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/reason"
+	"baobabladder.example/baobabladder/internal/world/directory"
+	"baobabladder.example/baobabladder/internal/world/routing"
+)
+
+const (
+	// occupancyCost is the cost to other requests of each millisecond that a request
+	// occupies an endpoint's slot, in milliseconds.
+	occupancyCost = 5
+	// interRegionMillis and interDataCentreMillis estimate the round trip to another
+	// region and to another data centre of the same region. interRegionKilobyteCost and
+	// interDataCentreKilobyteCost are the cost of each transferred kilobyte, in
+	// milliseconds.
+	interRegionMillis           = 60
+	interDataCentreMillis       = 3
+	interRegionKilobyteCost     = 9
+	interDataCentreKilobyteCost = 3
+	// expectedResponseKilobytes is the assumed size of a response.
+	expectedResponseKilobytes = 2
+	// maxQueueLength is how many requests may wait at an endpoint when all its slots
+	// are in use.
+	maxQueueLength = 12
+	// saturationThreshold is the fraction of a service's slots in use above which a
+	// request is sent only to the home of its object or to an endpoint that is warm for
+	// the object.
+	saturationThreshold = 0.6
+	// deadlineMissCost is the cost of an endpoint that is expected to answer after the
+	// deadline, in multiples of the route's target latency. Such a run is wasted and
+	// occupies a slot.
+	deadlineMissCost = 10
+	// failureCost is the cost of a failure rate of 1, in multiples of the route's
+	// target latency.
+	failureCost = 2.5
+)
+
+// candidate is an endpoint with its estimated cost for a request. Times and cost are in
+// milliseconds.
+type candidate struct {
+	state    *endpointState
+	cost     float64
+	expected float64
+	typical  float64
+	wait     float64
+	isWarm   bool
+	isHome   bool
+}
+
+// cheapest returns the candidate with the lowest cost, and the number of endpoints
+// rejected for each cause. It considers suspended endpoints only if includeSuspended is
+// set. The caller must hold mu.
+func (b *Balancer) cheapest(request *Request, now clock.Millis, includeSuspended bool) (best candidate, rejected rejections) {
+	endpoints := b.directory.Services[request.Service.Name]
+	home := b.home(request, endpoints, now)
+	isSaturated := home != nil && b.isSaturated(endpoints, now)
+	for i := range endpoints {
+		state := b.states[endpoints[i].ID]
+		switch {
+		case state == nil || !b.isEligible(request, state):
+			rejected.ineligible++
+			continue
+		case !includeSuspended && state.isSuspended(now):
+			rejected.suspended++
+			continue
+		case state.endpoint.ColdUntil > now && (now < state.nextColdRequestAt || !b.isColdSender(request.Service, state)):
+			rejected.cold++
+			continue
+		}
+		c := b.estimate(request, state, state == home, now)
+		switch {
+		case int(state.load(now)) >= state.endpoint.Slots+maxQueueLength:
+			rejected.full++
+			continue
+		case isSaturated && !c.isWarm && !c.isHome:
+			rejected.notWarm++
+			continue
+		case isSaturated && c.expected > float64(request.Remaining):
+			rejected.slow++
+			continue
+		}
+		if c.expected > float64(request.Remaining) {
+			c.cost += deadlineMissCost * float64(request.Route.TargetLatency)
+		}
+		if request.Versions.Pack {
+			c.cost += b.packCost(request, state, endpoints, now)
+		}
+		if best.state == nil || c.cost < best.cost {
+			best = c
+		}
+	}
+	return best, rejected
+}
+
+// rejections counts the endpoints that cannot be chosen for a request, by cause.
+type rejections struct {
+	// ineligible endpoints must not run the request at all; see isEligible.
+	ineligible, suspended, cold, full int
+	// While the service is saturated, endpoints are also rejected if they are neither
+	// warm for the object nor its home, or are too slow to answer before the deadline.
+	notWarm, slow int
+}
+
+// String returns the counts as text for a refusal.
+func (r rejections) String() string {
+	return fmt.Sprintf("endpoints closed %d, suspended %d, cold %d, full %d, without the object %d, too slow %d",
+		r.ineligible, r.suspended, r.cold, r.full, r.notWarm, r.slow)
+}
+
+// reason returns the reason of the refusal: RegionFull if an endpoint could run the
+// request but lacks capacity, else NoEndpoint.
+func (r rejections) reason() reason.Reason {
+	if r.full+r.notWarm+r.slow > 0 {
+		return reason.RegionFull
+	}
+	return reason.NoEndpoint
+}
+
+// packCostStep is larger than any difference between the other costs, in milliseconds.
+const packCostStep = 1e6
+
+// packCost returns a cost that makes requests of a version on trial fill one endpoint
+// after the other. The eligible endpoints are ordered by hash, beginning at PackOffset
+// and wrapping around; those without a free slot come last. The caller must hold mu.
+func (b *Balancer) packCost(request *Request, state *endpointState, endpoints []directory.Endpoint, now clock.Millis) float64 {
+	position, count := 0, 0
+	for i := range endpoints {
+		other := b.states[endpoints[i].ID]
+		if other == nil || !b.isEligible(request, other) {
+			continue
+		}
+		count++
+		if other.hash < state.hash {
+			position++
+		}
+	}
+	position = (position + count - request.Versions.PackOffset%max(count, 1)) % max(count, 1)
+	if int(state.load(now)) >= state.endpoint.Slots {
+		position += count
+	}
+	return packCostStep * float64(position)
+}
+
+// isSaturated reports whether so many of a service's slots are in use that a run on an
+// endpoint which is not warm, and so takes longer, would delay other requests by more
+// than the request gains. The caller must hold mu.
+func (b *Balancer) isSaturated(endpoints []directory.Endpoint, now clock.Millis) bool {
+	load, slots := b.capacity(endpoints, now)
+	return load > saturationThreshold*slots
+}
+
+// capacity returns the estimated number of requests on the endpoints that are neither
+// draining nor suspended nor evacuated, and the number of their slots. The caller must
+// hold mu.
+func (b *Balancer) capacity(endpoints []directory.Endpoint, now clock.Millis) (load, slots float64) {
+	for i := range endpoints {
+		state := b.states[endpoints[i].ID]
+		if state == nil || state.endpoint.Draining || state.isSuspended(now) || b.directory.Evacuated[state.endpoint.DataCentre] {
+			continue
+		}
+		load += state.load(now)
+		slots += float64(state.endpoint.Slots)
+	}
+	return load, slots
+}
+
+// isEligible reports whether the endpoint may run the request, whatever its load. The
+// caller must hold mu.
+func (b *Balancer) isEligible(request *Request, state *endpointState) bool {
+	e := &state.endpoint
+	if e.Draining || state.isAddressReused || b.directory.Evacuated[e.DataCentre] || !request.Versions.Allows(e.Version) {
+		return false
+	}
+	for _, excluded := range request.ExcludedEndpoints {
+		if excluded == e.ID {
+			return false
+		}
+	}
+	return routing.IsRegionAllowed(request.Route, request.Workspace, e.Region)
+}
+
+// estimate returns an endpoint as a candidate for a request, with its expected response
+// time and cost. The caller must hold mu.
+func (b *Balancer) estimate(request *Request, state *endpointState, isHome bool, now clock.Millis) candidate {
+	run := b.runTime(request)
+	c := candidate{state: state, isHome: isHome}
+	runMillis := run.uncached
+	recent, known := b.affinities[request.Object]
+	switch {
+	case request.Object != "" && known && recent.endpoint == state.endpoint.ID && now-recent.lastUsedAt < affinityTTL:
+		runMillis, c.isWarm = run.cached, true
+	case isHome:
+		runMillis = run.cached
+	}
+	if state.endpoint.ColdUntil > now {
+		runMillis *= 2
+	}
+	runMillis *= state.slowdown
+	slots := float64(state.endpoint.Slots)
+	if over := state.load(now) + 1 - slots; over > 0 {
+		c.wait = over / slots * (run.cached + run.uncached) / 2 * state.slowdown
+	}
+	roundTrip, perKilobyte := 0.0, 0.0
+	switch {
+	case state.endpoint.Region != b.Region:
+		roundTrip, perKilobyte = interRegionMillis, interRegionKilobyteCost
+	case state.endpoint.DataCentre != b.DataCentre:
+		roundTrip, perKilobyte = interDataCentreMillis, interDataCentreKilobyteCost
+	}
+	c.expected = roundTrip + c.wait + runMillis
+	c.typical = roundTrip + c.wait + run.uncached
+	c.cost = c.expected + occupancyCost*runMillis + perKilobyte*(request.Kilobytes+expectedResponseKilobytes) + state.currentFailureRate(now)*failureCost*float64(request.Route.TargetLatency)
+	if !request.isRegionBound() {
+		c.cost += (1 - b.unreservedFraction(request.Service.Name, state.endpoint.Region, now)) * reservationCost * float64(request.Route.TargetLatency)
+	}
+	return c
+}
+
+// runTime returns the average run times of the request's service and kind of work. The
+// caller must hold mu.
+func (b *Balancer) runTime(request *Request) *runTime {
+	if b.runTimes == nil {
+		b.runTimes = map[string]*runTime{}
+	}
+	id := request.Service.Name + " " + string(request.Route.Work)
+	r := b.runTimes[id]
+	if r == nil {
+		target := float64(max(request.Route.TargetLatency, 1))
+		r = &runTime{uncached: 1.4 * target, cached: 0.45 * target}
+		b.runTimes[id] = r
+	}
+	return r
+}
--- /dev/null
+++ b/internal/policy/balance/grant.go
@@ -0,0 +1,164 @@
+package balance
+
+import (
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/world/directory"
+)
+
+// Grant is the endpoint chosen for one request. Done must be called when the request
+// has ended.
+type Grant struct {
+	Endpoint directory.Endpoint
+	// IsCold reports whether the endpoint was cold when it was chosen.
+	IsCold bool
+
+	balancer *Balancer
+	state    *endpointState
+	request  *Request
+	sentAt   clock.Millis
+	// expected is the expected response time in milliseconds, including the round trip
+	// and the time in the endpoint's queue.
+	expected float64
+	// typical is the expected response time in milliseconds of an endpoint that is not
+	// warm for the object, including the round trip and the time in the queue.
+	typical float64
+	// hadFreeSlot reports whether the request was expected to start without queueing,
+	// isWarm whether the endpoint was warm for the object.
+	hadFreeSlot, isWarm bool
+	isDone              bool
+	// Basis is the information on which the choice was made.
+	Basis Basis
+}
+
+// Basis is the information on which a choice was made, for the log.
+type Basis struct {
+	Endpoint, DataCentre, Version string
+	// Revision is the store revision at which the endpoint's directory entry last
+	// changed.
+	Revision int64
+	// Why is "home" if the endpoint is the object's home, else "warm" if it recently
+	// served the object. It is "room" if neither holds, so that only the other costs
+	// counted.
+	Why string
+	// Load is the estimated number of requests on the endpoint, running or queued, when
+	// it had Slots slots. LoadAge is the age of the information that Load is based on.
+	Load    int
+	LoadAge clock.Millis
+	Slots   int
+	// Expected is the expected response time in milliseconds.
+	Expected float64
+	IsCold   bool
+}
+
+// Outcome is the way in which a request to an endpoint ended.
+type Outcome string
+
+// Outcomes of requests.
+const (
+	Answered Outcome = "answered"
+	Failed   Outcome = "failed"
+	// Shed requests were refused by the endpoint, which did not run them.
+	Shed Outcome = "shed"
+	// Moved is the outcome if the address now belongs to another endpoint.
+	Moved Outcome = "moved"
+	// Unreachable is the outcome if no connection to the endpoint could be made.
+	Unreachable      Outcome = "unreachable"
+	DeadlineExceeded Outcome = "late"
+	Cancelled        Outcome = "cancelled"
+)
+
+// Result describes how a request to an endpoint ended.
+type Result struct {
+	Outcome Outcome
+	// Running and Waiting are the numbers of requests that the endpoint reported with
+	// its response; Running is -1 if it reported none.
+	Running, Waiting int
+}
+
+// grant records a request in flight on the candidate's endpoint. The caller must hold
+// mu.
+func (b *Balancer) grant(request *Request, c candidate, now clock.Millis) *Grant {
+	state := c.state
+	g := &Grant{
+		Endpoint: state.endpoint, IsCold: state.endpoint.ColdUntil > now, balancer: b, state: state, request: request,
+		sentAt: now, expected: c.expected, typical: c.typical, hadFreeSlot: c.wait == 0, isWarm: c.isWarm,
+	}
+	g.Basis = newBasis(c, g.IsCold, now)
+	if g.IsCold {
+		state.nextColdRequestAt = now + coldRequestInterval
+	}
+	state.inFlightSince = append(state.inFlightSince, now)
+	if request.Object != "" {
+		b.recordAffinity(request.Object, state.endpoint.ID, !c.isHome, now)
+	}
+	return g
+}
+
+// newBasis returns the information on which the choice of a candidate is based.
+func newBasis(c candidate, isCold bool, now clock.Millis) Basis {
+	e := &c.state.endpoint
+	why := "room"
+	switch {
+	case c.isHome:
+		why = "home"
+	case c.isWarm:
+		why = "warm"
+	}
+	return Basis{
+		Endpoint: e.ID, DataCentre: e.DataCentre, Version: e.Version, Revision: e.Revision, Why: why,
+		Load: int(c.state.load(now)), LoadAge: now - c.state.loadAt(now), Slots: e.Slots, Expected: c.expected, IsCold: isCold,
+	}
+}
+
+// Done records how the request ended. Only the first call has an effect.
+func (g *Grant) Done(result Result) {
+	b := g.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if g.isDone {
+		return
+	}
+	g.isDone = true
+	now := b.Clock.Now()
+	g.state.removeInFlight(g.sentAt)
+	took := float64(now - g.sentAt)
+	if result.Outcome == Answered && g.hadFreeSlot && !g.IsCold {
+		b.runTime(g.request).update(took, g.isWarm)
+	}
+	if g.hadFreeSlot && result.Outcome == Answered {
+		g.state.updateSlowdown(took / max(g.expected, 1))
+	}
+	g.state.recordResult(result, now)
+	if result.Outcome != Answered && result.Outcome != Cancelled && g.request.Object != "" {
+		delete(b.affinities, g.request.Object)
+	}
+}
+
+// slowFactor is how many times the typical response time a slow response takes.
+const slowFactor = 2.2
+
+// IsSlow reports whether a response took much longer than is typical of an endpoint
+// that is not warm for the object. The endpoints of a new version are not warm for any
+// object, so they are compared with that.
+func (g *Grant) IsSlow(took clock.Millis) bool { return float64(took) > slowFactor*g.typical }
+
+// IsPastTypical reports whether took has reached the typical response time of an
+// endpoint that is not warm for the object.
+func (g *Grant) IsPastTypical(took clock.Millis) bool { return float64(took) >= g.typical }
+
+// averageDivisor is the divisor in the moving averages of run times: a new value counts
+// for 1/averageDivisor.
+const averageDivisor = 16
+
+// update adds the run time of one request that did not queue, in milliseconds.
+func (r *runTime) update(took float64, isWarm bool) {
+	if isWarm {
+		r.cached += (took - r.cached) / averageDivisor
+		return
+	}
+	// A short run time shows that another VM's request had warmed the endpoint for the
+	// object, so it does not show how long runs take that are not warm.
+	if took > r.cached*1.5 {
+		r.uncached += (took - r.uncached) / averageDivisor
+	}
+}
