Log and count what VMs send to endpoints that have named a limit

Endpoints in need name in their answers the requests per second that they take from all VMs together. The header is now read with each response and kept beside the endpoint's state; choices do not depend on it yet.

New: the log lines 'endpoint named a limit' and 'endpoint lifted its limit' with what this VM sent meanwhile, the field limit_per_s of 'try' lines, the gauge endpoints_limited and the counter limited_sends.

--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -54,7 +54,7 @@
 }
 
 // Gateway handles callers' requests. All fields but RecordLatency, RecordOutcome,
-// Log and LogBudget must be set.
+// RecordLimitedSend, Log and LogBudget must be set.
 type Gateway struct {
 	Headers  Headers
 	Client   Sender
@@ -73,7 +73,9 @@
 	RecordLatency func(work, outcome string, took clock.Millis)
 	// RecordOutcome counts an attempt at an endpoint by its outcome.
 	RecordOutcome func(outcome string)
-	Clock         clock.Clock
+	// RecordLimitedSend counts an attempt at an endpoint that has named a limit.
+	RecordLimitedSend func(isRetry bool)
+	Clock             clock.Clock
 	// Log is nil for no log; LogBudget limits its lines.
 	Log       logrus.FieldLogger
 	LogBudget logging.Budget
--- a/internal/entry/gateway/requestlog.go
+++ b/internal/entry/gateway/requestlog.go
@@ -94,6 +94,9 @@
 		"load": a.basis.Load, "load_age_ms": a.basis.LoadAge, "slots": a.basis.Slots, "expected_ms": int64(a.basis.Expected),
 		"is_cold": a.basis.IsCold, "outcome": a.outcome, "took_ms": a.duration,
 	}
+	if a.basis.Limit.Statement == balance.LimitNamed {
+		fields["limit_per_s"] = a.basis.Limit.Rate
+	}
 	if a.status > 0 {
 		fields["status"] = a.status
 	}
--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -86,6 +86,7 @@
 	if err != nil {
 		return err
 	}
+	c.recordLimitedSend(grant)
 	sentAt := c.gateway.Clock.Now()
 	status := 0
 	result := balance.Result{Outcome: balance.Cancelled, Running: -1}
@@ -103,10 +104,11 @@
 	}()
 	response, err := c.send(ctx, grant)
 	if err != nil {
-		result.Outcome, result.Running, result.Waiting = failureOutcome(err)
+		result = failedResult(err)
 		return err
 	}
 	status = response.Status
+	result.Limit = balance.ParseLimit(response.Limit)
 	result.Running, result.Waiting = parseLoad(response.Load)
 	err = c.relayResponse(ctx, response)
 	_ = response.Body.Close()
@@ -138,6 +140,13 @@
 	c.gateway.Canary.Record(c.service.Name, grant.Endpoint.Version, badWeight)
 }
 
+// recordLimitedSend counts a send to an endpoint that has named a limit.
+func (c *call) recordLimitedSend(grant *balance.Grant) {
+	if grant.Basis.Limit.Statement == balance.LimitNamed && c.gateway.RecordLimitedSend != nil {
+		c.gateway.RecordLimitedSend(len(c.attempts) > 0)
+	}
+}
+
 func (c *call) send(ctx context.Context, grant *balance.Grant) (*endpoint.Response, error) {
 	header := c.request.Header.Clone()
 	header.Del(c.gateway.Headers.Workspace)
@@ -162,33 +171,43 @@
 	return clock.FromDuration(time.Until(deadline))
 }
 
-// failureOutcome returns the outcome of an attempt without a complete response, and
-// the load that the endpoint reported; running is -1 without a report.
-func failureOutcome(err error) (outcome balance.Outcome, running, waiting int) {
-	if notRun, ok := fault.As[*endpoint.NotRunError](err); ok {
-		running, waiting = parseLoad(notRun.Load)
-		if notRun.Status == http.StatusMisdirectedRequest {
-			return balance.Moved, running, waiting
-		}
-		return balance.Shed, running, waiting
+// failedResult returns the result of an attempt without a complete response.
+func failedResult(err error) balance.Result {
+	notRun, ok := fault.As[*endpoint.NotRunError](err)
+	if !ok {
+		return balance.Result{Outcome: failureOutcome(err), Running: -1}
 	}
+	result := balance.Result{Outcome: balance.Shed}
+	if notRun.Status == http.StatusMisdirectedRequest {
+		result.Outcome = balance.Moved
+	}
+	result.Running, result.Waiting = parseLoad(notRun.Load)
+	if notRun.Limit != "" {
+		// An endpoint that did not run a request may leave its limit out.
+		result.Limit = balance.ParseLimit(notRun.Limit)
+	}
+	return result
+}
+
+// failureOutcome returns the outcome of an attempt that got no response, or only a part
+// of one.
+func failureOutcome(err error) balance.Outcome {
 	refusal := caller.AsRefusal(err)
 	switch refusal.Reason {
 	case reason.DeadlinePassed:
-		return balance.DeadlineExceeded, -1, 0
+		return balance.DeadlineExceeded
 	case reason.CallerGone, reason.BodyShort, reason.BodyTooSlow, reason.BodyTooLarge:
-		return balance.Cancelled, -1, 0
+		return balance.Cancelled
 	}
 	if refusal.Ran == reason.RanNo {
-		return balance.Unreachable, -1, 0
+		return balance.Unreachable
 	}
-	return balance.Failed, -1, 0
+	return balance.Failed
 }
 
 func responseOutcome(response *endpoint.Response, err error) balance.Outcome {
 	if err != nil {
-		result, _, _ := failureOutcome(err)
-		return result
+		return failureOutcome(err)
 	}
 	if response.Status >= http.StatusInternalServerError {
 		return balance.Failed
--- a/internal/entry/node/duties.go
+++ b/internal/entry/node/duties.go
@@ -77,10 +77,28 @@
 		candidates, hasMajority := n.roster.DutyCandidates(members)
 		n.setDutyAssignment(&dutyAssignment{candidates, hasMajority, fractionReachable(members)})
 		n.writeMoveVerdicts(ctx, candidates)
+		n.logLimits()
 		n.reportGauges(members)
 	}
 }
 
+// logLimits logs the limits that endpoints have named, changed or lifted since the last
+// call.
+func (n *Node) logLimits() {
+	newest := n.balancer.LimitUses()
+	for id, use := range newest {
+		if last, found := n.loggedLimits[id]; !found || last.Rate != use.Rate {
+			n.Log.WithFields(logrus.Fields{"endpoint": id, "limit_per_s": use.Rate}).Info("endpoint named a limit")
+		}
+	}
+	for id, last := range n.loggedLimits {
+		if _, found := newest[id]; !found {
+			n.Log.WithFields(logrus.Fields{"endpoint": id, "limit_per_s": last.Rate, "first_sends": last.FirstSends, "retries": last.Retries}).Info("endpoint lifted its limit")
+		}
+	}
+	n.loggedLimits = newest
+}
+
 // dutyAssignment is this VM's view of which VMs share the fleet-wide duties: owning
 // the quotas of workspaces and writing the outcome of version moves.
 type dutyAssignment struct {
--- a/internal/entry/node/metrics.go
+++ b/internal/entry/node/metrics.go
@@ -29,6 +29,18 @@
 	}
 }
 
+// limitedSendRecorder returns a function that counts sends to endpoints that have
+// named a limit: the first of each request, and its retries.
+func limitedSendRecorder(registry *metric.Registry) func(isRetry bool) {
+	return func(isRetry bool) {
+		attempt := "first"
+		if isRetry {
+			attempt = "retry"
+		}
+		registry.Scope.Tagged(map[string]string{"attempt": attempt}).Counter("limited_sends").Inc(1)
+	}
+}
+
 // reportGauges updates the gauges on the VM's knowledge and demand.
 func (n *Node) reportGauges(members []roster.Member) {
 	scope := n.metrics.Scope
@@ -43,6 +55,7 @@
 	}
 	scope.Gauge("peers_heard").Update(float64(reachable))
 	scope.Gauge("endpoints_known").Update(float64(n.objects.countEndpoints()))
+	scope.Gauge("endpoints_limited").Update(float64(len(n.balancer.LimitUses())))
 	for _, feed := range n.feeds {
 		scope.Tagged(map[string]string{"kind": feed.Kind}).Gauge("knowledge_age_seconds").Update(float64(feed.Age()) / float64(clock.Second))
 	}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -75,8 +75,9 @@
 	Kinds() (config, endpoints, moves, evacuations, vms string)
 	Headers() gateway.Headers
 	// EndpointHeaders returns the names of the response headers in which endpoints
-	// report their load, and that a request did not run.
-	EndpointHeaders() (load, notRun string)
+	// report their load, the requests per second that they take, and that a request
+	// did not run.
+	EndpointHeaders() (load, limit, notRun string)
 	DecodeConfig(object tracker.Object) (table *routing.Table, found bool, err error)
 	DecodeEndpoint(object tracker.Object, now clock.Millis, regions map[string]string) (directory.Endpoint, error)
 	DecodeMove(object tracker.Object, now clock.Millis) (directory.Move, error)
@@ -116,9 +117,12 @@
 	objects        objectCache
 	feeds          []*tracker.Feed
 	store          *storeSource
-	startedAt      clock.Millis
-	stopping       atomic.Bool
-	buildOnce      sync.Once
+	// loggedLimits holds the endpoints' limits as they were logged last, by endpoint ID.
+	// Only syncPeers uses it.
+	loggedLimits map[string]balance.LimitUse
+	startedAt    clock.Millis
+	stopping     atomic.Bool
+	buildOnce    sync.Once
 }
 
 // Run serves until ctx is done and then shuts down gracefully: peers learn that the VM
@@ -176,15 +180,15 @@
 	n.canary = &canary.Guard{MaxShare: config.Bounds.TrialShare}
 	n.retryBudget = &retry.WindowBudget{Length: config.Bounds.RetryWindow, Ratio: config.Bounds.RetryRatio, Slack: config.Bounds.RetrySlack}
 	refuser := caller.RefusalWriter{Counters: metric.NewReasonCounters(n.metrics.Scope, "refusals"), GatewayStatuses: true}
-	load, notRun := n.Platform.EndpointHeaders()
+	load, limit, notRun := n.Platform.EndpointHeaders()
 	n.gateway = &gateway.Gateway{
 		Headers: n.Platform.Headers(),
 		Client: &endpoint.Client{
-			LoadHeader: load, NotRunHeader: notRun, ConnectTimeout: endpointConnectTimeout, AcceptUnframed: true,
+			LoadHeader: load, LimitHeader: limit, NotRunHeader: notRun, ConnectTimeout: endpointConnectTimeout, AcceptUnframed: true,
 		},
 		Balancer: n.balancer, Quota: n.admission, Canary: n.canary, RetryBudget: n.retryBudget, Refuser: refuser,
 		RetryCounters: metric.NewReasonCounters(n.metrics.Scope, "retries"), Log: n.Log,
-		RecordLatency: latencyRecorder(n.metrics), RecordOutcome: outcomeRecorder(n.metrics),
+		RecordLatency: latencyRecorder(n.metrics), RecordOutcome: outcomeRecorder(n.metrics), RecordLimitedSend: limitedSendRecorder(n.metrics),
 	}
 	n.callerServer = &caller.Server{Handler: n.gateway, Refusals: refuser, IdleCloseDelay: config.Bounds.StopGrace / idleCloseDivisor}
 	n.buildFeeds()
--- a/internal/policy/balance/grant.go
+++ b/internal/policy/balance/grant.go
@@ -48,6 +48,8 @@
 	// Expected is the expected response time in milliseconds.
 	Expected float64
 	IsCold   bool
+	// Limit is the limit that the endpoint had named.
+	Limit Limit
 }
 
 // Outcome is the way in which a request to an endpoint ended.
@@ -73,6 +75,8 @@
 	// Running and Waiting are the numbers of requests that the endpoint reported with
 	// its response; Running is -1 if it reported none.
 	Running, Waiting int
+	// Limit is what the response says of the endpoint's limit.
+	Limit Limit
 }
 
 // grant records a request in flight on the candidate's endpoint. The caller must hold
@@ -87,6 +91,7 @@
 	if g.IsCold {
 		state.nextColdRequestAt = now + coldRequestInterval
 	}
+	state.countLimitedSend(len(request.ExcludedEndpoints) > 0)
 	state.inFlightSince = append(state.inFlightSince, now)
 	if request.Object != "" {
 		b.recordAffinity(request.Object, state.endpoint.ID, !c.isHome, now)
@@ -106,7 +111,7 @@
 	}
 	return Basis{
 		Endpoint: e.ID, DataCentre: e.DataCentre, Version: e.Version, Revision: e.Revision, Why: why,
-		Load: int(c.state.load(now)), LoadAge: now - c.state.loadAt(now), Slots: e.Slots, Expected: c.expected, IsCold: isCold,
+		Load: int(c.state.load(now)), LoadAge: now - c.state.loadAt(now), Slots: e.Slots, Expected: c.expected, IsCold: isCold, Limit: c.state.limit,
 	}
 }
 
--- a/internal/wire/endpoint/endpoint.go
+++ b/internal/wire/endpoint/endpoint.go
@@ -91,15 +91,17 @@
 	// Body ends with io.EOF only if the response is complete, otherwise with a
 	// *reason.Refusal.
 	Body io.ReadCloser
-	// Load is the load that the endpoint reported in its load header, or empty.
-	Load string
+	// Load is the load that the endpoint reported in its load header, or empty. Limit
+	// is the limit that it named in its limit header, or empty.
+	Load, Limit string
 }
 
 // NotRunError is the error for a request that the endpoint reported as not run.
 type NotRunError struct {
 	*reason.Refusal
-	// Load is the load that the endpoint reported, or empty.
-	Load string
+	// Load is the load that the endpoint reported, Limit the limit that it named;
+	// either may be empty.
+	Load, Limit string
 	// Status is the HTTP status that the endpoint sent.
 	Status int
 }
@@ -117,6 +119,9 @@
 	// LoadHeader and NotRunHeader replace the header names of the constants
 	// LoadHeader and NotRunHeader unless they are empty.
 	LoadHeader, NotRunHeader string
+	// LimitHeader is the name of the header in which endpoints name the requests per
+	// second that they take; empty if they name none.
+	LimitHeader string
 	// ConnectTimeout bounds the set-up of a connection; 0 selects 1 s.
 	ConnectTimeout clock.Millis
 	// AcceptUnframed accepts responses without Content-Length or chunked encoding.
@@ -213,6 +218,14 @@
 	return LoadHeader
 }
 
+// namedLimit returns the limit that the endpoint named, or an empty string.
+func (c *Client) namedLimit(header http.Header) string {
+	if c.LimitHeader == "" {
+		return ""
+	}
+	return header.Get(c.LimitHeader)
+}
+
 func (c *Client) notRunHeader() string {
 	if c.NotRunHeader != "" {
 		return c.NotRunHeader
--- a/internal/wire/endpoint/exchange.go
+++ b/internal/wire/endpoint/exchange.go
@@ -118,7 +118,7 @@
 		return nil, e.fail(reason.MayHaveRun(reason.AnswerCut, "the endpoint's answer declares no length"))
 	}
 	body := &responseBody{exchange: e, body: response.Body, mustClose: response.Close}
-	load := response.Header.Get(e.client.loadHeader())
+	load, limit := response.Header.Get(e.client.loadHeader()), e.client.namedLimit(response.Header)
 	e.connection.setIdleTimeout(response.Header.Get("Keep-Alive"))
 	if response.Header.Get(e.client.notRunHeader()) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		_, err := io.CopyN(io.Discard, body, maxHeadBytes)
@@ -129,9 +129,9 @@
 		if err != nil && err != io.EOF {
 			return nil, reason.MayHaveRun(reason.AnswerCut, "the endpoint's refusal was cut")
 		}
-		return nil, &NotRunError{Refusal: reason.NotRun(reason.EndpointShed, defaultRetryAfter, "the endpoint did not run the request"), Load: load, Status: response.StatusCode}
+		return nil, &NotRunError{Refusal: reason.NotRun(reason.EndpointShed, defaultRetryAfter, "the endpoint did not run the request"), Load: load, Limit: limit, Status: response.StatusCode}
 	}
-	return &Response{Status: response.StatusCode, Header: e.client.filterResponseHeader(response.Header), Length: response.ContentLength, Body: body, Load: load}, nil
+	return &Response{Status: response.StatusCode, Header: e.client.filterResponseHeader(response.Header), Length: response.ContentLength, Body: body, Load: load, Limit: limit}, nil
 }
 
 // fail ends the exchange and returns its refusal. The head was sent, so the refusal
