Keep the limit that an endpoint names over all VMs together

What callers and endpoints saw: an endpoint in need named a limit and got up to 2.3 times as much (87 requests in 4 s with a limit of 7.7 a second).

Cause: a limit for all VMs together was read by none of them. Ruled out: retries (4 of 779 sends).

Change: each VM has a token bucket with a share of the limit, by rank among the available VMs and, in a fleet of up to 16, by demand. VMs tell each other limits with the states that they exchange anyway, so those without a share learn when a limit ends. An endpoint without a token is not chosen; if only limits stand in the way the refusal says when to come back.

Why it works: the buckets hold 1.5 L + 4 requests together and get L a second, so 4 s bring at most 5.5 L + 4; 6 L + 5 are allowed.

New: restarts, freezes and cuts, lifted, stale and older readings.

--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -68,6 +68,11 @@
 	// Away lists, by object, where the VM sent objects that were not sent to their
 	// home endpoint; see balance.Relocation.
 	Away map[string]balance.Relocation
+	// Limits lists, by endpoint, the limits that were read lately by any VM.
+	Limits map[string]balance.LimitReading
+	// LimitDemand is the rate of requests that the VM would send to each endpoint that
+	// has named a limit, in requests per second.
+	LimitDemand map[string]float64
 	// Trials is the VM's own evidence on new versions, by service.
 	Trials map[string]canary.Evidence
 	// Revisions is the revision of the store up to which the VM knows each kind of
@@ -310,8 +315,8 @@
 	if !r.usesRelays() {
 		return state
 	}
-	// Quotas are divided by demand in a full mesh only.
-	state.Demand = nil
+	// Quotas and limits are divided by demand in a full mesh only.
+	state.Demand, state.LimitDemand = nil, nil
 	state.Versions = r.knownVersions()
 	if isCallee || r.isRelay(r.Self.Name, &state) {
 		r.addRelayFields(&state, peer)
@@ -416,6 +421,13 @@
 	return fullMeshInterval
 }
 
+// IsFullMesh reports whether this VM exchanges states with every other VM.
+func (r *Roster) IsFullMesh() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.usesRelays()
+}
+
 // usesRelays reports whether the fleet is too large for a full mesh. The caller must
 // hold mu.
 func (r *Roster) usesRelays() bool { return len(r.registered) > maxFullMeshVMs }
--- a/internal/entry/node/duties.go
+++ b/internal/entry/node/duties.go
@@ -27,7 +27,7 @@
 	}
 	return roster.State{
 		ID: n.id, VM: n.self, Ready: n.hasConfigAndEndpoints(), Stopping: n.stopping.Load(), Contact: isLoaded && n.store.canReachStore(),
-		Demand: n.quota.Demand(), Running: n.balancer.Running(), Away: n.balancer.Relocations(), Trials: n.canary.Evidence(), Revisions: revisions,
+		Demand: n.quota.Demand(), Running: n.balancer.Running(), Away: n.balancer.Relocations(), Limits: n.balancer.LimitReadings(), LimitDemand: n.balancer.LimitDemand(), Trials: n.canary.Evidence(), Revisions: revisions,
 	}
 }
 
@@ -42,6 +42,7 @@
 		}
 	}
 	n.balancer.MergeRelocations(state.Away)
+	n.balancer.MergeLimitReadings(state.Limits)
 	for _, feed := range n.feeds {
 		if known := state.Revisions[feed.Kind]; known > feed.NewestChange() {
 			go feed.CatchUp(context.Background(), n.peers, state.VM.PeerAddress, known)
@@ -65,7 +66,9 @@
 		demands := []quota.PeerDemand{}
 		vms := make([]balance.VM, 0, len(members))
 		for _, member := range members {
-			vms = append(vms, balance.VM{Name: member.ID.Name, Region: member.VM.Region})
+			vms = append(vms, balance.VM{
+				Name: member.ID.Name, Region: member.VM.Region, Unavailable: !member.Reachable || !member.Ready || member.Stopping,
+			})
 			if member.ID.Name == n.id.Name {
 				continue
 			}
@@ -73,6 +76,7 @@
 		}
 		n.quota.UpdatePeers(demands)
 		n.balancer.UpdatePeers(n.roster.Running(), vms)
+		n.balancer.UpdateLimitDemands(n.limitDemands(members))
 		n.retryBudget.SetVMs(len(members))
 		candidates, hasMajority := n.roster.DutyCandidates(members)
 		n.setDutyAssignment(&dutyAssignment{candidates, hasMajority, fractionReachable(members)})
@@ -82,13 +86,28 @@
 	}
 }
 
+// limitDemands returns the other VMs' demand for endpoints that have named a limit, by VM
+// and endpoint. It returns nil in a fleet in which VMs do not exchange it.
+func (n *Node) limitDemands(members []roster.Member) map[string]map[string]float64 {
+	if !n.roster.IsFullMesh() {
+		return nil
+	}
+	demands := map[string]map[string]float64{}
+	for _, member := range members {
+		if len(member.LimitDemand) > 0 && member.ID.Name != n.id.Name {
+			demands[member.ID.Name] = member.LimitDemand
+		}
+	}
+	return demands
+}
+
 // logLimits logs the limits that endpoints have named, changed or lifted since the last
 // call.
 func (n *Node) logLimits() {
 	newest := n.balancer.LimitUses()
 	for id, use := range newest {
 		if last, found := n.loggedLimits[id]; !found || last.Rate != use.Rate {
-			n.Log.WithFields(logrus.Fields{"endpoint": id, "limit_per_s": use.Rate}).Info("endpoint named a limit")
+			n.Log.WithFields(logrus.Fields{"endpoint": id, "limit_per_s": use.Rate, "share_per_s": use.Share}).Info("endpoint named a limit")
 		}
 	}
 	for id, last := range n.loggedLimits {
--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -63,6 +63,8 @@
 // VM is one of the VMs that send requests to endpoints.
 type VM struct {
 	Name, Region string
+	// Unavailable reports that the VM is lost, stopping or not ready yet.
+	Unavailable bool
 }
 
 // Balancer chooses endpoints for requests. VM, Region, DataCentre and ColdLimit must be
@@ -78,10 +80,15 @@
 	directory *directory.Directory
 	// states holds the state of each endpoint of the directory, by ID. Guarded by mu.
 	states map[string]*endpointState
-	// vms holds all VMs, including this one; vmsByRegion counts them by region. Guarded
-	// by mu.
-	vms         []VM
-	vmsByRegion map[string]float64
+	// vms holds all VMs, including this one; vmsByRegion counts them by region.
+	// availableVMs holds this VM and the others that are available. Guarded by mu.
+	availableVMs []rankedVM
+	// limitDemands is the last argument of UpdateLimitDemands. sharesVersion rises with
+	// each change that the shares of limits depend on. Guarded by mu.
+	vms           []VM
+	limitDemands  map[string]map[string]float64
+	sharesVersion int64
+	vmsByRegion   map[string]float64
 	// slotsByRegion counts the slots of each service in each region, slotsByService in
 	// all regions together. Guarded by mu.
 	slotsByRegion  map[serviceRegion]float64
@@ -130,11 +137,7 @@
 func (b *Balancer) UpdatePeers(running map[string]int, vms []VM) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.vms = vms
-	b.vmsByRegion = map[string]float64{}
-	for _, vm := range vms {
-		b.vmsByRegion[vm.Region]++
-	}
+	b.setVMs(vms)
 	now := b.Clock.Now()
 	for id, state := range b.states {
 		state.othersInFlight, state.othersUpdatedAt = running[id], now
@@ -180,9 +183,12 @@
 		request.Versions = canary.Choice{Not: request.Versions.Only}
 		chosen, rejected = b.cheapest(request, now, false)
 	}
+	if preferred := rejected.preferred; preferred != nil && preferred != chosen.state {
+		preferred.limit.addDemand(now)
+	}
 	if chosen.state == nil {
-		load, slots := b.capacity(b.directory.Services[request.Service.Name], now)
-		return nil, reason.NotRun(rejected.reason(), refusalRetryAfter, "no endpoint of %s can run the request in time: %.0f requests on %.0f slots; %s",
+		load, slots := b.capacity(request, b.directory.Services[request.Service.Name], now)
+		return nil, reason.NotRun(rejected.reason(), rejected.retryAfter(), "no endpoint of %s can run the request in time: %.0f requests on %.0f slots; %s",
 			request.Service.Name, load, slots, rejected)
 	}
 	return b.grant(request, chosen, now), nil
--- a/internal/policy/balance/candidate.go
+++ b/internal/policy/balance/candidate.go
@@ -56,8 +56,9 @@
 // set. The caller must hold mu.
 func (b *Balancer) cheapest(request *Request, now clock.Millis, includeSuspended bool) (best candidate, rejected rejections) {
 	endpoints := b.directory.Services[request.Service.Name]
-	home := b.home(request, endpoints, now)
-	isSaturated := home != nil && b.isSaturated(endpoints, now)
+	home, preferred := b.home(request, endpoints, now)
+	rejected.preferred = preferred
+	isSaturated := home != nil && b.isSaturated(request, endpoints, now)
 	for i := range endpoints {
 		state := b.states[endpoints[i].ID]
 		switch {
@@ -71,6 +72,10 @@
 			rejected.cold++
 			continue
 		}
+		if wait, ok := b.isWithinLimit(state, now); !ok {
+			rejected.addLimited(wait)
+			continue
+		}
 		c := b.estimate(request, state, state == home, now)
 		switch {
 		case int(state.load(now)) >= state.endpoint.Slots+maxQueueLength:
@@ -103,23 +108,46 @@
 	// While the service is saturated, endpoints are also rejected if they are neither
 	// warm for the object nor its home, or are too slow to answer before the deadline.
 	notWarm, slow int
+	// limited endpoints have named a limit, of which this VM has no token left. It has
+	// the first one again after limitWait.
+	limited   int
+	limitWait clock.Millis
+	// preferred is the endpoint that would be the object's home if no endpoint had
+	// reached its limit; nil if that makes no difference.
+	preferred *endpointState
+}
+
+func (r *rejections) addLimited(wait clock.Millis) {
+	if r.limited == 0 || wait < r.limitWait {
+		r.limitWait = wait
+	}
+	r.limited++
 }
 
 // String returns the counts as text for a refusal.
 func (r rejections) String() string {
-	return fmt.Sprintf("endpoints closed %d, suspended %d, cold %d, full %d, without the object %d, too slow %d",
-		r.ineligible, r.suspended, r.cold, r.full, r.notWarm, r.slow)
+	return fmt.Sprintf("endpoints closed %d, suspended %d, cold %d, full %d, without the object %d, too slow %d, at their limit %d",
+		r.ineligible, r.suspended, r.cold, r.full, r.notWarm, r.slow, r.limited)
 }
 
 // reason returns the reason of the refusal: RegionFull if an endpoint could run the
 // request but lacks capacity, else NoEndpoint.
 func (r rejections) reason() reason.Reason {
-	if r.full+r.notWarm+r.slow > 0 {
+	if r.full+r.notWarm+r.slow+r.limited > 0 {
 		return reason.RegionFull
 	}
 	return reason.NoEndpoint
 }
 
+// retryAfter returns the Retry-After of the refusal. It is longer than usual only if
+// nothing but limits stands in the way.
+func (r rejections) retryAfter() clock.Millis {
+	if r.full+r.notWarm+r.slow+r.suspended+r.cold > 0 {
+		return refusalRetryAfter
+	}
+	return max(refusalRetryAfter, min(r.limitWait, maxLimitRetryAfter))
+}
+
 // packCostStep is larger than any difference between the other costs, in milliseconds.
 const packCostStep = 1e6
 
@@ -148,22 +176,23 @@
 // isSaturated reports whether so many of a service's slots are in use that a run on an
 // endpoint which is not warm, and so takes longer, would delay other requests by more
 // than the request gains. The caller must hold mu.
-func (b *Balancer) isSaturated(endpoints []directory.Endpoint, now clock.Millis) bool {
-	load, slots := b.capacity(endpoints, now)
+func (b *Balancer) isSaturated(request *Request, endpoints []directory.Endpoint, now clock.Millis) bool {
+	load, slots := b.capacity(request, endpoints, now)
 	return load > saturationThreshold*slots
 }
 
 // capacity returns the estimated number of requests on the endpoints that are neither
-// draining nor suspended nor evacuated, and the number of their slots. The caller must
-// hold mu.
-func (b *Balancer) capacity(endpoints []directory.Endpoint, now clock.Millis) (load, slots float64) {
+// draining nor suspended nor evacuated, and the number of their slots that requests of
+// the given kind can use. The caller must hold mu.
+func (b *Balancer) capacity(request *Request, endpoints []directory.Endpoint, now clock.Millis) (load, slots float64) {
+	run := b.runTime(request)
 	for i := range endpoints {
 		state := b.states[endpoints[i].ID]
 		if state == nil || state.endpoint.Draining || state.isSuspended(now) || b.directory.Evacuated[state.endpoint.DataCentre] {
 			continue
 		}
 		load += state.load(now)
-		slots += float64(state.endpoint.Slots)
+		slots += state.usableSlots(run)
 	}
 	return load, slots
 }
--- a/internal/policy/balance/cold.go
+++ b/internal/policy/balance/cold.go
@@ -2,7 +2,6 @@
 
 import (
 	"baobabladder.example/baobabladder/internal/base/clock"
-	"baobabladder.example/baobabladder/internal/base/hashing"
 	"baobabladder.example/baobabladder/internal/world/routing"
 )
 
@@ -24,21 +23,11 @@
 		return true
 	}
 	higherRanked := 0
-	own := coldSenderRank(VM{b.VM, b.Region}, state)
+	own := b.self().rank(state)
 	for _, vm := range b.vms {
-		if vm.Name != b.VM && coldSenderRank(vm, state) > own {
+		if vm.Name != b.VM && newRankedVM(vm).rank(state) > own {
 			higherRanked++
 		}
 	}
 	return higherRanked < allowed
 }
-
-// coldSenderRank returns the rank of a VM among the senders to a cold endpoint; higher
-// ranks come first. All VMs compute the same ranks.
-func coldSenderRank(vm VM, state *endpointState) uint64 {
-	score := hashing.Mix(hashing.Strings(vm.Name)^state.hash) >> 1
-	if vm.Region == state.endpoint.Region {
-		score |= 1 << 63
-	}
-	return score
-}
--- a/internal/policy/balance/endpoint.go
+++ b/internal/policy/balance/endpoint.go
@@ -67,10 +67,7 @@
 	// nextColdRequestAt is the earliest time of this VM's next request while the
 	// endpoint is cold.
 	nextColdRequestAt clock.Millis
-	// limit is the limit that the endpoint named last. limitedFirstSends and
-	// limitedRetries count the requests sent since it was first named; see LimitUse.
-	limit                             Limit
-	limitedFirstSends, limitedRetries int
+	limit             limitState
 }
 
 // load returns the estimated number of requests on the endpoint, running or queued,
@@ -133,7 +130,7 @@
 	if result.Running >= 0 {
 		s.reportedLoad, s.reportedAt, s.inFlightAtReport = result.Running+result.Waiting, now, len(s.inFlightSince)
 	}
-	s.setLimit(result.Limit)
+	s.limit.set(result.Limit, now, now)
 	switch result.Outcome {
 	case Answered:
 		s.lastAnswerAt = now
--- a/internal/policy/balance/grant.go
+++ b/internal/policy/balance/grant.go
@@ -91,7 +91,7 @@
 	if g.IsCold {
 		state.nextColdRequestAt = now + coldRequestInterval
 	}
-	state.countLimitedSend(len(request.ExcludedEndpoints) > 0)
+	b.takeLimitToken(state, len(request.ExcludedEndpoints) > 0, now)
 	state.inFlightSince = append(state.inFlightSince, now)
 	if request.Object != "" {
 		b.recordAffinity(request.Object, state.endpoint.ID, !c.isHome, now)
@@ -111,7 +111,7 @@
 	}
 	return Basis{
 		Endpoint: e.ID, DataCentre: e.DataCentre, Version: e.Version, Revision: e.Revision, Why: why,
-		Load: int(c.state.load(now)), LoadAge: now - c.state.loadAt(now), Slots: e.Slots, Expected: c.expected, IsCold: isCold, Limit: c.state.limit,
+		Load: int(c.state.load(now)), LoadAge: now - c.state.loadAt(now), Slots: e.Slots, Expected: c.expected, IsCold: isCold, Limit: c.state.limit.stated,
 	}
 }
 
--- a/internal/policy/balance/home.go
+++ b/internal/policy/balance/home.go
@@ -119,14 +119,16 @@
 
 // home returns the home of the request's object, or nil: the endpoint with the highest
 // weighted rendezvous hash among the eligible endpoints that are neither suspended nor
-// cold. The caller must hold mu.
-func (b *Balancer) home(request *Request, endpoints []directory.Endpoint, now clock.Millis) (home *endpointState) {
+// cold nor at their limit. preferred is the one among those at their limit too, if that is
+// another. The caller must hold mu.
+func (b *Balancer) home(request *Request, endpoints []directory.Endpoint, now clock.Millis) (home, preferred *endpointState) {
 	if request.Object == "" {
-		return nil
+		return nil, nil
 	}
 	objectHash := hashing.Strings(request.Object)
+	run := b.runTime(request)
 	weights := map[string]float64{}
-	highest := 0.0
+	highest, highestPreferred := 0.0, 0.0
 	for i := range endpoints {
 		state := b.states[endpoints[i].ID]
 		if state == nil || !b.isEligible(request, state) || state.isSuspended(now) || state.endpoint.ColdUntil > now {
@@ -138,11 +140,18 @@
 			weights[state.endpoint.Region] = weight
 		}
 		uniform := float64(hashing.Mix(objectHash^state.hash)>>11)/(1<<53) + 1e-18
-		if score := -weight * float64(state.endpoint.Slots) / math.Log(uniform); score > highest {
+		score := -weight * state.usableSlots(run) / math.Log(uniform)
+		if _, ok := b.isWithinLimit(state, now); ok && score > highest {
 			highest, home = score, state
 		}
+		if score > highestPreferred {
+			highestPreferred, preferred = score, state
+		}
+	}
+	if preferred == home {
+		preferred = nil
 	}
-	return home
+	return home, preferred
 }
 
 // regionWeight returns the weight of a slot in a region when the home of the request's
--- a/internal/policy/balance/limit.go
+++ b/internal/policy/balance/limit.go
@@ -1,9 +1,20 @@
 package balance
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+)
+
+const (
+	// limitAnnounceTime is how long after its reading a limit is announced to peers.
+	// maxAnnouncedLimits bounds the limits in one announcement.
+	limitAnnounceTime  = 3 * clock.Second
+	maxAnnouncedLimits = 64
 )
 
 // LimitStatement is what a response says of the endpoint's limit.
@@ -42,46 +53,73 @@
 	return Limit{LimitNamed, rate}
 }
 
+// LimitReading is what a VM knows of an endpoint's limit, for its peers.
+type LimitReading struct {
+	Limit Limit
+	// Age is the time since a VM received the response that states the limit.
+	Age clock.Millis
+	// Started is the start time of the endpoint that sent the response; a later start
+	// under the same ID has no limit yet.
+	Started clock.Millis
+}
+
+// LimitReadings returns the limits that were read lately, by endpoint ID, for the peers.
+// If there are too many, those that changed last are returned.
+func (b *Balancer) LimitReadings() map[string]LimitReading {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Clock.Now()
+	var recent []*endpointState
+	for _, state := range b.states {
+		if state.limit.wasNamedWithin(limitAnnounceTime, now) {
+			recent = append(recent, state)
+		}
+	}
+	slices.SortFunc(recent, func(x, y *endpointState) int {
+		return cmp.Or(cmp.Compare(y.limit.changedAt, x.limit.changedAt), strings.Compare(x.endpoint.ID, y.endpoint.ID))
+	})
+	readings := map[string]LimitReading{}
+	for _, state := range recent[:min(len(recent), maxAnnouncedLimits)] {
+		readings[state.endpoint.ID] = LimitReading{state.limit.stated, now - state.limit.readAt, state.endpoint.Started}
+	}
+	return readings
+}
+
+// MergeLimitReadings adds the limits that a peer knows. Of several readings of one
+// endpoint the newest counts. Endpoints not in the directory are ignored.
+func (b *Balancer) MergeLimitReadings(readings map[string]LimitReading) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Clock.Now()
+	for id, reading := range readings {
+		if state := b.states[id]; state != nil && state.endpoint.Started == reading.Started {
+			state.limit.set(reading.Limit, now-reading.Age, now)
+		}
+	}
+}
+
 // LimitUse describes what this VM does with a limit that an endpoint has named.
 type LimitUse struct {
-	// Rate is the limit in requests per second, for all VMs together.
-	Rate float64
-	// FirstSends counts the requests that this VM sent to the endpoint since it named a
-	// limit, Retries those that it had sent elsewhere before.
+	// Rate is the limit in requests per second, for all VMs together. Share is this VM's
+	// part of it.
+	Rate, Share float64
+	// FirstSends counts the requests that this VM sent to the endpoint since it learned
+	// of the limit, Retries those that it had sent elsewhere before.
 	FirstSends, Retries int
 }
 
-// LimitUses returns the limits that endpoints have named, by endpoint ID.
+// LimitUses returns the limits that hold, by endpoint ID.
 func (b *Balancer) LimitUses() map[string]LimitUse {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := b.Clock.Now()
 	uses := map[string]LimitUse{}
 	for id, state := range b.states {
-		if state.limit.Statement == LimitNamed {
-			uses[id] = LimitUse{state.limit.Rate, state.limitedFirstSends, state.limitedRetries}
+		if !state.limit.isNamed() {
+			continue
 		}
+		b.refreshLimit(state, now)
+		uses[id] = LimitUse{state.limit.stated.Rate, state.limit.share.rate, state.limit.firstSends, state.limit.retries}
 	}
 	return uses
 }
-
-// setLimit replaces the endpoint's limit and starts new counts with a new one.
-func (s *endpointState) setLimit(newest Limit) {
-	if newest.Statement == LimitUnstated {
-		return
-	}
-	if s.limit.Statement != newest.Statement {
-		s.limitedFirstSends, s.limitedRetries = 0, 0
-	}
-	s.limit = newest
-}
-
-// countLimitedSend counts a request that is sent while the endpoint has a limit.
-func (s *endpointState) countLimitedSend(isRetry bool) {
-	switch {
-	case s.limit.Statement != LimitNamed:
-	case isRetry:
-		s.limitedRetries++
-	default:
-		s.limitedFirstSends++
-	}
-}
--- a/internal/policy/balance/limit_test.go
+++ b/internal/policy/balance/limit_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/reason"
 	"baobabladder.example/baobabladder/internal/world/directory"
 )
 
@@ -42,7 +43,32 @@
 	running    []limitedRun
 	told       map[string]clock.Millis
 	judgedFrom clock.Millis
-	isDown     bool
+	// isDown VMs do not run, isCut ones reach endpoints and no other VM.
+	isDown, isCut bool
+	// heardAt is when another VM last heard of this one, demand and readings what it
+	// stated at the last exchange.
+	heardAt  clock.Millis
+	demand   map[string]float64
+	readings map[string]LimitReading
+	statedAt clock.Millis
+}
+
+// newestReadings returns the newest reading of each endpoint that VMs stated at the last
+// exchange, with its age at now.
+func (f *limitedFleet) newestReadings(now clock.Millis) map[string]LimitReading {
+	newest := map[string]LimitReading{}
+	for _, vm := range f.vms {
+		if vm.isDown || vm.isCut {
+			continue
+		}
+		for id, reading := range vm.readings {
+			reading.Age += now - vm.statedAt
+			if known, found := newest[id]; !found || reading.Age < known.Age {
+				newest[id] = reading
+			}
+		}
+	}
+	return newest
 }
 
 type limitedRun struct {
@@ -145,17 +171,47 @@
 	vm.running = kept
 }
 
-// exchange gives each VM the list of those that run.
+// lostAfter is the time after which a VM counts as unavailable for one that it is cut off
+// from. maxMeshVMs is the size of the largest fleet in which VMs exchange their demand.
+const (
+	lostAfter  = 1700 * clock.Millis(1)
+	maxMeshVMs = 16
+)
+
+// exchange gives each VM what the others stated at the last exchange.
 func (f *limitedFleet) exchange() {
-	var up []VM
+	now := f.now()
+	readings := f.newestReadings(now)
 	for _, vm := range f.vms {
-		if !vm.isDown {
-			up = append(up, vm.self)
+		if vm.isDown {
+			continue
+		}
+		if !vm.isCut {
+			vm.balancer.MergeLimitReadings(readings)
+		}
+		vms, demands := []VM{}, map[string]map[string]float64{}
+		for _, other := range f.vms {
+			isHeard := !other.isDown && other.isCut == vm.isCut && (!vm.isCut || vm == other)
+			if isHeard {
+				if other != vm {
+					other.heardAt = now
+				}
+				demands[other.self.Name] = other.demand
+			}
+			seen := other.self
+			seen.Unavailable = !isHeard && (vm.isCut || now-other.heardAt > lostAfter)
+			vms = append(vms, seen)
+		}
+		vm.balancer.UpdatePeers(nil, vms)
+		if len(f.vms) <= maxMeshVMs {
+			vm.balancer.UpdateLimitDemands(demands)
 		}
 	}
 	for _, vm := range f.vms {
-		if !vm.isDown {
-			vm.balancer.UpdatePeers(nil, up)
+		vm.demand, vm.statedAt = vm.balancer.LimitDemand(), now
+		vm.readings = vm.balancer.LimitReadings()
+		if vm.isCut {
+			vm.judgedFrom = now + limitWindow
 		}
 	}
 }
@@ -194,3 +250,146 @@
 		}
 	}
 }
+
+// Guards against an excess while VMs restart, stand still and are cut off, and while limits
+// are lifted and named again.
+func TestLimitHoldsWhileVMsRestartAndAreCutOff(t *testing.T) {
+	for _, c := range []struct {
+		vms, endpoints int
+		limit, rate    float64
+	}{{8, 16, 2.2, 67}, {9, 16, 7, 200}, {12, 10, 0.4, 30}, {40, 30, 2, 300}} {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprint(c.vms, " VMs, limit ", c.limit, ", seed ", seed), func(t *testing.T) {
+				f := newLimitedFleet(seed, c.vms, c.endpoints, c.limit, c.rate)
+				for range 12 {
+					f.run(clock.Millis(400+f.random.IntN(2500)) / limitedStep * limitedStep)
+					f.disturb()
+				}
+				f.expectLimitsHeld(t)
+			})
+		}
+	}
+}
+
+// disturb changes the state of a random VM: it restarts, stands still for a while, is cut
+// off or is reached again.
+func (f *limitedFleet) disturb() {
+	vm := f.vms[f.random.IntN(len(f.vms))]
+	switch f.random.IntN(4) {
+	case 0:
+		f.start(vm)
+	case 1:
+		vm.isDown = true
+		f.run(clock.Millis(f.random.IntN(4000)) / limitedStep * limitedStep)
+		vm.isDown, vm.judgedFrom = false, f.now()+limitWindow
+	default:
+		vm.isCut = !vm.isCut
+		vm.judgedFrom = f.now() + limitWindow
+	}
+}
+
+// Guards against VMs that go on to spare an endpoint which no longer needs it: most VMs of
+// a large fleet have no share, so only others' readings tell them.
+func TestLiftedLimitIsForgottenByAllVMs(t *testing.T) {
+	g := NewWithT(t)
+	f := newLimitedFleet(1, 86, 20, 1.5, 300)
+	f.limitsUntil = 12 * clock.Second
+	f.run(12 * clock.Second)
+	limited := func() (count int) {
+		for _, vm := range f.vms {
+			count += len(vm.balancer.LimitUses())
+		}
+		return count
+	}
+	g.Expect(limited()).To(BeNumerically(">", 0))
+	f.run(limitMaxAge / 2)
+	g.Expect(limited()).To(BeZero())
+}
+
+// limitedBalancer returns one VM of eight whose only endpoint has named a limit.
+func limitedBalancer(limit Limit) *fleet {
+	f := newFleet(1)
+	f.endpoints[0].Started = 1
+	f.update(nil)
+	f.balancer.MergeLimitReadings(map[string]LimitReading{"e00": {Limit: limit, Started: 1}})
+	return f
+}
+
+func TestRequestBeyondLimitIsRefusedWithTimeOfNextToken(t *testing.T) {
+	g := NewWithT(t)
+	f := limitedBalancer(Limit{LimitNamed, 16})
+	var refusal *reason.Refusal
+	for range 10 {
+		grant, err := f.balancer.Place(request("x"))
+		if err != nil {
+			refusal = err.(*reason.Refusal)
+			break
+		}
+		grant.Done(Result{Outcome: Answered, Running: -1})
+	}
+	g.Expect(refusal).NotTo(BeNil())
+	g.Expect(refusal.Ran).To(Equal(reason.RanNo))
+	g.Expect(refusal.RetryAfter).To(BeNumerically("~", 500, 50))
+	f.manual.Advance(refusal.RetryAfter)
+	_, err := f.balancer.Place(request("x"))
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+func TestLimitOfEarlierStartDoesNotCount(t *testing.T) {
+	g := NewWithT(t)
+	f := limitedBalancer(Limit{LimitNamed, 1})
+	g.Expect(f.balancer.LimitUses()).To(HaveLen(1))
+	f.endpoints[0].Started = 2
+	f.update(nil)
+	g.Expect(f.balancer.LimitUses()).To(BeEmpty())
+	f.balancer.MergeLimitReadings(map[string]LimitReading{"e00": {Limit: Limit{LimitNamed, 1}, Started: 1}})
+	g.Expect(f.balancer.LimitUses()).To(BeEmpty())
+}
+
+func TestOlderReadingDoesNotReplaceNewerOne(t *testing.T) {
+	g := NewWithT(t)
+	f := limitedBalancer(Limit{LimitNamed, 3})
+	f.manual.Advance(clock.Second)
+	f.balancer.MergeLimitReadings(map[string]LimitReading{"e00": {Limit: Limit{Statement: LimitNone}, Age: 1100, Started: 1}})
+	g.Expect(f.balancer.LimitUses()).To(HaveLen(1))
+	f.balancer.MergeLimitReadings(map[string]LimitReading{"e00": {Limit: Limit{Statement: LimitNone}, Age: 100, Started: 1}})
+	g.Expect(f.balancer.LimitUses()).To(BeEmpty())
+}
+
+// Guards against an endpoint that nobody tries again, as only VMs without requests for it
+// had a share of its limit.
+func TestStaleLimitIsTriedByAllVMsInTurn(t *testing.T) {
+	g := NewWithT(t)
+	f := limitedBalancer(Limit{LimitNamed, 0})
+	_, err := f.balancer.Place(request("x"))
+	g.Expect(err).To(HaveOccurred())
+	f.manual.Advance(limitMaxAge + clock.Second)
+	_, err = f.balancer.Place(request("x"))
+	g.Expect(err).To(HaveOccurred())
+	f.manual.Advance(8 * clock.Millis(float64(clock.Second)/minStaleRate))
+	_, err = f.balancer.Place(request("x"))
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = f.balancer.Place(request("x"))
+	g.Expect(err).To(HaveOccurred())
+}
+
+func TestParseLimit(t *testing.T) {
+	g := NewWithT(t)
+	for text, want := range map[string]Limit{
+		"": {Statement: LimitNone}, "2.5": {LimitNamed, 2.5}, " 7 ": {LimitNamed, 7}, "0": {LimitNamed, 0},
+		"-1": {}, "many": {}, "NaN": {}, "Inf": {},
+	} {
+		g.Expect(ParseLimit(text)).To(Equal(want), text)
+	}
+}
+
+func BenchmarkLimitShareOf4900VMs(b *testing.B) {
+	f := newFleet(1)
+	f.balancer.UpdatePeers(nil, testVMs(4900))
+	f.balancer.MergeLimitReadings(map[string]LimitReading{"e00": {Limit: Limit{LimitNamed, 50}}})
+	state := f.balancer.states["e00"]
+	for b.Loop() {
+		state.limit.shareVersion = unknownVersion
+		f.balancer.refreshLimit(state, 0)
+	}
+}
