Log the store's era and what a listing leaves out

After the store came back from a copy the logs showed that VMs list again and again, and not why nothing of it came into force.

--- a/internal/control/tracker/tracker.go
+++ b/internal/control/tracker/tracker.go
@@ -320,6 +320,7 @@
 	for _, object := range objects {
 		listed[object.Name] = true
 	}
+	f.logIgnored(objects, revision)
 	f.mu.Lock()
 	for name := range f.objects {
 		if !listed[name] {
@@ -330,6 +331,23 @@
 	f.merge(objects, revision)
 }
 
+// logIgnored logs how many objects of a listing are older than those of the copy, by
+// their revisions, and are not merged.
+func (f *Feed) logIgnored(objects []Object, revision int64) {
+	f.mu.Lock()
+	ignored, copied := 0, f.revision
+	for _, object := range objects {
+		if known, found := f.objects[object.Name]; found && object.Revision < known.Revision {
+			ignored++
+		}
+	}
+	f.mu.Unlock()
+	if f.Log != nil && (ignored > 0 || revision < copied) {
+		f.Log.WithFields(logrus.Fields{"kind": f.Kind, "revision": revision, "copy_revision": copied, "ignored": ignored}).
+			Warn("a listing is older than the copy")
+	}
+}
+
 // merge merges changes into the copy and calls OnChange if the copy changed.
 func (f *Feed) merge(objects []Object, revision int64) {
 	// DelaysRemovals may call methods of the feed, so it is called without mu.
--- a/internal/entry/node/duties.go
+++ b/internal/entry/node/duties.go
@@ -82,6 +82,7 @@
 		n.setDutyAssignment(&dutyAssignment{candidates, hasMajority, fractionReachable(members)})
 		n.writeMoveVerdicts(ctx, candidates)
 		n.logLimits()
+		n.logEra()
 		n.reportGauges(members)
 	}
 }
@@ -118,6 +119,14 @@
 	n.loggedLimits = newest
 }
 
+// logEra logs that the store has come back from a copy since the last call.
+func (n *Node) logEra() {
+	if era := n.Platform.Era(); era != n.loggedEra {
+		n.Log.WithFields(logrus.Fields{"era": era, "era_before": n.loggedEra}).Info("the store's era changed")
+		n.loggedEra = era
+	}
+}
+
 // dutyAssignment is this VM's view of which VMs share the fleet-wide duties: owning
 // the quotas of workspaces and writing the outcome of version moves.
 type dutyAssignment struct {
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -82,6 +82,8 @@
 	DecodeEndpoint(object tracker.Object, now clock.Millis, regions map[string]string) (directory.Endpoint, error)
 	DecodeMove(object tracker.Object, now clock.Millis) (directory.Move, error)
 	DecodeVM(object tracker.Object) (vm.VM, error)
+	// Era returns how often the store came back from a copy, as far as this VM knows.
+	Era() int64
 	// Register writes this VM's registration to the store.
 	Register(ctx context.Context, self vm.VM) error
 	// WriteMove writes the state of a move to the store, unless the move is done, rolled
@@ -120,9 +122,11 @@
 	// loggedLimits holds the endpoints' limits as they were logged last, by endpoint ID.
 	// Only syncPeers uses it.
 	loggedLimits map[string]balance.LimitUse
-	startedAt    clock.Millis
-	stopping     atomic.Bool
-	buildOnce    sync.Once
+	// loggedEra is the store's era that was logged last. Only syncPeers uses it.
+	loggedEra int64
+	startedAt clock.Millis
+	stopping  atomic.Bool
+	buildOnce sync.Once
 }
 
 // Run serves until ctx is done and then shuts down gracefully: peers learn that the VM
