Follow the store after it came back from a copy

What callers saw: after the store came back from a copy that was some seconds old, no change was in force any more: 404 for added routes, requests by the configuration before, also outside their homes.

Cause: a copy's revisions only grow, and everything below the copy's revision counts as older. The store gives its numbers out again, so every change of the new history was ignored, and each watch began at a number that the store did not have. Ruled out: peers that bring back an old copy (no such line in the record), though nothing prevented it.

Change: a revision is the store's era and its number, era first. All comparisons stay as they were and now hold across returns. Any answer of a new era ends all watches. For 8 s a listing replaces only what is certainly older, keeps what the store lost and does not bring back what was removed; then the kind is listed once more and the store decides. VMs register again. States of version moves that were lost are kept and written again.

--- a/internal/control/tracker/tracker.go
+++ b/internal/control/tracker/tracker.go
@@ -4,7 +4,8 @@
 // watches at a relay follows the relay. While the store does not answer, a Feed
 // fetches missing changes from peers. Each object and each copy has a revision: the
 // revision of the store at the object's last change, and the one up to which the copy
-// is complete. The revision of a copy never decreases.
+// is complete. The revision of a copy never decreases: if the store comes back from a
+// copy of its own, a new era begins, whose revisions are all above the earlier ones.
 package tracker
 
 import (
@@ -89,6 +90,10 @@
 	// the store does not answer it: its watches are shorter than those of other
 	// feeds, because a store that refuses this VM may hold a watch without a reply.
 	HasFollowers func() bool
+	// IsNewer reports whether the owner certainly wrote object later than other, by what
+	// they say themselves. Both have the same name, and the store came back from a copy
+	// between them. If it is nil, none counts as newer.
+	IsNewer func(object, other Object) bool
 	// BatchInterval is the least pause between two calls; 0 selects batchPause.
 	BatchInterval clock.Millis
 	// OnChange is called after each change with all objects by name; it must not
@@ -119,6 +124,11 @@
 	// pendingRemovals holds the delayed removals with the time at which each takes
 	// effect. Guarded by mu.
 	pendingRemovals map[string]clock.Millis
+	// removals holds the objects that were removed lately, by name. graceUntil is when
+	// the copy stops keeping what the store lost when it came back from a copy; 0 if
+	// that is over. Guarded by mu.
+	removals   map[string]removal
+	graceUntil clock.Millis
 	// isFailing is set if the last call failed. recoveredAt is when calls last
 	// succeeded again after an outage. Guarded by mu.
 	isFailing   bool
@@ -140,12 +150,14 @@
 	backoff := minBackoff
 	needsList := true
 	for ctx.Err() == nil {
-		err := f.callSource(ctx, needsList)
+		err := f.callSource(ctx, needsList || f.mustSettle())
 		switch {
 		case err == nil:
 			needsList, backoff = false, minBackoff
 			_ = clock.Sleep(ctx, f.pause())
 			continue
+		case errorx.IsOfType(err, ErrRestored):
+			needsList = true
 		case errorx.IsOfType(err, ErrHistoryGone):
 			f.warn("the source no longer has the changes after the copy's revision; listing the kind again", err)
 			needsList = true
@@ -202,15 +214,19 @@
 	isFollowed := f.HasFollowers != nil && f.HasFollowers()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	longest := maxWatchWait
 	switch {
 	case len(f.pendingRemovals) > 0 || f.isFailing:
 		return removalDelay / 4
 	case isFollowed:
-		return relayProbeWait
+		longest = relayProbeWait
 	case f.HasFollowers != nil:
-		return probeWait
+		longest = probeWait
+	}
+	if f.graceUntil > 0 {
+		longest = min(longest, max(f.graceUntil-f.Clock.Now(), 1))
 	}
-	return maxWatchWait
+	return longest
 }
 
 func (f *Feed) warn(message string, err error) {
@@ -314,23 +330,37 @@
 	}
 }
 
-// applyListing merges a listing; objects that it does not contain count as removed.
+// applyListing merges a listing; objects that it does not contain count as removed,
+// unless the store has just come back from a copy.
 func (f *Feed) applyListing(objects []Object, revision int64) {
-	listed := map[string]bool{}
-	for _, object := range objects {
-		listed[object.Name] = true
-	}
 	f.logIgnored(objects, revision)
 	f.mu.Lock()
-	for name := range f.objects {
-		if !listed[name] {
-			objects = append(objects, Object{Name: name, Revision: revision, Deleted: true})
-		}
+	f.beginGrace(revision)
+	if f.isGrace() {
+		objects = f.keepAcknowledged(objects)
+	} else {
+		objects = f.withRemovals(objects, revision)
+		f.graceUntil = 0
 	}
 	f.mu.Unlock()
 	f.merge(objects, revision)
 }
 
+// withRemovals adds to a listing the removals of the objects that it does not contain. The
+// caller must hold mu.
+func (f *Feed) withRemovals(listed []Object, revision int64) []Object {
+	isListed := map[string]bool{}
+	for _, object := range listed {
+		isListed[object.Name] = true
+	}
+	for name := range f.objects {
+		if !isListed[name] {
+			listed = append(listed, Object{Name: name, Revision: revision, Deleted: true})
+		}
+	}
+	return listed
+}
+
 // logIgnored logs how many objects of a listing are older than those of the copy, by
 // their revisions, and are not merged.
 func (f *Feed) logIgnored(objects []Object, revision int64) {
@@ -354,6 +384,7 @@
 	delaysRemovals := f.DelaysRemovals != nil && f.DelaysRemovals()
 	f.mu.Lock()
 	isFirst := f.revision == 0
+	isNewEra := EraOf(revision) > EraOf(f.revision)
 	if f.objects == nil {
 		f.objects, f.pendingRemovals = map[string]Object{}, map[string]clock.Millis{}
 	}
@@ -375,8 +406,9 @@
 		f.changedAt = f.Clock.Now()
 	}
 	switch {
-	case isFirst:
-		f.changesFrom = f.revision
+	case isFirst || isNewEra:
+		// VMs that follow this one must list again.
+		f.changes, f.changesFrom = nil, f.revision
 		f.notifyWaiters()
 	case len(merged) > 0:
 		f.appendChanges(merged, f.revision)
@@ -411,6 +443,7 @@
 		f.pendingRemovals[object.Name] = f.recoveredAt + removalDelay
 		return false
 	}
+	f.recordRemoval(known)
 	delete(f.objects, object.Name)
 	return true
 }
@@ -422,6 +455,7 @@
 	for name, at := range f.pendingRemovals {
 		if now >= at {
 			removed = append(removed, Object{Name: name, Revision: f.objects[name].Revision, Deleted: true})
+			f.recordRemoval(f.objects[name])
 			delete(f.pendingRemovals, name)
 			delete(f.objects, name)
 		}
--- a/internal/entry/node/duties.go
+++ b/internal/entry/node/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 
@@ -10,8 +11,10 @@
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/hashing"
 	"baobabladder.example/baobabladder/internal/control/roster"
+	"baobabladder.example/baobabladder/internal/control/tracker"
 	"baobabladder.example/baobabladder/internal/policy/balance"
 	"baobabladder.example/baobabladder/internal/policy/quota"
+	"baobabladder.example/baobabladder/internal/world/directory"
 	"baobabladder.example/baobabladder/internal/world/routing"
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
@@ -81,6 +84,7 @@
 		candidates, hasMajority := n.roster.DutyCandidates(members)
 		n.setDutyAssignment(&dutyAssignment{candidates, hasMajority, fractionReachable(members)})
 		n.writeMoveVerdicts(ctx, candidates)
+		n.rewriteLostMoveStates(ctx, candidates)
 		n.logLimits()
 		n.logEra()
 		n.reportGauges(members)
@@ -278,6 +282,39 @@
 	}
 }
 
+// rewriteLostMoveStates writes the states of version moves again that the store may have
+// lost by coming back from a copy, if this VM is the writer. It tries each at most once
+// every moveRewriteInterval, as the operator must first have written the move again.
+func (n *Node) rewriteLostMoveStates(ctx context.Context, candidates []roster.Member) {
+	now := n.clock.Now()
+	if now < n.nextMoveRewriteAt || !n.isMoveWriter(candidates) {
+		return
+	}
+	for _, move := range n.lostMoves() {
+		n.nextMoveRewriteAt = now + moveRewriteInterval
+		line := n.Log.WithFields(logrus.Fields{"service": move.Service, "to": move.TargetVersion, "state": move.State})
+		if err := n.Platform.WriteMove(ctx, move, move.State); err != nil {
+			line.WithError(err).Warn("writing the lost state of a version move failed; retrying")
+			continue
+		}
+		line.Info("the store has the state of a version move again")
+	}
+}
+
+// lostMoves returns the moves whose state the store may not have.
+func (n *Node) lostMoves() (lost []directory.Move) {
+	era := n.Platform.Era()
+	n.objects.mu.Lock()
+	defer n.objects.mu.Unlock()
+	for _, service := range slices.Sorted(maps.Keys(n.objects.moves)) {
+		move := n.objects.moves[service]
+		if move.State != directory.MoveRequested && (move.IsStateLost || tracker.EraOf(move.Revision) < era) {
+			lost = append(lost, move)
+		}
+	}
+	return lost
+}
+
 // isMoveWriter reports whether this VM writes the outcome of version moves: it is the
 // first candidate, by name, that reaches the store. Two VMs may briefly both be the
 // writer; the store's conditional writes make that harmless.
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -52,6 +52,9 @@
 	// registerInterval is the pause between two checks of the VM's registration, and
 	// between two attempts to register.
 	registerInterval = 700 * clock.Millis(1)
+	// moveRewriteInterval is the least pause between two attempts to write the lost
+	// states of version moves.
+	moveRewriteInterval = 1 * clock.Second
 	// maxLookupLifetime is how long callers may keep a list of VMs, unless the settings
 	// allow less.
 	maxLookupLifetime = 2 * clock.Second
@@ -82,8 +85,12 @@
 	DecodeEndpoint(object tracker.Object, now clock.Millis, regions map[string]string) (directory.Endpoint, error)
 	DecodeMove(object tracker.Object, now clock.Millis) (directory.Move, error)
 	DecodeVM(object tracker.Object) (vm.VM, error)
-	// Era returns how often the store came back from a copy, as far as this VM knows.
+	// Era returns the store's era, as far as this VM knows. It rises each time that the
+	// store comes back from a copy.
 	Era() int64
+	// IsNewer reports whether the owner of two objects of one kind and name certainly
+	// wrote object later than other; see tracker.Feed.
+	IsNewer(kind string, object, other tracker.Object) bool
 	// Register writes this VM's registration to the store.
 	Register(ctx context.Context, self vm.VM) error
 	// WriteMove writes the state of a move to the store, unless the move is done, rolled
@@ -124,9 +131,12 @@
 	loggedLimits map[string]balance.LimitUse
 	// loggedEra is the store's era that was logged last. Only syncPeers uses it.
 	loggedEra int64
-	startedAt clock.Millis
-	stopping  atomic.Bool
-	buildOnce sync.Once
+	// nextMoveRewriteAt is when the lost states of moves may be written again. Only
+	// syncPeers uses it.
+	nextMoveRewriteAt clock.Millis
+	startedAt         clock.Millis
+	stopping          atomic.Bool
+	buildOnce         sync.Once
 }
 
 // Run serves until ctx is done and then shuts down gracefully: peers learn that the VM
@@ -269,14 +279,13 @@
 // then reads the other kinds from them, which limits the calls to the store when a
 // large fleet starts.
 func (n *Node) startFeeds(ctx context.Context) {
-	last := len(n.feeds) - 1
-	go n.feeds[last].Run(ctx)
+	go n.vmFeed().Run(ctx)
 	for waited := clock.Millis(0); waited < registrationWait && !n.objects.isRegistered(n.self); waited += registrationPoll {
 		if clock.Sleep(ctx, registrationPoll) != nil {
 			return
 		}
 	}
-	for _, feed := range n.feeds[:last] {
+	for _, feed := range n.feeds[:len(n.feeds)-1] {
 		go feed.Run(ctx)
 	}
 }
@@ -329,11 +338,20 @@
 	return roster.PreferredVMs(n.roster.Members(), region, dataCentre)
 }
 
+// isRegistered reports whether the store holds this VM's registration, as far as this VM
+// knows. A registration that the store may have lost does not count.
+func (n *Node) isRegistered() bool {
+	return n.objects.isRegistered(n.self) && n.vmFeed().IsConfirmed(n.self.Name)
+}
+
+// vmFeed returns the feed of registrations, which is the last one.
+func (n *Node) vmFeed() *tracker.Feed { return n.feeds[len(n.feeds)-1] }
+
 // maintainRegistration registers the VM whenever the copy of the store lacks its
 // registration, until ctx is done or the VM stops.
 func (n *Node) maintainRegistration(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !n.objects.isRegistered(n.self) && !n.stopping.Load() {
+		if !n.isRegistered() && !n.stopping.Load() {
 			if err := n.Platform.Register(ctx, n.self); err != nil {
 				n.Log.WithError(err).Warn("writing this VM's registration to the store failed; retrying")
 			}
--- a/internal/entry/node/objects.go
+++ b/internal/entry/node/objects.go
@@ -90,6 +90,7 @@
 	} {
 		source := &tracker.RelaySource{Store: n.store, Peers: n.peers, Relays: n.relays}
 		feed := &tracker.Feed{Kind: kind.name, Source: source, Log: n.Log, OnChange: kind.onChange, Jitter: jitter, CanPeerReachStore: n.canPeerReachStore}
+		feed.IsNewer = func(object, other tracker.Object) bool { return n.Platform.IsNewer(kind.name, object, other) }
 		if kind.name == vms {
 			// Many VMs register at once when a fleet starts, and change seldom later.
 			feed.BatchInterval = vmBatchInterval
@@ -165,6 +166,7 @@
 			continue
 		}
 		decoded.FirstSeen = n.moveStart(old[decoded.Service], decoded)
+		decoded = keepMoveState(old[decoded.Service], decoded)
 		if previous := old[decoded.Service]; previous.TargetVersion != decoded.TargetVersion || previous.State != decoded.State {
 			n.Log.WithFields(logrus.Fields{"service": decoded.Service, "to": decoded.TargetVersion, "state": decoded.State}).Info("version move")
 		}
@@ -176,6 +178,19 @@
 	n.updateDirectory()
 }
 
+// keepMoveState returns the newest form of a move with the state of the previous one, if
+// the store may have lost that by coming back from a copy: the two are of different eras,
+// or it was lost before, and the newest is not as far. The state must then be written
+// again. Otherwise it returns the newest form.
+func keepMoveState(previous, newest directory.Move) directory.Move {
+	mayBeLost := previous.IsStateLost || tracker.EraOf(previous.Revision) < tracker.EraOf(newest.Revision)
+	if !mayBeLost || previous.TargetVersion != newest.TargetVersion || previous.State.Progress() <= newest.State.Progress() {
+		return newest
+	}
+	newest.State, newest.StartedWall, newest.IsStateLost = previous.State, previous.StartedWall, true
+	return newest
+}
+
 // moveStart returns when a move began, by this VM's clock: when this VM first saw it,
 // or the start that another VM wrote to the store, if that is earlier. The written
 // start is compared by the wall clocks of two VMs, so the resulting age is limited to
--- a/internal/world/directory/directory.go
+++ b/internal/world/directory/directory.go
@@ -59,6 +59,18 @@
 	MoveRolledBack MoveState = "taken_back"
 )
 
+// Progress returns how far the state is. The progress of a move never decreases.
+func (s MoveState) Progress() int {
+	switch s {
+	case MoveRequested:
+		return 0
+	case MoveRunning:
+		return 1
+	default:
+		return 2
+	}
+}
+
 // Move is a request to shift a service's traffic to another version gradually
 // within a given time.
 type Move struct {
@@ -73,6 +85,9 @@
 	// It is 0 until then.
 	StartedWall clock.Millis
 	State       MoveState
+	// IsStateLost reports that the store no longer has the state, because it came back
+	// from a copy.
+	IsStateLost bool
 	// Revision is the store's revision at the last change of the move.
 	Revision int64
 }
