Close connections on which an endpoint sends bytes without end

What callers saw: a request whose endpoint went on sending bytes waited until its deadline, and the VM read and relayed all that time; a refusal followed by bytes without end was reported as not run, though its end was never seen.

Cause: three readers had no bound of their own: a late response to an earlier request, a response without a declared length, and the body of a refusal, which was read up to a limit and then taken for complete. Heads, chunk sizes, chunk extensions and trailers were bounded already, as the test shows.

--- a/internal/wire/endpoint/conn.go
+++ b/internal/wire/endpoint/conn.go
@@ -41,7 +41,10 @@
 // pastDeadline is set as a deadline to interrupt pending reads and writes.
 var pastDeadline = time.Unix(1, 0)
 
-var errHeadTooLarge = errors.New("response head exceeds the size limit")
+var (
+	errHeadTooLarge = errors.New("response head exceeds the size limit")
+	errBodyTooLarge = errors.New("response body exceeds the size limit")
+)
 
 // conn is one connection to an endpoint.
 type conn struct {
--- a/internal/wire/endpoint/exchange.go
+++ b/internal/wire/endpoint/exchange.go
@@ -70,12 +70,24 @@
 		if !isStale || stale == maxStaleResponses || response.Close && stale == 0 {
 			return response, nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := discard(response.Body); err != nil {
 			return nil, err
 		}
 	}
 }
 
+// discard reads a body of up to maxDiscardedBytes to its end. A longer one is an error.
+func discard(body io.Reader) error {
+	switch _, err := io.CopyN(io.Discard, body, maxDiscardedBytes); err {
+	case io.EOF:
+		return nil
+	case nil:
+		return errBodyTooLarge
+	default:
+		return err
+	}
+}
+
 // readHead returns the head of the final response and skips interim responses.
 func (e *exchange) readHead() (*http.Response, error) {
 	e.connection.headBudget = maxHeadBytes
@@ -117,17 +129,17 @@
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !e.client.AcceptUnframed {
 		return nil, e.fail(reason.MayHaveRun(reason.AnswerCut, "the endpoint's answer declares no length"))
 	}
-	body := &responseBody{exchange: e, body: response.Body, mustClose: response.Close}
+	body := &responseBody{exchange: e, body: response.Body, mustClose: response.Close, isUndeclared: response.ContentLength < 0}
 	load, limit := response.Header.Get(e.client.loadHeader()), e.client.namedLimit(response.Header)
 	e.connection.setIdleTimeout(response.Header.Get("Keep-Alive"))
 	if response.Header.Get(e.client.notRunHeader()) != "" || response.StatusCode == http.StatusMisdirectedRequest {
-		_, err := io.CopyN(io.Discard, body, maxHeadBytes)
+		err := discard(body)
 		_ = body.Close()
 		if response.StatusCode < http.StatusBadRequest {
 			return nil, reason.MayHaveRun(reason.EndpointFailed, "the endpoint said both that it ran the request and that it did not")
 		}
-		if err != nil && err != io.EOF {
-			return nil, reason.MayHaveRun(reason.AnswerCut, "the endpoint's refusal was cut")
+		if err != nil {
+			return nil, reason.MayHaveRun(reason.AnswerCut, "the endpoint's refusal was cut or is longer than %d bytes", maxDiscardedBytes)
 		}
 		return nil, &NotRunError{Refusal: reason.NotRun(reason.EndpointShed, defaultRetryAfter, "the endpoint did not run the request"), Load: load, Limit: limit, Status: response.StatusCode}
 	}
@@ -209,8 +221,12 @@
 	body     io.ReadCloser
 	// mustClose prevents the reuse of the connection after a complete response.
 	mustClose bool
-	isDone    bool
-	err       error
+	// isUndeclared reports that the response declares no length. received counts the
+	// bytes of its body.
+	isUndeclared bool
+	received     int64
+	isDone       bool
+	err          error
 }
 
 // Read implements io.Reader.
@@ -219,7 +235,10 @@
 		return 0, r.err
 	}
 	n, err = r.body.Read(buffer)
+	r.received += int64(n)
 	switch {
+	case r.isUndeclared && r.received > maxUndeclaredBytes:
+		r.finish(reason.MayHaveRun(reason.AnswerCut, "the endpoint's answer declares no length and is longer than %d bytes", maxUndeclaredBytes), false)
 	case err == io.EOF:
 		r.finish(io.EOF, !r.mustClose)
 	case err != nil:
