Split the tracker by merging and by eras, and name the change of era

Lines are moved only; the error that ends a watch is named ErrEraChanged after what the VM sees, as the files around it speak of eras.

--- a/internal/control/tracker/restore.go
+++ b/internal/control/tracker/era.go
@@ -23,9 +23,9 @@
 	removalMemory = 30 * clock.Second
 )
 
-// ErrRestored is returned by a watch if the store came back from a copy since the
+// ErrEraChanged is returned by a watch if the store came back from a copy since the
 // requested revision: the kind must be listed again.
-var ErrRestored = errorNamespace.NewType("restored")
+var ErrEraChanged = errorNamespace.NewType("era_changed")
 
 // RevisionInEra returns the revision for a number that the store gave out in an era.
 func RevisionInEra(era, number int64) int64 { return era*revisionsPerEra + number }
--- a/internal/control/tracker/restore_test.go
+++ b/internal/control/tracker/era_test.go
@@ -133,7 +133,7 @@
 func TestWatchAcrossErasListsTheKindAgain(t *testing.T) {
 	g := NewWithT(t)
 	f := newTestFeed(t, written("a", "1", 0, 8))
-	f.source.err = ErrRestored.New("the store is in era 1")
+	f.source.err = ErrEraChanged.New("the store is in era 1")
 	ctx, cancel := context.WithTimeout(context.Background(), (300 * clock.Millis(1)).Duration())
 	defer cancel()
 	lists := f.source.lists
--- /dev/null
+++ b/internal/control/tracker/merge.go
@@ -0,0 +1,164 @@
+package tracker
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/sirupsen/logrus"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+)
+
+// fullCopy returns the copy, sorted by name, as a reply to peers.
+func (f *Feed) fullCopy() unpackedReply {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a := unpackedReply{Changes: Changes{Revision: f.revision, InContact: f.hasStoreContact()}, after: fullCopyRevision, mergeCount: f.mergeCount}
+	if a.Packed = f.packedReplies[fullCopyRevision]; a.Packed != nil {
+		return a
+	}
+	for _, name := range slices.Sorted(maps.Keys(f.objects)) {
+		a.Objects = append(a.Objects, f.objects[name])
+	}
+	return a
+}
+
+// Adopt replaces the copy by a peer's copy if that is newer.
+func (f *Feed) Adopt(objects []Object, revision int64) {
+	if revision > f.Revision() {
+		f.applyListing(objects, revision)
+	}
+}
+
+// applyListing merges a listing; objects that it does not contain count as removed,
+// unless the store has just come back from a copy.
+func (f *Feed) applyListing(objects []Object, revision int64) {
+	f.logIgnored(objects, revision)
+	f.mu.Lock()
+	f.beginGrace(revision)
+	if f.isGrace() {
+		objects = f.keepAcknowledged(objects)
+	} else {
+		objects = f.withRemovals(objects, revision)
+		f.graceUntil = 0
+	}
+	f.mu.Unlock()
+	f.merge(objects, revision)
+}
+
+// withRemovals adds to a listing the removals of the objects that it does not contain. The
+// caller must hold mu.
+func (f *Feed) withRemovals(listed []Object, revision int64) []Object {
+	isListed := map[string]bool{}
+	for _, object := range listed {
+		isListed[object.Name] = true
+	}
+	for name := range f.objects {
+		if !isListed[name] {
+			listed = append(listed, Object{Name: name, Revision: revision, Deleted: true})
+		}
+	}
+	return listed
+}
+
+// logIgnored logs how many objects of a listing are older than those of the copy, by
+// their revisions, and are not merged.
+func (f *Feed) logIgnored(objects []Object, revision int64) {
+	f.mu.Lock()
+	ignored, copied := 0, f.revision
+	for _, object := range objects {
+		if known, found := f.objects[object.Name]; found && object.Revision < known.Revision {
+			ignored++
+		}
+	}
+	f.mu.Unlock()
+	if f.Log != nil && (ignored > 0 || revision < copied) {
+		f.Log.WithFields(logrus.Fields{"kind": f.Kind, "revision": revision, "copy_revision": copied, "ignored": ignored}).
+			Warn("a listing is older than the copy")
+	}
+}
+
+// merge merges changes into the copy and calls OnChange if the copy changed.
+func (f *Feed) merge(objects []Object, revision int64) {
+	// DelaysRemovals may call methods of the feed, so it is called without mu.
+	delaysRemovals := f.DelaysRemovals != nil && f.DelaysRemovals()
+	f.mu.Lock()
+	isFirst := f.revision == 0
+	isNewEra := EraOf(revision) > EraOf(f.revision)
+	if f.objects == nil {
+		f.objects, f.pendingRemovals = map[string]Object{}, map[string]clock.Millis{}
+	}
+	var merged []Object
+	for _, object := range objects {
+		f.newest = max(f.newest, object.Revision)
+		if f.mergeObject(object, delaysRemovals) {
+			merged = append(merged, object)
+		}
+	}
+	merged = append(merged, f.applyDueRemovals()...)
+	if len(merged) > 0 || revision > f.revision {
+		f.mergeCount++
+		f.packedReplies = nil
+	}
+	f.revision = max(f.revision, revision)
+	f.isBurst = len(merged) > 0 && f.Clock.Now()-f.changedAt < burstSpan
+	if len(merged) > 0 {
+		f.changedAt = f.Clock.Now()
+	}
+	switch {
+	case isFirst || isNewEra:
+		// VMs that follow this one must list again.
+		f.changes, f.changesFrom = nil, f.revision
+		f.notifyWaiters()
+	case len(merged) > 0:
+		f.appendChanges(merged, f.revision)
+	}
+	var copied map[string]Object
+	if isFirst || len(merged) > 0 {
+		copied = maps.Clone(f.objects)
+	}
+	f.mu.Unlock()
+	if copied != nil && f.OnChange != nil {
+		f.OnChange(copied)
+	}
+}
+
+// mergeObject merges one object and reports whether the copy changed. The caller must
+// hold mu.
+func (f *Feed) mergeObject(object Object, delaysRemovals bool) bool {
+	known, found := f.objects[object.Name]
+	if found && object.Revision < known.Revision {
+		return false
+	}
+	if !object.Deleted {
+		delete(f.pendingRemovals, object.Name)
+		f.objects[object.Name] = object
+		return !found || object.Revision != known.Revision
+	}
+	if !found {
+		return false
+	}
+	now := f.Clock.Now()
+	if delaysRemovals && f.recoveredAt > 0 && now-f.recoveredAt < removalDelay {
+		f.pendingRemovals[object.Name] = f.recoveredAt + removalDelay
+		return false
+	}
+	f.recordRemoval(known)
+	delete(f.objects, object.Name)
+	return true
+}
+
+// applyDueRemovals removes the objects whose delayed removal is due and returns them.
+// The caller must hold mu.
+func (f *Feed) applyDueRemovals() (removed []Object) {
+	now := f.Clock.Now()
+	for name, at := range f.pendingRemovals {
+		if now >= at {
+			removed = append(removed, Object{Name: name, Revision: f.objects[name].Revision, Deleted: true})
+			f.recordRemoval(f.objects[name])
+			delete(f.pendingRemovals, name)
+			delete(f.objects, name)
+		}
+	}
+	return removed
+}
--- a/internal/entry/node/storesource.go
+++ b/internal/entry/node/storesource.go
@@ -88,7 +88,7 @@
 // watches that have run for suspectAfter.
 func (s *storeSource) recordCall(kind, call string, err error) {
 	outcome := "answered"
-	if err != nil && !errorx.IsOfType(err, tracker.ErrHistoryGone) && !errorx.IsOfType(err, tracker.ErrRestored) {
+	if err != nil && !errorx.IsOfType(err, tracker.ErrHistoryGone) && !errorx.IsOfType(err, tracker.ErrEraChanged) {
 		outcome = "failed"
 	}
 	s.mu.Lock()
