--- a/internal/policy/balance/limit.go
+++ b/internal/policy/balance/limit.go
@@ -71,7 +71,7 @@
 	now := b.Clock.Now()
 	var recent []*endpointState
 	for _, state := range b.states {
-		if state.limit.wasNamedWithin(limitAnnounceTime, now) {
+		if state.limit.isRecent(limitAnnounceTime, now) {
 			recent = append(recent, state)
 		}
 	}
--- a/internal/policy/balance/limitshare.go
+++ b/internal/policy/balance/limitshare.go
@@ -72,9 +72,9 @@
 
 func (l *limitState) isNamed() bool { return l.stated.Statement == LimitNamed }
 
-// wasNamedWithin reports whether peers should learn of the statement: a limit that was
+// isRecent reports whether peers should learn of the statement: a limit that was
 // read within the given time, or the end of one that this VM learned of within it.
-func (l *limitState) wasNamedWithin(age, now clock.Millis) bool {
+func (l *limitState) isRecent(age, now clock.Millis) bool {
 	if l.isNamed() {
 		return now-l.readAt < age
 	}
