--- a/internal/entry/node/duties.go
+++ b/internal/entry/node/duties.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"strings"
 
@@ -11,10 +10,8 @@
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/hashing"
 	"baobabladder.example/baobabladder/internal/control/roster"
-	"baobabladder.example/baobabladder/internal/control/tracker"
 	"baobabladder.example/baobabladder/internal/policy/balance"
 	"baobabladder.example/baobabladder/internal/policy/quota"
-	"baobabladder.example/baobabladder/internal/world/directory"
 	"baobabladder.example/baobabladder/internal/world/routing"
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
@@ -30,7 +27,9 @@
 	}
 	return roster.State{
 		ID: n.id, VM: n.self, Ready: n.hasConfigAndEndpoints(), Stopping: n.stopping.Load(), Contact: isLoaded && n.store.canReachStore(),
-		Demand: n.quota.Demand(), Running: n.balancer.Running(), Away: n.balancer.Relocations(), Limits: n.balancer.LimitReadings(), LimitDemand: n.balancer.LimitDemand(), Trials: n.canary.Evidence(), Revisions: revisions,
+		Demand: n.quota.Demand(), Running: n.balancer.Running(), Away: n.balancer.Relocations(),
+		Limits: n.balancer.LimitReadings(), LimitDemand: n.balancer.LimitDemand(),
+		Trials: n.canary.Evidence(), Revisions: revisions,
 	}
 }
 
@@ -91,46 +90,6 @@
 	}
 }
 
-// limitDemands returns the other VMs' demand for endpoints that have named a limit, by VM
-// and endpoint. It returns nil in a fleet in which VMs do not exchange it.
-func (n *Node) limitDemands(members []roster.Member) map[string]map[string]float64 {
-	if !n.roster.IsFullMesh() {
-		return nil
-	}
-	demands := map[string]map[string]float64{}
-	for _, member := range members {
-		if len(member.LimitDemand) > 0 && member.ID.Name != n.id.Name {
-			demands[member.ID.Name] = member.LimitDemand
-		}
-	}
-	return demands
-}
-
-// logLimits logs the limits that endpoints have named, changed or lifted since the last
-// call.
-func (n *Node) logLimits() {
-	newest := n.balancer.LimitUses()
-	for id, use := range newest {
-		if last, found := n.loggedLimits[id]; !found || last.Rate != use.Rate {
-			n.Log.WithFields(logrus.Fields{"endpoint": id, "limit_per_s": use.Rate, "share_per_s": use.Share}).Info("endpoint named a limit")
-		}
-	}
-	for id, last := range n.loggedLimits {
-		if _, found := newest[id]; !found {
-			n.Log.WithFields(logrus.Fields{"endpoint": id, "limit_per_s": last.Rate, "first_sends": last.FirstSends, "retries": last.Retries}).Info("endpoint lifted its limit")
-		}
-	}
-	n.loggedLimits = newest
-}
-
-// logEra logs that the store has come back from a copy since the last call.
-func (n *Node) logEra() {
-	if era := n.Platform.Era(); era != n.loggedEra {
-		n.Log.WithFields(logrus.Fields{"era": era, "era_before": n.loggedEra}).Info("the store's era changed")
-		n.loggedEra = era
-	}
-}
-
 // dutyAssignment is this VM's view of which VMs share the fleet-wide duties: owning
 // the quotas of workspaces and writing the outcome of version moves.
 type dutyAssignment struct {
@@ -257,75 +216,5 @@
 // hold its method.
 func (n *Node) relays() (others []vm.VM, isRelay bool) { return n.roster.Relays() }
 
-// writeMoveVerdicts writes the verdicts of this VM's canary guard on version moves to
-// the store if this VM is the writer.
-func (n *Node) writeMoveVerdicts(ctx context.Context, candidates []roster.Member) {
-	verdicts := n.canary.PendingVerdicts()
-	if len(verdicts) == 0 || !n.isMoveWriter(candidates) {
-		return
-	}
-	for _, verdict := range verdicts {
-		if verdict.Move.StartedWall == 0 {
-			verdict.Move.StartedWall = n.clock.Wall() - (n.clock.Now() - verdict.Move.FirstSeen)
-		}
-		evidence := verdict.Evidence
-		fields := logrus.Fields{
-			"service": verdict.Move.Service, "to": verdict.Move.TargetVersion, "state": verdict.State, "why": verdict.Reason,
-			"answers": evidence.EverAnswers, "bad": evidence.EverBad, "failed": evidence.EverFailed,
-			"old_answers": evidence.OldAnswers, "old_bad": evidence.OldBad, "old_failed": evidence.OldFailed,
-		}
-		if err := n.Platform.WriteMove(ctx, verdict.Move, verdict.State); err != nil {
-			n.Log.WithError(err).WithFields(fields).Warn("writing the state of a version move failed")
-			continue
-		}
-		n.Log.WithFields(fields).Info("wrote the state of a version move")
-	}
-}
-
-// rewriteLostMoveStates writes the states of version moves again that the store may have
-// lost by coming back from a copy, if this VM is the writer. It tries each at most once
-// every moveRewriteInterval, as the operator must first have written the move again.
-func (n *Node) rewriteLostMoveStates(ctx context.Context, candidates []roster.Member) {
-	now := n.clock.Now()
-	if now < n.nextMoveRewriteAt || !n.isMoveWriter(candidates) {
-		return
-	}
-	for _, move := range n.lostMoves() {
-		n.nextMoveRewriteAt = now + moveRewriteInterval
-		line := n.Log.WithFields(logrus.Fields{"service": move.Service, "to": move.TargetVersion, "state": move.State})
-		if err := n.Platform.WriteMove(ctx, move, move.State); err != nil {
-			line.WithError(err).Warn("writing the lost state of a version move failed; retrying")
-			continue
-		}
-		line.Info("the store has the state of a version move again")
-	}
-}
-
-// lostMoves returns the moves whose state the store may not have.
-func (n *Node) lostMoves() (lost []directory.Move) {
-	era := n.Platform.Era()
-	n.objects.mu.Lock()
-	defer n.objects.mu.Unlock()
-	for _, service := range slices.Sorted(maps.Keys(n.objects.moves)) {
-		move := n.objects.moves[service]
-		if move.State != directory.MoveRequested && (move.IsStateLost || tracker.EraOf(move.Revision) < era) {
-			lost = append(lost, move)
-		}
-	}
-	return lost
-}
-
-// isMoveWriter reports whether this VM writes the outcome of version moves: it is the
-// first candidate, by name, that reaches the store. Two VMs may briefly both be the
-// writer; the store's conditional writes make that harmless.
-func (n *Node) isMoveWriter(candidates []roster.Member) bool {
-	for _, member := range candidates {
-		if member.Contact {
-			return member.ID.Name == n.id.Name
-		}
-	}
-	return false
-}
-
 // hasFollowers calls Roster.HasFollowers; see relays.
 func (n *Node) hasFollowers() bool { return n.roster.HasFollowers() }
--- /dev/null
+++ b/internal/entry/node/moves.go
@@ -0,0 +1,113 @@
+package node
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/sirupsen/logrus"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/control/roster"
+	"baobabladder.example/baobabladder/internal/control/tracker"
+	"baobabladder.example/baobabladder/internal/world/directory"
+)
+
+// keepMoveState returns the newest form of a move with the state of the previous one, if
+// the store may have lost that by coming back from a copy: the two are of different eras,
+// or it was lost before, and the newest is not as far. The state must then be written
+// again. Otherwise it returns the newest form.
+func keepMoveState(previous, newest directory.Move) directory.Move {
+	mayBeLost := previous.IsStateLost || tracker.EraOf(previous.Revision) < tracker.EraOf(newest.Revision)
+	if !mayBeLost || previous.TargetVersion != newest.TargetVersion || previous.State.Progress() <= newest.State.Progress() {
+		return newest
+	}
+	newest.State, newest.StartedWall, newest.IsStateLost = previous.State, previous.StartedWall, true
+	return newest
+}
+
+// moveStart returns when a move began, by this VM's clock: when this VM first saw it,
+// or the start that another VM wrote to the store, if that is earlier. The written
+// start is compared by the wall clocks of two VMs, so the resulting age is limited to
+// the move's MaxDuration.
+func (n *Node) moveStart(previous, newest directory.Move) clock.Millis {
+	start := newest.FirstSeen
+	if previous.TargetVersion == newest.TargetVersion {
+		start = previous.FirstSeen
+	}
+	if newest.StartedWall == 0 {
+		return start
+	}
+	age := min(max(n.clock.Wall()-newest.StartedWall, 0), newest.MaxDuration)
+	return min(start, n.clock.Now()-age)
+}
+
+// writeMoveVerdicts writes the verdicts of this VM's canary guard on version moves to
+// the store if this VM is the writer.
+func (n *Node) writeMoveVerdicts(ctx context.Context, candidates []roster.Member) {
+	verdicts := n.canary.PendingVerdicts()
+	if len(verdicts) == 0 || !n.isMoveWriter(candidates) {
+		return
+	}
+	for _, verdict := range verdicts {
+		if verdict.Move.StartedWall == 0 {
+			verdict.Move.StartedWall = n.clock.Wall() - (n.clock.Now() - verdict.Move.FirstSeen)
+		}
+		evidence := verdict.Evidence
+		fields := logrus.Fields{
+			"service": verdict.Move.Service, "to": verdict.Move.TargetVersion, "state": verdict.State, "why": verdict.Reason,
+			"answers": evidence.EverAnswers, "bad": evidence.EverBad, "failed": evidence.EverFailed,
+			"old_answers": evidence.OldAnswers, "old_bad": evidence.OldBad, "old_failed": evidence.OldFailed,
+		}
+		if err := n.Platform.WriteMove(ctx, verdict.Move, verdict.State); err != nil {
+			n.Log.WithError(err).WithFields(fields).Warn("writing the state of a version move failed")
+			continue
+		}
+		n.Log.WithFields(fields).Info("wrote the state of a version move")
+	}
+}
+
+// rewriteLostMoveStates writes the states of version moves again that the store may have
+// lost by coming back from a copy, if this VM is the writer. It tries each at most once
+// every moveRewriteInterval, as the operator must first have written the move again.
+func (n *Node) rewriteLostMoveStates(ctx context.Context, candidates []roster.Member) {
+	now := n.clock.Now()
+	if now < n.nextMoveRewriteAt || !n.isMoveWriter(candidates) {
+		return
+	}
+	for _, move := range n.lostMoves() {
+		n.nextMoveRewriteAt = now + moveRewriteInterval
+		line := n.Log.WithFields(logrus.Fields{"service": move.Service, "to": move.TargetVersion, "state": move.State})
+		if err := n.Platform.WriteMove(ctx, move, move.State); err != nil {
+			line.WithError(err).Warn("writing the lost state of a version move failed; retrying")
+			continue
+		}
+		line.Info("the store has the state of a version move again")
+	}
+}
+
+// lostMoves returns the moves whose state the store may not have.
+func (n *Node) lostMoves() (lost []directory.Move) {
+	era := n.Platform.Era()
+	n.objects.mu.Lock()
+	defer n.objects.mu.Unlock()
+	for _, service := range slices.Sorted(maps.Keys(n.objects.moves)) {
+		move := n.objects.moves[service]
+		if move.State != directory.MoveRequested && (move.IsStateLost || tracker.EraOf(move.Revision) < era) {
+			lost = append(lost, move)
+		}
+	}
+	return lost
+}
+
+// isMoveWriter reports whether this VM writes the outcome of version moves: it is the
+// first candidate, by name, that reaches the store. Two VMs may briefly both be the
+// writer; the store's conditional writes make that harmless.
+func (n *Node) isMoveWriter(candidates []roster.Member) bool {
+	for _, member := range candidates {
+		if member.Contact {
+			return member.ID.Name == n.id.Name
+		}
+	}
+	return false
+}
--- a/internal/entry/node/objects.go
+++ b/internal/entry/node/objects.go
@@ -5,7 +5,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/control/tracker"
 	"baobabladder.example/baobabladder/internal/world/directory"
 	"baobabladder.example/baobabladder/internal/world/vm"
@@ -178,35 +177,6 @@
 	n.updateDirectory()
 }
 
-// keepMoveState returns the newest form of a move with the state of the previous one, if
-// the store may have lost that by coming back from a copy: the two are of different eras,
-// or it was lost before, and the newest is not as far. The state must then be written
-// again. Otherwise it returns the newest form.
-func keepMoveState(previous, newest directory.Move) directory.Move {
-	mayBeLost := previous.IsStateLost || tracker.EraOf(previous.Revision) < tracker.EraOf(newest.Revision)
-	if !mayBeLost || previous.TargetVersion != newest.TargetVersion || previous.State.Progress() <= newest.State.Progress() {
-		return newest
-	}
-	newest.State, newest.StartedWall, newest.IsStateLost = previous.State, previous.StartedWall, true
-	return newest
-}
-
-// moveStart returns when a move began, by this VM's clock: when this VM first saw it,
-// or the start that another VM wrote to the store, if that is earlier. The written
-// start is compared by the wall clocks of two VMs, so the resulting age is limited to
-// the move's MaxDuration.
-func (n *Node) moveStart(previous, newest directory.Move) clock.Millis {
-	start := newest.FirstSeen
-	if previous.TargetVersion == newest.TargetVersion {
-		start = previous.FirstSeen
-	}
-	if newest.StartedWall == 0 {
-		return start
-	}
-	age := min(max(n.clock.Wall()-newest.StartedWall, 0), newest.MaxDuration)
-	return min(start, n.clock.Now()-age)
-}
-
 func (n *Node) applyEvacuations(objects map[string]tracker.Object) {
 	evacuated := map[string]bool{}
 	for name := range objects {
@@ -253,3 +223,11 @@
 	n.canary.Update(newest.Moves)
 	n.balancer.UpdateDirectory(newest)
 }
+
+// logEra logs that the store has come back from a copy since the last call.
+func (n *Node) logEra() {
+	if era := n.Platform.Era(); era != n.loggedEra {
+		n.Log.WithFields(logrus.Fields{"era": era, "era_before": n.loggedEra}).Info("the store's era changed")
+		n.loggedEra = era
+	}
+}
--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -173,23 +173,24 @@
 	if request.isRegionBound() {
 		b.reserve(request, now)
 	}
-	chosen, rejected := b.cheapest(request, now, false)
-	if chosen.state == nil && rejected.reason() == reason.NoEndpoint {
-		chosen, rejected = b.cheapest(request, now, true)
+	selected := b.selectEndpoint(request, now, false)
+	if selected.isEmpty() && selected.rejected.reason() == reason.NoEndpoint {
+		selected = b.selectEndpoint(request, now, true)
 	}
-	if chosen.state == nil && request.Versions.Pack {
+	if selected.isEmpty() && request.Versions.Pack {
 		// No endpoint of the new version can run the request now, so the old version
 		// runs it.
 		request.Versions = canary.Choice{Not: request.Versions.Only}
-		chosen, rejected = b.cheapest(request, now, false)
+		selected = b.selectEndpoint(request, now, false)
 	}
-	if preferred := rejected.preferred; preferred != nil && preferred != chosen.state {
-		preferred.limit.addDemand(now)
+	if selected.preferred != nil && selected.preferred != selected.best.state {
+		selected.preferred.limit.addDemand(now)
 	}
-	if chosen.state == nil {
+	if selected.isEmpty() {
+		rejected := selected.rejected
 		load, slots := b.capacity(request, b.directory.Services[request.Service.Name], now)
 		return nil, reason.NotRun(rejected.reason(), rejected.retryAfter(), "no endpoint of %s can run the request in time: %.0f requests on %.0f slots; %s",
 			request.Service.Name, load, slots, rejected)
 	}
-	return b.grant(request, chosen, now), nil
+	return b.grant(request, selected.best, now), nil
 }
--- a/internal/policy/balance/candidate.go
+++ b/internal/policy/balance/candidate.go
@@ -51,41 +51,53 @@
 	isHome   bool
 }
 
-// cheapest returns the candidate with the lowest cost, and the number of endpoints
-// rejected for each cause. It considers suspended endpoints only if includeSuspended is
-// set. The caller must hold mu.
-func (b *Balancer) cheapest(request *Request, now clock.Millis, includeSuspended bool) (best candidate, rejected rejections) {
+// selection is the result of comparing the endpoints for a request.
+type selection struct {
+	// best is the candidate with the lowest cost; its state is nil if there is none.
+	best candidate
+	// preferred is the endpoint that would be the object's home if no endpoint had
+	// reached its limit; nil if that makes no difference.
+	preferred *endpointState
+	rejected  rejections
+}
+
+// isEmpty reports whether no endpoint can run the request.
+func (s *selection) isEmpty() bool { return s.best.state == nil }
+
+// selectEndpoint compares the endpoints for a request. It considers suspended ones only if
+// includeSuspended is set. The caller must hold mu.
+func (b *Balancer) selectEndpoint(request *Request, now clock.Millis, includeSuspended bool) (s selection) {
 	endpoints := b.directory.Services[request.Service.Name]
-	home, preferred := b.home(request, endpoints, now)
-	rejected.preferred = preferred
+	var home *endpointState
+	home, s.preferred = b.home(request, endpoints, now)
 	isSaturated := home != nil && b.isSaturated(request, endpoints, now)
 	for i := range endpoints {
 		state := b.states[endpoints[i].ID]
 		switch {
 		case state == nil || !b.isEligible(request, state):
-			rejected.ineligible++
+			s.rejected.ineligible++
 			continue
 		case !includeSuspended && state.isSuspended(now):
-			rejected.suspended++
+			s.rejected.suspended++
 			continue
 		case state.endpoint.ColdUntil > now && (now < state.nextColdRequestAt || !b.isColdSender(request.Service, state)):
-			rejected.cold++
+			s.rejected.cold++
 			continue
 		}
 		if wait, ok := b.isWithinLimit(state, now); !ok {
-			rejected.addLimited(wait)
+			s.rejected.addLimited(wait)
 			continue
 		}
 		c := b.estimate(request, state, state == home, now)
 		switch {
 		case int(state.load(now)) >= state.endpoint.Slots+maxQueueLength:
-			rejected.full++
+			s.rejected.full++
 			continue
 		case isSaturated && !c.isWarm && !c.isHome:
-			rejected.notWarm++
+			s.rejected.notWarm++
 			continue
 		case isSaturated && c.expected > float64(request.Remaining):
-			rejected.slow++
+			s.rejected.slow++
 			continue
 		}
 		if c.expected > float64(request.Remaining) {
@@ -94,11 +106,11 @@
 		if request.Versions.Pack {
 			c.cost += b.packCost(request, state, endpoints, now)
 		}
-		if best.state == nil || c.cost < best.cost {
-			best = c
+		if s.isEmpty() || c.cost < s.best.cost {
+			s.best = c
 		}
 	}
-	return best, rejected
+	return s
 }
 
 // rejections counts the endpoints that cannot be chosen for a request, by cause.
@@ -112,11 +124,9 @@
 	// the first one again after limitWait.
 	limited   int
 	limitWait clock.Millis
-	// preferred is the endpoint that would be the object's home if no endpoint had
-	// reached its limit; nil if that makes no difference.
-	preferred *endpointState
 }
 
+// addLimited counts an endpoint from which this VM has the next token after wait.
 func (r *rejections) addLimited(wait clock.Millis) {
 	if r.limited == 0 || wait < r.limitWait {
 		r.limitWait = wait
