--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -75,9 +75,12 @@
 	LimitDemand map[string]float64
 	// Trials is the VM's own evidence on new versions, by service.
 	Trials map[string]canary.Evidence
-	// Revisions is the revision of the store up to which the VM knows each kind of
+	// Revisions is the revision of the newest change that the VM knows of each kind of
 	// object.
 	Revisions map[string]int64
+	// CopyAge is the time since the VM's copies of all kinds were last known to be
+	// complete; 0 if they never were, or if the VM does not say.
+	CopyAge clock.Millis
 	// Versions lists the reports that the VM has, by author, so that a relay does not
 	// send them again. WantsRunning asks a relay for RegionRunning.
 	Versions     map[string]ReportVersion
--- a/internal/control/tracker/tracker.go
+++ b/internal/control/tracker/tracker.go
@@ -135,8 +135,11 @@
 	// store has answered another VM during the failure, 0 if it does not. Guarded by
 	// mu.
 	failedAt, peersReachAt clock.Millis
-	// lastContactAt is when the last successful call was sent. Guarded by mu.
-	lastContactAt clock.Millis
+	// completeAt is the latest time at which the copy is known to have been complete: a
+	// call to the store that was sent then has been answered, here or on a peer that
+	// knows no newer change. It is valid if hasBeenComplete. Guarded by mu.
+	completeAt      clock.Millis
+	hasBeenComplete bool
 	// changedAt is when the copy last changed. isBurst is set if the change before it
 	// was less than burstSpan earlier. Guarded by mu.
 	changedAt clock.Millis
@@ -260,7 +263,9 @@
 func (f *Feed) recordSuccess(sent clock.Millis) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.lastContactAt = sent
+	if f.isDirect() {
+		f.setCompleteAt(sent)
+	}
 	if !f.isFailing {
 		return
 	}
@@ -296,13 +301,11 @@
 
 // hasStoreContact is HasStoreContact for callers that hold mu.
 func (f *Feed) hasStoreContact() bool {
-	source, canBeRelayed := f.Source.(relayedSource)
-	return !f.isFailing && f.revision > 0 && (!canBeRelayed || source.IsDirect())
+	return !f.isFailing && f.revision > 0 && f.isDirect()
 }
 
-// Age returns the time since the last successful call to the source was sent.
-func (f *Feed) Age() clock.Millis {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.Clock.Now() - f.lastContactAt
+// isDirect reports whether the source's last reply came from the store itself.
+func (f *Feed) isDirect() bool {
+	source, canBeRelayed := f.Source.(relayedSource)
+	return !canBeRelayed || source.IsDirect()
 }
--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -237,6 +237,9 @@
 	fields := logrus.Fields{"request_id": c.id, "after_ms": c.gateway.Clock.Now() - c.arrived}
 	if c.table != nil {
 		fields["version"] = c.table.Version
+		if c.gateway.ConfigAge != nil {
+			fields["copy_age_ms"] = c.gateway.ConfigAge()
+		}
 	}
 	if c.route != nil {
 		fields["route"] = c.route.Name
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -75,7 +75,9 @@
 	RecordOutcome func(outcome string)
 	// RecordLimitedSend counts an attempt at an endpoint that has named a limit.
 	RecordLimitedSend func(isRetry bool)
-	Clock             clock.Clock
+	// ConfigAge returns how old the configuration in force may be, for the log; optional.
+	ConfigAge func() clock.Millis
+	Clock     clock.Clock
 	// Log is nil for no log; LogBudget limits its lines.
 	Log       logrus.FieldLogger
 	LogBudget logging.Budget
--- a/internal/entry/node/duties.go
+++ b/internal/entry/node/duties.go
@@ -10,6 +10,7 @@
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/hashing"
 	"baobabladder.example/baobabladder/internal/control/roster"
+	"baobabladder.example/baobabladder/internal/control/tracker"
 	"baobabladder.example/baobabladder/internal/policy/balance"
 	"baobabladder.example/baobabladder/internal/policy/quota"
 	"baobabladder.example/baobabladder/internal/world/routing"
@@ -25,11 +26,15 @@
 		revisions[feed.Kind] = feed.NewestChange()
 		isLoaded = isLoaded && feed.Revision() > 0
 	}
+	copyAge, isKnown := tracker.OldestAge(n.feeds)
+	if isKnown {
+		copyAge = max(copyAge, 1)
+	}
 	return roster.State{
 		ID: n.id, VM: n.self, Ready: n.hasConfigAndEndpoints(), Stopping: n.stopping.Load(), Contact: isLoaded && n.store.canReachStore(),
 		Demand: n.quota.Demand(), Running: n.balancer.Running(), Away: n.balancer.Relocations(),
 		Limits: n.balancer.LimitReadings(), LimitDemand: n.balancer.LimitDemand(),
-		Trials: n.canary.Evidence(), Revisions: revisions,
+		Trials: n.canary.Evidence(), Revisions: revisions, CopyAge: copyAge,
 	}
 }
 
@@ -46,7 +51,11 @@
 	n.balancer.MergeRelocations(state.Away)
 	n.balancer.MergeLimitReadings(state.Limits)
 	for _, feed := range n.feeds {
-		if known := state.Revisions[feed.Kind]; known > feed.NewestChange() {
+		known := state.Revisions[feed.Kind]
+		if state.CopyAge > 0 {
+			feed.Confirm(known, state.CopyAge)
+		}
+		if known > feed.NewestChange() {
 			go feed.CatchUp(context.Background(), n.peers, state.VM.PeerAddress, known)
 		}
 	}
--- a/internal/entry/node/metrics.go
+++ b/internal/entry/node/metrics.go
@@ -58,7 +58,11 @@
 	scope.Gauge("store_era").Update(float64(n.Platform.Era()))
 	scope.Gauge("endpoints_limited").Update(float64(len(n.balancer.LimitUses())))
 	for _, feed := range n.feeds {
-		scope.Tagged(map[string]string{"kind": feed.Kind}).Gauge("knowledge_age_seconds").Update(float64(feed.Age()) / float64(clock.Second))
+		age, isKnown := feed.Age()
+		if !isKnown {
+			age = n.clock.Now() - n.startedAt
+		}
+		scope.Tagged(map[string]string{"kind": feed.Kind}).Gauge("knowledge_age_seconds").Update(float64(age) / float64(clock.Second))
 	}
 	for workspace, demand := range n.quota.Demand() {
 		scope.Tagged(map[string]string{"workspace": workspace}).Gauge("workspace_demand").Update(demand)
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -203,6 +203,7 @@
 		Balancer: n.balancer, Quota: n.admission, Canary: n.canary, RetryBudget: n.retryBudget, Refuser: refuser,
 		RetryCounters: metric.NewReasonCounters(n.metrics.Scope, "retries"), Log: n.Log,
 		RecordLatency: latencyRecorder(n.metrics), RecordOutcome: outcomeRecorder(n.metrics), RecordLimitedSend: limitedSendRecorder(n.metrics),
+		ConfigAge: n.configAge,
 	}
 	n.callerServer = &caller.Server{Handler: n.gateway, Refusals: refuser, IdleCloseDelay: config.Bounds.StopGrace / idleCloseDivisor}
 	n.buildFeeds()
--- a/internal/entry/node/objects.go
+++ b/internal/entry/node/objects.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/control/tracker"
 	"baobabladder.example/baobabladder/internal/world/directory"
 	"baobabladder.example/baobabladder/internal/world/vm"
@@ -123,11 +124,17 @@
 			n.logUnreadable("config", object, err)
 		}
 		if found && n.gateway.SetTable(table) {
-			n.Log.WithFields(logrus.Fields{"version": table.Version, "revision": object.Revision}).Info("configuration in force")
+			n.Log.WithFields(logrus.Fields{"version": table.Version, "revision": object.Revision, "copy_age_ms": n.configAge()}).Info("configuration in force")
 		}
 	}
 }
 
+// configAge returns how old the copy of the configuration may be; see tracker.Feed.Age.
+func (n *Node) configAge() clock.Millis {
+	age, _ := n.feeds[0].Age()
+	return age
+}
+
 func (n *Node) applyEndpoints(objects map[string]tracker.Object) {
 	now := n.clock.Now()
 	n.objects.mu.Lock()
