Check the store beside the watches, from one VM of the fleet

Cause: a VM has one call for each kind of object, a watch of up to 20.7 s, and believes that nothing has changed while it waits. A store that was silent or slow when it received the watch answers it late or never. After a change all VMs send their watches within 0.2 s, so all wait for such answers and no peer knows more. The watches sent before the silence outlast it, so no call fails that would end the others. This class of fault: one lost or late answer holds up what is known.

Ruled out: configurations that arrive and are not put in force (no line says so, and the store counts no call that would bring one).

Change: whenever the copies have not been known to be complete for 1 s, the first VM that reads the store asks it for changes and does not wait; the next one does so if the first has not for 2 s, and so on. At rest that is one call, which shows by the store's revision whether anything has changed. A watch that has not returned a change 0.4 s after a check or a peer did is abandoned and sent anew, with the kind's other old ones. Peers learn what was found by the next exchange, which starts at once. A late reply that tells less than the copy knows is ignored now: it could have brought back a removed endpoint for good. Merges and OnChange run one after the other, since an older state could be passed on last.

--- /dev/null
+++ b/internal/control/tracker/check.go
@@ -0,0 +1,191 @@
+package tracker
+
+import (
+	"context"
+	"sync"
+
+	"github.com/joomcode/errorx"
+	"github.com/sirupsen/logrus"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+)
+
+const (
+	// checkWait is how long the store may wait for changes in a check, in which it is to
+	// reply at once.
+	checkWait = 1 * clock.Millis(1)
+	// minCheckPause and maxCheckPause bound the pause before the Checker looks again
+	// whether a check is due.
+	minCheckPause = 100 * clock.Millis(1)
+	maxCheckPause = 1 * clock.Second
+)
+
+// Checker finds changes that no watch returns. A store that was down or slow when it
+// received a watch may answer it late or never, and all VMs of a fleet may be waiting for
+// such answers. A Checker calls the store whenever the copies have not been known to be
+// complete for an interval, whatever the watches do. One VM's checks suffice for a fleet:
+// its peers get from it what it finds, and learn that nothing else has changed.
+type Checker struct {
+	// Store is the store itself, not a relay.
+	Store Source
+	// Feeds are the feeds to check. A check reads the first one's changes, and the
+	// others' if the store's revision shows that anything else may have changed.
+	Feeds []*Feed
+	// Interval returns how old the copies must be before this VM checks them. ok is
+	// false if it must leave checks to other VMs.
+	Interval func() (interval clock.Millis, ok bool)
+	// OnMissed is called after a check has found a change that a watch did not return
+	// within catchUpDelay; optional.
+	OnMissed func()
+	Clock    clock.Clock
+
+	mu sync.Mutex
+	// sentAt is when the last check began; valid if hasSent. Guarded by mu.
+	sentAt  clock.Millis
+	hasSent bool
+}
+
+// Run checks the copies until ctx ends. It does not wait for the reply of a check before
+// it starts the next one.
+func (c *Checker) Run(ctx context.Context) {
+	for clock.Sleep(ctx, c.pause()) == nil {
+		if c.begin() {
+			go c.check(ctx)
+		}
+	}
+}
+
+// pause returns the time until a check may be due.
+func (c *Checker) pause() clock.Millis {
+	interval, ok := c.Interval()
+	age, known := OldestAge(c.Feeds)
+	if !ok || !known {
+		return maxCheckPause
+	}
+	return min(max(interval-age, minCheckPause), maxCheckPause)
+}
+
+// begin reports whether a check is due, and records that it begins.
+func (c *Checker) begin() bool {
+	interval, ok := c.Interval()
+	age, known := OldestAge(c.Feeds)
+	if !ok || !known || age < interval {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Clock.Now()
+	if c.hasSent && now-c.sentAt < interval {
+		return false
+	}
+	c.sentAt, c.hasSent = now, true
+	return true
+}
+
+// check reads what the store has changed since the revision of each copy.
+func (c *Checker) check(ctx context.Context) {
+	sent := c.Clock.Now()
+	newest, err := c.checkFeed(ctx, c.Feeds[0])
+	if err != nil {
+		return
+	}
+	for _, feed := range c.Feeds[1:] {
+		if feed.isComplete(newest, sent) {
+			continue
+		}
+		if _, err := c.checkFeed(ctx, feed); err != nil {
+			return
+		}
+	}
+}
+
+// checkFeed reads a kind's changes and returns the store's revision.
+func (c *Checker) checkFeed(ctx context.Context, feed *Feed) (revision int64, err error) {
+	sent, after, newest := c.Clock.Now(), feed.Revision(), feed.NewestChange()
+	objects, revision, err := c.Store.Watch(ctx, feed.Kind, after, checkWait)
+	switch {
+	case err == nil:
+		feed.mergeReply(after, objects, revision)
+	case errorx.IsOfType(err, ErrHistoryGone):
+		if objects, revision, err = c.Store.List(ctx, feed.Kind); err != nil {
+			return 0, err
+		}
+		feed.applyListing(objects, revision)
+	default:
+		return 0, err
+	}
+	feed.isComplete(revision, sent)
+	if feed.NewestChange() > newest {
+		go c.awaitWatch(ctx, feed, feed.runningWatch())
+	}
+	return revision, nil
+}
+
+// awaitWatch gives a watch catchUpDelay to return a change that a check has found, and
+// abandons it then.
+func (c *Checker) awaitWatch(ctx context.Context, feed *Feed, watch *runningWatch) {
+	if clock.Sleep(ctx, catchUpDelay) != nil || !feed.abandonWatch(watch) {
+		return
+	}
+	if c.OnMissed != nil {
+		c.OnMissed()
+	}
+}
+
+// isComplete reports whether the copy is complete up to a revision that the store had in
+// reply to a call that was sent at the given time. If so, the copy was complete then.
+func (f *Feed) isComplete(revision int64, sent clock.Millis) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.revision < revision {
+		return false
+	}
+	f.setCompleteAt(sent)
+	return true
+}
+
+// runningWatch is a watch that waits for changes after a revision.
+type runningWatch struct {
+	after  int64
+	since  clock.Millis
+	cancel context.CancelCauseFunc
+}
+
+// beginWatch records that a watch begins. endWatch must be called when it has ended.
+func (f *Feed) beginWatch(parent context.Context) (context.Context, *runningWatch) {
+	ctx, cancel := context.WithCancelCause(parent)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running = &runningWatch{f.revision, f.Clock.Now(), cancel}
+	return ctx, f.running
+}
+
+func (f *Feed) endWatch(watch *runningWatch) {
+	f.mu.Lock()
+	f.running = nil
+	f.mu.Unlock()
+	watch.cancel(nil)
+}
+
+func (f *Feed) runningWatch() *runningWatch {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.running
+}
+
+// abandonWatch cancels a watch of the store that still runs although the copy has newer
+// changes from elsewhere, and reports whether it did. A new watch begins at once.
+func (f *Feed) abandonWatch(watch *runningWatch) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if watch == nil || f.running != watch || f.newest <= watch.after || !f.isDirect() {
+		return false
+	}
+	waited := f.Clock.Now() - watch.since
+	watch.cancel(ErrOverdue.New("no reply to a watch of %s after %d ms, and the copy has newer changes", f.Kind, waited))
+	if f.Log != nil {
+		f.Log.WithFields(logrus.Fields{"kind": f.Kind, "after_revision": watch.after, "newest": f.newest, "waited_ms": waited}).
+			Warn("a watch of the store did not return a change; watching anew")
+	}
+	return true
+}
--- a/internal/control/tracker/fetch.go
+++ b/internal/control/tracker/fetch.go
@@ -66,6 +66,7 @@
 		return
 	}
 	f.Adopt(objects, fetched.Revision)
+	f.abandonWatch(f.runningWatch())
 	if f.Log != nil {
 		f.Log.WithField("kind", f.Kind).WithField("revision", fetched.Revision).Info("fetched a peer's copy")
 	}
--- a/internal/control/tracker/merge.go
+++ b/internal/control/tracker/merge.go
@@ -25,14 +25,34 @@
 
 // Adopt replaces the copy by a peer's copy if that is newer.
 func (f *Feed) Adopt(objects []Object, revision int64) {
+	f.mergeMu.Lock()
+	defer f.mergeMu.Unlock()
 	if revision > f.Revision() {
-		f.applyListing(objects, revision)
+		f.mergeListing(objects, revision)
 	}
 }
 
 // applyListing merges a listing; objects that it does not contain count as removed,
 // unless the store has just come back from a copy.
 func (f *Feed) applyListing(objects []Object, revision int64) {
+	f.mergeMu.Lock()
+	defer f.mergeMu.Unlock()
+	f.mergeListing(objects, revision)
+}
+
+// mergeReply merges a reply with the changes after a revision. A late reply that tells
+// less than the copy has learnt meanwhile is ignored: it could bring back an object that
+// has been removed.
+func (f *Feed) mergeReply(after int64, objects []Object, revision int64) {
+	f.mergeMu.Lock()
+	defer f.mergeMu.Unlock()
+	if known := f.Revision(); known <= after || revision > known {
+		f.merge(objects, revision)
+	}
+}
+
+// mergeListing is applyListing for callers that hold mergeMu.
+func (f *Feed) mergeListing(objects []Object, revision int64) {
 	f.logIgnored(objects, revision)
 	f.mu.Lock()
 	f.beginGrace(revision)
@@ -78,7 +98,8 @@
 	}
 }
 
-// merge merges changes into the copy and calls OnChange if the copy changed.
+// merge merges changes into the copy and calls OnChange if the copy changed. The caller
+// must hold mergeMu.
 func (f *Feed) merge(objects []Object, revision int64) {
 	// DelaysRemovals may call methods of the feed, so it is called without mu.
 	delaysRemovals := f.DelaysRemovals != nil && f.DelaysRemovals()
--- a/internal/control/tracker/tracker.go
+++ b/internal/control/tracker/tracker.go
@@ -23,6 +23,9 @@
 	// ErrHistoryGone is returned by a watch if its source no longer has the changes
 	// after the requested revision: the kind must be listed again.
 	ErrHistoryGone = errorNamespace.NewType("history_gone")
+	// ErrOverdue is the cause with which a watch is cancelled that has not returned a
+	// change, although the source has it: the source may never reply.
+	ErrOverdue = errorNamespace.NewType("overdue")
 )
 
 const (
@@ -99,7 +102,13 @@
 	OnChange func(objects map[string]Object)
 	Jitter   func(n clock.Millis) clock.Millis
 
+	// mergeMu is held while changes are merged and passed to OnChange, so that no older
+	// state of the copy is passed after a newer one. It is locked before mu.
+	mergeMu sync.Mutex
+
 	mu sync.Mutex
+	// running is the watch that waits for a reply; nil if there is none. Guarded by mu.
+	running *runningWatch
 	// objects is the copy, by name. Guarded by mu.
 	objects map[string]Object
 	// revision is the revision of the store up to which the copy is complete, 0
@@ -200,12 +209,17 @@
 		f.applyListing(objects, revision)
 		return nil
 	}
-	objects, revision, err := f.Source.Watch(ctx, f.Kind, f.Revision(), f.watchTimeout())
-	if err != nil {
+	watchCtx, watch := f.beginWatch(ctx)
+	objects, revision, err := f.Source.Watch(watchCtx, f.Kind, watch.after, f.watchTimeout())
+	f.endWatch(watch)
+	switch {
+	case err != nil && errorx.IsOfType(context.Cause(watchCtx), ErrOverdue):
+		return nil
+	case err != nil:
 		return err
 	}
 	f.recordSuccess(sent)
-	f.merge(objects, revision)
+	f.mergeReply(watch.after, objects, revision)
 	return nil
 }
 
--- a/internal/entry/node/duties.go
+++ b/internal/entry/node/duties.go
@@ -99,6 +99,26 @@
 	}
 }
 
+// checkInterval returns how old this VM's copy must be before it checks the store; see
+// tracker.Checker. The first of the VMs that read the store checks it, and each next one
+// only if those before it have not for one more interval.
+func (n *Node) checkInterval() (interval clock.Millis, ok bool) {
+	if _, isRelay := n.roster.Relays(); !isRelay {
+		return 0, false
+	}
+	rank := clock.Millis(0)
+	if assignment := n.dutyAssignment.Load(); assignment != nil {
+		self := n.store.canReachStore()
+		for _, member := range assignment.candidates {
+			isBefore := member.ID.Name < n.id.Name
+			if member.ID.Name != n.id.Name && (member.Contact == self && isBefore || member.Contact && !self) {
+				rank++
+			}
+		}
+	}
+	return (1 + rank) * checkInterval, true
+}
+
 // dutyAssignment is this VM's view of which VMs share the fleet-wide duties: owning
 // the quotas of workspaces and writing the outcome of version moves.
 type dutyAssignment struct {
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -52,6 +52,9 @@
 	// registerInterval is the pause between two checks of the VM's registration, and
 	// between two attempts to register.
 	registerInterval = 700 * clock.Millis(1)
+	// checkInterval is the time between two checks of the store, which one VM of the fleet
+	// makes; see checkInterval of Node.
+	checkInterval = 1 * clock.Second
 	// moveRewriteInterval is the least pause between two attempts to write the lost
 	// states of version moves.
 	moveRewriteInterval = 1 * clock.Second
@@ -270,6 +273,8 @@
 	go n.roster.Run(ctx)
 	go n.syncPeers(ctx)
 	go n.admission.Run(ctx)
+	checker := &tracker.Checker{Store: checkSource{n.store}, Feeds: n.feeds, Interval: n.checkInterval, OnMissed: func() { n.roster.ExchangeNow(ctx) }}
+	go checker.Run(ctx)
 	go n.fillOwnedBursts(ctx)
 	go n.maintainRegistration(ctx)
 	go logging.ReportDropped(ctx, n.Log, &n.gateway.LogBudget, n.Writer, dropRecorder(n.metrics))
--- a/internal/entry/node/storesource.go
+++ b/internal/entry/node/storesource.go
@@ -61,9 +61,13 @@
 	s.addWatch(kind, watch{s.clock.Now(), cancel})
 	objects, revision, err = s.Source.Watch(ctx, kind, after, wait)
 	s.removeWatch(kind)
-	if err != nil && errorx.IsOfType(context.Cause(ctx), errOtherCallFailed) {
+	cause := context.Cause(ctx)
+	switch {
+	case err != nil && errorx.IsOfType(cause, errOtherCallFailed):
 		// The failed call has been counted already.
-		return nil, 0, context.Cause(ctx)
+		return nil, 0, cause
+	case err != nil && errorx.IsOfType(cause, tracker.ErrOverdue):
+		err = cause
 	}
 	s.recordCall(kind, "watch", err)
 	return objects, revision, err
@@ -84,29 +88,63 @@
 	delete(s.watches, kind)
 }
 
-// recordCall counts a call, records when it ended and, if it failed, cancels the
-// watches that have run for suspectAfter.
-func (s *storeSource) recordCall(kind, call string, err error) {
-	outcome := "answered"
-	if err != nil && !errorx.IsOfType(err, tracker.ErrHistoryGone) && !errorx.IsOfType(err, tracker.ErrEraChanged) {
-		outcome = "failed"
+// Outcomes of calls, as the metric store_calls names them.
+const (
+	callAnswered = "answered"
+	callFailed   = "failed"
+	callOverdue  = "overdue"
+)
+
+func callOutcome(err error) string {
+	switch {
+	case err == nil, errorx.IsOfType(err, tracker.ErrHistoryGone), errorx.IsOfType(err, tracker.ErrEraChanged):
+		return callAnswered
+	case errorx.IsOfType(err, tracker.ErrOverdue):
+		return callOverdue
+	default:
+		return callFailed
 	}
+}
+
+// recordCall counts a call, records when it ended and, if it failed or was overdue,
+// cancels the watches that have run for suspectAfter.
+func (s *storeSource) recordCall(kind, call string, err error) {
+	outcome := callOutcome(err)
 	s.mu.Lock()
 	now := s.clock.Now()
-	if outcome == "answered" {
+	switch outcome {
+	case callAnswered:
 		s.succeededAt = now
-	} else {
+	case callFailed:
 		s.failedAt, s.hasFailed = now, true
-		for other, w := range s.watches {
-			if now-w.since >= suspectAfter {
-				w.cancel(errOtherCallFailed.New("a call for kind %s failed while %s was watched", kind, other))
-			}
-		}
+		s.cancelWatches(now, errOtherCallFailed, "a call for kind "+kind+" failed")
+	case callOverdue:
+		s.cancelWatches(now, tracker.ErrOverdue, "a watch of kind "+kind+" was not answered")
 	}
 	s.mu.Unlock()
 	s.scope.Tagged(map[string]string{"kind": kind, "call": call, "outcome": outcome}).Counter("store_calls").Inc(1)
 }
 
+// cancelWatches cancels the watches that have run for suspectAfter with a cause of the
+// given type. The caller must hold mu.
+func (s *storeSource) cancelWatches(now clock.Millis, cause *errorx.Type, event string) {
+	for kind, w := range s.watches {
+		if now-w.since >= suspectAfter {
+			w.cancel(cause.New("%s while %s was watched", event, kind))
+		}
+	}
+}
+
+// checkSource makes the calls of a tracker.Checker, which do not wait for changes and
+// run beside the watches.
+type checkSource struct{ *storeSource }
+
+// Watch implements tracker.Source.
+func (s checkSource) Watch(ctx context.Context, kind string, after int64, wait clock.Millis) (objects []tracker.Object, revision int64, err error) {
+	defer func() { s.recordCall(kind, "check", err) }()
+	return s.Source.Watch(ctx, kind, after, wait)
+}
+
 // canReachStore reports whether the store is reachable, judging by the calls so far.
 func (s *storeSource) canReachStore() bool {
 	s.mu.Lock()
