Fetch from another peer when one does not reply

What callers would see: a change that the other VMs have is not in force for up to 2.4 s longer on a VM that is fetching it from a peer that has stopped replying (frozen, cut off), since a feed fetched from one peer at a time.

A fetch that does not end within 0.9 s, 0.4 s of which it waits for the VM's own watch, no longer keeps the feed from another peer's copy. At most three run.

--- a/internal/control/tracker/fetch.go
+++ b/internal/control/tracker/fetch.go
@@ -15,6 +15,10 @@
 	// change that a peer already has, before it fetches the peer's copy.
 	catchUpDelay = 400 * clock.Millis(1)
 	fetchTimeout = 2 * clock.Second
+	// fetchPatience is how long a fetch, with catchUpDelay before it, keeps the feed from
+	// fetching from another peer. It is shorter than a fetch may take, since the peer may
+	// have stopped replying.
+	fetchPatience = 900 * clock.Millis(1)
 )
 
 // Receiver serves this VM's copies to peers over net/rpc.
@@ -44,7 +48,8 @@
 
 // CatchUp fetches the copy of the peer at address if this VM's own watch does not
 // return a change up to the revision known, which the peer has, within catchUpDelay.
-// At most one fetch of a feed runs at a time.
+// A fetch that does not end within fetchPatience does not keep it from fetching from
+// another peer.
 func (f *Feed) CatchUp(ctx context.Context, peers PeerCaller, address string, known int64) {
 	if known <= f.NewestChange() || !f.beginFetch() {
 		return
@@ -75,17 +80,19 @@
 func (f *Feed) beginFetch() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.isFetching {
+	now := f.Clock.Now()
+	if f.fetches > 0 && now-f.fetchBeganAt < fetchPatience {
 		return false
 	}
-	f.isFetching = true
+	f.fetches++
+	f.fetchBeganAt = now
 	return true
 }
 
 func (f *Feed) endFetch() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.isFetching = false
+	f.fetches--
 }
 
 // NewestChange returns the revision of the newest change in the copy.
--- a/internal/control/tracker/tracker.go
+++ b/internal/control/tracker/tracker.go
@@ -114,10 +114,12 @@
 	// revision is the revision of the store up to which the copy is complete, 0
 	// before the first listing. Guarded by mu.
 	revision int64
-	// newest is the revision of the newest change in the copy. isFetching is set
-	// while a peer's copy is being fetched. Guarded by mu.
-	newest     int64
-	isFetching bool
+	// newest is the revision of the newest change in the copy. Guarded by mu.
+	newest int64
+	// fetches counts the fetches of peers' copies that run, of which the last one began at
+	// fetchBeganAt. Guarded by mu.
+	fetches      int
+	fetchBeganAt clock.Millis
 	// mergeCount counts the changes of the copy or its revision. packedReplies caches
 	// the packed objects of replies to peers since the last change, by the requested
 	// revision; see unpackedReply. Guarded by mu.
