Write the outcome of version moves beside the exchange of states

What callers would see: while the store does not answer the write of a move's state, 1.5 s for each of its two calls and for each move, the writing VM works with the loads, limits and reachability that its peers had before; its gauges stand still.

The writes ran in the loop that passes the peers' states to the policies. They have a loop of their own now. Found by looking for the same cause as the unanswered watches.

TestUnansweredWriteOfAMoveHoldsNothingElseUp: failed 4 of 4 before (a removed endpoint still counted after 1 s), passes 4 of 4.

--- a/internal/entry/node/duties.go
+++ b/internal/entry/node/duties.go
@@ -62,8 +62,7 @@
 }
 
 // syncPeers passes the states of the peers to the policies once every
-// peerSyncInterval, updates the duty assignment and the gauges, and writes the
-// outcome of version moves if this VM is the writer; see isMoveWriter.
+// peerSyncInterval, and updates the duty assignment and the gauges. It makes no calls.
 func (n *Node) syncPeers(ctx context.Context) {
 	wasRelay := true
 	for clock.Sleep(ctx, peerSyncInterval) == nil {
@@ -91,8 +90,6 @@
 		n.retryBudget.SetVMs(len(members))
 		candidates, hasMajority := n.roster.DutyCandidates(members)
 		n.setDutyAssignment(&dutyAssignment{candidates, hasMajority, fractionReachable(members)})
-		n.writeMoveVerdicts(ctx, candidates)
-		n.rewriteLostMoveStates(ctx, candidates)
 		n.logLimits()
 		n.logEra()
 		n.reportGauges(members)
--- a/internal/entry/node/moves.go
+++ b/internal/entry/node/moves.go
@@ -42,6 +42,17 @@
 	return min(start, n.clock.Now()-age)
 }
 
+// writeMoves writes the outcome of version moves, and again what the store has lost of it,
+// while this VM is the writer; see isMoveWriter.
+func (n *Node) writeMoves(ctx context.Context) {
+	for clock.Sleep(ctx, peerSyncInterval) == nil {
+		if assignment := n.dutyAssignment.Load(); assignment != nil {
+			n.writeMoveVerdicts(ctx, assignment.candidates)
+			n.rewriteLostMoveStates(ctx, assignment.candidates)
+		}
+	}
+}
+
 // writeMoveVerdicts writes the verdicts of this VM's canary guard on version moves to
 // the store if this VM is the writer.
 func (n *Node) writeMoveVerdicts(ctx context.Context, candidates []roster.Member) {
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -135,7 +135,7 @@
 	// loggedEra is the store's era that was logged last. Only syncPeers uses it.
 	loggedEra int64
 	// nextMoveRewriteAt is when the lost states of moves may be written again. Only
-	// syncPeers uses it.
+	// writeMoves uses it.
 	nextMoveRewriteAt clock.Millis
 	startedAt         clock.Millis
 	stopping          atomic.Bool
@@ -272,6 +272,7 @@
 	go n.startFeeds(ctx)
 	go n.roster.Run(ctx)
 	go n.syncPeers(ctx)
+	go n.writeMoves(ctx)
 	go n.admission.Run(ctx)
 	checker := &tracker.Checker{Store: checkSource{n.store}, Feeds: n.feeds, Interval: n.checkInterval, OnMissed: func() { n.roster.ExchangeNow(ctx) }}
 	go checker.Run(ctx)
