Log which requests are the same, and under which endpoints end

Lines of one request that comes again had nothing in common but their reason, and 'the endpoint gave no answer' stood for a closed connection, a cut answer's start and bytes that are no answer. Request lines have request_digest now, made of method, host, path, workspace and body, and try lines endpoint_ended if the connection ended after the request was sent and before any byte of an answer.

--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -14,6 +14,7 @@
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/document"
 	"baobabladder.example/baobabladder/internal/base/reason"
+	"baobabladder.example/baobabladder/internal/policy/blocklist"
 	"baobabladder.example/baobabladder/internal/wire/caller"
 	"baobabladder.example/baobabladder/internal/wire/endpoint"
 	"baobabladder.example/baobabladder/internal/world/key"
@@ -57,6 +58,8 @@
 	bufferedBody []byte
 	streamedBody *bodyStream
 	bodyLength   int64
+	// digest identifies the request if it comes again. It is zero before the body is read.
+	digest blocklist.Digest
 	// triedEndpoints holds the IDs of the endpoints on which an attempt failed,
 	// attempts one entry for each attempt.
 	triedEndpoints []string
@@ -185,6 +188,17 @@
 	return nil
 }
 
+// identify sets the digest. It must be called once the body has been read.
+func (c *call) identify() {
+	identity := blocklist.Request{
+		Method: c.request.Method, Host: c.request.Host, Target: c.request.RequestURI, Body: c.bufferedBody, Length: c.bodyLength,
+	}
+	if c.workspace != nil {
+		identity.Workspace = c.workspace.Name
+	}
+	c.digest = identity.Digest()
+}
+
 // bodyStream is a body that is forwarded while it is received. It yields prefix,
 // which was read before, and then the rest.
 type bodyStream struct {
@@ -250,5 +264,8 @@
 	if c.service != nil {
 		fields["service"] = c.service.Name
 	}
+	if c.digest != (blocklist.Digest{}) {
+		fields["request_digest"] = c.digest.String()
+	}
 	return fields
 }
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -155,6 +155,7 @@
 	if err := c.readBody(ctx); err != nil {
 		return err
 	}
+	c.identify()
 	c.chooseService()
 	return c.sendWithRetries(ctx)
 }
--- a/internal/entry/gateway/requestlog.go
+++ b/internal/entry/gateway/requestlog.go
@@ -22,7 +22,9 @@
 	outcome      balance.Outcome
 	duration     clock.Millis
 	status       int
-	err          error
+	// endpointEnded reports that the endpoint closed the connection before it answered.
+	endpointEnded bool
+	err           error
 }
 
 // logRequest logs the request's result, after one line for each attempt. Requests
@@ -100,6 +102,9 @@
 	if a.status > 0 {
 		fields["status"] = a.status
 	}
+	if a.endpointEnded {
+		fields["endpoint_ended"] = true
+	}
 	if a.err != nil {
 		fields["error"] = a.err.Error()
 	}
--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -97,7 +97,10 @@
 		if c.gateway.RecordOutcome != nil {
 			c.gateway.RecordOutcome(string(result.Outcome))
 		}
-		c.attempts = append(c.attempts, attempt{startedAfter: sentAt - c.arrived, basis: grant.Basis, outcome: result.Outcome, duration: took, status: status, err: err})
+		_, endpointEnded := fault.As[*endpoint.EndedError](err)
+		c.attempts = append(c.attempts, attempt{
+			startedAfter: sentAt - c.arrived, basis: grant.Basis, outcome: result.Outcome, duration: took, status: status, endpointEnded: endpointEnded, err: err,
+		})
 		if err != nil {
 			c.triedEndpoints = append(c.triedEndpoints, grant.Endpoint.ID)
 		}
--- a/internal/wire/endpoint/endpoint.go
+++ b/internal/wire/endpoint/endpoint.go
@@ -115,6 +115,13 @@
 // Unwrap returns the refusal that is sent to the caller.
 func (n *NotRunError) Unwrap() error { return n.Refusal }
 
+// EndedError is the error for a request that was sent, and whose connection the endpoint
+// closed or reset before the first byte of a response: the endpoint may have ended.
+type EndedError struct{ *reason.Refusal }
+
+// Unwrap returns the refusal that is sent to the caller.
+func (e *EndedError) Unwrap() error { return e.Refusal }
+
 // Client sends requests to endpoints. Its zero value is ready to use.
 type Client struct {
 	// Dial opens connections; if nil, a default net.Dialer is used. Write on these
@@ -144,7 +151,7 @@
 func New() *Client { return &Client{} }
 
 // Send sends request to the endpoint at address at most once. The error is a
-// *reason.Refusal or a *NotRunError. Its Ran is RanNo only if no byte was sent or
+// *reason.Refusal, a *NotRunError or an *EndedError. Its Ran is RanNo only if no byte was sent or
 // the endpoint reported that it did not run the request.
 func (c *Client) Send(ctx context.Context, address string, request *Request) (*Response, error) {
 	if refusal := checkRequest(request); refusal != nil {
--- a/internal/wire/endpoint/endpoint_test.go
+++ b/internal/wire/endpoint/endpoint_test.go
@@ -453,3 +453,24 @@
 	g.Expect(server.heads[0]).NotTo(ContainSubstring("secret"))
 	g.Expect(server.heads[0]).To(ContainSubstring("Deadline-Ms: "))
 }
+
+func TestEndOfTheConnectionBeforeAResponseIsTold(t *testing.T) {
+	for name, c := range map[string]struct {
+		text  string
+		ended bool
+	}{
+		"closed":         {"", true},
+		"half a head":    {"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n", false},
+		"other protocol": {"garbage\r\n\r\n", false},
+		"half a body":    {"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nContent-Length: 9\r\n\r\nab", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			server := newFaultyServer(t, respondWith(c.text, true))
+			_, err := exchange(endpoint.New(), server.address, getRequest("r1"))
+			g.Expect(err).To(HaveOccurred())
+			_, ended := fault.As[*endpoint.EndedError](err)
+			g.Expect(ended).To(Equal(c.ended), "%v", err)
+		})
+	}
+}
--- a/internal/wire/endpoint/exchange.go
+++ b/internal/wire/endpoint/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"syscall"
 
 	"baobabladder.example/baobabladder/internal/base/fault"
 	"baobabladder.example/baobabladder/internal/base/reason"
@@ -46,13 +47,24 @@
 	} else {
 		go e.writeBody()
 	}
+	received := e.connection.bytesReceived
 	response, err := e.readMatchingHead()
 	if err != nil {
-		return nil, e.fail(err)
+		refusal := e.fail(err)
+		if refusal.Reason == reason.EndpointFailed && e.connection.bytesReceived == received && isConnectionEnd(err) {
+			return nil, &EndedError{refusal}
+		}
+		return nil, refusal
 	}
 	return e.validate(response)
 }
 
+// isConnectionEnd reports whether a read failed because the endpoint closed or reset the
+// connection.
+func isConnectionEnd(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // readMatchingHead discards late responses to earlier requests on the connection
 // and returns the next response head. After a discarded response the connection is
 // closed at the end of the request. A response without an id may be the response to
