Stop sending requests that end the endpoints which run them

Cause: no VM related a request to the endpoints that had ended under it; the same request with a new id, at another VM, was a new one. Automatic retries doubled it. Ruled out: endpoints that end for another reason, such as being cold (62 of 189 answers of 502 went to one request, no other got more than two).

Change: a request is identified by a digest of method, host, target, workspace and body (of a body above 1 MiB the first 16 KiB and the length). policy/blocklist counts the endpoints that ended in sequence: only attempts that began after the last known end count, so that ten endpoints that crash at once are one end for a popular request, and any answer clears it. Two ends block it for 2 s (503, Retry-After), three for a minute, more for longer (502: it has run before). VMs exchange the entries with their states, and at once when one is blocked; the greater number of ends counts, so the order and the way of messages do not matter. An end is a connection that is closed or reset after the request was sent and before any byte of an answer; a cut link gives no such sign.

--- a/internal/base/reason/reason.go
+++ b/internal/base/reason/reason.go
@@ -43,6 +43,7 @@
 	EndpointShed       Reason = "endpoint_shed"
 	AnswerCut          Reason = "answer_cut"
 	AnswerCrossed      Reason = "answer_crossed"
+	RequestBlocked     Reason = "request_blocked"
 	VersionWithdrawn   Reason = "version_withdrawn"
 	TooManyConnections Reason = "too_many_connections"
 	Stopping           Reason = "stopping"
--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -22,6 +22,7 @@
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/policy/balance"
+	"baobabladder.example/baobabladder/internal/policy/blocklist"
 	"baobabladder.example/baobabladder/internal/policy/canary"
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
@@ -73,6 +74,8 @@
 	// LimitDemand is the rate of requests that the VM would send to each endpoint that
 	// has named a limit, in requests per second.
 	LimitDemand map[string]float64
+	// Blocked lists the requests that end endpoints, as far as the VM knows.
+	Blocked []blocklist.Entry
 	// Trials is the VM's own evidence on new versions, by service.
 	Trials map[string]canary.Evidence
 	// Revisions is the revision of the newest change that the VM knows of each kind of
--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -25,6 +25,9 @@
 	// maxBufferedBody is the size in bytes up to which a request body is read into
 	// memory before the request is sent, so that the request can be retried.
 	maxBufferedBody = 1 << 20
+	// identityPrefix is the part of a larger body by which a request is recognized if it
+	// comes again, in bytes.
+	identityPrefix = 16 << 10
 	// maxKeyLength and maxIDLength limit the keys and request ids that callers send,
 	// in bytes.
 	maxKeyLength = 256
@@ -168,8 +171,7 @@
 	deadline, _ := ctx.Deadline()
 	limited := caller.NewBody(c.w, c.request, limit, deadline)
 	if c.bodyLength > maxBufferedBody {
-		c.streamedBody = &bodyStream{Body: limited}
-		return nil
+		return c.streamBody(limited)
 	}
 	buffer := &bytes.Buffer{}
 	if c.bodyLength > 0 {
@@ -188,7 +190,18 @@
 	return nil
 }
 
-// identify sets the digest. It must be called once the body has been read.
+// streamBody prepares a stream for a large body. It reads the body's beginning, by which the
+// request is recognized if it comes again.
+func (c *call) streamBody(body *caller.Body) error {
+	prefix := make([]byte, identityPrefix)
+	if _, err := io.ReadFull(body, prefix); err != nil {
+		return err
+	}
+	c.streamedBody = &bodyStream{Body: body, prefix: prefix}
+	return nil
+}
+
+// identify sets the digest. It must be called after readBody.
 func (c *call) identify() {
 	identity := blocklist.Request{
 		Method: c.request.Method, Host: c.request.Host, Target: c.request.RequestURI, Body: c.bufferedBody, Length: c.bodyLength,
@@ -196,9 +209,28 @@
 	if c.workspace != nil {
 		identity.Workspace = c.workspace.Name
 	}
+	if c.streamedBody != nil {
+		identity.Body = c.streamedBody.prefix
+	}
 	c.digest = identity.Digest()
 }
 
+// checkBlocklist refuses a request that ends endpoints. While it is not certain that the
+// request ends them, the caller is told when to come back. Once it is, the answer is
+// final: the same request has run before, and has not been answered.
+func (c *call) checkBlocklist() error {
+	block := c.gateway.Blocklist.Find(c.digest)
+	if block.Ends == 0 {
+		return nil
+	}
+	c.gateway.Quota.Refund(c.workspace)
+	refusal := reason.NotRun(reason.RequestBlocked, block.Remaining, "%d endpoints ended while they ran the same request", block.Ends)
+	if block.IsCertain() {
+		refusal.Ran, refusal.RetryAfter = reason.RanUnknown, 0
+	}
+	return refusal
+}
+
 // bodyStream is a body that is forwarded while it is received. It yields prefix,
 // which was read before, and then the rest.
 type bodyStream struct {
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"baobabladder.example/baobabladder/internal/base/logging"
 	"baobabladder.example/baobabladder/internal/base/metric"
 	"baobabladder.example/baobabladder/internal/policy/balance"
+	"baobabladder.example/baobabladder/internal/policy/blocklist"
 	"baobabladder.example/baobabladder/internal/policy/canary"
 	"baobabladder.example/baobabladder/internal/policy/retry"
 	"baobabladder.example/baobabladder/internal/wire/caller"
@@ -53,8 +54,8 @@
 	Refund(workspace *routing.Workspace)
 }
 
-// Gateway handles callers' requests. All fields but RecordLatency, RecordOutcome,
-// RecordLimitedSend, Log and LogBudget must be set.
+// Gateway handles callers' requests. All fields but OnBlock,
+// RecordLatency, RecordOutcome, RecordLimitedSend, ConfigAge, Log and LogBudget must be set.
 type Gateway struct {
 	Headers  Headers
 	Client   Sender
@@ -63,6 +64,10 @@
 	// Canary chooses the versions that may run a request during a version move, and
 	// counts their responses.
 	Canary *canary.Guard
+	// Blocklist holds the requests that end endpoints. OnBlock is called when one is
+	// blocked; optional.
+	Blocklist *blocklist.List
+	OnBlock   func()
 	// RetryBudget limits retries to a part of the requests of all VMs.
 	RetryBudget *retry.WindowBudget
 	Refuser     caller.RefusalWriter
@@ -156,6 +161,9 @@
 		return err
 	}
 	c.identify()
+	if err := c.checkBlocklist(); err != nil {
+		return err
+	}
 	c.chooseService()
 	return c.sendWithRetries(ctx)
 }
--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -66,6 +66,9 @@
 	if refusal.Ran != reason.RanNo && !c.isIdempotent() {
 		return false
 	}
+	if c.gateway.Blocklist.Find(c.digest).Ends > 0 {
+		return false
+	}
 	switch refusal.Reason {
 	case reason.EndpointFailed, reason.EndpointShed, reason.AnswerCut, reason.AnswerCrossed:
 		return c.gateway.RetryBudget.TakeRetry(c.service.Name)
@@ -97,7 +100,7 @@
 		if c.gateway.RecordOutcome != nil {
 			c.gateway.RecordOutcome(string(result.Outcome))
 		}
-		_, endpointEnded := fault.As[*endpoint.EndedError](err)
+		endpointEnded := c.recordEnd(err, sentAt)
 		c.attempts = append(c.attempts, attempt{
 			startedAfter: sentAt - c.arrived, basis: grant.Basis, outcome: result.Outcome, duration: took, status: status, endpointEnded: endpointEnded, err: err,
 		})
@@ -116,9 +119,24 @@
 	err = c.relayResponse(ctx, response)
 	_ = response.Body.Close()
 	result.Outcome = responseOutcome(response, err)
+	if err == nil {
+		c.gateway.Blocklist.RecordAnswer(c.digest)
+	}
 	return err
 }
 
+// recordEnd records on the blocklist that an attempt ended with its endpoint, if it did, and
+// reports whether it did.
+func (c *call) recordEnd(err error, sentAt clock.Millis) (endpointEnded bool) {
+	if _, endpointEnded = fault.As[*endpoint.EndedError](err); !endpointEnded {
+		return false
+	}
+	if c.gateway.Blocklist.RecordEnd(c.digest, sentAt) && c.gateway.OnBlock != nil {
+		c.gateway.OnBlock()
+	}
+	return true
+}
+
 // recordCanaryResult counts the result for the service's version move. Results of
 // cold endpoints, which are still warming up, don't count.
 func (c *call) recordCanaryResult(grant *balance.Grant, outcome balance.Outcome, took clock.Millis) {
--- a/internal/entry/node/duties.go
+++ b/internal/entry/node/duties.go
@@ -35,6 +35,7 @@
 		Demand: n.quota.Demand(), Running: n.balancer.Running(), Away: n.balancer.Relocations(),
 		Limits: n.balancer.LimitReadings(), LimitDemand: n.balancer.LimitDemand(),
 		Trials: n.canary.Evidence(), Revisions: revisions, CopyAge: copyAge,
+		Blocked: n.blocklist.Entries(),
 	}
 }
 
@@ -50,6 +51,7 @@
 	}
 	n.balancer.MergeRelocations(state.Away)
 	n.balancer.MergeLimitReadings(state.Limits)
+	n.blocklist.Merge(state.Blocked)
 	for _, feed := range n.feeds {
 		known := state.Revisions[feed.Kind]
 		if state.CopyAge > 0 {
--- a/internal/entry/node/metrics.go
+++ b/internal/entry/node/metrics.go
@@ -55,6 +55,7 @@
 	}
 	scope.Gauge("peers_heard").Update(float64(reachable))
 	scope.Gauge("endpoints_known").Update(float64(n.objects.countEndpoints()))
+	scope.Gauge("requests_blocked").Update(float64(n.blocklist.Count()))
 	scope.Gauge("store_era").Update(float64(n.Platform.Era()))
 	scope.Gauge("endpoints_limited").Update(float64(len(n.balancer.LimitUses())))
 	for _, feed := range n.feeds {
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -29,6 +29,7 @@
 	"baobabladder.example/baobabladder/internal/control/tracker"
 	"baobabladder.example/baobabladder/internal/entry/gateway"
 	"baobabladder.example/baobabladder/internal/policy/balance"
+	"baobabladder.example/baobabladder/internal/policy/blocklist"
 	"baobabladder.example/baobabladder/internal/policy/canary"
 	"baobabladder.example/baobabladder/internal/policy/quota"
 	"baobabladder.example/baobabladder/internal/policy/retry"
@@ -55,6 +56,8 @@
 	// checkInterval is the time between two checks of the store, which one VM of the fleet
 	// makes; see checkInterval of Node.
 	checkInterval = 1 * clock.Second
+	// announceInterval is the least time between two announcements of blocked requests.
+	announceInterval = 50 * clock.Millis(1)
 	// moveRewriteInterval is the least pause between two attempts to write the lost
 	// states of version moves.
 	moveRewriteInterval = 1 * clock.Second
@@ -111,17 +114,20 @@
 	Log    logrus.FieldLogger
 	Writer *logging.Writer
 
-	clock          clock.Clock
-	id             vm.ID
-	self           vm.VM
-	metrics        *metric.Registry
-	peers          *peer.Client
-	peerServer     *peer.Server
-	roster         *roster.Roster
-	gateway        *gateway.Gateway
-	balancer       *balance.Balancer
-	quota          *quota.Limiter
-	canary         *canary.Guard
+	clock      clock.Clock
+	id         vm.ID
+	self       vm.VM
+	metrics    *metric.Registry
+	peers      *peer.Client
+	peerServer *peer.Server
+	roster     *roster.Roster
+	gateway    *gateway.Gateway
+	balancer   *balance.Balancer
+	quota      *quota.Limiter
+	canary     *canary.Guard
+	blocklist  *blocklist.List
+	// blocked has an element if a request was blocked and peers do not know it yet.
+	blocked        chan struct{}
 	retryBudget    *retry.WindowBudget
 	callerServer   *caller.Server
 	admission      *admission.Admission
@@ -195,6 +201,7 @@
 		OwnedBuckets: &quota.Owner{IsOwnershipUnstable: n.isOwnershipUnstable}, LocalLimiter: n.quota,
 	}
 	n.canary = &canary.Guard{MaxShare: config.Bounds.TrialShare}
+	n.blocklist, n.blocked = &blocklist.List{}, make(chan struct{}, 1)
 	n.retryBudget = &retry.WindowBudget{Length: config.Bounds.RetryWindow, Ratio: config.Bounds.RetryRatio, Slack: config.Bounds.RetrySlack}
 	refuser := caller.RefusalWriter{Counters: metric.NewReasonCounters(n.metrics.Scope, "refusals"), GatewayStatuses: true}
 	load, limit, notRun := n.Platform.EndpointHeaders()
@@ -204,6 +211,7 @@
 			LoadHeader: load, LimitHeader: limit, NotRunHeader: notRun, ConnectTimeout: endpointConnectTimeout, AcceptUnframed: true,
 		},
 		Balancer: n.balancer, Quota: n.admission, Canary: n.canary, RetryBudget: n.retryBudget, Refuser: refuser,
+		Blocklist: n.blocklist, OnBlock: n.announceBlock,
 		RetryCounters: metric.NewReasonCounters(n.metrics.Scope, "retries"), Log: n.Log,
 		RecordLatency: latencyRecorder(n.metrics), RecordOutcome: outcomeRecorder(n.metrics), RecordLimitedSend: limitedSendRecorder(n.metrics),
 		ConfigAge: n.configAge,
@@ -277,6 +285,7 @@
 	checker := &tracker.Checker{Store: checkSource{n.store}, Feeds: n.feeds, Interval: n.checkInterval, OnMissed: func() { n.roster.ExchangeNow(ctx) }}
 	go checker.Run(ctx)
 	go n.fillOwnedBursts(ctx)
+	go n.announceBlocks(ctx)
 	go n.maintainRegistration(ctx)
 	go logging.ReportDropped(ctx, n.Log, &n.gateway.LogBudget, n.Writer, dropRecorder(n.metrics))
 }
@@ -345,6 +354,28 @@
 	return roster.PreferredVMs(n.roster.Members(), region, dataCentre)
 }
 
+// announceBlock makes announceBlocks tell the peers of a blocked request.
+func (n *Node) announceBlock() {
+	select {
+	case n.blocked <- struct{}{}:
+	default:
+	}
+}
+
+// announceBlocks tells the peers at once when requests are blocked, at most once every
+// announceInterval.
+func (n *Node) announceBlocks(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.blocked:
+			n.roster.ExchangeNow(ctx)
+			_ = clock.Sleep(ctx, announceInterval)
+		}
+	}
+}
+
 // isRegistered reports whether the store holds this VM's registration, as far as this VM
 // knows. A registration that the store may have lost does not count.
 func (n *Node) isRegistered() bool {
--- /dev/null
+++ b/internal/policy/blocklist/blocklist_test.go
@@ -0,0 +1,107 @@
+package blocklist
+
+import (
+	"encoding/binary"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+)
+
+// digest returns a digest of its own for each number.
+func digest(number int) (d Digest) {
+	binary.BigEndian.PutUint64(d[:], uint64(number))
+	return d
+}
+
+func newList() (*List, *clock.Manual) {
+	manual := &clock.Manual{}
+	manual.Advance(clock.Minute)
+	return &List{Clock: manual.Clock()}, manual
+}
+
+// end records that an endpoint ended some time after it got the request.
+func end(l *List, manual *clock.Manual, d Digest) (isBlocked bool) {
+	sentAt := l.Clock.Now()
+	manual.Advance(80)
+	return l.RecordEnd(d, sentAt)
+}
+
+func TestBlocksGrowWithTheEndsInSequence(t *testing.T) {
+	g := NewWithT(t)
+	l, manual := newList()
+	g.Expect(end(l, manual, digest(1))).To(BeFalse())
+	g.Expect(l.Find(digest(1))).To(Equal(Block{}))
+	g.Expect(end(l, manual, digest(1))).To(BeTrue())
+	g.Expect(l.Find(digest(1))).To(Equal(Block{2, blockTime}))
+	g.Expect(l.Find(digest(2))).To(Equal(Block{}))
+	manual.Advance(blockTime)
+	g.Expect(l.Find(digest(1))).To(Equal(Block{}), "one more try")
+	g.Expect(end(l, manual, digest(1))).To(BeTrue())
+	g.Expect(l.Find(digest(1)).Remaining).To(Equal(blockGrowth * blockTime))
+	g.Expect(l.Find(digest(1)).IsCertain()).To(BeTrue())
+}
+
+func TestEndpointsThatEndTogetherCountOnce(t *testing.T) {
+	g := NewWithT(t)
+	l, manual := newList()
+	sentAt := l.Clock.Now()
+	manual.Advance(100)
+	for range 10 {
+		g.Expect(l.RecordEnd(digest(1), sentAt)).To(BeFalse())
+		manual.Advance(1)
+	}
+	g.Expect(l.Entries()).To(Equal([]Entry{{digest(1), 1, 10}}))
+}
+
+func TestAnswerClearsARequest(t *testing.T) {
+	g := NewWithT(t)
+	l, manual := newList()
+	end(l, manual, digest(1))
+	l.RecordAnswer(digest(1))
+	g.Expect(end(l, manual, digest(1))).To(BeFalse(), "the sequence begins again")
+	l.RecordAnswer(digest(1))
+	manual.Advance(clock.Second)
+	l.Merge([]Entry{{digest(1), minEnds, 0}})
+	g.Expect(l.Find(digest(1))).To(Equal(Block{}), "the answer here is recent, and two ends may be chance")
+	l.Merge([]Entry{{digest(1), certainEnds, 0}})
+	g.Expect(l.Find(digest(1)).Ends).To(Equal(certainEnds))
+}
+
+func TestVMsLearnFromEachOtherWhateverTheOrder(t *testing.T) {
+	g := NewWithT(t)
+	l, manual := newList()
+	other := &List{Clock: manual.Clock()}
+	end(l, manual, digest(1))
+	other.Merge(l.Entries())
+	manual.Advance(messageDelay)
+	g.Expect(end(other, manual, digest(1))).To(BeTrue(), "the second end, seen by another VM")
+	for range 10 {
+		l.Merge(other.Entries())
+		other.Merge(l.Entries())
+		manual.Advance(clock.Millis(50))
+	}
+	g.Expect(l.Find(digest(1)).Ends).To(Equal(2))
+	g.Expect(other.Find(digest(1)).Remaining).To(Equal(blockTime-500), "an end does not appear later as it goes round")
+	g.Expect(l.Find(digest(1)).Remaining).To(And(BeNumerically(">", 0), BeNumerically("<=", blockTime-500)))
+	l.Merge([]Entry{{digest(2), -1, 0}, {digest(3), 2, -5}})
+	g.Expect(l.Entries()).To(HaveLen(1), "invalid entries are ignored")
+}
+
+func TestListIsBoundedAndForgets(t *testing.T) {
+	g := NewWithT(t)
+	l, manual := newList()
+	for i := range 3 * maxEntries {
+		end(l, manual, digest(0))
+		end(l, manual, digest(i+1))
+	}
+	g.Expect(len(l.ends)).To(Equal(maxEntries))
+	g.Expect(l.Find(digest(0)).IsCertain()).To(BeTrue(), "those that others can't push out")
+	entries := l.Entries()
+	g.Expect(entries).To(HaveLen(maxSent))
+	g.Expect(entries[0].Digest).To(Equal(digest(0)))
+	manual.Advance(maxBlockTime + memory + 1)
+	g.Expect(l.Entries()).To(BeEmpty())
+	g.Expect(l.ends).To(BeEmpty())
+}
--- a/internal/wire/caller/refusal.go
+++ b/internal/wire/caller/refusal.go
@@ -147,7 +147,7 @@
 		return http.StatusTooManyRequests
 	case reason.DeadlinePassed:
 		return http.StatusGatewayTimeout
-	case reason.EndpointFailed, reason.AnswerCut, reason.AnswerCrossed, reason.CallerGone:
+	case reason.EndpointFailed, reason.AnswerCut, reason.AnswerCrossed, reason.CallerGone, reason.RequestBlocked:
 		return http.StatusBadGateway
 	case reason.Internal:
 		return http.StatusInternalServerError
