Send nothing to an endpoint that has said that it leaves

What callers would see: an endpoint that says in its answers that it leaves, while the store lists it as ready (because its report is late, lost, or rolled back with the store), got requests until the store said so, and ends under them.

Cause: VMs did not read the header. It binds the VM that read it now, whatever the store says, until the endpoint starts again.

--- a/internal/entry/gateway/requestlog.go
+++ b/internal/entry/gateway/requestlog.go
@@ -24,7 +24,9 @@
 	status       int
 	// endpointEnded reports that the endpoint closed the connection before it answered.
 	endpointEnded bool
-	err           error
+	// endpointLeaving reports that the endpoint said in its response that it leaves.
+	endpointLeaving bool
+	err             error
 }
 
 // logRequest logs the request's result, after one line for each attempt. Requests
@@ -102,6 +104,9 @@
 	if a.status > 0 {
 		fields["status"] = a.status
 	}
+	if a.endpointLeaving {
+		fields["endpoint_leaving"] = true
+	}
 	if a.endpointEnded {
 		fields["endpoint_ended"] = true
 	}
--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -102,7 +102,8 @@
 		}
 		endpointEnded := c.recordEnd(err, sentAt)
 		c.attempts = append(c.attempts, attempt{
-			startedAfter: sentAt - c.arrived, basis: grant.Basis, outcome: result.Outcome, duration: took, status: status, endpointEnded: endpointEnded, err: err,
+			startedAfter: sentAt - c.arrived, basis: grant.Basis, outcome: result.Outcome, duration: took, status: status,
+			endpointEnded: endpointEnded, endpointLeaving: result.IsLeaving, err: err,
 		})
 		if err != nil {
 			c.triedEndpoints = append(c.triedEndpoints, grant.Endpoint.ID)
@@ -114,7 +115,7 @@
 		return err
 	}
 	status = response.Status
-	result.Limit = balance.ParseLimit(response.Limit)
+	result.Limit, result.IsLeaving = balance.ParseLimit(response.Limit), response.IsLeaving
 	result.Running, result.Waiting = parseLoad(response.Load)
 	err = c.relayResponse(ctx, response)
 	_ = response.Body.Close()
@@ -198,7 +199,7 @@
 	if !ok {
 		return balance.Result{Outcome: failureOutcome(err), Running: -1}
 	}
-	result := balance.Result{Outcome: balance.Shed}
+	result := balance.Result{Outcome: balance.Shed, IsLeaving: notRun.IsLeaving}
 	if notRun.Status == http.StatusMisdirectedRequest {
 		result.Outcome = balance.Moved
 	}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -83,10 +83,9 @@
 	// Kinds returns the names of the kinds of objects in the store.
 	Kinds() (config, endpoints, moves, evacuations, vms string)
 	Headers() gateway.Headers
-	// EndpointHeaders returns the names of the response headers in which endpoints
-	// report their load, the requests per second that they take, and that a request
-	// did not run.
-	EndpointHeaders() (load, limit, notRun string)
+	// EndpointHeaders returns the names of the response headers in which endpoints speak of
+	// themselves.
+	EndpointHeaders() endpoint.HeaderNames
 	DecodeConfig(object tracker.Object) (table *routing.Table, found bool, err error)
 	DecodeEndpoint(object tracker.Object, now clock.Millis, regions map[string]string) (directory.Endpoint, error)
 	DecodeMove(object tracker.Object, now clock.Millis) (directory.Move, error)
@@ -204,11 +203,10 @@
 	n.blocklist, n.blocked = &blocklist.List{}, make(chan struct{}, 1)
 	n.retryBudget = &retry.WindowBudget{Length: config.Bounds.RetryWindow, Ratio: config.Bounds.RetryRatio, Slack: config.Bounds.RetrySlack}
 	refuser := caller.RefusalWriter{Counters: metric.NewReasonCounters(n.metrics.Scope, "refusals"), GatewayStatuses: true}
-	load, limit, notRun := n.Platform.EndpointHeaders()
 	n.gateway = &gateway.Gateway{
 		Headers: n.Platform.Headers(),
 		Client: &endpoint.Client{
-			LoadHeader: load, LimitHeader: limit, NotRunHeader: notRun, ConnectTimeout: endpointConnectTimeout, AcceptUnframed: true,
+			Names: n.Platform.EndpointHeaders(), ConnectTimeout: endpointConnectTimeout, AcceptUnframed: true,
 		},
 		Balancer: n.balancer, Quota: n.admission, Canary: n.canary, RetryBudget: n.retryBudget, Refuser: refuser,
 		Blocklist: n.blocklist, OnBlock: n.announceBlock,
--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -80,6 +80,8 @@
 	directory *directory.Directory
 	// states holds the state of each endpoint of the directory, by ID. Guarded by mu.
 	states map[string]*endpointState
+	// statements holds what endpoints said of themselves, by ID. Guarded by mu.
+	statements map[string]*statement
 	// vms holds all VMs, including this one; vmsByRegion counts them by region.
 	// availableVMs holds this VM and the others that are available. Guarded by mu.
 	availableVMs []rankedVM
@@ -113,6 +115,7 @@
 func (b *Balancer) UpdateDirectory(newest *directory.Directory) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := b.Clock.Now()
 	b.directory = newest
 	b.countSlots()
 	states := map[string]*endpointState{}
@@ -122,6 +125,7 @@
 			if state == nil || state.endpoint.Started != e.Started || state.endpoint.Address != e.Address {
 				state = &endpointState{reportedLoad: -1, hash: hashing.Strings(e.ID), slowdown: 1}
 			}
+			state.said = b.statementOf(&e, now)
 			if state.isAddressReused && state.endpoint.Revision != e.Revision {
 				state.isAddressReused = false
 			}
@@ -130,6 +134,7 @@
 		}
 	}
 	b.states = states
+	b.forgetStatements(now)
 }
 
 // UpdatePeers sets the number of requests that the other VMs have in flight on each
@@ -184,7 +189,7 @@
 		selected = b.selectEndpoint(request, now, false)
 	}
 	if selected.preferred != nil && selected.preferred != selected.best.state {
-		selected.preferred.limit.addDemand(now)
+		selected.preferred.said.limit.addDemand(now)
 	}
 	if selected.isEmpty() {
 		rejected := selected.rejected
--- a/internal/policy/balance/candidate.go
+++ b/internal/policy/balance/candidate.go
@@ -198,7 +198,7 @@
 	run := b.runTime(request)
 	for i := range endpoints {
 		state := b.states[endpoints[i].ID]
-		if state == nil || state.endpoint.Draining || state.isSuspended(now) || b.directory.Evacuated[state.endpoint.DataCentre] {
+		if state == nil || state.isLeaving() || state.isSuspended(now) || b.directory.Evacuated[state.endpoint.DataCentre] {
 			continue
 		}
 		load += state.load(now)
@@ -211,7 +211,7 @@
 // caller must hold mu.
 func (b *Balancer) isEligible(request *Request, state *endpointState) bool {
 	e := &state.endpoint
-	if e.Draining || state.isAddressReused || b.directory.Evacuated[e.DataCentre] || !request.Versions.Allows(e.Version) {
+	if state.isLeaving() || state.isAddressReused || b.directory.Evacuated[e.DataCentre] || !request.Versions.Allows(e.Version) {
 		return false
 	}
 	for _, excluded := range request.ExcludedEndpoints {
--- a/internal/policy/balance/endpoint.go
+++ b/internal/policy/balance/endpoint.go
@@ -67,7 +67,9 @@
 	// nextColdRequestAt is the earliest time of this VM's next request while the
 	// endpoint is cold.
 	nextColdRequestAt clock.Millis
-	limit             limitState
+	// said is what the endpoint said of itself. It outlives the state if the directory
+	// loses the endpoint for a while.
+	said *statement
 }
 
 // load returns the estimated number of requests on the endpoint, running or queued,
@@ -130,7 +132,7 @@
 	if result.Running >= 0 {
 		s.reportedLoad, s.reportedAt, s.inFlightAtReport = result.Running+result.Waiting, now, len(s.inFlightSince)
 	}
-	s.limit.set(result.Limit, now, now)
+	s.said.record(result, now)
 	switch result.Outcome {
 	case Answered:
 		s.lastAnswerAt = now
--- a/internal/policy/balance/grant.go
+++ b/internal/policy/balance/grant.go
@@ -77,6 +77,8 @@
 	Running, Waiting int
 	// Limit is what the response says of the endpoint's limit.
 	Limit Limit
+	// IsLeaving reports that the response says that the endpoint leaves.
+	IsLeaving bool
 }
 
 // grant records a request in flight on the candidate's endpoint. The caller must hold
@@ -111,7 +113,7 @@
 	}
 	return Basis{
 		Endpoint: e.ID, DataCentre: e.DataCentre, Version: e.Version, Revision: e.Revision, Why: why,
-		Load: int(c.state.load(now)), LoadAge: now - c.state.loadAt(now), Slots: e.Slots, Expected: c.expected, IsCold: isCold, Limit: c.state.limit.stated,
+		Load: int(c.state.load(now)), LoadAge: now - c.state.loadAt(now), Slots: e.Slots, Expected: c.expected, IsCold: isCold, Limit: c.state.said.limit.stated,
 	}
 }
 
--- a/internal/policy/balance/limit.go
+++ b/internal/policy/balance/limit.go
@@ -71,16 +71,16 @@
 	now := b.Clock.Now()
 	var recent []*endpointState
 	for _, state := range b.states {
-		if state.limit.isRecent(limitAnnounceTime, now) {
+		if state.said.limit.isRecent(limitAnnounceTime, now) {
 			recent = append(recent, state)
 		}
 	}
 	slices.SortFunc(recent, func(x, y *endpointState) int {
-		return cmp.Or(cmp.Compare(y.limit.changedAt, x.limit.changedAt), strings.Compare(x.endpoint.ID, y.endpoint.ID))
+		return cmp.Or(cmp.Compare(y.said.limit.changedAt, x.said.limit.changedAt), strings.Compare(x.endpoint.ID, y.endpoint.ID))
 	})
 	readings := map[string]LimitReading{}
 	for _, state := range recent[:min(len(recent), maxAnnouncedLimits)] {
-		readings[state.endpoint.ID] = LimitReading{state.limit.stated, now - state.limit.readAt, state.endpoint.Started}
+		readings[state.endpoint.ID] = LimitReading{state.said.limit.stated, now - state.said.limit.readAt, state.endpoint.Started}
 	}
 	return readings
 }
@@ -93,7 +93,7 @@
 	now := b.Clock.Now()
 	for id, reading := range readings {
 		if state := b.states[id]; state != nil && state.endpoint.Started == reading.Started {
-			state.limit.set(reading.Limit, now-reading.Age, now)
+			state.said.limit.set(reading.Limit, now-reading.Age, now)
 		}
 	}
 }
@@ -115,11 +115,11 @@
 	now := b.Clock.Now()
 	uses := map[string]LimitUse{}
 	for id, state := range b.states {
-		if !state.limit.isNamed() {
+		if !state.said.limit.isNamed() {
 			continue
 		}
 		b.refreshLimit(state, now)
-		uses[id] = LimitUse{state.limit.stated.Rate, state.limit.share.rate, state.limit.firstSends, state.limit.retries}
+		uses[id] = LimitUse{state.said.limit.stated.Rate, state.said.limit.share.rate, state.said.limit.firstSends, state.said.limit.retries}
 	}
 	return uses
 }
--- a/internal/policy/balance/limit_test.go
+++ b/internal/policy/balance/limit_test.go
@@ -384,7 +384,7 @@
 	f.balancer.MergeLimitReadings(map[string]LimitReading{"e00": {Limit: Limit{LimitNamed, 50}}})
 	state := f.balancer.states["e00"]
 	for b.Loop() {
-		state.limit.shareVersion = unknownVersion
+		state.said.limit.shareVersion = unknownVersion
 		f.balancer.refreshLimit(state, 0)
 	}
 }
--- a/internal/policy/balance/limitbucket.go
+++ b/internal/policy/balance/limitbucket.go
@@ -74,7 +74,7 @@
 // refreshLimit brings the share and the tokens of an endpoint with a limit up to date. The
 // caller must hold mu.
 func (b *Balancer) refreshLimit(state *endpointState, now clock.Millis) {
-	l := &state.limit
+	l := &state.said.limit
 	l.refill(now)
 	isStale := now-l.readAt > limitMaxAge
 	if l.shareVersion == b.sharesVersion && l.share.isStale == isStale {
@@ -105,11 +105,11 @@
 // isWithinLimit reports whether this VM may send a request to the endpoint now, as far as
 // its limit is concerned. If not, wait is the time until it may. The caller must hold mu.
 func (b *Balancer) isWithinLimit(state *endpointState, now clock.Millis) (wait clock.Millis, ok bool) {
-	if !state.limit.isNamed() {
+	if !state.said.limit.isNamed() {
 		return 0, true
 	}
 	b.refreshLimit(state, now)
-	l := &state.limit
+	l := &state.said.limit
 	switch {
 	case l.tokens >= 1:
 		return 0, true
@@ -122,7 +122,7 @@
 // takeLimitToken takes the token of a request that is sent to the endpoint. The caller
 // must hold mu.
 func (b *Balancer) takeLimitToken(state *endpointState, isRetry bool, now clock.Millis) {
-	l := &state.limit
+	l := &state.said.limit
 	if !l.isNamed() {
 		return
 	}
@@ -139,10 +139,10 @@
 // its limit with runs of the given length. All VMs compute the same number.
 func (s *endpointState) usableSlots(run *runTime) float64 {
 	slots := float64(s.endpoint.Slots)
-	if !s.limit.isNamed() {
+	if !s.said.limit.isNamed() {
 		return slots
 	}
-	return min(slots, s.limit.stated.Rate*(run.cached+run.uncached)/2/float64(clock.Second))
+	return min(slots, s.said.limit.stated.Rate*(run.cached+run.uncached)/2/float64(clock.Second))
 }
 
 // addDemand counts a request for which this VM would choose the endpoint.
@@ -163,8 +163,8 @@
 	now := b.Clock.Now()
 	demand := map[string]float64{}
 	for id, state := range b.states {
-		if state.limit.isNamed() {
-			demand[id] = state.limit.currentDemand(now)
+		if state.said.limit.isNamed() {
+			demand[id] = state.said.limit.currentDemand(now)
 		}
 	}
 	return demand
--- a/internal/policy/balance/limitshare.go
+++ b/internal/policy/balance/limitshare.go
@@ -38,7 +38,7 @@
 // limitShare returns this VM's share of an endpoint's limit. VMs of the endpoint's region
 // come first, in the same order on all VMs. The caller must hold mu.
 func (b *Balancer) limitShare(state *endpointState, isStale bool, now clock.Millis) limitShare {
-	rate, vms := state.limit.stated.Rate, max(len(b.availableVMs), 1)
+	rate, vms := state.said.limit.stated.Rate, max(len(b.availableVMs), 1)
 	position := b.limitPosition(b.self(), state)
 	if isStale {
 		return limitShare{rate: max(rate, minStaleRate) / float64(vms), depth: 1, isStale: true, position: float64(position) / float64(vms)}
@@ -58,7 +58,7 @@
 	if b.limitDemands == nil {
 		return 1 / float64(senders)
 	}
-	own := minLimitDemand + state.limit.currentDemand(now)
+	own := minLimitDemand + state.said.limit.currentDemand(now)
 	total := own
 	for _, vm := range b.availableVMs {
 		if vm.Name != b.VM && b.limitPosition(vm, state) < senders {
--- a/internal/wire/endpoint/endpoint.go
+++ b/internal/wire/endpoint/endpoint.go
@@ -97,17 +97,22 @@
 	// Body ends with io.EOF only if the response is complete, otherwise with a
 	// *reason.Refusal.
 	Body io.ReadCloser
-	// Load is the load that the endpoint reported in its load header, or empty. Limit
-	// is the limit that it named in its limit header, or empty.
+	Statement
+}
+
+// Statement is what an endpoint says of itself in the head of a response.
+type Statement struct {
+	// Load is the load that it reports, Limit the limit that it names; either may be
+	// empty.
 	Load, Limit string
+	// IsLeaving reports that it is about to end and wants no more requests.
+	IsLeaving bool
 }
 
 // NotRunError is the error for a request that the endpoint reported as not run.
 type NotRunError struct {
 	*reason.Refusal
-	// Load is the load that the endpoint reported, Limit the limit that it named;
-	// either may be empty.
-	Load, Limit string
+	Statement
 	// Status is the HTTP status that the endpoint sent.
 	Status int
 }
@@ -122,6 +127,21 @@
 // Unwrap returns the refusal that is sent to the caller.
 func (e *EndedError) Unwrap() error { return e.Refusal }
 
+// HeaderNames holds the names of the response headers in which endpoints speak of
+// themselves.
+type HeaderNames struct {
+	// Load and NotRun replace the header names of the constants LoadHeader and
+	// NotRunHeader unless they are empty.
+	Load, NotRun string
+	// Limit is the header in which endpoints name the requests per second that they take,
+	// Leaving the one with the value leavingValue once they leave. Either is empty if
+	// endpoints do not say so.
+	Limit, Leaving string
+}
+
+// leavingValue is the value of the leaving header of an endpoint that leaves.
+const leavingValue = "1"
+
 // Client sends requests to endpoints. Its zero value is ready to use.
 type Client struct {
 	// Dial opens connections; if nil, a default net.Dialer is used. Write on these
@@ -129,12 +149,7 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Clock measures how long connections are idle.
 	Clock clock.Clock
-	// LoadHeader and NotRunHeader replace the header names of the constants
-	// LoadHeader and NotRunHeader unless they are empty.
-	LoadHeader, NotRunHeader string
-	// LimitHeader is the name of the header in which endpoints name the requests per
-	// second that they take; empty if they name none.
-	LimitHeader string
+	Names HeaderNames
 	// ConnectTimeout bounds the set-up of a connection; 0 selects 1 s.
 	ConnectTimeout clock.Millis
 	// AcceptUnframed accepts responses without Content-Length or chunked encoding.
@@ -224,26 +239,28 @@
 	return defaultConnectTimeout
 }
 
-func (c *Client) loadHeader() string {
-	if c.LoadHeader != "" {
-		return c.LoadHeader
+func (n *HeaderNames) load() string {
+	if n.Load != "" {
+		return n.Load
 	}
 	return LoadHeader
 }
 
-// namedLimit returns the limit that the endpoint named, or an empty string.
-func (c *Client) namedLimit(header http.Header) string {
-	if c.LimitHeader == "" {
-		return ""
+func (n *HeaderNames) notRun() string {
+	if n.NotRun != "" {
+		return n.NotRun
 	}
-	return header.Get(c.LimitHeader)
+	return NotRunHeader
 }
 
-func (c *Client) notRunHeader() string {
-	if c.NotRunHeader != "" {
-		return c.NotRunHeader
+// readStatement returns what an endpoint says of itself in the head of a response.
+func (n *HeaderNames) readStatement(response *http.Response) (said Statement) {
+	said.Load = response.Header.Get(n.load())
+	if n.Limit != "" {
+		said.Limit = response.Header.Get(n.Limit)
 	}
-	return NotRunHeader
+	said.IsLeaving = n.Leaving != "" && response.Header.Get(n.Leaving) == leavingValue
+	return said
 }
 
 // newRefusal returns the refusal for an exchange that failed with err. A refusal in
--- a/internal/wire/endpoint/exchange.go
+++ b/internal/wire/endpoint/exchange.go
@@ -142,9 +142,9 @@
 		return nil, e.fail(reason.MayHaveRun(reason.AnswerCut, "the endpoint's answer declares no length"))
 	}
 	body := &responseBody{exchange: e, body: response.Body, mustClose: response.Close, isUndeclared: response.ContentLength < 0, startedAt: e.connection.bytesReceived}
-	load, limit := response.Header.Get(e.client.loadHeader()), e.client.namedLimit(response.Header)
+	said := e.client.Names.readStatement(response)
 	e.connection.setIdleTimeout(response.Header.Get("Keep-Alive"))
-	if response.Header.Get(e.client.notRunHeader()) != "" || response.StatusCode == http.StatusMisdirectedRequest {
+	if response.Header.Get(e.client.Names.notRun()) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		err := discard(body)
 		_ = body.Close()
 		if response.StatusCode < http.StatusBadRequest {
@@ -153,9 +153,9 @@
 		if err != nil {
 			return nil, reason.MayHaveRun(reason.AnswerCut, "the endpoint's refusal was cut or is longer than %d bytes", maxDiscardedBytes)
 		}
-		return nil, &NotRunError{Refusal: reason.NotRun(reason.EndpointShed, defaultRetryAfter, "the endpoint did not run the request"), Load: load, Limit: limit, Status: response.StatusCode}
+		return nil, &NotRunError{Refusal: reason.NotRun(reason.EndpointShed, defaultRetryAfter, "the endpoint did not run the request"), Statement: said, Status: response.StatusCode}
 	}
-	return &Response{Status: response.StatusCode, Header: e.client.filterResponseHeader(response.Header), Length: response.ContentLength, Body: body, Load: load, Limit: limit}, nil
+	return &Response{Status: response.StatusCode, Header: e.client.filterResponseHeader(response.Header), Length: response.ContentLength, Body: body, Statement: said}, nil
 }
 
 // fail ends the exchange and returns its refusal. The head was sent, so the refusal
--- a/internal/wire/endpoint/head.go
+++ b/internal/wire/endpoint/head.go
@@ -118,8 +118,9 @@
 // filterResponseHeader removes from a response header what the caller must not
 // receive and returns the header.
 func (c *Client) filterResponseHeader(header http.Header) http.Header {
-	delete(header, http.CanonicalHeaderKey(c.loadHeader()))
-	delete(header, http.CanonicalHeaderKey(c.notRunHeader()))
+	for _, name := range []string{c.Names.load(), c.Names.notRun(), c.Names.Leaving} {
+		delete(header, http.CanonicalHeaderKey(name))
+	}
 	exclude := withConnectionTokens(header)
 	for name := range header {
 		if (exclude[name] && name != RequestIDHeader) || entryOnlyHeaders[name] {
