Send nothing to an endpoint for as long as it has asked for

What callers would see: an endpoint that turns requests away and says for how long is tried again after 0.15 s, and as a last resort at once; each try costs the caller time and a retry of the budget.

Cause: VMs did not read Retry-After of a 503. It binds the VM that read it for so long, also if no other endpoint is left: then callers are refused at once and told when the first pause ends. Endpoints that are only suspended stay the last resort.

--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -115,7 +115,7 @@
 		return err
 	}
 	status = response.Status
-	result.Limit, result.IsLeaving = balance.ParseLimit(response.Limit), response.IsLeaving
+	result.Limit, result.IsLeaving, result.Pause = balance.ParseLimit(response.Limit), response.IsLeaving, response.Pause
 	result.Running, result.Waiting = parseLoad(response.Load)
 	err = c.relayResponse(ctx, response)
 	_ = response.Body.Close()
@@ -199,7 +199,7 @@
 	if !ok {
 		return balance.Result{Outcome: failureOutcome(err), Running: -1}
 	}
-	result := balance.Result{Outcome: balance.Shed, IsLeaving: notRun.IsLeaving}
+	result := balance.Result{Outcome: balance.Shed, IsLeaving: notRun.IsLeaving, Pause: notRun.Pause}
 	if notRun.Status == http.StatusMisdirectedRequest {
 		result.Outcome = balance.Moved
 	}
--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -179,7 +179,7 @@
 		b.reserve(request, now)
 	}
 	selected := b.selectEndpoint(request, now, false)
-	if selected.isEmpty() && selected.rejected.reason() == reason.NoEndpoint {
+	if selected.isEmpty() && !selected.rejected.lacksCapacity() {
 		selected = b.selectEndpoint(request, now, true)
 	}
 	if selected.isEmpty() && request.Versions.Pack {
--- a/internal/policy/balance/balance_test.go
+++ b/internal/policy/balance/balance_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 
@@ -315,3 +316,27 @@
 	}
 	g.Expect("a cold endpoint").To(BeEmpty(), "must get no more than one request a second from this VM")
 }
+
+func TestPausedEndpointIsNoLastResortAndSuspendedOneIs(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2)
+	request := func(excluded ...string) *Request {
+		return &Request{Route: testRoute, Service: testService, Remaining: 4 * clock.Second, ExcludedEndpoints: excluded}
+	}
+	paused, err := f.balancer.Place(request("e01"))
+	g.Expect(err).NotTo(HaveOccurred())
+	paused.Done(Result{Outcome: Shed, Running: -1, Pause: 2 * clock.Second})
+	suspended, err := f.balancer.Place(request())
+	g.Expect(err).NotTo(HaveOccurred())
+	suspended.Done(Result{Outcome: Unreachable, Running: -1})
+	last, err := f.balancer.Place(request())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(last.Endpoint.ID).To(Equal("e01"))
+	_, err = f.balancer.Place(request("e01"))
+	refusal := &reason.Refusal{}
+	g.Expect(errors.As(err, &refusal)).To(BeTrue())
+	g.Expect(refusal.RetryAfter).To(Equal(2 * clock.Second))
+	f.manual.Advance(2 * clock.Second)
+	_, err = f.balancer.Place(request("e01"))
+	g.Expect(err).NotTo(HaveOccurred())
+}
--- a/internal/policy/balance/candidate.go
+++ b/internal/policy/balance/candidate.go
@@ -77,6 +77,9 @@
 		case state == nil || !b.isEligible(request, state):
 			s.rejected.ineligible++
 			continue
+		case now < state.said.pausedUntil:
+			s.rejected.addPaused(state.said.pausedUntil - now)
+			continue
 		case !includeSuspended && state.isSuspended(now):
 			s.rejected.suspended++
 			continue
@@ -124,6 +127,17 @@
 	// the first one again after limitWait.
 	limited   int
 	limitWait clock.Millis
+	// paused endpoints want no requests from this VM. The first pause ends after pauseWait.
+	paused    int
+	pauseWait clock.Millis
+}
+
+// addPaused counts an endpoint whose pause ends after wait.
+func (r *rejections) addPaused(wait clock.Millis) {
+	if r.paused == 0 || wait < r.pauseWait {
+		r.pauseWait = wait
+	}
+	r.paused++
 }
 
 // addLimited counts an endpoint from which this VM has the next token after wait.
@@ -136,26 +150,33 @@
 
 // String returns the counts as text for a refusal.
 func (r rejections) String() string {
-	return fmt.Sprintf("endpoints closed %d, suspended %d, cold %d, full %d, without the object %d, too slow %d, at their limit %d",
-		r.ineligible, r.suspended, r.cold, r.full, r.notWarm, r.slow, r.limited)
+	return fmt.Sprintf("endpoints closed %d, suspended %d, cold %d, full %d, without the object %d, too slow %d, at their limit %d, paused %d",
+		r.ineligible, r.suspended, r.cold, r.full, r.notWarm, r.slow, r.limited, r.paused)
 }
 
 // reason returns the reason of the refusal: RegionFull if an endpoint could run the
-// request but lacks capacity, else NoEndpoint.
+// request but lacks capacity or has asked for a pause, else NoEndpoint.
 func (r rejections) reason() reason.Reason {
-	if r.full+r.notWarm+r.slow+r.limited > 0 {
+	if r.lacksCapacity() || r.paused > 0 {
 		return reason.RegionFull
 	}
 	return reason.NoEndpoint
 }
 
+// lacksCapacity reports whether an endpoint could run the request but for other requests.
+func (r rejections) lacksCapacity() bool { return r.full+r.notWarm+r.slow+r.limited > 0 }
+
 // retryAfter returns the Retry-After of the refusal. It is longer than usual only if
-// nothing but limits stands in the way.
+// nothing but limits and pauses stands in the way.
 func (r rejections) retryAfter() clock.Millis {
-	if r.full+r.notWarm+r.slow+r.suspended+r.cold > 0 {
+	switch {
+	case r.full+r.notWarm+r.slow+r.suspended+r.cold > 0:
 		return refusalRetryAfter
+	case r.limited > 0:
+		return max(refusalRetryAfter, min(r.limitWait, maxLimitRetryAfter))
+	default:
+		return max(refusalRetryAfter, r.pauseWait)
 	}
-	return max(refusalRetryAfter, min(r.limitWait, maxLimitRetryAfter))
 }
 
 // packCostStep is larger than any difference between the other costs, in milliseconds.
--- a/internal/policy/balance/endpoint.go
+++ b/internal/policy/balance/endpoint.go
@@ -91,9 +91,9 @@
 }
 
 // isSuspended reports whether the endpoint must get no requests for now, because it
-// failed, shed a request or is hung.
+// failed, shed a request, is hung or has asked for a pause.
 func (s *endpointState) isSuspended(now clock.Millis) bool {
-	return now < s.suspendedUntil || s.isHung(now)
+	return now < s.suspendedUntil || now < s.said.pausedUntil || s.isHung(now)
 }
 
 // isHung reports whether the endpoint has sent no response for hangTimeout while
--- a/internal/policy/balance/grant.go
+++ b/internal/policy/balance/grant.go
@@ -77,8 +77,10 @@
 	Running, Waiting int
 	// Limit is what the response says of the endpoint's limit.
 	Limit Limit
-	// IsLeaving reports that the response says that the endpoint leaves.
+	// IsLeaving reports that the response says that the endpoint leaves. Pause is how long
+	// it wants no requests from this VM by the response, or 0.
 	IsLeaving bool
+	Pause     clock.Millis
 }
 
 // grant records a request in flight on the candidate's endpoint. The caller must hold
--- a/internal/policy/balance/statement.go
+++ b/internal/policy/balance/statement.go
@@ -17,7 +17,9 @@
 	// isLeaving is set once the endpoint has said that it leaves, which it does not take
 	// back.
 	isLeaving bool
-	limit     limitState
+	// pausedUntil is the end of the pause for which the endpoint has asked this VM.
+	pausedUntil clock.Millis
+	limit       limitState
 	// listedAt is when the directory last had the endpoint.
 	listedAt clock.Millis
 }
@@ -26,6 +28,7 @@
 func (s *statement) record(result Result, now clock.Millis) {
 	s.limit.set(result.Limit, now, now)
 	s.isLeaving = s.isLeaving || result.IsLeaving
+	s.pausedUntil = max(s.pausedUntil, now+result.Pause)
 }
 
 // isLeaving reports whether the endpoint must get no new requests because it leaves, by the
--- a/internal/wire/endpoint/endpoint.go
+++ b/internal/wire/endpoint/endpoint.go
@@ -11,9 +11,11 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
@@ -107,6 +109,9 @@
 	Load, Limit string
 	// IsLeaving reports that it is about to end and wants no more requests.
 	IsLeaving bool
+	// Pause is how long it wants no requests from this VM, at most maxPause; 0 if it does
+	// not say.
+	Pause clock.Millis
 }
 
 // NotRunError is the error for a request that the endpoint reported as not run.
@@ -253,12 +258,29 @@
 	return NotRunHeader
 }
 
+// maxPause bounds the pause that an endpoint can ask for.
+const maxPause = clock.Hour
+
+// readPause returns the pause that an endpoint asks for when it turns a request away: a
+// decimal number of seconds with the status 503. Any other value asks for none.
+func readPause(response *http.Response) clock.Millis {
+	if response.StatusCode != http.StatusServiceUnavailable {
+		return 0
+	}
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(response.Header.Get("Retry-After")), 64)
+	if err != nil || math.IsNaN(seconds) || math.IsInf(seconds, 0) || seconds <= 0 {
+		return 0
+	}
+	return clock.Millis(math.Ceil(min(seconds, float64(maxPause/clock.Second)) * float64(clock.Second)))
+}
+
 // readStatement returns what an endpoint says of itself in the head of a response.
 func (n *HeaderNames) readStatement(response *http.Response) (said Statement) {
 	said.Load = response.Header.Get(n.load())
 	if n.Limit != "" {
 		said.Limit = response.Header.Get(n.Limit)
 	}
+	said.Pause = readPause(response)
 	said.IsLeaving = n.Leaving != "" && response.Header.Get(n.Leaving) == leavingValue
 	return said
 }
--- a/internal/wire/endpoint/endpoint_test.go
+++ b/internal/wire/endpoint/endpoint_test.go
@@ -474,3 +474,21 @@
 		})
 	}
 }
+
+func TestStatementOfATurnedAwayRequest(t *testing.T) {
+	for value, pause := range map[string]clock.Millis{
+		"2": 2 * clock.Second, "0.25": 250, " 1 ": clock.Second, "1e9": clock.Hour,
+		"": 0, "0": 0, "-1": 0, "NaN": 0, "Inf": 0, "soon": 0, "Fri, 04 Dec 2026 10:00:00 GMT": 0,
+	} {
+		t.Run(value, func(t *testing.T) {
+			g := NewWithT(t)
+			head := "HTTP/1.1 503 No\r\nRequest-Id: ID\r\nRequest-Not-Run: full\r\nServer-Leaving: 1\r\nContent-Length: 0\r\nRetry-After: " + value + "\r\n\r\n"
+			server := newFaultyServer(t, respondWith(head, true))
+			client := &endpoint.Client{Names: endpoint.HeaderNames{Leaving: "Server-Leaving"}}
+			_, err := exchange(client, server.address, getRequest("r1"))
+			notRun, ok := fault.As[*endpoint.NotRunError](err)
+			g.Expect(ok).To(BeTrue(), "%v", err)
+			g.Expect(notRun.Statement).To(Equal(endpoint.Statement{IsLeaving: true, Pause: pause}))
+		})
+	}
+}
