Refuse in a planned stop what the VM cannot finish

It can happen here: connections with a request that is still arriving stay open beyond the first half of the grace, and what they complete is sent to an endpoint until the last moment. A request is refused now (503, not run, stopping) if less time is left than 2.5 times its route's target latency, or than its deadline; an upload that is forwarded while it arrives needs time to its deadline. The same holds for retries.

A first try with 4 times the target latency refused what TestPlannedStopInterruptsNoRequest wants served. What remains: an endpoint that takes longer than that is still cut at the end.

--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -35,8 +35,13 @@
 	// notReadyRetryAfter is the Retry-After of a VM that has not read a
 	// configuration yet.
 	notReadyRetryAfter = 300 * clock.Millis(1)
-	requestIDBytes     = 8
-	kilobyte           = 1024
+	// stoppingRetryAfter is the Retry-After of a VM that is stopping: any other may serve
+	// the request at once.
+	stoppingRetryAfter = 50 * clock.Millis(1)
+	// slowResponseTimes is how many times the route's target latency a slow response takes.
+	slowResponseTimes = 2.5
+	requestIDBytes    = 8
+	kilobyte          = 1024
 )
 
 // call is one caller's request in progress.
@@ -190,6 +195,32 @@
 	return nil
 }
 
+// checkStop refuses a request that the VM, which is stopping, may not finish before it ends.
+func (c *call) checkStop(ctx context.Context) error {
+	if c.canFinish(ctx) {
+		return nil
+	}
+	c.gateway.Quota.Refund(c.workspace)
+	return reason.NotRun(reason.Stopping, stoppingRetryAfter, "this VM ends before the request may be answered, use another one")
+}
+
+// canFinish reports whether another attempt of the request will usually be answered before
+// the VM ends.
+func (c *call) canFinish(ctx context.Context) bool {
+	if c.gateway.EndsAt == nil {
+		return true
+	}
+	endsAt, isStopping := c.gateway.EndsAt()
+	if !isStopping {
+		return true
+	}
+	needed := remainingTime(ctx)
+	if c.streamedBody == nil && c.route.TargetLatency > 0 {
+		needed = min(needed, clock.Millis(slowResponseTimes*float64(c.route.TargetLatency)))
+	}
+	return endsAt-c.gateway.Clock.Now() >= needed
+}
+
 // streamBody prepares a stream for a large body. It reads the body's beginning, by which the
 // request is recognized if it comes again.
 func (c *call) streamBody(body *caller.Body) error {
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -55,7 +55,8 @@
 }
 
 // Gateway handles callers' requests. All fields but OnBlock,
-// RecordLatency, RecordOutcome, RecordLimitedSend, ConfigAge, Log and LogBudget must be set.
+// RecordLatency, RecordOutcome, RecordLimitedSend, EndsAt, ConfigAge, Log and LogBudget must
+// be set.
 type Gateway struct {
 	Headers  Headers
 	Client   Sender
@@ -80,6 +81,8 @@
 	RecordOutcome func(outcome string)
 	// RecordLimitedSend counts an attempt at an endpoint that has named a limit.
 	RecordLimitedSend func(isRetry bool)
+	// EndsAt returns when the VM ends, if it is stopping; optional.
+	EndsAt func() (at clock.Millis, isStopping bool)
 	// ConfigAge returns how old the configuration in force may be, for the log; optional.
 	ConfigAge func() clock.Millis
 	Clock     clock.Clock
@@ -164,6 +167,9 @@
 	if err := c.checkBlocklist(); err != nil {
 		return err
 	}
+	if err := c.checkStop(ctx); err != nil {
+		return err
+	}
 	c.chooseService()
 	return c.sendWithRetries(ctx)
 }
--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -66,7 +66,7 @@
 	if refusal.Ran != reason.RanNo && !c.isIdempotent() {
 		return false
 	}
-	if c.gateway.Blocklist.Find(c.digest).Ends > 0 {
+	if c.gateway.Blocklist.Find(c.digest).Ends > 0 || !c.canFinish(ctx) {
 		return false
 	}
 	switch refusal.Reason {
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -144,7 +144,9 @@
 	nextMoveRewriteAt clock.Millis
 	startedAt         clock.Millis
 	stopping          atomic.Bool
-	buildOnce         sync.Once
+	// endsAt is when the VM ends; valid once stopping is set.
+	endsAt    atomic.Int64
+	buildOnce sync.Once
 }
 
 // Run serves until ctx is done and then shuts down gracefully: peers learn that the VM
@@ -212,7 +214,7 @@
 		Blocklist: n.blocklist, OnBlock: n.announceBlock,
 		RetryCounters: metric.NewReasonCounters(n.metrics.Scope, "retries"), Log: n.Log,
 		RecordLatency: latencyRecorder(n.metrics), RecordOutcome: outcomeRecorder(n.metrics), RecordLimitedSend: limitedSendRecorder(n.metrics),
-		ConfigAge: n.configAge,
+		ConfigAge: n.configAge, EndsAt: n.plannedEnd,
 	}
 	n.callerServer = &caller.Server{Handler: n.gateway, Refusals: refuser, IdleCloseDelay: config.Bounds.StopGrace / idleCloseDivisor}
 	n.buildFeeds()
@@ -313,10 +315,12 @@
 // stop announces the stop to the peers and shuts the server for callers down, within
 // StopGrace less shutdownMargin.
 func (n *Node) stop(ctx context.Context) {
+	timeLeft := n.Settings.Bounds.StopGrace - shutdownMargin
+	n.endsAt.Store(int64(n.clock.Now() + timeLeft))
 	n.stopping.Store(true)
 	n.Log.Info("stopping")
 	n.roster.ExchangeNow(ctx)
-	limit, cancel := context.WithTimeout(ctx, (n.Settings.Bounds.StopGrace - shutdownMargin).Duration())
+	limit, cancel := context.WithTimeout(ctx, timeLeft.Duration())
 	defer cancel()
 	var group sync.WaitGroup
 	group.Go(func() {
@@ -327,6 +331,11 @@
 	group.Wait()
 }
 
+// plannedEnd returns when the VM ends, if it is stopping.
+func (n *Node) plannedEnd() (at clock.Millis, isStopping bool) {
+	return clock.Millis(n.endsAt.Load()), n.stopping.Load()
+}
+
 // Reload applies the settings that may change while the VM runs, which are the seed
 // peers. Other changes need a restart; the log line states whether there are any.
 func (n *Node) Reload(newest settings.Node) {
