Split the files of roster, gateway, node and tracker that have grown

The state that VMs exchange, a call's body, the checks before a send, a VM's stop, its announcements, and the running watch of a feed have files of their own. Lines were moved, and import lists; the tests of internal/control and internal/entry pass.

--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -1,11 +1,9 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"io"
 	"net/http"
 	"strings"
 
@@ -22,12 +20,6 @@
 )
 
 const (
-	// maxBufferedBody is the size in bytes up to which a request body is read into
-	// memory before the request is sent, so that the request can be retried.
-	maxBufferedBody = 1 << 20
-	// identityPrefix is the part of a larger body by which a request is recognized if it
-	// comes again, in bytes.
-	identityPrefix = 16 << 10
 	// maxKeyLength and maxIDLength limit the keys and request ids that callers send,
 	// in bytes.
 	maxKeyLength = 256
@@ -35,13 +27,8 @@
 	// notReadyRetryAfter is the Retry-After of a VM that has not read a
 	// configuration yet.
 	notReadyRetryAfter = 300 * clock.Millis(1)
-	// stoppingRetryAfter is the Retry-After of a VM that is stopping: any other may serve
-	// the request at once.
-	stoppingRetryAfter = 50 * clock.Millis(1)
-	// slowResponseTimes is how many times the route's target latency a slow response takes.
-	slowResponseTimes = 2.5
-	requestIDBytes    = 8
-	kilobyte          = 1024
+	requestIDBytes     = 8
+	kilobyte           = 1024
 )
 
 // call is one caller's request in progress.
@@ -159,144 +146,6 @@
 	return nil
 }
 
-// readBody reads a body of up to maxBufferedBody bytes into memory, and prepares a
-// stream for a larger one.
-func (c *call) readBody(ctx context.Context) error {
-	c.bodyLength = c.request.ContentLength
-	if c.bodyLength == 0 {
-		return nil
-	}
-	limit := c.table.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = maxBufferedBody
-	}
-	if c.bodyLength > limit {
-		return caller.TooLarge(limit)
-	}
-	deadline, _ := ctx.Deadline()
-	limited := caller.NewBody(c.w, c.request, limit, deadline)
-	if c.bodyLength > maxBufferedBody {
-		return c.streamBody(limited)
-	}
-	buffer := &bytes.Buffer{}
-	if c.bodyLength > 0 {
-		buffer.Grow(int(c.bodyLength) + bytes.MinRead)
-	}
-	_, err := io.Copy(buffer, io.LimitReader(limited, maxBufferedBody))
-	if err != nil {
-		return err
-	}
-	c.bufferedBody = buffer.Bytes()
-	if c.bodyLength < 0 && len(c.bufferedBody) == maxBufferedBody {
-		c.streamedBody = &bodyStream{Body: limited, prefix: c.bufferedBody}
-		return nil
-	}
-	c.bodyLength = int64(len(c.bufferedBody))
-	return nil
-}
-
-// checkStop refuses a request that the VM, which is stopping, may not finish before it ends.
-func (c *call) checkStop(ctx context.Context) error {
-	if c.canFinish(ctx) {
-		return nil
-	}
-	c.gateway.Quota.Refund(c.workspace)
-	return reason.NotRun(reason.Stopping, stoppingRetryAfter, "this VM ends before the request may be answered, use another one")
-}
-
-// canFinish reports whether another attempt of the request will usually be answered before
-// the VM ends.
-func (c *call) canFinish(ctx context.Context) bool {
-	if c.gateway.EndsAt == nil {
-		return true
-	}
-	endsAt, isStopping := c.gateway.EndsAt()
-	if !isStopping {
-		return true
-	}
-	needed := remainingTime(ctx)
-	if c.streamedBody == nil && c.route.TargetLatency > 0 {
-		needed = min(needed, clock.Millis(slowResponseTimes*float64(c.route.TargetLatency)))
-	}
-	return endsAt-c.gateway.Clock.Now() >= needed
-}
-
-// streamBody prepares a stream for a large body. It reads the body's beginning, by which the
-// request is recognized if it comes again.
-func (c *call) streamBody(body *caller.Body) error {
-	prefix := make([]byte, identityPrefix)
-	if _, err := io.ReadFull(body, prefix); err != nil {
-		return err
-	}
-	c.streamedBody = &bodyStream{Body: body, prefix: prefix}
-	return nil
-}
-
-// identify sets the digest. It must be called after readBody.
-func (c *call) identify() {
-	identity := blocklist.Request{
-		Method: c.request.Method, Host: c.request.Host, Target: c.request.RequestURI, Body: c.bufferedBody, Length: c.bodyLength,
-	}
-	if c.workspace != nil {
-		identity.Workspace = c.workspace.Name
-	}
-	if c.streamedBody != nil {
-		identity.Body = c.streamedBody.prefix
-	}
-	c.digest = identity.Digest()
-}
-
-// checkBlocklist refuses a request that ends endpoints. While it is not certain that the
-// request ends them, the caller is told when to come back. Once it is, the answer is
-// final: the same request has run before, and has not been answered.
-func (c *call) checkBlocklist() error {
-	block := c.gateway.Blocklist.Find(c.digest)
-	if block.Ends == 0 {
-		return nil
-	}
-	c.gateway.Quota.Refund(c.workspace)
-	refusal := reason.NotRun(reason.RequestBlocked, block.Remaining, "%d endpoints ended while they ran the same request", block.Ends)
-	if block.IsCertain() {
-		refusal.Ran, refusal.RetryAfter = reason.RanUnknown, 0
-	}
-	return refusal
-}
-
-// bodyStream is a body that is forwarded while it is received. It yields prefix,
-// which was read before, and then the rest.
-type bodyStream struct {
-	*caller.Body
-	prefix  []byte
-	started bool
-}
-
-// Read implements io.Reader.
-func (s *bodyStream) Read(buffer []byte) (int, error) {
-	s.started = true
-	if len(s.prefix) > 0 {
-		n := copy(buffer, s.prefix)
-		s.prefix = s.prefix[n:]
-		return n, nil
-	}
-	return s.Body.Read(buffer)
-}
-
-// newBodyReader returns a reader of the body for one attempt, or nil if there is no
-// body.
-func (c *call) newBodyReader() io.ReadCloser {
-	switch {
-	case c.streamedBody != nil:
-		return c.streamedBody
-	case len(c.bufferedBody) > 0:
-		return io.NopCloser(bytes.NewReader(c.bufferedBody))
-	}
-	return nil
-}
-
-// isBodyConsumed reports whether a part of a streamed body was read, after which the
-// request cannot be retried.
-func (c *call) isBodyConsumed() bool { return c.streamedBody != nil && c.streamedBody.started }
-
 func (c *call) chooseService() {
 	name := c.gateway.targetSelector.selectService(c.route)
 	c.service = c.table.Services[name]
--- /dev/null
+++ b/internal/entry/gateway/checks.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"context"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/reason"
+	"baobabladder.example/baobabladder/internal/policy/blocklist"
+)
+
+const (
+	// stoppingRetryAfter is the Retry-After of a VM that is stopping: any other may serve
+	// the request at once.
+	stoppingRetryAfter = 50 * clock.Millis(1)
+	// slowResponseTimes is how many times the route's target latency a slow response takes.
+	slowResponseTimes = 2.5
+)
+
+// identify sets the digest. It must be called after readBody.
+func (c *call) identify() {
+	identity := blocklist.Request{
+		Method: c.request.Method, Host: c.request.Host, Target: c.request.RequestURI, Body: c.bufferedBody, Length: c.bodyLength,
+	}
+	if c.workspace != nil {
+		identity.Workspace = c.workspace.Name
+	}
+	if c.streamedBody != nil {
+		identity.Body = c.streamedBody.prefix
+	}
+	c.digest = identity.Digest()
+}
+
+// checkBlocklist refuses a request that ends endpoints. While it is not certain that the
+// request ends them, the caller is told when to come back. Once it is, the answer is
+// final: the same request has run before, and has not been answered.
+func (c *call) checkBlocklist() error {
+	block := c.gateway.Blocklist.Find(c.digest)
+	if block.Ends == 0 {
+		return nil
+	}
+	c.gateway.Quota.Refund(c.workspace)
+	refusal := reason.NotRun(reason.RequestBlocked, block.Remaining, "%d endpoints ended while they ran the same request", block.Ends)
+	if block.IsCertain() {
+		refusal.Ran, refusal.RetryAfter = reason.RanUnknown, 0
+	}
+	return refusal
+}
+
+// checkStop refuses a request that the VM, which is stopping, may not finish before it ends.
+func (c *call) checkStop(ctx context.Context) error {
+	if c.canFinish(ctx) {
+		return nil
+	}
+	c.gateway.Quota.Refund(c.workspace)
+	return reason.NotRun(reason.Stopping, stoppingRetryAfter, "this VM ends before the request may be answered, use another one")
+}
+
+// canFinish reports whether another attempt of the request will usually be answered before
+// the VM ends.
+func (c *call) canFinish(ctx context.Context) bool {
+	if c.gateway.EndsAt == nil {
+		return true
+	}
+	endsAt, isStopping := c.gateway.EndsAt()
+	if !isStopping {
+		return true
+	}
+	needed := remainingTime(ctx)
+	if c.streamedBody == nil && c.route.TargetLatency > 0 {
+		needed = min(needed, clock.Millis(slowResponseTimes*float64(c.route.TargetLatency)))
+	}
+	return endsAt-c.gateway.Clock.Now() >= needed
+}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -56,19 +56,12 @@
 	// checkInterval is the time between two checks of the store, which one VM of the fleet
 	// makes; see checkInterval of Node.
 	checkInterval = 1 * clock.Second
-	// announceInterval is the least time between two announcements of blocked requests.
-	announceInterval = 50 * clock.Millis(1)
 	// moveRewriteInterval is the least pause between two attempts to write the lost
 	// states of version moves.
 	moveRewriteInterval = 1 * clock.Second
 	// maxLookupLifetime is how long callers may keep a list of VMs, unless the settings
 	// allow less.
 	maxLookupLifetime = 2 * clock.Second
-	// idleCloseDivisor and shutdownMargin divide the grace period of a shutdown:
-	// idle connections of callers stay open for its first half, and the process ends
-	// shutdownMargin before its end.
-	idleCloseDivisor = 2
-	shutdownMargin   = 600 * clock.Millis(1)
 	// endpointConnectTimeout limits the time to connect to an endpoint.
 	endpointConnectTimeout = 350 * clock.Millis(1)
 	// readHeaderTimeout limits the time to read the headers of a readiness check, a
@@ -290,52 +283,12 @@
 	go logging.ReportDropped(ctx, n.Log, &n.gateway.LogBudget, n.Writer, dropRecorder(n.metrics))
 }
 
-// startFeeds starts the feed of VM registrations, and the other feeds once the VM is
-// registered or registrationWait is over. A VM that knows the relays of its region by
-// then reads the other kinds from them, which limits the calls to the store when a
-// large fleet starts.
-func (n *Node) startFeeds(ctx context.Context) {
-	go n.vmFeed().Run(ctx)
-	for waited := clock.Millis(0); waited < registrationWait && !n.objects.isRegistered(n.self); waited += registrationPoll {
-		if clock.Sleep(ctx, registrationPoll) != nil {
-			return
-		}
-	}
-	for _, feed := range n.feeds[:len(n.feeds)-1] {
-		go feed.Run(ctx)
-	}
-}
-
 func (n *Node) serveAndLog(service string, serve func() error) {
 	if err := serve(); err != nil && err != http.ErrServerClosed {
 		n.Log.WithError(err).Error(service + " stopped unexpectedly")
 	}
 }
 
-// stop announces the stop to the peers and shuts the server for callers down, within
-// StopGrace less shutdownMargin.
-func (n *Node) stop(ctx context.Context) {
-	timeLeft := n.Settings.Bounds.StopGrace - shutdownMargin
-	n.endsAt.Store(int64(n.clock.Now() + timeLeft))
-	n.stopping.Store(true)
-	n.Log.Info("stopping")
-	n.roster.ExchangeNow(ctx)
-	limit, cancel := context.WithTimeout(ctx, timeLeft.Duration())
-	defer cancel()
-	var group sync.WaitGroup
-	group.Go(func() {
-		if err := n.callerServer.Shutdown(limit); err != nil {
-			n.Log.WithError(err).Warn("the grace period ended before all connections of callers were closed; the VM stops and interrupts them")
-		}
-	})
-	group.Wait()
-}
-
-// plannedEnd returns when the VM ends, if it is stopping.
-func (n *Node) plannedEnd() (at clock.Millis, isStopping bool) {
-	return clock.Millis(n.endsAt.Load()), n.stopping.Load()
-}
-
 // Reload applies the settings that may change while the VM runs, which are the seed
 // peers. Other changes need a restart; the log line states whether there are any.
 func (n *Node) Reload(newest settings.Node) {
@@ -361,28 +314,6 @@
 	return roster.PreferredVMs(n.roster.Members(), region, dataCentre)
 }
 
-// announceBlock makes announceBlocks tell the peers of a blocked request.
-func (n *Node) announceBlock() {
-	select {
-	case n.blocked <- struct{}{}:
-	default:
-	}
-}
-
-// announceBlocks tells the peers at once when requests are blocked, at most once every
-// announceInterval.
-func (n *Node) announceBlocks(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-n.blocked:
-			n.roster.ExchangeNow(ctx)
-			_ = clock.Sleep(ctx, announceInterval)
-		}
-	}
-}
-
 // isRegistered reports whether the store holds this VM's registration, as far as this VM
 // knows. A registration that the store may have lost does not count.
 func (n *Node) isRegistered() bool {
--- a/internal/entry/node/objects.go
+++ b/internal/entry/node/objects.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"sync"
 
 	"github.com/sirupsen/logrus"
@@ -109,6 +110,22 @@
 	}
 }
 
+// startFeeds starts the feed of VM registrations, and the other feeds once the VM is
+// registered or registrationWait is over. A VM that knows the relays of its region by
+// then reads the other kinds from them, which limits the calls to the store when a
+// large fleet starts.
+func (n *Node) startFeeds(ctx context.Context) {
+	go n.vmFeed().Run(ctx)
+	for waited := clock.Millis(0); waited < registrationWait && !n.objects.isRegistered(n.self); waited += registrationPoll {
+		if clock.Sleep(ctx, registrationPoll) != nil {
+			return
+		}
+	}
+	for _, feed := range n.feeds[:len(n.feeds)-1] {
+		go feed.Run(ctx)
+	}
+}
+
 // logUnreadable logs an entry that cannot be decoded, once per revision.
 func (n *Node) logUnreadable(kind string, object tracker.Object, err error) {
 	if n.objects.recordUnreadable(kind, object) {
