--- a/internal/control/tracker/check.go
+++ b/internal/control/tracker/check.go
@@ -89,7 +89,7 @@
 		return
 	}
 	for _, feed := range c.Feeds[1:] {
-		if feed.isComplete(newest, sent) {
+		if feed.confirmUpTo(newest, sent) {
 			continue
 		}
 		if _, err := c.checkFeed(ctx, feed); err != nil {
@@ -113,7 +113,7 @@
 	default:
 		return 0, err
 	}
-	feed.isComplete(revision, sent)
+	feed.confirmUpTo(revision, sent)
 	if feed.NewestChange() > newest {
 		go c.awaitWatch(ctx, feed, feed.runningWatch())
 	}
@@ -131,9 +131,10 @@
 	}
 }
 
-// isComplete reports whether the copy is complete up to a revision that the store had in
-// reply to a call that was sent at the given time. If so, the copy was complete then.
-func (f *Feed) isComplete(revision int64, sent clock.Millis) bool {
+// confirmUpTo reports whether the copy is complete up to a revision that the store had in
+// reply to a call that was sent at the given time, and records then that it was complete at
+// that time.
+func (f *Feed) confirmUpTo(revision int64, sent clock.Millis) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.revision < revision {
