Describe the copy's age in the metric itself

TestEachMetricIsInTheReference failed: the help text of knowledge_age_seconds still said what the reference said before the copy's age was told.

--- a/internal/base/metric/help.go
+++ b/internal/base/metric/help.go
@@ -8,7 +8,7 @@
 	"endpoint_outcomes":      "Tries at endpoints, by how they ended.",
 	"endpoints_known":        "Endpoints in the directory.",
 	"endpoints_limited":      "Endpoints that have named a limit of requests a second.",
-	"knowledge_age_seconds":  "Time since the store last answered, by kind of object.",
+	"knowledge_age_seconds":  "How old the copy of a kind of object may be: time since this VM, or a peer that knows no newer change, sent a call that the store answered.",
 	"limit_admitted_later":   "Requests that were admitted after a wait for their workspace's rate.",
 	"limit_bytes_from_peers": "Room on links that peers lent, in bytes.",
 	"limit_peers_asked":      "Requests that a peer was asked to admit.",
