--- a/internal/base/metric/help.go
+++ b/internal/base/metric/help.go
@@ -22,6 +22,7 @@
 	"request_seconds":        "Time from a request's arrival to its answer's end, by kind of work and outcome.",
 	"retries":                "Second sends of requests, by the reason why the first failed.",
 	"store_calls":            "Calls to the store, by kind of object and outcome.",
+	"requests_blocked":       "Different requests that are not sent, because endpoints ended while they ran them.",
 	"store_era":              "How often the store came back from a copy.",
 	"store_retries":          "Repeated calls to the store, by reason.",
 	"workspace_demand":       "Requests a second that this VM was asked for, by workspace with a rate.",
