End the blocks of a request at different times on different VMs

Cause: the first block lasts 2 s and ended on all VMs at once; until the VMs of other regions knew that the request had ended another endpoint, they sent it too.

Ruled out by the log: no answer cleared the request, and no entry was lost.

Change: each VM ends a block at its own time, by a hash of VM and request, 2 s apart on average. A VM that gets an answer tells the others, which clear the request too, so that a sound one is not held back by the VMs whose turn is late. An answer with status 500 or more clears nothing.

--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -120,7 +120,7 @@
 	err = c.relayResponse(ctx, response)
 	_ = response.Body.Close()
 	result.Outcome = responseOutcome(response, err)
-	if err == nil {
+	if err == nil && response.Status < http.StatusInternalServerError {
 		c.gateway.Blocklist.RecordAnswer(c.digest)
 	}
 	return err
--- a/internal/entry/node/duties.go
+++ b/internal/entry/node/duties.go
@@ -90,6 +90,7 @@
 		n.balancer.UpdatePeers(n.roster.Running(), vms)
 		n.balancer.UpdateLimitDemands(n.limitDemands(members))
 		n.retryBudget.SetVMs(len(members))
+		n.blocklist.SetVMs(len(members))
 		candidates, hasMajority := n.roster.DutyCandidates(members)
 		n.setDutyAssignment(&dutyAssignment{candidates, hasMajority, fractionReachable(members)})
 		n.logLimits()
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -195,7 +195,7 @@
 		OwnedBuckets: &quota.Owner{IsOwnershipUnstable: n.isOwnershipUnstable}, LocalLimiter: n.quota,
 	}
 	n.canary = &canary.Guard{MaxShare: config.Bounds.TrialShare}
-	n.blocklist, n.blocked = &blocklist.List{}, make(chan struct{}, 1)
+	n.blocklist, n.blocked = &blocklist.List{VM: config.Name}, make(chan struct{}, 1)
 	n.retryBudget = &retry.WindowBudget{Length: config.Bounds.RetryWindow, Ratio: config.Bounds.RetryRatio, Slack: config.Bounds.RetrySlack}
 	refuser := caller.RefusalWriter{Counters: metric.NewReasonCounters(n.metrics.Scope, "refusals"), GatewayStatuses: true}
 	n.gateway = &gateway.Gateway{
--- a/internal/policy/blocklist/blocklist.go
+++ b/internal/policy/blocklist/blocklist.go
@@ -4,15 +4,18 @@
 //
 // An endpoint may end for other reasons, beside sound requests that it runs. So only ends
 // in sequence count: an attempt that began after the last end that is known. One answer from
-// an endpoint clears a request, here at once and on other VMs when they get one too. The
-// first block is short, in case that two endpoints ended by chance.
+// an endpoint clears a request, on all VMs. The first block is short, in case that two
+// endpoints ended by chance. VMs end their blocks at different times, so that one of them
+// tries the request again and the others learn how that went.
 package blocklist
 
 import (
+	"math"
 	"slices"
 	"sync"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/hashing"
 )
 
 const (
@@ -26,6 +29,9 @@
 	blockTime    = 2 * clock.Second
 	blockGrowth  = 30
 	maxBlockTime = 30 * clock.Minute
+	// trialSpacing is the mean time between the ends of a request's blocks on two VMs. It is
+	// about as long as VMs need to learn from each other.
+	trialSpacing = 2 * clock.Second
 	// memory is how long after the last end a request is remembered, beyond its block.
 	memory = 10 * clock.Minute
 	// maxEntries bounds the requests on a List. Those with the fewest ends, and then with
@@ -48,22 +54,37 @@
 // Entry is what VMs tell each other of a request.
 type Entry struct {
 	Digest Digest
-	// Ends is the number of endpoints that are known to have ended in sequence.
+	// Ends is the number of endpoints that are known to have ended in sequence; 0 states
+	// that an endpoint has answered the request.
 	Ends int
-	// Age is the time since the last of them ended.
+	// Age is the time since the last of them ended, or since the answer.
 	Age clock.Millis
 }
 
 // List is one VM's list. Its zero value is ready to use.
 type List struct {
 	Clock clock.Clock
+	// VM is this VM's name.
+	VM string
 
 	mu sync.Mutex
+	// vms is the number of VMs that may send a request. Guarded by mu.
+	vms int
 	// ends holds the requests under which endpoints ended. Guarded by mu.
 	ends map[Digest]record
 	// answered holds requests that endpoints answered, each in the slot that its digest
 	// selects. Guarded by mu.
 	answered [answeredSlots]answer
+	// cleared holds the requests that were on the list and then answered, until all VMs have
+	// been told. Guarded by mu.
+	cleared map[Digest]clock.Millis
+}
+
+// SetVMs sets the number of VMs that may send a request.
+func (l *List) SetVMs(vms int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.vms = vms
 }
 
 // record is what is known of a request: how many endpoints ended, and when the last one did.
@@ -78,16 +99,18 @@
 	at     clock.Millis
 }
 
-// blockedUntil returns when the request may be sent again.
-func (r record) blockedUntil() clock.Millis {
-	if r.ends < minEnds {
-		return r.lastAt
+// blockedUntil returns when this VM may send a request again. The caller must hold mu.
+func (l *List) blockedUntil(digest Digest, known record) clock.Millis {
+	if known.ends < minEnds {
+		return known.lastAt
 	}
 	length := blockTime
-	for range r.ends - minEnds {
+	for range known.ends - minEnds {
 		length = min(length*blockGrowth, maxBlockTime)
 	}
-	return r.lastAt + length
+	position := float64(hashing.Strings(l.VM, string(digest[:]))) / math.MaxUint64
+	spread := clock.Millis(position * float64(clock.Millis(l.vms)*trialSpacing))
+	return known.lastAt + min(length+spread, maxBlockTime)
 }
 
 // Block is a block of a request. Its zero value stands for none.
@@ -109,7 +132,7 @@
 	if !found {
 		return Block{}
 	}
-	remaining := known.blockedUntil() - l.Clock.Now()
+	remaining := l.blockedUntil(digest, known) - l.Clock.Now()
 	if remaining <= 0 {
 		return Block{}
 	}
@@ -129,6 +152,7 @@
 	if slot.digest == digest {
 		*slot = answer{}
 	}
+	delete(l.cleared, digest)
 	l.set(digest, record{known.ends + 1, l.Clock.Now()})
 	return known.ends+1 >= minEnds
 }
@@ -137,8 +161,23 @@
 func (l *List) RecordAnswer(digest Digest) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := l.Clock.Now()
+	if _, found := l.ends[digest]; found {
+		l.clear(digest, now)
+	}
+	*l.slotOf(digest) = answer{digest, now}
+}
+
+// clear takes a request off the list that an endpoint answered at the given time. The caller
+// must hold mu.
+func (l *List) clear(digest Digest, at clock.Millis) {
 	delete(l.ends, digest)
-	*l.slotOf(digest) = answer{digest, l.Clock.Now()}
+	if l.cleared == nil {
+		l.cleared = map[Digest]clock.Millis{}
+	}
+	if len(l.cleared) < maxSent {
+		l.cleared[digest] = at
+	}
 }
 
 // slotOf returns the slot of an answered request. The caller must hold mu.
@@ -146,20 +185,28 @@
 	return &l.answered[(int(digest[0])<<8|int(digest[1]))%answeredSlots]
 }
 
-// Entries returns what to tell peers: the requests that are certain or blocked, and those
-// under which an endpoint has just ended, the most serious and the latest first.
+// Entries returns what to tell peers: the requests that are certain or blocked, those under
+// which an endpoint has just ended, and those that have just been cleared; the most serious
+// and the latest first.
 func (l *List) Entries() (entries []Entry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Clock.Now()
 	for digest, known := range l.ends {
 		switch age := now - known.lastAt; {
-		case now > known.blockedUntil()+memory:
+		case now > l.blockedUntil(digest, known)+memory:
 			delete(l.ends, digest)
 		case known.ends >= minEnds || age < suspicionTime:
 			entries = append(entries, Entry{digest, known.ends, age})
 		}
 	}
+	for digest, at := range l.cleared {
+		if now-at > suspicionTime {
+			delete(l.cleared, digest)
+			continue
+		}
+		entries = append(entries, Entry{Digest: digest, Age: now - at})
+	}
 	slices.SortFunc(entries, compare)
 	return entries[:min(len(entries), maxSent)]
 }
@@ -183,10 +230,18 @@
 	now := l.Clock.Now()
 	for _, entry := range entries {
 		told := record{entry.Ends, now - entry.Age - messageDelay}
-		if entry.Ends <= 0 || entry.Age < 0 || now > told.blockedUntil()+memory || l.isAnswered(entry, told.lastAt) {
+		known, found := l.ends[entry.Digest]
+		switch {
+		case entry.Ends < 0 || entry.Age < 0 || now > l.blockedUntil(entry.Digest, told)+memory:
+			continue
+		case entry.Ends == 0:
+			if found && told.lastAt >= known.lastAt {
+				l.clear(entry.Digest, told.lastAt)
+			}
+			continue
+		case l.isAnswered(entry, told.lastAt):
 			continue
 		}
-		known := l.ends[entry.Digest]
 		l.set(entry.Digest, record{max(known.ends, told.ends), max(known.lastAt, told.lastAt)})
 	}
 }
@@ -226,8 +281,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Clock.Now()
-	for _, known := range l.ends {
-		if known.blockedUntil() > now {
+	for digest, known := range l.ends {
+		if l.blockedUntil(digest, known) > now {
 			blocked++
 		}
 	}
--- a/internal/policy/blocklist/blocklist_test.go
+++ b/internal/policy/blocklist/blocklist_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -105,3 +106,75 @@
 	g.Expect(l.Entries()).To(BeEmpty())
 	g.Expect(l.ends).To(BeEmpty())
 }
+
+// newFleet returns the lists of VMs with one clock, which all tell each other what they know
+// when tell is called.
+func newFleet(vms int) (lists []*List, manual *clock.Manual, tell func()) {
+	_, manual = newList()
+	for i := range vms {
+		l := &List{Clock: manual.Clock(), VM: fmt.Sprint("vm-", i)}
+		l.SetVMs(vms)
+		lists = append(lists, l)
+	}
+	return lists, manual, func() {
+		for _, from := range lists {
+			entries := from.Entries()
+			for _, to := range lists {
+				to.Merge(entries)
+			}
+		}
+	}
+}
+
+// Guards against a fleet that sends a request again from all VMs at once when its block
+// ends, before they know how the first one went.
+func TestFewVMsTryARequestAgainBeforeTheOthersKnow(t *testing.T) {
+	for _, vms := range []int{3, 9, 89, 300} {
+		t.Run(fmt.Sprint(vms), func(t *testing.T) {
+			g := NewWithT(t)
+			lists, manual, tell := newFleet(vms)
+			end(lists[0], manual, digest(7))
+			end(lists[0], manual, digest(7))
+			tell()
+			const knownAfter = 2 * clock.Second
+			sends := 0
+			for first := clock.Millis(-1); first < 0 || lists[0].Clock.Now()-first < knownAfter; manual.Advance(50) {
+				// One arrival at a VM in turn, twenty a second.
+				l := lists[int(lists[0].Clock.Now()/50)%vms]
+				if l.Find(digest(7)).Ends > 0 {
+					continue
+				}
+				sends++
+				l.RecordEnd(digest(7), l.Clock.Now())
+				if first < 0 {
+					first = l.Clock.Now()
+				}
+			}
+			tell()
+			g.Expect(sends).To(BeNumerically("<=", 3))
+			for _, l := range lists {
+				g.Expect(l.Find(digest(7)).IsCertain()).To(BeTrue())
+			}
+		})
+	}
+}
+
+func TestAnswerOnOneVMClearsARequestOnAll(t *testing.T) {
+	g := NewWithT(t)
+	lists, manual, tell := newFleet(5)
+	end(lists[0], manual, digest(7))
+	end(lists[0], manual, digest(7))
+	tell()
+	g.Expect(lists[4].Find(digest(7)).Ends).To(Equal(minEnds))
+	manual.Advance(blockTime)
+	lists[1].RecordAnswer(digest(7))
+	manual.Advance(50)
+	tell()
+	for _, l := range lists {
+		g.Expect(l.Find(digest(7))).To(Equal(Block{}))
+	}
+	tell()
+	g.Expect(end(lists[2], manual, digest(7))).To(BeFalse(), "the sequence begins again")
+	tell()
+	g.Expect(lists[3].Entries()).To(ContainElement(HaveField("Ends", 1)), "an end after the answer counts")
+}
