Let the longest blocks end apart too, and bound the ends that a peer states

What callers would see: half an hour after a fourth endpoint has ended under a request, all VMs send it again at once, as the bound on a block's length also cut off the time by which VMs differ; and a peer's entry with a great number of ends keeps a VM busy with the list locked, so that it serves nothing.

The bound holds for the length alone, the loop ends when it is reached, and an entry counts for 16 ends at most.

TestLongestBlocksEndApartWhateverAPeerSays failed in 3 of 3 cases (one time for nine VMs, twice; not ended after 2 s) and passes, 2 of 2 under -race.

--- a/internal/policy/blocklist/blocklist.go
+++ b/internal/policy/blocklist/blocklist.go
@@ -24,8 +24,11 @@
 	minEnds = 2
 	// certainEnds is the number from which no answer that came before counts against them.
 	certainEnds = 3
+	// maxEnds bounds the ends that a peer's entry can state.
+	maxEnds = 16
 	// blockTime is how long a request is blocked after minEnds. Each further end multiplies
-	// it by blockGrowth, up to maxBlockTime.
+	// it by blockGrowth, up to maxBlockTime. Each VM adds a time of its own; see
+	// trialSpacing.
 	blockTime    = 2 * clock.Second
 	blockGrowth  = 30
 	maxBlockTime = 30 * clock.Minute
@@ -105,12 +108,12 @@
 		return known.lastAt
 	}
 	length := blockTime
-	for range known.ends - minEnds {
+	for ends := minEnds; ends < known.ends && length < maxBlockTime; ends++ {
 		length = min(length*blockGrowth, maxBlockTime)
 	}
 	position := float64(hashing.Strings(l.VM, string(digest[:]))) / math.MaxUint64
 	spread := clock.Millis(position * float64(clock.Millis(l.vms)*trialSpacing))
-	return known.lastAt + min(length+spread, maxBlockTime)
+	return known.lastAt + length + min(spread, maxBlockTime)
 }
 
 // Block is a block of a request. Its zero value stands for none.
@@ -229,7 +232,7 @@
 	defer l.mu.Unlock()
 	now := l.Clock.Now()
 	for _, entry := range entries {
-		told := record{entry.Ends, now - entry.Age - messageDelay}
+		told := record{min(entry.Ends, maxEnds), now - entry.Age - messageDelay}
 		known, found := l.ends[entry.Digest]
 		switch {
 		case entry.Ends < 0 || entry.Age < 0 || now > l.blockedUntil(entry.Digest, told)+memory:
--- a/internal/policy/blocklist/blocklist_test.go
+++ b/internal/policy/blocklist/blocklist_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"math"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -178,3 +179,27 @@
 	tell()
 	g.Expect(lists[3].Entries()).To(ContainElement(HaveField("Ends", 1)), "an end after the answer counts")
 }
+
+// Guards against blocks of the greatest length that end on all VMs at once, and against a
+// peer's message that keeps a VM busy.
+func TestLongestBlocksEndApartWhateverAPeerSays(t *testing.T) {
+	for _, ends := range []int{4, 9, math.MaxInt} {
+		t.Run(fmt.Sprint(ends), func(t *testing.T) {
+			g := NewWithT(t)
+			lists, _, _ := newFleet(9)
+			remaining := map[clock.Millis]bool{}
+			merged := make(chan struct{})
+			go func() {
+				defer close(merged)
+				for _, l := range lists {
+					l.Merge([]Entry{{digest(7), ends, 0}})
+					remaining[l.Find(digest(7)).Remaining] = true
+				}
+			}()
+			g.Eventually(merged, "2s").Should(BeClosed())
+			g.Expect(remaining).To(HaveLen(len(lists)))
+			lists[0].RecordEnd(digest(7), lists[0].Clock.Now())
+			g.Expect(lists[0].Find(digest(7)).IsCertain()).To(BeTrue(), "a further end")
+		})
+	}
+}
