Count a new version's answers by how they ended, and log when it is found bad

The log could not tell the hypotheses of the incident apart: it summed slow, late, failed and ended requests into weights, had no window shorter than the trial for the new version, and did not say when each VM stopped sending.

Requests are now counted by outcome for both versions, over the whole trial and over the last seconds; the line that a state of a move was written and a new line that a VM found a version bad have these counts. A request counts as tight if it had less than one and a half times the expected time. No decision changes: the weights are as before.

The log fields answers, bad, failed, old_answers, old_bad and old_failed of 'wrote the state of a version move' give way to new, old, recent_new and recent_old.

--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -96,7 +96,7 @@
 	defer func() {
 		grant.Done(result)
 		took := c.gateway.Clock.Now() - sentAt
-		c.recordCanaryResult(grant, result.Outcome, took)
+		c.recordCanaryResult(grant, result.Outcome, status, took)
 		if c.gateway.RecordOutcome != nil {
 			c.gateway.RecordOutcome(string(result.Outcome))
 		}
@@ -138,28 +138,30 @@
 	return true
 }
 
-// recordCanaryResult counts the result for the service's version move. Results of
-// cold endpoints, which are still warming up, don't count.
-func (c *call) recordCanaryResult(grant *balance.Grant, outcome balance.Outcome, took clock.Millis) {
+// recordCanaryResult counts an attempt for the service's version move. Attempts at cold
+// endpoints, which are still warming up, don't count. status is 0 without a response.
+func (c *call) recordCanaryResult(grant *balance.Grant, outcome balance.Outcome, status int, took clock.Millis) {
 	if grant.IsCold {
 		return
 	}
-	badWeight := 0.0
+	result := canary.Result{IsTight: grant.IsTight()}
 	switch {
+	case outcome == balance.Failed && status >= http.StatusInternalServerError:
+		result.Outcome = canary.Failed
 	case outcome == balance.Failed:
-		badWeight = 1
+		result.Outcome = canary.Ended
 	case outcome == balance.DeadlineExceeded && !grant.IsPastTypical(took):
 		// The deadline passed before an endpoint usually responds: the request came
 		// with too little time left, which is not the endpoint's fault.
 		return
 	case (outcome == balance.DeadlineExceeded || outcome == balance.Answered) && grant.IsSlow(took):
-		badWeight = canary.SlowWeight
+		result.Outcome = canary.Slow
 	case outcome == balance.DeadlineExceeded:
-		badWeight = canary.LateWeight
+		result.Outcome = canary.Late
 	case outcome != balance.Answered:
 		return
 	}
-	c.gateway.Canary.Record(c.service.Name, grant.Endpoint.Version, badWeight)
+	c.gateway.Canary.Record(c.service.Name, grant.Endpoint.Version, result)
 }
 
 // recordLimitedSend counts a send to an endpoint that has named a limit.
--- a/internal/entry/node/moves.go
+++ b/internal/entry/node/moves.go
@@ -10,6 +10,7 @@
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/control/roster"
 	"baobabladder.example/baobabladder/internal/control/tracker"
+	"baobabladder.example/baobabladder/internal/policy/canary"
 	"baobabladder.example/baobabladder/internal/world/directory"
 )
 
@@ -64,12 +65,8 @@
 		if verdict.Move.StartedWall == 0 {
 			verdict.Move.StartedWall = n.clock.Wall() - (n.clock.Now() - verdict.Move.FirstSeen)
 		}
-		evidence := verdict.Evidence
-		fields := logrus.Fields{
-			"service": verdict.Move.Service, "to": verdict.Move.TargetVersion, "state": verdict.State, "why": verdict.Reason,
-			"answers": evidence.EverAnswers, "bad": evidence.EverBad, "failed": evidence.EverFailed,
-			"old_answers": evidence.OldAnswers, "old_bad": evidence.OldBad, "old_failed": evidence.OldFailed,
-		}
+		fields := moveFields(verdict.Move, &verdict.Evidence)
+		fields["state"], fields["why"] = verdict.State, verdict.Reason
 		if err := n.Platform.WriteMove(ctx, verdict.Move, verdict.State); err != nil {
 			n.Log.WithError(err).WithFields(fields).Warn("writing the state of a version move failed")
 			continue
@@ -78,6 +75,25 @@
 	}
 }
 
+// moveFields returns the fields that describe a version move and the evidence of all VMs
+// on it in a log line.
+func moveFields(move directory.Move, evidence *canary.Evidence) logrus.Fields {
+	return logrus.Fields{
+		"service": move.Service, "to": move.TargetVersion, "age_ms": evidence.Age,
+		"new": evidence.Whole.New, "old": evidence.Whole.Old, "recent_new": evidence.Recent.New, "recent_old": evidence.Recent.Old,
+	}
+}
+
+// logBadVersion logs that this VM sends no more requests to a new version. peer names the
+// VM that reported it bad, if it was not found by the evidence of all VMs.
+func (n *Node) logBadVersion(move directory.Move, evidence canary.Evidence, peer string) {
+	line := n.Log.WithFields(moveFields(move, &evidence))
+	if peer != "" {
+		line = line.WithField("reported_by", peer)
+	}
+	line.Warn("found a new version bad")
+}
+
 // rewriteLostMoveStates writes the states of version moves again that the store may have
 // lost by coming back from a copy, if this VM is the writer. It tries each at most once
 // every moveRewriteInterval, as the operator must first have written the move again.
--- a/internal/policy/balance/grant.go
+++ b/internal/policy/balance/grant.go
@@ -155,6 +155,14 @@
 // endpoint that is not warm for the object.
 func (g *Grant) IsPastTypical(took clock.Millis) bool { return float64(took) >= g.typical }
 
+// tightFactor is how many times the expected response time a request must have left, or
+// a good endpoint may miss the deadline too.
+const tightFactor = 1.5
+
+// IsTight reports whether the request, when it was sent, had hardly more time left than
+// its response was expected to take.
+func (g *Grant) IsTight() bool { return float64(g.request.Remaining) < tightFactor*g.expected }
+
 // averageDivisor is the divisor in the moving averages of run times: a new value counts
 // for 1/averageDivisor.
 const averageDivisor = 16
--- a/internal/policy/canary/canary.go
+++ b/internal/policy/canary/canary.go
@@ -70,7 +70,7 @@
 	// of the move.
 	Age clock.Millis
 	// NewAnswers counts the responses of the new version and NewBad sums the weights of
-	// its bad responses; see Guard.Record. Both decay over time. OldAnswers and OldBad
+	// its bad responses; see Result.weight. Both decay over time. OldAnswers and OldBad
 	// are the same for the old version.
 	NewAnswers, NewBad float64
 	OldAnswers, OldBad float64
@@ -80,6 +80,9 @@
 	// the move, EverBad sums the weights of the bad ones, and EverFailed counts the
 	// failed ones. They do not decay.
 	EverAnswers, EverBad, EverFailed float64
+	// Whole counts the requests since the VM first knew of the move, Recent those of the
+	// last seconds.
+	Whole, Recent VersionCounts
 	// Bad reports whether the VM has found the new version bad.
 	Bad bool
 }
@@ -117,6 +120,9 @@
 	// MaxShare is the maximum fraction of a service's requests that a new version may
 	// get during its trial.
 	MaxShare float64
+	// OnBad is called, with the Guard locked, when the VM finds a new version bad by the
+	// given evidence of all VMs, or learns it from a peer; optional.
+	OnBad func(move directory.Move, evidence Evidence, peer string)
 
 	mu sync.Mutex
 	// trials holds the trial of each service that has a move. Guarded by mu.
@@ -128,10 +134,13 @@
 	move      directory.Move
 	evidence  Evidence
 	decayedAt clock.Millis
+	recent    recentCounts
 	// peers holds the latest evidence of each peer.
 	peers map[string]Evidence
 	// credit is the number of requests that may be sent to the new version now.
 	credit float64
+	// onBad is the Guard's OnBad.
+	onBad func(move directory.Move, evidence Evidence, peer string)
 }
 
 // Update replaces the moves, which are by service.
@@ -144,7 +153,7 @@
 	for service, move := range moves {
 		t := g.trials[service]
 		if t == nil || t.move.TargetVersion != move.TargetVersion {
-			t = &trial{evidence: Evidence{To: move.TargetVersion}, decayedAt: g.Clock.Now(), peers: map[string]Evidence{}}
+			t = &trial{evidence: Evidence{To: move.TargetVersion}, decayedAt: g.Clock.Now(), peers: map[string]Evidence{}, onBad: g.OnBad}
 			g.trials[service] = t
 			t.move = move
 			continue
@@ -222,17 +231,35 @@
 	SlowWeight = 0.95
 )
 
-// Record counts a response of a version. bad is its weight: 0 for a good response, 1
-// for a failed one, LateWeight or SlowWeight for a late or slow one.
-func (g *Guard) Record(service, version string, bad float64) {
+// weight returns how bad a response is.
+func (r Result) weight() float64 {
+	switch r.Outcome {
+	case Late:
+		return LateWeight
+	case Slow:
+		return SlowWeight
+	case Failed, Ended:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// Record counts a request that a version ran.
+func (g *Guard) Record(service, version string, result Result) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t := g.trials[service]
 	if t == nil {
 		return
 	}
-	t.decay(g.Clock.Now())
+	now := g.Clock.Now()
+	t.decay(now)
+	bad := result.weight()
+	recent := t.recent.advance(now)
 	if version == t.move.TargetVersion {
+		t.evidence.Whole.New.record(result)
+		recent.New.record(result)
 		t.evidence.NewAnswers++
 		t.evidence.NewBad += bad
 		t.evidence.EverAnswers++
@@ -242,6 +269,8 @@
 		}
 		return
 	}
+	t.evidence.Whole.Old.record(result)
+	recent.Old.record(result)
 	t.evidence.OldAnswers++
 	t.evidence.OldBad += bad
 	if bad >= 1 {
@@ -260,6 +289,7 @@
 			continue
 		}
 		t.evidence.Bad = t.isBad(now)
+		t.evidence.Recent = t.recent.sum(now)
 		t.evidence.Age = now - t.move.FirstSeen
 		evidence[service] = t.evidence
 	}
@@ -291,7 +321,7 @@
 	case t.isBad(now):
 		return Verdict{State: directory.MoveRolledBack, Reason: "the new version answers worse than the old one"}, true
 	case isDue && t.failsAtDeadline(now):
-		t.evidence.Bad = true
+		t.setBad(now, "")
 		return Verdict{State: directory.MoveRolledBack, Reason: "the new version failed more often than the old one until its deadline"}, true
 	case isDue:
 		return Verdict{State: directory.MoveDone, Reason: "the new version answered as well as the old one until its deadline"}, true
@@ -331,6 +361,8 @@
 	e.EverAnswers += other.EverAnswers
 	e.EverBad += other.EverBad
 	e.EverFailed += other.EverFailed
+	e.Whole.add(&other.Whole)
+	e.Recent.add(&other.Recent)
 }
 
 // isWorse reports whether the new version must be rolled back before its deadline.
@@ -379,17 +411,26 @@
 	if t.evidence.Bad {
 		return true
 	}
-	for _, peer := range t.peers {
+	for name, peer := range t.peers {
 		if peer.Bad {
-			t.evidence.Bad = true
+			t.setBad(now, name)
 			return true
 		}
 	}
-	sum := t.totalEvidence(now)
-	t.evidence.Bad = sum.isWorse()
+	if sum := t.totalEvidence(now); sum.isWorse() {
+		t.setBad(now, "")
+	}
 	return t.evidence.Bad
 }
 
+// setBad records that the new version is bad. peer names the VM that reported it, if any.
+func (t *trial) setBad(now clock.Millis, peer string) {
+	t.evidence.Bad = true
+	if t.onBad != nil {
+		t.onBad(t.move, t.totalEvidence(now), peer)
+	}
+}
+
 // failsAtDeadline reports whether the new version must be rolled back at its deadline,
 // according to the evidence of all VMs together.
 func (t *trial) failsAtDeadline(now clock.Millis) bool {
@@ -401,6 +442,7 @@
 func (t *trial) totalEvidence(now clock.Millis) Evidence {
 	t.decay(now)
 	sum := t.evidence
+	sum.Age, sum.Recent = now-t.move.FirstSeen, t.recent.sum(now)
 	for _, peer := range t.peers {
 		sum.add(&peer)
 	}
--- a/internal/policy/canary/canary_test.go
+++ b/internal/policy/canary/canary_test.go
@@ -45,11 +45,11 @@
 			version, bad = "v2", badNew
 			t.sentNew++
 		}
-		weight := 0.0
+		outcome := canary.Good
 		if bad > 0 && t.sent%bad == 0 {
-			weight = 1
+			outcome = canary.Failed
 		}
-		t.guard.Record("s", version, weight)
+		t.guard.Record("s", version, canary.Result{Outcome: outcome})
 	}
 }
 
@@ -150,11 +150,11 @@
 	g := NewWithT(t)
 	trial := newTrial()
 	for i := range 12 {
-		bad := 0.0
+		outcome := canary.Good
 		if i%4 == 0 {
-			bad = canary.LateWeight
+			outcome = canary.Late
 		}
-		trial.guard.Record("s", "v2", bad)
+		trial.guard.Record("s", "v2", canary.Result{Outcome: outcome})
 		trial.run(200, 0, 0)
 	}
 	g.Expect(trial.verdict()).To(Equal(directory.MoveRunning))
@@ -164,50 +164,50 @@
 	g := NewWithT(t)
 	trial := newTrial()
 	for range 12 {
-		trial.guard.Record("s", "v2", canary.LateWeight)
+		trial.guard.Record("s", "v2", canary.Result{Outcome: canary.Late})
 		trial.run(200, 0, 0)
 	}
 	g.Expect(trial.verdict()).To(Equal(directory.MoveRolledBack))
 }
 
-// record records responses of both versions in turn, 0.1 s apart, with the given
-// weights.
-func (t *trial) record(turns int, newBad, oldBad func(turn int) float64) {
+// record records requests on both versions in turn, 0.1 s apart, with the given
+// outcomes.
+func (t *trial) record(turns int, ofNew, ofOld func(turn int) canary.Outcome) {
 	for turn := range turns {
-		t.guard.Record("s", "v2", newBad(turn))
-		t.guard.Record("s", "v1", oldBad(turn))
+		t.guard.Record("s", "v2", canary.Result{Outcome: ofNew(turn)})
+		t.guard.Record("s", "v1", canary.Result{Outcome: ofOld(turn)})
 		t.manual.Advance(100)
 	}
 }
 
-// weightedPart returns a function that gives the weight to the first count responses of
-// every cycle of responses and 0 to the others.
-func weightedPart(weight float64, count, cycle int) func(turn int) float64 {
-	return func(turn int) float64 {
+// some returns a function that gives the outcome to the first count requests of every
+// cycle of requests and Good to the others.
+func some(outcome canary.Outcome, count, cycle int) func(turn int) canary.Outcome {
+	return func(turn int) canary.Outcome {
 		if turn%cycle < count {
-			return weight
+			return outcome
 		}
-		return 0
+		return canary.Good
 	}
 }
 
 func TestVerdictDependsOnNumberAndLatenessOfAnswers(t *testing.T) {
 	for name, c := range map[string]struct {
-		newBad, oldBad func(turn int) float64
-		verdict        directory.MoveState
+		ofNew, ofOld func(turn int) canary.Outcome
+		verdict      directory.MoveState
 	}{
 		// The move to this version was completed when LateWeight was 0.5, because its
 		// late responses then hardly exceeded the margin.
-		"two of five late": {weightedPart(canary.LateWeight, 8, 20), weightedPart(canary.LateWeight, 1, 20), directory.MoveRolledBack},
+		"two of five late": {some(canary.Late, 8, 20), some(canary.Late, 1, 20), directory.MoveRolledBack},
 		// The move to this version was completed when the weight did not depend on how
 		// late a response was.
-		"one of four much later than typical": {weightedPart(canary.SlowWeight, 1, 4), weightedPart(canary.LateWeight, 1, 60), directory.MoveRolledBack},
+		"one of four much later than typical": {some(canary.Slow, 1, 4), some(canary.Late, 1, 60), directory.MoveRolledBack},
 		// If one of four endpoints is slow, the version need not be bad.
-		"one of four late": {weightedPart(canary.LateWeight, 1, 4), weightedPart(canary.LateWeight, 0, 4), directory.MoveRunning},
+		"one of four late": {some(canary.Late, 1, 4), some(canary.Late, 0, 4), directory.MoveRunning},
 	} {
 		t.Run(name, func(t *testing.T) {
 			trial := newTrial()
-			trial.record(60, c.newBad, c.oldBad)
+			trial.record(60, c.ofNew, c.ofOld)
 			NewWithT(t).Expect(trial.verdict()).To(Equal(c.verdict))
 		})
 	}
@@ -220,11 +220,7 @@
 	g := NewWithT(t)
 	trial := newTrial()
 	for i := range 20 {
-		bad := 0.0
-		if i%10 < 3 {
-			bad = 1
-		}
-		trial.guard.Record("s", "v2", bad)
+		trial.guard.Record("s", "v2", canary.Result{Outcome: some(canary.Failed, 3, 10)(i)})
 		trial.manual.Advance(600)
 	}
 	g.Expect(trial.verdict()).To(Equal(directory.MoveRolledBack))
@@ -237,17 +233,17 @@
 		g := NewWithT(t)
 		trial := newTrial()
 		for i := range 12 {
-			bad := 0.0
+			outcome := canary.Good
 			if i%6 == 0 && i/6 < failures {
-				bad = 1
+				outcome = canary.Failed
 			}
-			trial.guard.Record("s", "v2", bad)
-			trial.guard.Record("s", "v1", weightedPart(canary.LateWeight, 1, 4)(i))
+			trial.guard.Record("s", "v2", canary.Result{Outcome: outcome})
+			trial.guard.Record("s", "v1", canary.Result{Outcome: some(canary.Late, 1, 4)(i)})
 			for range 9 {
-				trial.guard.Record("s", "v1", 0)
+				trial.guard.Record("s", "v1", canary.Result{})
 			}
 		}
-		trial.guard.Record("s", "v1", 1)
+		trial.guard.Record("s", "v1", canary.Result{Outcome: canary.Failed})
 		g.Expect(trial.verdict()).To(Equal(directory.MoveRunning))
 		trial.manual.Advance(trialDuration - clock.Second)
 		g.Expect(trial.verdict()).To(Equal(state), "%d failures", failures)
--- /dev/null
+++ b/internal/policy/canary/counts.go
@@ -0,0 +1,113 @@
+package canary
+
+import "baobabladder.example/baobabladder/internal/base/clock"
+
+// Outcome is how a request on a version ended.
+type Outcome int
+
+// Outcomes of requests.
+const (
+	// Good is a whole answer that did not take much longer than is typical.
+	Good Outcome = iota
+	// Late is the outcome if the deadline passed before the answer, though there was time
+	// for a typical run. Slow is a late or whole answer that took much longer than is
+	// typical.
+	Late
+	Slow
+	// Failed is an answer by which the endpoint reports a failure.
+	Failed
+	// Ended is the outcome if the connection ended before the answer was whole. The cause
+	// may be the version, the request, the link or the endpoint's VM.
+	Ended
+)
+
+// Result is what is known of a request that a version ran.
+type Result struct {
+	Outcome Outcome
+	// IsTight reports that the request had hardly more time than it was expected to need,
+	// so that a good version may be late with it too.
+	IsTight bool
+}
+
+// Counts holds the number of a version's requests by outcome.
+type Counts struct {
+	// Answers counts all requests, including those that got no answer.
+	Answers int `json:"answers"`
+	Failed  int `json:"failed"`
+	Ended   int `json:"ended"`
+	// Tight counts the requests with tight time, TightSlow those of them that were slow or
+	// late. Slow counts the slow or late ones of the others.
+	Tight     int `json:"tight"`
+	TightSlow int `json:"tight_slow"`
+	Slow      int `json:"slow"`
+}
+
+// VersionCounts holds the counts of both versions over the same time.
+type VersionCounts struct {
+	New, Old Counts
+}
+
+func (c *Counts) record(result Result) {
+	c.Answers++
+	if result.IsTight {
+		c.Tight++
+	}
+	switch {
+	case result.Outcome == Failed:
+		c.Failed++
+	case result.Outcome == Ended:
+		c.Ended++
+	case result.Outcome == Good:
+	case result.IsTight:
+		c.TightSlow++
+	default:
+		c.Slow++
+	}
+}
+
+// add adds the requests that other counts.
+func (c *Counts) add(other *Counts) {
+	c.Answers += other.Answers
+	c.Failed += other.Failed
+	c.Ended += other.Ended
+	c.Tight += other.Tight
+	c.TightSlow += other.TightSlow
+	c.Slow += other.Slow
+}
+
+func (v *VersionCounts) add(other *VersionCounts) {
+	v.New.add(&other.New)
+	v.Old.add(&other.Old)
+}
+
+// recentSpan times recentSpans is the length of the window of recent requests.
+const (
+	recentSpan  = clock.Second
+	recentSpans = 4
+)
+
+// recentCounts sums up counts over the last recentSpans spans.
+type recentCounts struct {
+	spans [recentSpans]VersionCounts
+	// spanIndex is the number of spans from time 0 to the newest one.
+	spanIndex int64
+}
+
+// advance clears the spans that have left the window and returns the newest one.
+func (r *recentCounts) advance(now clock.Millis) *VersionCounts {
+	at := int64(now / recentSpan)
+	for cleared := 0; r.spanIndex < at && cleared < recentSpans; cleared++ {
+		r.spanIndex++
+		r.spans[r.spanIndex%recentSpans] = VersionCounts{}
+	}
+	r.spanIndex = at
+	return &r.spans[at%recentSpans]
+}
+
+func (r *recentCounts) sum(now clock.Millis) (sum VersionCounts) {
+	r.advance(now)
+	for i := range r.spans {
+		sum.add(&r.spans[i])
+	}
+	return sum
+}
