Move the comparison of rates out of the evidence of moves

policy/move decides by likelihood ratio and binomial probability, policy/canary by margins. No decision changes; the tests of policy/move pass.

--- a/internal/policy/move/evidence.go
+++ b/internal/policy/move/evidence.go
@@ -6,6 +6,7 @@
 	"sort"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/policy/likelihood"
 )
 
 const (
@@ -47,13 +48,6 @@
 	// toleratedFailureRate is the failure rate that the sequential test accepts for
 	// any version.
 	toleratedFailureRate = 0.01
-	// maxExactTrials is the number of trials up to which binomial probabilities are
-	// summed exactly.
-	maxExactTrials = 1000
-	// maxDeviations replaces the significance level for more than maxExactTrials
-	// trials: it is the number of standard deviations above the expected number
-	// from which chance is ruled out.
-	maxDeviations = 5.0
 	// minOldResponses is the number of responses from which the old version's latency
 	// counts as known.
 	minOldResponses = 10
@@ -236,56 +230,18 @@
 	}
 	expected := max(toleratedFailureRate, oldRate, ratio(attempt.Old.Failures, attempt.Old.Answers))
 	windows := max(ratio(attempt.New.Answers, max(c.New.Answers, minWindowResponses)), 1)
-	if likelihoodRatio(c.New.Failures, c.New.Answers, expected) >= math.Log(sequentialTestRatio*windows) {
+	if likelihood.Ratio(c.New.Failures, c.New.Answers, expected) >= math.Log(sequentialTestRatio*windows) {
 		return true
 	}
 	part := ratio(c.New.Answers, c.New.Answers+c.Old.Answers)
-	return isUnlikely(c.New.Failures, c.New.Failures+c.Old.Failures, part, failureMaxP)
-}
-
-// likelihoodRatio returns the logarithm of how much likelier the failures are for a
-// faulty version than at the expected rate. The failure rate of a faulty version
-// has a Beta(2, 1) prior, under which higher rates are likelier. The ratio is a
-// test martingale: at the expected rate, the probability that it ever reaches n is
-// at most 1/n.
-func likelihoodRatio(failures, responses int64, expected float64) float64 {
-	f, n := float64(failures), float64(responses)
-	if expected >= 1 || f <= n*expected {
-		return 0
-	}
-	ofFailures, _ := math.Lgamma(f + 2)
-	ofRest, _ := math.Lgamma(n - f + 1)
-	ofAll, _ := math.Lgamma(n + 3)
-	return math.Ln2 + ofFailures + ofRest - ofAll - f*math.Log(expected) - (n-f)*math.Log1p(-expected)
+	return likelihood.IsUnlikely(c.New.Failures, c.New.Failures+c.Old.Failures, part, failureMaxP)
 }
 
 // isDoubtful reports whether there are too many failures to proceed without more
 // responses, although they don't prove a fault.
 func (c *VersionCounts) isDoubtful() bool {
 	expected := max(toleratedFailureRate, ratio(c.Old.Failures, c.Old.Answers))
-	return c.New.Failures > 0 && isUnlikely(c.New.Failures, c.New.Answers, expected, doubtMaxP)
-}
-
-// isUnlikely reports whether it is less probable than bound that count or more
-// events occur in all trials, if an event has the given chance in each trial.
-// For more than maxExactTrials trials it compares with maxDeviations instead of
-// bound.
-func isUnlikely(count, all int64, chance, bound float64) bool {
-	n := float64(all)
-	if chance >= 1 || float64(count) <= n*chance {
-		return false
-	}
-	if all > maxExactTrials {
-		return float64(count)-n*chance > maxDeviations*math.Sqrt(n*chance*(1-chance))
-	}
-	total, _ := math.Lgamma(n + 1)
-	var sum float64
-	for i := count; i <= all; i++ {
-		part, _ := math.Lgamma(float64(i) + 1)
-		rest, _ := math.Lgamma(n - float64(i) + 1)
-		sum += math.Exp(total - part - rest + float64(i)*math.Log(chance) + (n-float64(i))*math.Log1p(-chance))
-	}
-	return sum < bound
+	return c.New.Failures > 0 && likelihood.IsUnlikely(c.New.Failures, c.New.Answers, expected, doubtMaxP)
 }
 
 // slowResponses returns the number of the new version's slow responses. It also reports
@@ -301,7 +257,7 @@
 		return 0, false
 	}
 	count = c.New.countAbove(at)
-	return count, count >= minSlowResponses && isUnlikely(count, c.New.latencyCount(), expectedSlowShare, slowMaxP)
+	return count, count >= minSlowResponses && likelihood.IsUnlikely(count, c.New.latencyCount(), expectedSlowShare, slowMaxP)
 }
 
 func ratio(part, total int64) float64 {
