Compare versions by outcome and by chance, so that bad ones are not completed

Cause: all that went wrong was summed into one weight, over all VMs, and had to exceed the old version's by fixed margins (0.2, 0.1, 0.12). So a version that was bad less often was completed by construction; requests that ended endpoints, and VMs without links, raised the bar for the new version; and a fault that began late was diluted. At the deadline slowness was not compared. Ruled out: a slow spread of the finding (all VMs within 0.3 s).

Change: each outcome (failed, ended, slow, late, late with tight time) is compared by itself, over the trial and over the last 4 s, with what the VM's own old version shows at the same time. Before the deadline a likelihood ratio decides, as in policy/move; at the deadline a doubt of 1 in 20 is enough, with two bad requests at least. A request that had hardly more time than expected is compared apart, as good versions with empty caches are late with it too.

--- a/internal/control/roster/roster_test.go
+++ b/internal/control/roster/roster_test.go
@@ -279,17 +279,17 @@
 	f := newFleet(48)
 	for _, state := range f.states {
 		if state.VM.Region == "a" {
-			state.Trials = map[string]canary.Evidence{"s": {To: "v2", NewAnswers: 1, NewBad: 1}}
+			state.Trials = map[string]canary.Evidence{"s": {To: "v2", Whole: canary.VersionCounts{New: canary.Counts{Answers: 1, Failed: 1}}}}
 		}
 	}
-	received := 0.0
+	received := 0
 	f.vms["vm-46"].OnExchange = func(state State) {
 		if evidence, found := state.Regions["a"]; found {
-			received = max(received, evidence["s"].NewBad)
+			received = max(received, evidence["s"].Whole.New.Failed)
 		}
 	}
 	f.run(8 * clock.Second)
-	g.Expect(received).To(Equal(16.0))
+	g.Expect(received).To(Equal(16))
 }
 
 func TestOnlyTheMajorityPartitionHasAMajority(t *testing.T) {
--- a/internal/entry/node/moves.go
+++ b/internal/entry/node/moves.go
@@ -84,14 +84,9 @@
 	}
 }
 
-// logBadVersion logs that this VM sends no more requests to a new version. peer names the
-// VM that reported it bad, if it was not found by the evidence of all VMs.
-func (n *Node) logBadVersion(move directory.Move, evidence canary.Evidence, peer string) {
-	line := n.Log.WithFields(moveFields(move, &evidence))
-	if peer != "" {
-		line = line.WithField("reported_by", peer)
-	}
-	line.Warn("found a new version bad")
+// logBadVersion logs that this VM sends no more requests to a new version, and why.
+func (n *Node) logBadVersion(move directory.Move, evidence canary.Evidence, why string) {
+	n.Log.WithFields(moveFields(move, &evidence)).WithField("why", why).Warn("found a new version bad")
 }
 
 // rewriteLostMoveStates writes the states of version moves again that the store may have
--- a/internal/policy/canary/canary.go
+++ b/internal/policy/canary/canary.go
@@ -3,15 +3,15 @@
 // version is rolled back. A trial begins when a VM first knows of the move, and its
 // deadline is the MaxDuration of the move after that.
 //
-// A response is bad if it failed, came late or took much longer than is typical; a
-// weight says how bad it is. A version is bad if its responses are bad more often than
-// those of the old version, by more than a margin. Each VM stops sending requests to a
-// bad version as soon as its own responses and those that its peers report show that it
-// is bad. One of the VMs records the outcome.
+// Requests are counted by how they ended; see Outcome. A version is bad if it fails, ends
+// connections, or is slow or late more often than the old version on the same VM at the
+// same time, by more than chance explains. Each of these is compared by itself. Each VM
+// stops sending requests to a bad version as soon as its own requests and those that its
+// peers report show that it is bad. At the deadline a doubt is enough. One of the VMs
+// records the outcome.
 package canary
 
 import (
-	"math"
 	"sync"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
@@ -19,35 +19,6 @@
 )
 
 const (
-	// evidenceDecayTime is the time constant with which the weight of a response
-	// decays.
-	evidenceDecayTime = 8 * clock.Second
-	// minBad is the least sum of the weights of the new version's bad responses for a
-	// rollback. Older responses count less, by evidenceDecayTime.
-	minBad = 5
-	// badRateMargin is by how much the new version's fraction of bad responses, by
-	// weight, must exceed the old version's for a rollback.
-	badRateMargin = 0.2
-	// minTotalBad replaces minBad in a second comparison, of all responses since the
-	// start of the trial without decay. It is needed because a service with few
-	// requests has too few responses within evidenceDecayTime.
-	minTotalBad = 4
-	// minFailed and failureRateMargin are the corresponding limits in a third
-	// comparison, of failed responses only. They are lower because a slow endpoint or
-	// an object that is not cached makes responses late, but does not make them fail.
-	minFailed         = 3
-	failureRateMargin = 0.1
-	// minFailedAtDeadline and failureRateMarginAtDeadline are the limits for failed
-	// responses at the deadline. They favour a rollback, because to complete the move
-	// to a bad version does more harm, as it then runs all requests, than to roll back
-	// a good one, which then runs none.
-	minFailedAtDeadline         = 2
-	failureRateMarginAtDeadline = 0.12
-	// failureDeviations is the number of standard deviations by which failures must
-	// additionally exceed the expected number, to keep chance from causing a rollback.
-	// failureDeviationsAtDeadline applies at the deadline.
-	failureDeviations           = 2
-	failureDeviationsAtDeadline = 1
 	// completionLead is how long before its deadline a move is completed, to leave time
 	// for recording the outcome.
 	completionLead = 2500 * clock.Millis(1)
@@ -62,31 +33,6 @@
 	exposureMargin = 0.75
 )
 
-// Evidence is what one VM has observed about the versions of a service.
-type Evidence struct {
-	// To is the version on trial.
-	To string
-	// Age is how long ago the VM, or one of the peers that reported to it, first knew
-	// of the move.
-	Age clock.Millis
-	// NewAnswers counts the responses of the new version and NewBad sums the weights of
-	// its bad responses; see Result.weight. Both decay over time. OldAnswers and OldBad
-	// are the same for the old version.
-	NewAnswers, NewBad float64
-	OldAnswers, OldBad float64
-	// OldFailed counts failed responses of the old version. It decays over time.
-	OldFailed float64
-	// EverAnswers counts all responses of the new version since the VM first knew of
-	// the move, EverBad sums the weights of the bad ones, and EverFailed counts the
-	// failed ones. They do not decay.
-	EverAnswers, EverBad, EverFailed float64
-	// Whole counts the requests since the VM first knew of the move, Recent those of the
-	// last seconds.
-	Whole, Recent VersionCounts
-	// Bad reports whether the VM has found the new version bad.
-	Bad bool
-}
-
 // Choice restricts the versions that may run a request.
 type Choice struct {
 	// Only is the only version allowed, if not empty.
@@ -110,7 +56,7 @@
 	Move   directory.Move
 	State  directory.MoveState
 	Reason string
-	// Evidence is the combined evidence of all VMs on which the verdict is based.
+	// Evidence is the evidence of all VMs together, on which the verdict is based.
 	Evidence Evidence
 }
 
@@ -121,8 +67,8 @@
 	// get during its trial.
 	MaxShare float64
 	// OnBad is called, with the Guard locked, when the VM finds a new version bad by the
-	// given evidence of all VMs, or learns it from a peer; optional.
-	OnBad func(move directory.Move, evidence Evidence, peer string)
+	// given evidence of all VMs, or learns it from a peer; why says what showed it. Optional.
+	OnBad func(move directory.Move, evidence Evidence, why string)
 
 	mu sync.Mutex
 	// trials holds the trial of each service that has a move. Guarded by mu.
@@ -131,16 +77,15 @@
 
 // trial is the state of one move on this VM.
 type trial struct {
-	move      directory.Move
-	evidence  Evidence
-	decayedAt clock.Millis
-	recent    recentCounts
+	move     directory.Move
+	evidence Evidence
+	recent   recentCounts
 	// peers holds the latest evidence of each peer.
 	peers map[string]Evidence
 	// credit is the number of requests that may be sent to the new version now.
 	credit float64
 	// onBad is the Guard's OnBad.
-	onBad func(move directory.Move, evidence Evidence, peer string)
+	onBad func(move directory.Move, evidence Evidence, why string)
 }
 
 // Update replaces the moves, which are by service.
@@ -153,7 +98,7 @@
 	for service, move := range moves {
 		t := g.trials[service]
 		if t == nil || t.move.TargetVersion != move.TargetVersion {
-			t = &trial{evidence: Evidence{To: move.TargetVersion}, decayedAt: g.Clock.Now(), peers: map[string]Evidence{}, onBad: g.OnBad}
+			t = &trial{evidence: Evidence{To: move.TargetVersion}, peers: map[string]Evidence{}, onBad: g.OnBad}
 			g.trials[service] = t
 			t.move = move
 			continue
@@ -221,30 +166,6 @@
 	return Choice{Only: t.move.TargetVersion, Pack: true, PackOffset: max(offset, 0)}
 }
 
-// LateWeight is the weight of a response that came late or missed its deadline.
-// SlowWeight is the weight of a response that took much longer than is typical. Both
-// are below 1, because the cause may be something other than the version. For late
-// responses this is most likely if the route's timeout is hardly above the typical
-// time.
-const (
-	LateWeight = 0.75
-	SlowWeight = 0.95
-)
-
-// weight returns how bad a response is.
-func (r Result) weight() float64 {
-	switch r.Outcome {
-	case Late:
-		return LateWeight
-	case Slow:
-		return SlowWeight
-	case Failed, Ended:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // Record counts a request that a version ran.
 func (g *Guard) Record(service, version string, result Result) {
 	g.mu.Lock()
@@ -253,29 +174,14 @@
 	if t == nil {
 		return
 	}
-	now := g.Clock.Now()
-	t.decay(now)
-	bad := result.weight()
-	recent := t.recent.advance(now)
+	whole, recent := &t.evidence.Whole, t.recent.advance(g.Clock.Now())
 	if version == t.move.TargetVersion {
-		t.evidence.Whole.New.record(result)
+		whole.New.record(result)
 		recent.New.record(result)
-		t.evidence.NewAnswers++
-		t.evidence.NewBad += bad
-		t.evidence.EverAnswers++
-		t.evidence.EverBad += bad
-		if bad >= 1 {
-			t.evidence.EverFailed++
-		}
 		return
 	}
-	t.evidence.Whole.Old.record(result)
+	whole.Old.record(result)
 	recent.Old.record(result)
-	t.evidence.OldAnswers++
-	t.evidence.OldBad += bad
-	if bad >= 1 {
-		t.evidence.OldFailed++
-	}
 }
 
 // Evidence returns this VM's evidence on the current trials, by service, for its peers.
@@ -320,9 +226,8 @@
 	switch {
 	case t.isBad(now):
 		return Verdict{State: directory.MoveRolledBack, Reason: "the new version answers worse than the old one"}, true
-	case isDue && t.failsAtDeadline(now):
-		t.setBad(now, "")
-		return Verdict{State: directory.MoveRolledBack, Reason: "the new version failed more often than the old one until its deadline"}, true
+	case isDue && t.isDoubtful(now):
+		return Verdict{State: directory.MoveRolledBack, Reason: "until its deadline the new version did not answer as well as the old one"}, true
 	case isDue:
 		return Verdict{State: directory.MoveDone, Reason: "the new version answered as well as the old one until its deadline"}, true
 	case t.move.State == directory.MoveRequested:
@@ -332,78 +237,6 @@
 	}
 }
 
-// MergeEvidence combines the evidence of several VMs, by service. If it is about
-// different versions of a service, only the evidence on the version that comes first in
-// parts is kept.
-func MergeEvidence(parts []map[string]Evidence) map[string]Evidence {
-	sums := map[string]Evidence{}
-	for _, part := range parts {
-		for service, e := range part {
-			sum, found := sums[service]
-			if found && sum.To != e.To {
-				continue
-			}
-			e.Age, e.Bad = max(sum.Age, e.Age), sum.Bad || e.Bad
-			e.add(&sum)
-			sums[service] = e
-		}
-	}
-	return sums
-}
-
-// add adds the responses that another VM observed.
-func (e *Evidence) add(other *Evidence) {
-	e.NewAnswers += other.NewAnswers
-	e.NewBad += other.NewBad
-	e.OldAnswers += other.OldAnswers
-	e.OldBad += other.OldBad
-	e.OldFailed += other.OldFailed
-	e.EverAnswers += other.EverAnswers
-	e.EverBad += other.EverBad
-	e.EverFailed += other.EverFailed
-	e.Whole.add(&other.Whole)
-	e.Recent.add(&other.Recent)
-}
-
-// isWorse reports whether the new version must be rolled back before its deadline.
-func (e *Evidence) isWorse() bool {
-	oldRate := e.OldBad / max(e.OldAnswers, 1)
-	switch {
-	case e.NewBad >= minBad && e.NewBad > (oldRate+badRateMargin)*e.NewAnswers:
-		return true
-	case e.EverBad >= minTotalBad && e.EverBad > (oldRate+badRateMargin)*e.EverAnswers:
-		return true
-	default:
-		return e.failsMore(minFailed, failureRateMargin, failureDeviations)
-	}
-}
-
-// failsAtDeadline reports whether the new version must be rolled back at its deadline.
-func (e *Evidence) failsAtDeadline() bool {
-	return e.failsMore(minFailedAtDeadline, failureRateMarginAtDeadline, failureDeviationsAtDeadline)
-}
-
-// failsMore reports whether the new version has at least minFailures failed responses,
-// and its fraction of failed responses exceeds the old version's by more than margin
-// plus chance. Chance is the given number of standard deviations of the number of
-// failures expected at the old version's rate.
-func (e *Evidence) failsMore(minFailures, margin, deviations float64) bool {
-	oldRate := e.OldFailed / max(e.OldAnswers, 1)
-	tolerance := deviations * math.Sqrt(oldRate*e.EverAnswers)
-	return e.EverFailed >= minFailures && e.EverFailed > (oldRate+margin)*e.EverAnswers+tolerance
-}
-
-// decay applies the decay since the last call to this VM's evidence.
-func (t *trial) decay(now clock.Millis) {
-	factor := math.Exp(-float64(now-t.decayedAt) / float64(evidenceDecayTime))
-	t.decayedAt = now
-	t.evidence.NewAnswers *= factor
-	t.evidence.NewBad *= factor
-	t.evidence.OldAnswers *= factor
-	t.evidence.OldBad *= factor
-	t.evidence.OldFailed *= factor
-}
-
 // isBad reports whether the new version is bad, according to the evidence of all VMs
 // together or because a peer has found it bad. A version that was found bad once stays
 // bad.
@@ -413,38 +246,51 @@
 	}
 	for name, peer := range t.peers {
 		if peer.Bad {
-			t.setBad(now, name)
+			t.setBad(now, "reported by "+name)
 			return true
 		}
 	}
-	if sum := t.totalEvidence(now); sum.isWorse() {
-		t.setBad(now, "")
+	if why := firstThat(compare(t.evidences(now)), (*comparison).isFault); why != "" {
+		t.setBad(now, why)
 	}
 	return t.evidence.Bad
 }
 
-// setBad records that the new version is bad. peer names the VM that reported it, if any.
-func (t *trial) setBad(now clock.Millis, peer string) {
+// isDoubtful reports whether the new version must be rolled back at its deadline,
+// according to the evidence of all VMs together. It is then bad from now on.
+func (t *trial) isDoubtful(now clock.Millis) bool {
+	why := firstThat(compare(t.evidences(now)), (*comparison).isDoubt)
+	if why != "" {
+		t.setBad(now, why)
+	}
+	return why != ""
+}
+
+// setBad records that the new version is bad.
+func (t *trial) setBad(now clock.Millis, why string) {
 	t.evidence.Bad = true
 	if t.onBad != nil {
-		t.onBad(t.move, t.totalEvidence(now), peer)
+		t.onBad(t.move, t.totalEvidence(now), why)
 	}
 }
 
-// failsAtDeadline reports whether the new version must be rolled back at its deadline,
-// according to the evidence of all VMs together.
-func (t *trial) failsAtDeadline(now clock.Millis) bool {
-	sum := t.totalEvidence(now)
-	return sum.failsAtDeadline()
+// evidences returns this VM's evidence and that of each of its peers.
+func (t *trial) evidences(now clock.Millis) []Evidence {
+	own := t.evidence
+	own.Recent = t.recent.sum(now)
+	all := make([]Evidence, 0, 1+len(t.peers))
+	all = append(all, own)
+	for _, peer := range t.peers {
+		all = append(all, peer)
+	}
+	return all
 }
 
 // totalEvidence returns the combined evidence of all VMs.
 func (t *trial) totalEvidence(now clock.Millis) Evidence {
-	t.decay(now)
-	sum := t.evidence
-	sum.Age, sum.Recent = now-t.move.FirstSeen, t.recent.sum(now)
-	for _, peer := range t.peers {
-		sum.add(&peer)
+	sum := Evidence{To: t.move.TargetVersion, Age: now - t.move.FirstSeen, Bad: t.evidence.Bad}
+	for _, evidence := range t.evidences(now) {
+		sum.add(&evidence)
 	}
 	return sum
 }
--- a/internal/policy/canary/canary_test.go
+++ b/internal/policy/canary/canary_test.go
@@ -107,7 +107,7 @@
 	g := NewWithT(t)
 	trial := newTrial()
 	for _, peer := range []string{"vm-2", "vm-3", "vm-4", "vm-5"} {
-		trial.guard.SetPeerEvidence(peer, map[string]canary.Evidence{"s": {To: "v2", NewAnswers: 3, NewBad: 1.5, OldAnswers: 30}})
+		trial.guard.SetPeerEvidence(peer, map[string]canary.Evidence{"s": {To: "v2", Whole: canary.VersionCounts{New: canary.Counts{Answers: 3, Failed: 1}, Old: canary.Counts{Answers: 30}}}})
 	}
 	g.Expect(trial.verdict()).To(Equal(directory.MoveRolledBack))
 }
@@ -133,15 +133,20 @@
 	g.Expect(trial.guard.Choose("another service").Allows("v2")).To(BeTrue())
 }
 
+// ofNew returns the counts of good requests on the new version.
+func ofNew(answers int) canary.VersionCounts {
+	return canary.VersionCounts{New: canary.Counts{Answers: answers}}
+}
+
 func TestMergeEvidenceKeepsBadAndMaxAge(t *testing.T) {
 	g := NewWithT(t)
 	sum := canary.MergeEvidence([]map[string]canary.Evidence{
-		{"s": {To: "v2", Age: 5, NewAnswers: 1}},
-		{"s": {To: "v2", Age: 9, NewAnswers: 2, Bad: true}, "r": {To: "v1", OldBad: 1}},
-		{"s": {To: "v3", NewAnswers: 7}},
+		{"s": {To: "v2", Age: 5, Whole: ofNew(1)}},
+		{"s": {To: "v2", Age: 9, Whole: ofNew(2), Recent: ofNew(1), Bad: true}, "r": {To: "v1", Whole: canary.VersionCounts{Old: canary.Counts{Failed: 1}}}},
+		{"s": {To: "v3", Whole: ofNew(7)}},
 	})
-	g.Expect(sum["s"]).To(Equal(canary.Evidence{To: "v2", Age: 9, NewAnswers: 3, Bad: true}))
-	g.Expect(sum["r"].OldBad).To(Equal(1.0))
+	g.Expect(sum["s"]).To(Equal(canary.Evidence{To: "v2", Age: 9, Whole: ofNew(3), Recent: ofNew(1), Bad: true}))
+	g.Expect(sum["r"].Whole.Old.Failed).To(Equal(1))
 }
 
 // A good version was rolled back after three of its first twelve responses were late,
--- a/internal/policy/canary/counts.go
+++ b/internal/policy/canary/counts.go
@@ -10,9 +10,9 @@
 	// Good is a whole answer that did not take much longer than is typical.
 	Good Outcome = iota
 	// Late is the outcome if the deadline passed before the answer, though there was time
-	// for a typical run. Slow is a late or whole answer that took much longer than is
-	// typical.
+	// for a typical run.
 	Late
+	// Slow is the outcome if the request took much longer than is typical.
 	Slow
 	// Failed is an answer by which the endpoint reports a failure.
 	Failed
@@ -35,11 +35,12 @@
 	Answers int `json:"answers"`
 	Failed  int `json:"failed"`
 	Ended   int `json:"ended"`
-	// Tight counts the requests with tight time, TightSlow those of them that were slow or
-	// late. Slow counts the slow or late ones of the others.
+	// Tight counts the requests with tight time, TightLate those of them that were slow or
+	// late. Slow and Late count the others by Outcome.
 	Tight     int `json:"tight"`
-	TightSlow int `json:"tight_slow"`
+	TightLate int `json:"tight_late"`
 	Slow      int `json:"slow"`
+	Late      int `json:"late"`
 }
 
 // VersionCounts holds the counts of both versions over the same time.
@@ -59,9 +60,11 @@
 		c.Ended++
 	case result.Outcome == Good:
 	case result.IsTight:
-		c.TightSlow++
-	default:
+		c.TightLate++
+	case result.Outcome == Slow:
 		c.Slow++
+	default:
+		c.Late++
 	}
 }
 
@@ -71,8 +74,9 @@
 	c.Failed += other.Failed
 	c.Ended += other.Ended
 	c.Tight += other.Tight
-	c.TightSlow += other.TightSlow
+	c.TightLate += other.TightLate
 	c.Slow += other.Slow
+	c.Late += other.Late
 }
 
 func (v *VersionCounts) add(other *VersionCounts) {
--- a/internal/policy/canary/verdict_test.go
+++ b/internal/policy/canary/verdict_test.go
@@ -101,7 +101,7 @@
 	trial.play(phase{30, 8, outcomes(canary.Result{Outcome: canary.Slow}, 1, 4), good})
 	cut := canary.Counts{Answers: 60, Slow: 45}
 	trial.guard.SetPeerEvidence("vm-2", map[string]canary.Evidence{"s": {
-		To: "v2", OldAnswers: 60, OldBad: 45 * canary.SlowWeight,
+		To:    "v2",
 		Whole: canary.VersionCounts{New: canary.Counts{Answers: 1, Slow: 1}, Old: cut}, Recent: canary.VersionCounts{Old: cut},
 	}})
 	NewWithT(t).Expect(trial.outcome()).To(Equal(directory.MoveRolledBack))
