Decide a version move later, so that a fault that begins late is seen

A version whose fault began 2.5 s before the deadline or later was completed without one answer that showed it. The decision is now taken 1.2 s before the deadline: a healthy store takes two calls of some milliseconds for the write. With a store that takes over half a second a call at that moment the move is completed late, which it was before at over 1.25 s a call.

TestFaultThatBeginsShortlyBeforeDeadlineIsSeen failed before.

--- a/internal/policy/canary/canary.go
+++ b/internal/policy/canary/canary.go
@@ -21,7 +21,7 @@
 const (
 	// completionLead is how long before its deadline a move is completed, to leave time
 	// for recording the outcome.
-	completionLead = 2500 * clock.Millis(1)
+	completionLead = 1200 * clock.Millis(1)
 	// completionLeadDivisor bounds the lead of short moves to
 	// MaxDuration/completionLeadDivisor.
 	completionLeadDivisor = 4
--- a/internal/policy/canary/verdict_test.go
+++ b/internal/policy/canary/verdict_test.go
@@ -72,6 +72,17 @@
 	}
 }
 
+// A fault that began 2.3 s before the deadline went unseen, because the
+// decision was taken 2.5 s before the deadline.
+func TestFaultThatBeginsShortlyBeforeDeadlineIsSeen(t *testing.T) {
+	trial := newTrial()
+	trial.play(phase{97, 8, good, good})
+	g := NewWithT(t)
+	g.Expect(trial.verdict()).To(Equal(directory.MoveRunning))
+	trial.play(phase{11, 8, outcomes(canary.Result{Outcome: canary.Failed}, 1, 2), good})
+	g.Expect(trial.outcome()).To(Equal(directory.MoveRolledBack))
+}
+
 // Disturbances that show nothing of the version must not roll a good one back.
 func TestGoodVersionIsCompletedBesideDisturbances(t *testing.T) {
 	slow, failed, ended := canary.Result{Outcome: canary.Slow}, canary.Result{Outcome: canary.Failed}, canary.Result{Outcome: canary.Ended}
