Try a new version with some more requests where a service has few

VMs begin with different parts of a request, so that a large fleet, in which each VM may send less than one, sends any.

--- a/internal/base/settings/node.go
+++ b/internal/base/settings/node.go
@@ -54,8 +54,10 @@
 	RetrySlack  float64
 	RetryWindow clock.Millis
 	// TrialShare is the maximum share of a service's requests that a version may
-	// receive while it is on trial in a version move.
+	// receive while it is on trial in a version move. TrialSlack is the number of requests
+	// that it may receive beyond that, from all VMs together.
 	TrialShare float64
+	TrialSlack float64
 	// ColdOverage and ColdSlack bound the requests that an endpoint receives
 	// during its warm-up, per second and from all VMs: its warm-up rate times
 	// ColdOverage, plus ColdSlack.
@@ -160,6 +162,7 @@
 		{"bounds", "retry_slack", "10", readNumber(&b.RetrySlack)},
 		{"bounds", "retry_window", "10s", readDuration(&b.RetryWindow)},
 		{"bounds", "trial_share", "0.1", readNumber(&b.TrialShare)},
+		{"bounds", "trial_slack", "0", readNumber(&b.TrialSlack)},
 		{"bounds", "cold_overage", "1", readNumber(&b.ColdOverage)},
 		{"bounds", "cold_slack", "1", readNumber(&b.ColdSlack)},
 	}
--- a/internal/entry/node/duties.go
+++ b/internal/entry/node/duties.go
@@ -91,6 +91,7 @@
 		n.balancer.UpdateLimitDemands(n.limitDemands(members))
 		n.retryBudget.SetVMs(len(members))
 		n.blocklist.SetVMs(len(members))
+		n.canary.SetVMs(len(members))
 		candidates, hasMajority := n.roster.DutyCandidates(members)
 		n.setDutyAssignment(&dutyAssignment{candidates, hasMajority, fractionReachable(members)})
 		n.logLimits()
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -194,7 +194,7 @@
 		Self: config.Name, Peers: n.peers, OwnerOf: n.ownerOf, Workspace: n.workspace, ReachableFraction: n.reachableFraction,
 		OwnedBuckets: &quota.Owner{IsOwnershipUnstable: n.isOwnershipUnstable}, LocalLimiter: n.quota,
 	}
-	n.canary = &canary.Guard{MaxShare: config.Bounds.TrialShare, OnBad: n.logBadVersion}
+	n.canary = &canary.Guard{VM: config.Name, MaxShare: config.Bounds.TrialShare, MaxExtra: config.Bounds.TrialSlack, OnBad: n.logBadVersion}
 	n.blocklist, n.blocked = &blocklist.List{VM: config.Name}, make(chan struct{}, 1)
 	n.retryBudget = &retry.WindowBudget{Length: config.Bounds.RetryWindow, Ratio: config.Bounds.RetryRatio, Slack: config.Bounds.RetrySlack}
 	refuser := caller.RefusalWriter{Counters: metric.NewReasonCounters(n.metrics.Scope, "refusals"), GatewayStatuses: true}
--- a/internal/policy/canary/canary.go
+++ b/internal/policy/canary/canary.go
@@ -12,9 +12,11 @@
 package canary
 
 import (
+	"math"
 	"sync"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/hashing"
 	"baobabladder.example/baobabladder/internal/world/directory"
 )
 
@@ -31,6 +33,10 @@
 	// exposureMargin is the fraction of MaxShare that is used. The rest keeps the new
 	// version's share below the limit.
 	exposureMargin = 0.75
+	// extraMargin is the fraction of MaxExtra that is used.
+	extraMargin = 0.5
+	// maxCredit bounds the requests that a VM may send to the new version in sequence.
+	maxCredit = 2
 )
 
 // Choice restricts the versions that may run a request.
@@ -63,14 +69,19 @@
 // Guard manages the version moves of all services on one VM. MaxShare must be set.
 type Guard struct {
 	Clock clock.Clock
+	// VM is this VM's name.
+	VM string
 	// MaxShare is the maximum fraction of a service's requests that a new version may
-	// get during its trial.
-	MaxShare float64
+	// get during its trial. MaxExtra is the number of requests, from all VMs together,
+	// that it may get beyond that.
+	MaxShare, MaxExtra float64
 	// OnBad is called, with the Guard locked, when the VM finds a new version bad by the
 	// given evidence of all VMs, or learns it from a peer; why says what showed it. Optional.
 	OnBad func(move directory.Move, evidence Evidence, why string)
 
 	mu sync.Mutex
+	// vms is the number of VMs that send requests; 0 if it is not known yet. Guarded by mu.
+	vms int
 	// trials holds the trial of each service that has a move. Guarded by mu.
 	trials map[string]*trial
 }
@@ -82,8 +93,10 @@
 	recent   recentCounts
 	// peers holds the latest evidence of each peer.
 	peers map[string]Evidence
-	// credit is the number of requests that may be sent to the new version now.
-	credit float64
+	// credit is the number of requests that may be sent to the new version now. creditedAt
+	// is when the part of MaxExtra was last added to it.
+	credit     float64
+	creditedAt clock.Millis
 	// onBad is the Guard's OnBad.
 	onBad func(move directory.Move, evidence Evidence, why string)
 }
@@ -98,9 +111,7 @@
 	for service, move := range moves {
 		t := g.trials[service]
 		if t == nil || t.move.TargetVersion != move.TargetVersion {
-			t = &trial{evidence: Evidence{To: move.TargetVersion}, peers: map[string]Evidence{}, onBad: g.OnBad}
-			g.trials[service] = t
-			t.move = move
+			g.trials[service] = g.newTrial(move)
 			continue
 		}
 		firstSeen := min(t.move.FirstSeen, move.FirstSeen)
@@ -114,6 +125,24 @@
 	}
 }
 
+// newTrial returns the trial of a move that this VM sees first. The VMs begin with
+// different parts of a request, so that together they send as many as they may, even if
+// each may send less than one.
+func (g *Guard) newTrial(move directory.Move) *trial {
+	part := float64(hashing.Strings(g.VM, move.Service, move.TargetVersion)) / math.MaxUint64
+	return &trial{
+		move: move, evidence: Evidence{To: move.TargetVersion}, peers: map[string]Evidence{}, onBad: g.OnBad,
+		credit: part, creditedAt: g.Clock.Now(),
+	}
+}
+
+// SetVMs sets the number of VMs that send requests.
+func (g *Guard) SetVMs(count int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.vms = count
+}
+
 // SetPeerEvidence sets the latest evidence of a peer, by service. vm is the name of the
 // peer or, for the combined evidence of a region, identifies the region.
 func (g *Guard) SetPeerEvidence(vm string, reported map[string]Evidence) {
@@ -157,7 +186,7 @@
 	if t.isBad(g.Clock.Now()) {
 		return Choice{Not: t.move.TargetVersion}
 	}
-	t.credit = min(t.credit+g.MaxShare*exposureMargin, 2)
+	t.addCredit(g.MaxShare*exposureMargin + g.extraCredit(t))
 	if t.credit < 1 {
 		return Choice{Not: t.move.TargetVersion}
 	}
@@ -166,6 +195,20 @@
 	return Choice{Only: t.move.TargetVersion, Pack: true, PackOffset: max(offset, 0)}
 }
 
+// extraCredit returns this VM's part of MaxExtra for the time since the last call. It is
+// spread over the trial, because a fault may begin late. The caller must hold mu.
+func (g *Guard) extraCredit(t *trial) float64 {
+	now := min(g.Clock.Now(), t.move.FirstSeen+t.move.MaxDuration)
+	since := now - t.creditedAt
+	if g.vms == 0 || since <= 0 {
+		return 0
+	}
+	t.creditedAt = now
+	return g.MaxExtra * extraMargin / float64(g.vms) * float64(since) / float64(t.move.MaxDuration)
+}
+
+func (t *trial) addCredit(requests float64) { t.credit = min(t.credit+requests, maxCredit) }
+
 // Record counts a request that a version ran.
 func (g *Guard) Record(service, version string, result Result) {
 	g.mu.Lock()
--- a/internal/policy/canary/verdict_test.go
+++ b/internal/policy/canary/verdict_test.go
@@ -1,10 +1,12 @@
 package canary_test
 
 import (
+	"fmt"
 	"testing"
 
 	. "github.com/onsi/gomega"
 
+	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/policy/canary"
 	"baobabladder.example/baobabladder/internal/world/directory"
 )
@@ -117,3 +119,31 @@
 	}})
 	NewWithT(t).Expect(trial.outcome()).To(Equal(directory.MoveRolledBack))
 }
+
+// A bad version of a service with few requests was completed: its trial had no answers.
+func TestQuietServiceIsTriedWithExtraRequests(t *testing.T) {
+	const (
+		vms      = 8
+		maxExtra = 50
+	)
+	manual := &clock.Manual{}
+	sent, sentNew := 0, 0
+	guards := make([]*canary.Guard, vms)
+	for i := range guards {
+		guards[i] = &canary.Guard{Clock: manual.Clock(), VM: fmt.Sprint("vm-", i), MaxShare: share, MaxExtra: maxExtra}
+		guards[i].SetVMs(vms)
+		guards[i].Update(map[string]directory.Move{"s": {Service: "s", TargetVersion: "v2", MaxDuration: trialDuration, State: directory.MoveRunning}})
+	}
+	for manual.Clock().Now() < trialDuration {
+		for _, guard := range guards {
+			sent++
+			if guard.Choose("s").Allows("v2") {
+				sentNew++
+			}
+		}
+		manual.Advance(1500)
+	}
+	g := NewWithT(t)
+	g.Expect(sentNew).To(BeNumerically(">=", 20))
+	g.Expect(float64(sentNew)).To(BeNumerically("<=", share*float64(sent)+maxExtra))
+}
