Try a version with a part of the objects, so that its answers show the version

Also, a trial drew objects away from the old version's endpoints and told all VMs so.

Trials now prefer a quarter of the objects, the same on all VMs, stay with the same endpoints for 3 s in place of 1.5, keep what they know of caches apart from the old version, and count an endpoint as warm only if the VM knows it. The last seconds, one of several windows, need a doubt of 1 in 50.

TestTrialLeavesObjectsWithOldVersion failed before.

--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -84,7 +84,7 @@
 	grant, err := c.gateway.Balancer.Place(&balance.Request{
 		Route: c.route, Workspace: c.workspace, Service: c.service, Object: c.object,
 		Kilobytes: float64(c.bodyLength) / kilobyte, Remaining: remainingTime(ctx),
-		Versions: c.gateway.Canary.Choose(c.service.Name), ExcludedEndpoints: c.triedEndpoints,
+		Versions: c.gateway.Canary.Choose(c.service.Name, c.object), ExcludedEndpoints: c.triedEndpoints,
 	})
 	if err != nil {
 		return err
--- a/internal/policy/balance/affinity.go
+++ b/internal/policy/balance/affinity.go
@@ -24,6 +24,16 @@
 	isRelocated bool
 }
 
+// affinityKey returns the name under which the endpoint that served the request's object is
+// stored; empty if there is no object. Requests of a trial have names of their own: they
+// must not draw the object away from the old version.
+func (r *Request) affinityKey() string {
+	if r.Object == "" || !r.Versions.Pack {
+		return r.Object
+	}
+	return r.Object + " " + r.Versions.Only
+}
+
 // Relocation announces to peers that an object is served by an endpoint other than its
 // home. The peers then send requests for the object to the same endpoint.
 type Relocation struct {
--- a/internal/policy/balance/balance_test.go
+++ b/internal/policy/balance/balance_test.go
@@ -340,3 +340,33 @@
 	_, err = f.balancer.Place(request("e01"))
 	g.Expect(err).NotTo(HaveOccurred())
 }
+
+// A trial announced to all VMs that its endpoints had an object cached.
+func TestTrialLeavesObjectsWithOldVersion(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(8)
+	for i := range 4 {
+		f.endpoints[i].Version = "v2"
+	}
+	f.update(nil)
+	send := func(versions canary.Choice) *Grant {
+		r := request("x")
+		r.Versions = versions
+		grant := f.place(t, r)
+		grant.Done(Result{Outcome: Answered, Running: -1})
+		return grant
+	}
+	old := send(canary.Choice{Not: "v2"}).Endpoint.ID
+	for offset := range 4 {
+		trial := canary.Choice{Only: "v2", Pack: true, PackOffset: offset}
+		first := send(trial)
+		g.Expect(first.Endpoint.Version).To(Equal("v2"))
+		again := send(trial)
+		g.Expect(again.Endpoint.ID).To(Equal(first.Endpoint.ID))
+		g.Expect(again.isWarm).To(BeTrue())
+	}
+	g.Expect(f.balancer.Relocations()).To(BeEmpty())
+	again := send(canary.Choice{Not: "v2"})
+	g.Expect(again.Endpoint.ID).To(Equal(old))
+	g.Expect(again.isWarm).To(BeTrue())
+}
--- a/internal/policy/balance/candidate.go
+++ b/internal/policy/balance/candidate.go
@@ -249,11 +249,12 @@
 	run := b.runTime(request)
 	c := candidate{state: state, isHome: isHome}
 	runMillis := run.uncached
-	recent, known := b.affinities[request.Object]
+	object := request.affinityKey()
+	recent, known := b.affinities[object]
 	switch {
-	case request.Object != "" && known && recent.endpoint == state.endpoint.ID && now-recent.lastUsedAt < affinityTTL:
+	case object != "" && known && recent.endpoint == state.endpoint.ID && now-recent.lastUsedAt < affinityTTL:
 		runMillis, c.isWarm = run.cached, true
-	case isHome:
+	case isHome && !request.Versions.Pack:
 		runMillis = run.cached
 	}
 	if state.endpoint.ColdUntil > now {
--- a/internal/policy/balance/grant.go
+++ b/internal/policy/balance/grant.go
@@ -15,7 +15,9 @@
 	balancer *Balancer
 	state    *endpointState
 	request  *Request
-	sentAt   clock.Millis
+	// object is the request's affinityKey.
+	object string
+	sentAt clock.Millis
 	// expected is the expected response time in milliseconds, including the round trip
 	// and the time in the endpoint's queue.
 	expected float64
@@ -89,7 +91,7 @@
 	state := c.state
 	g := &Grant{
 		Endpoint: state.endpoint, IsCold: state.endpoint.ColdUntil > now, balancer: b, state: state, request: request,
-		sentAt: now, expected: c.expected, typical: c.typical, hadFreeSlot: c.wait == 0, isWarm: c.isWarm,
+		object: request.affinityKey(), sentAt: now, expected: c.expected, typical: c.typical, hadFreeSlot: c.wait == 0, isWarm: c.isWarm,
 	}
 	g.Basis = newBasis(c, g.IsCold, now)
 	if g.IsCold {
@@ -97,8 +99,8 @@
 	}
 	b.takeLimitToken(state, len(request.ExcludedEndpoints) > 0, now)
 	state.inFlightSince = append(state.inFlightSince, now)
-	if request.Object != "" {
-		b.recordAffinity(request.Object, state.endpoint.ID, !c.isHome, now)
+	if g.object != "" {
+		b.recordAffinity(g.object, state.endpoint.ID, !c.isHome && !request.Versions.Pack, now)
 	}
 	return g
 }
@@ -138,8 +140,8 @@
 		g.state.updateSlowdown(took / max(g.expected, 1))
 	}
 	g.state.recordResult(result, now)
-	if result.Outcome != Answered && result.Outcome != Cancelled && g.request.Object != "" {
-		delete(b.affinities, g.request.Object)
+	if result.Outcome != Answered && result.Outcome != Cancelled && g.object != "" {
+		delete(b.affinities, g.object)
 	}
 }
 
--- a/internal/policy/canary/canary.go
+++ b/internal/policy/canary/canary.go
@@ -29,7 +29,10 @@
 	completionLeadDivisor = 4
 	// packInterval is how long the same endpoints of a new version get its requests
 	// before PackOffset grows.
-	packInterval = 1500 * clock.Millis(1)
+	packInterval = 3 * clock.Second
+	// objectParts is the number of parts of a service's objects, one of which is tried, so
+	// that the endpoints of the new version soon have the objects cached.
+	objectParts = 4
 	// exposureMargin is the fraction of MaxShare that is used. The rest keeps the new
 	// version's share below the limit.
 	exposureMargin = 0.75
@@ -169,8 +172,9 @@
 	}
 }
 
-// Choose returns the versions that may run the next request to a service.
-func (g *Guard) Choose(service string) Choice {
+// Choose returns the versions that may run the next request to a service. object is the
+// object that the request is about; empty if unknown.
+func (g *Guard) Choose(service, object string) Choice {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t := g.trials[service]
@@ -187,7 +191,7 @@
 		return Choice{Not: t.move.TargetVersion}
 	}
 	t.addCredit(g.MaxShare*exposureMargin + g.extraCredit(t))
-	if t.credit < 1 {
+	if t.credit < 1 || t.credit < maxCredit && !t.isTried(object) {
 		return Choice{Not: t.move.TargetVersion}
 	}
 	t.credit--
@@ -207,6 +211,11 @@
 	return g.MaxExtra * extraMargin / float64(g.vms) * float64(since) / float64(t.move.MaxDuration)
 }
 
+// isTried reports whether requests about the object are tried before others.
+func (t *trial) isTried(object string) bool {
+	return object == "" || hashing.Strings(object, t.move.TargetVersion)%objectParts == 0
+}
+
 func (t *trial) addCredit(requests float64) { t.credit = min(t.credit+requests, maxCredit) }
 
 // Record counts a request that a version ran.
--- a/internal/policy/canary/evidence.go
+++ b/internal/policy/canary/evidence.go
@@ -20,6 +20,9 @@
 	// move to a bad version does more harm, as it then runs all requests, than to roll
 	// back a good one.
 	doubtMaxP = 0.05
+	// recentDoubtMaxP is the same for the last seconds of the trial, which are one of
+	// several windows.
+	recentDoubtMaxP = 0.02
 	// minWindowAnswers bounds the number of windows for which the ratio is corrected: the
 	// recent window counts as one with at least that many answers.
 	minWindowAnswers = 10
@@ -48,8 +51,8 @@
 	{"ended", func(c *Counts) int { return c.Ended }, func(c *Counts) int { return c.Answers }, 0.05, 0.1},
 	{"slow", func(c *Counts) int { return c.Slow }, func(c *Counts) int { return c.Answers - c.Tight }, 0.02, 0},
 	// The objects may not be cached yet by the new version's endpoints.
-	{"slow or late", func(c *Counts) int { return c.Slow + c.Late }, func(c *Counts) int { return c.Answers - c.Tight }, 0.02, 0.25},
-	{"late with tight time", func(c *Counts) int { return c.TightLate }, func(c *Counts) int { return c.Tight }, 0.25, 0.25},
+	{"slow or late", func(c *Counts) int { return c.Slow + c.Late }, func(c *Counts) int { return c.Answers - c.Tight }, 0.05, 0.25},
+	{"late with tight time", func(c *Counts) int { return c.TightLate }, func(c *Counts) int { return c.Tight }, 0.15, 0.25},
 }
 
 // Evidence is what one VM, or all VMs of a region together, have observed about the
@@ -100,8 +103,9 @@
 	bad, all int64
 	// expected is the rate of such requests for a version as good as the old one.
 	expected float64
-	// windows is how many windows of this length the trial has had.
-	windows float64
+	// windows is how many windows of this length the trial has had. maxP is the
+	// probability below which there is a doubt.
+	windows, maxP float64
 }
 
 // isFault reports whether the requests prove the fault.
@@ -114,7 +118,7 @@
 
 // isDoubt reports whether chance does not explain the requests.
 func (c *comparison) isDoubt() bool {
-	return c.bad >= minBad && likelihood.IsUnlikely(c.bad, c.all, c.expected, doubtMaxP)
+	return c.bad >= minBad && likelihood.IsUnlikely(c.bad, c.all, c.expected, c.maxP)
 }
 
 func (c *comparison) String() string {
@@ -132,6 +136,7 @@
 	for i := range faults {
 		ofWhole, ofRecent := faults[i].compare(whole), faults[i].compare(recent)
 		ofRecent.expected = max(ofRecent.expected, ofWhole.expected)
+		ofRecent.maxP = recentDoubtMaxP
 		ofRecent.windows = max(float64(ofWhole.all)/float64(max(ofRecent.all, minWindowAnswers)), 1)
 		comparisons = append(comparisons, ofWhole, ofRecent)
 	}
@@ -142,7 +147,7 @@
 // expected to be as bad as its requests on the old one: a VM that has lost its links sees
 // both badly, and must not hide what others see.
 func (f *fault) compare(vms []VersionCounts) comparison {
-	c := comparison{fault: f, windows: 1}
+	c := comparison{fault: f, windows: 1, maxP: doubtMaxP}
 	var old VersionCounts
 	for i := range vms {
 		old.add(&vms[i])
