Tell late answers of a version from failed ones, and slow ones of warm endpoints

A request at an endpoint that is warm for its object counts as slow from 1.35 times the time of a run without cache (2.2 before, which hardly any slow run of a warm endpoint reaches), any other from 1.8 times.

TestCanaryResultTellsLateFromFailed holds the cases.

--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -144,24 +144,41 @@
 	if grant.IsCold {
 		return
 	}
-	result := canary.Result{IsTight: grant.IsTight()}
+	if result, ok := canaryResult(grant, outcome, status, took); ok {
+		c.gateway.Canary.Record(c.service.Name, grant.Endpoint.Version, result)
+	}
+}
+
+// timing compares the time that an attempt took with the usual one; see balance.Grant.
+type timing interface {
+	IsTight() bool
+	IsPastTypical(took clock.Millis) bool
+	IsSlow(took clock.Millis) bool
+}
+
+// canaryResult returns what an attempt shows about the version that ran it; ok is false if
+// it shows nothing.
+func canaryResult(timing timing, outcome balance.Outcome, status int, took clock.Millis) (result canary.Result, ok bool) {
+	result.IsTight = timing.IsTight()
+	// An endpoint may answer itself that the deadline has passed.
+	isLate := outcome == balance.DeadlineExceeded || outcome == balance.Failed && status == http.StatusGatewayTimeout
 	switch {
-	case outcome == balance.Failed && status >= http.StatusInternalServerError:
-		result.Outcome = canary.Failed
-	case outcome == balance.Failed:
-		result.Outcome = canary.Ended
-	case outcome == balance.DeadlineExceeded && !grant.IsPastTypical(took):
+	case isLate && !timing.IsPastTypical(took):
 		// The deadline passed before an endpoint usually responds: the request came
 		// with too little time left, which is not the endpoint's fault.
-		return
-	case (outcome == balance.DeadlineExceeded || outcome == balance.Answered) && grant.IsSlow(took):
+		return canary.Result{}, false
+	case (isLate || outcome == balance.Answered) && timing.IsSlow(took):
 		result.Outcome = canary.Slow
-	case outcome == balance.DeadlineExceeded:
+	case isLate:
 		result.Outcome = canary.Late
+	case outcome == balance.Failed && status >= http.StatusInternalServerError:
+		result.Outcome = canary.Failed
+	case outcome == balance.Failed:
+		result.Outcome = canary.Ended
 	case outcome != balance.Answered:
-		return
+		return canary.Result{}, false
 	}
-	c.gateway.Canary.Record(c.service.Name, grant.Endpoint.Version, result)
+	return result, true
 }
 
 // recordLimitedSend counts a send to an endpoint that has named a limit.
--- /dev/null
+++ b/internal/entry/gateway/run_test.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/policy/balance"
+	"baobabladder.example/baobabladder/internal/policy/canary"
+)
+
+// usualTime is a timing of which 100 ms are typical and more than 200 ms slow.
+type usualTime struct{}
+
+func (usualTime) IsTight() bool                        { return false }
+func (usualTime) IsPastTypical(took clock.Millis) bool { return took >= 100 }
+func (usualTime) IsSlow(took clock.Millis) bool        { return took > 200 }
+
+// An endpoint's own answer that the deadline has passed counted as a failure of its version.
+func TestCanaryResultTellsLateFromFailed(t *testing.T) {
+	for name, c := range map[string]struct {
+		outcome balance.Outcome
+		status  int
+		took    clock.Millis
+		counts  bool
+		result  canary.Outcome
+	}{
+		"answered":                    {balance.Answered, 200, 90, true, canary.Good},
+		"answered slowly":             {balance.Answered, 200, 300, true, canary.Slow},
+		"failed":                      {balance.Failed, 500, 50, true, canary.Failed},
+		"ended":                       {balance.Failed, 0, 50, true, canary.Ended},
+		"cut":                         {balance.Failed, 200, 50, true, canary.Ended},
+		"late by the endpoint's word": {balance.Failed, 504, 150, true, canary.Late},
+		"late by this VM's clock":     {balance.DeadlineExceeded, 0, 150, true, canary.Late},
+		"slow by the endpoint's word": {balance.Failed, 504, 250, true, canary.Slow},
+		"too little time, endpoint's": {balance.Failed, 504, 50, false, canary.Good},
+		"too little time, this VM's":  {balance.DeadlineExceeded, 0, 50, false, canary.Good},
+		"not reached":                 {balance.Unreachable, 0, 50, false, canary.Good},
+		"shed":                        {balance.Shed, 503, 50, false, canary.Good},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			result, counts := canaryResult(usualTime{}, c.outcome, c.status, c.took)
+			g.Expect(counts).To(Equal(c.counts))
+			g.Expect(result.Outcome).To(Equal(c.result))
+		})
+	}
+}
--- a/internal/policy/balance/grant.go
+++ b/internal/policy/balance/grant.go
@@ -146,12 +146,22 @@
 }
 
 // slowFactor is how many times the typical response time a slow response takes.
-const slowFactor = 2.2
+// warmSlowFactor replaces it at an endpoint that is warm for the object, whose usual
+// response takes a fraction of that time.
+const (
+	slowFactor     = 1.8
+	warmSlowFactor = 1.35
+)
 
 // IsSlow reports whether a response took much longer than is typical of an endpoint
-// that is not warm for the object. The endpoints of a new version are not warm for any
-// object, so they are compared with that.
-func (g *Grant) IsSlow(took clock.Millis) bool { return float64(took) > slowFactor*g.typical }
+// that is not warm for the object. The endpoints of a new version are warm for few
+// objects, so they are compared with that.
+func (g *Grant) IsSlow(took clock.Millis) bool {
+	if g.isWarm {
+		return float64(took) > warmSlowFactor*g.typical
+	}
+	return float64(took) > slowFactor*g.typical
+}
 
 // IsPastTypical reports whether took has reached the typical response time of an
 // endpoint that is not warm for the object.
