--- a/internal/policy/balance/balance_test.go
+++ b/internal/policy/balance/balance_test.go
@@ -365,7 +365,7 @@
 		g.Expect(again.Endpoint.ID).To(Equal(first.Endpoint.ID))
 		g.Expect(again.isWarm).To(BeTrue())
 		g.Expect(again.IsSlow(clock.Millis(1.5*again.typical))).To(BeTrue(), "warm endpoints respond much faster")
-		g.Expect(first.IsSlow(clock.Millis(1.5*first.typical))).To(BeFalse())
+		g.Expect(first.IsSlow(clock.Millis(1.5 * first.typical))).To(BeFalse())
 	}
 	g.Expect(f.balancer.Relocations()).To(BeEmpty())
 	again := send(canary.Choice{Not: "v2"})
--- a/internal/policy/canary/canary.go
+++ b/internal/policy/canary/canary.go
@@ -36,8 +36,10 @@
 	// exposureMargin is the fraction of MaxShare that is used. The rest keeps the new
 	// version's share below the limit.
 	exposureMargin = 0.75
-	// extraMargin is the fraction of MaxExtra that is used.
-	extraMargin = 0.5
+	// extraMargin is the fraction of MaxExtra that is used, for a service of which the
+	// share alone gives far fewer than enoughRequests requests.
+	extraMargin    = 0.5
+	enoughRequests = 50
 	// maxCredit bounds the requests that a VM may send to the new version in sequence.
 	maxCredit = 2
 )
@@ -96,10 +98,11 @@
 	recent   recentCounts
 	// peers holds the latest evidence of each peer.
 	peers map[string]Evidence
-	// credit is the number of requests that may be sent to the new version now. creditedAt
-	// is when the part of MaxExtra was last added to it.
-	credit     float64
-	creditedAt clock.Millis
+	// credit is the number of requests that may be sent to the new version now. shareCredit
+	// is what MaxShare has added to it since startedAt, when this VM saw the move, and
+	// creditedAt when the part of MaxExtra was last added.
+	credit, shareCredit   float64
+	startedAt, creditedAt clock.Millis
 	// onBad is the Guard's OnBad.
 	onBad func(move directory.Move, evidence Evidence, why string)
 }
@@ -132,10 +135,11 @@
 // different parts of a request, so that together they send as many as they may, even if
 // each may send less than one.
 func (g *Guard) newTrial(move directory.Move) *trial {
+	now := g.Clock.Now()
 	part := float64(hashing.Strings(g.VM, move.Service, move.TargetVersion)) / math.MaxUint64
 	return &trial{
 		move: move, evidence: Evidence{To: move.TargetVersion}, peers: map[string]Evidence{}, onBad: g.OnBad,
-		credit: part, creditedAt: g.Clock.Now(),
+		credit: part, startedAt: now, creditedAt: now,
 	}
 }
 
@@ -190,7 +194,9 @@
 	if t.isBad(g.Clock.Now()) {
 		return Choice{Not: t.move.TargetVersion}
 	}
-	t.addCredit(g.MaxShare*exposureMargin + g.extraCredit(t))
+	share := g.MaxShare * exposureMargin
+	t.shareCredit += share
+	t.credit = min(t.credit+share+g.extraCredit(t), maxCredit)
 	if t.credit < 1 || t.credit < maxCredit && !t.isTried(object) {
 		return Choice{Not: t.move.TargetVersion}
 	}
@@ -200,15 +206,18 @@
 }
 
 // extraCredit returns this VM's part of MaxExtra for the time since the last call. It is
-// spread over the trial, because a fault may begin late. The caller must hold mu.
+// spread over the trial, because a fault may begin late, and is the less the more requests
+// the share alone gives. The caller must hold mu.
 func (g *Guard) extraCredit(t *trial) float64 {
 	now := min(g.Clock.Now(), t.move.FirstSeen+t.move.MaxDuration)
-	since := now - t.creditedAt
+	since := float64(now-t.creditedAt) / float64(t.move.MaxDuration)
 	if g.vms == 0 || since <= 0 {
 		return 0
 	}
 	t.creditedAt = now
-	return g.MaxExtra * extraMargin / float64(g.vms) * float64(since) / float64(t.move.MaxDuration)
+	elapsed := float64(now-t.startedAt) / float64(t.move.MaxDuration)
+	expected := t.shareCredit / elapsed * float64(g.vms)
+	return g.MaxExtra * extraMargin / float64(g.vms) * since * max(1-expected/enoughRequests, 0)
 }
 
 // isTried reports whether requests about the object are tried before others.
@@ -216,8 +225,6 @@
 	return object == "" || hashing.Strings(object, t.move.TargetVersion)%objectParts == 0
 }
 
-func (t *trial) addCredit(requests float64) { t.credit = min(t.credit+requests, maxCredit) }
-
 // Record counts a request that a version ran.
 func (g *Guard) Record(service, version string, result Result) {
 	g.mu.Lock()
