Find out and log when a VM is cut off from all endpoints

The log could not show that a VM reaches no endpoint at all: it had one line for each attempt and no conclusion. A VM now opens connections to four endpoints chosen at random if it could not reach one, or if none has answered for 400 ms while requests are in flight; if all fail twice it logs 'cut off from all endpoints', and the metric cut_off is 1. Nothing else changes yet.

A calm VM opens no such connection (TestCalmVMProbesNothing).

--- a/internal/base/metric/help.go
+++ b/internal/base/metric/help.go
@@ -5,6 +5,7 @@
 // help holds the help text of each metric, by its name without the prefix.
 var help = map[string]string{
 	"configuration_version":  "Version of the configuration in force.",
+	"cut_off":                "1 if this VM reaches no endpoint, else 0.",
 	"endpoint_outcomes":      "Tries at endpoints, by how they ended.",
 	"endpoints_known":        "Endpoints in the directory.",
 	"endpoints_limited":      "Endpoints that have named a limit of requests a second.",
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -44,6 +44,14 @@
 	Send(ctx context.Context, address string, request *endpoint.Request) (*endpoint.Response, error)
 }
 
+// Reach tells whether this VM reaches endpoints; see reach.Monitor.
+type Reach interface {
+	IsCutOff() bool
+	// Begin and End record that a request is sent to an endpoint, and how it ended.
+	Begin()
+	End(isAnswered, isUnreached bool)
+}
+
 // Quota enforces each workspace's rate and burst over all VMs; see
 // admission.Admission.
 type Quota interface {
@@ -54,14 +62,16 @@
 	Refund(workspace *routing.Workspace)
 }
 
-// Gateway handles callers' requests. All fields but OnBlock,
+// Gateway handles callers' requests. All fields but Reach, OnBlock,
 // RecordLatency, RecordOutcome, RecordLimitedSend, EndsAt, ConfigAge, Log and LogBudget must
 // be set.
 type Gateway struct {
 	Headers  Headers
 	Client   Sender
 	Balancer *balance.Balancer
-	Quota    Quota
+	// Reach is optional.
+	Reach Reach
+	Quota Quota
 	// Canary chooses the versions that may run a request during a version move, and
 	// counts their responses.
 	Canary *canary.Guard
--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -93,8 +93,10 @@
 	sentAt := c.gateway.Clock.Now()
 	status := 0
 	result := balance.Result{Outcome: balance.Cancelled, Running: -1}
+	endReach := c.beginReach()
 	defer func() {
 		grant.Done(result)
+		endReach(status > 0 || result.Outcome == balance.Shed || result.Outcome == balance.Moved, result.Outcome == balance.Unreachable)
 		took := c.gateway.Clock.Now() - sentAt
 		c.recordCanaryResult(grant, result.Outcome, status, took)
 		if c.gateway.RecordOutcome != nil {
@@ -126,6 +128,16 @@
 	return err
 }
 
+// beginReach records that a request is sent to an endpoint. The function that it returns
+// records how the request ended.
+func (c *call) beginReach() (end func(isAnswered, isUnreached bool)) {
+	if c.gateway.Reach == nil {
+		return func(bool, bool) {}
+	}
+	c.gateway.Reach.Begin()
+	return c.gateway.Reach.End
+}
+
 // recordEnd records on the blocklist that an attempt ended with its endpoint, if it did, and
 // reports whether it did.
 func (c *call) recordEnd(err error, sentAt clock.Millis) (endpointEnded bool) {
--- a/internal/entry/node/metrics.go
+++ b/internal/entry/node/metrics.go
@@ -55,6 +55,11 @@
 	}
 	scope.Gauge("peers_heard").Update(float64(reachable))
 	scope.Gauge("endpoints_known").Update(float64(n.objects.countEndpoints()))
+	cutOff := 0.0
+	if n.reach.IsCutOff() {
+		cutOff = 1
+	}
+	scope.Gauge("cut_off").Update(cutOff)
 	scope.Gauge("requests_blocked").Update(float64(n.blocklist.Count()))
 	scope.Gauge("store_era").Update(float64(n.Platform.Era()))
 	scope.Gauge("endpoints_limited").Update(float64(len(n.balancer.LimitUses())))
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -32,6 +32,7 @@
 	"baobabladder.example/baobabladder/internal/policy/blocklist"
 	"baobabladder.example/baobabladder/internal/policy/canary"
 	"baobabladder.example/baobabladder/internal/policy/quota"
+	"baobabladder.example/baobabladder/internal/policy/reach"
 	"baobabladder.example/baobabladder/internal/policy/retry"
 	"baobabladder.example/baobabladder/internal/wire/caller"
 	"baobabladder.example/baobabladder/internal/wire/endpoint"
@@ -98,13 +99,15 @@
 	LookupHandler(preferredVMs func(region, dataCentre string) []vm.VM, lifetime clock.Millis) http.Handler
 }
 
-// Node is one run of an entry VM. All exported fields must be set.
+// Node is one run of an entry VM. All exported fields but DialEndpoint must be set.
 type Node struct {
 	Settings settings.Node
 	Platform Platform
 	// Log must write through Writer, whose dropped lines are reported.
 	Log    logrus.FieldLogger
 	Writer *logging.Writer
+	// DialEndpoint opens connections to endpoints; if nil, a default net.Dialer is used.
+	DialEndpoint func(ctx context.Context, network, address string) (net.Conn, error)
 
 	clock      clock.Clock
 	id         vm.ID
@@ -115,6 +118,7 @@
 	roster     *roster.Roster
 	gateway    *gateway.Gateway
 	balancer   *balance.Balancer
+	reach      *reach.Monitor
 	quota      *quota.Limiter
 	canary     *canary.Guard
 	blocklist  *blocklist.List
@@ -189,6 +193,7 @@
 		VM: config.Name, Region: config.Region, DataCentre: config.DataCentre,
 		ColdLimit: balance.ColdLimit{Overage: config.Bounds.ColdOverage, Slack: config.Bounds.ColdSlack},
 	}
+	n.reach = &reach.Monitor{Probe: n.probeEndpoint, Addresses: n.balancer.Addresses, OnChange: n.onReachChange}
 	n.quota = &quota.Limiter{}
 	n.admission = &admission.Admission{
 		Self: config.Name, Peers: n.peers, OwnerOf: n.ownerOf, Workspace: n.workspace, ReachableFraction: n.reachableFraction,
@@ -201,9 +206,9 @@
 	n.gateway = &gateway.Gateway{
 		Headers: n.Platform.Headers(),
 		Client: &endpoint.Client{
-			Names: n.Platform.EndpointHeaders(), ConnectTimeout: endpointConnectTimeout, AcceptUnframed: true,
+			Names: n.Platform.EndpointHeaders(), ConnectTimeout: endpointConnectTimeout, AcceptUnframed: true, Dial: n.DialEndpoint,
 		},
-		Balancer: n.balancer, Quota: n.admission, Canary: n.canary, RetryBudget: n.retryBudget, Refuser: refuser,
+		Balancer: n.balancer, Reach: n.reach, Quota: n.admission, Canary: n.canary, RetryBudget: n.retryBudget, Refuser: refuser,
 		Blocklist: n.blocklist, OnBlock: n.announceBlock,
 		RetryCounters: metric.NewReasonCounters(n.metrics.Scope, "retries"), Log: n.Log,
 		RecordLatency: latencyRecorder(n.metrics), RecordOutcome: outcomeRecorder(n.metrics), RecordLimitedSend: limitedSendRecorder(n.metrics),
@@ -272,6 +277,7 @@
 	}
 	go n.startFeeds(ctx)
 	go n.roster.Run(ctx)
+	go n.reach.Run(ctx)
 	go n.syncPeers(ctx)
 	go n.writeMoves(ctx)
 	go n.admission.Run(ctx)
--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -22,6 +22,7 @@
 package balance
 
 import (
+	"math/rand/v2"
 	"sync"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
@@ -163,6 +164,20 @@
 	return running
 }
 
+// Addresses returns the addresses of up to count endpoints that are not leaving, chosen at
+// random.
+func (b *Balancer) Addresses(count int) (addresses []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, state := range b.states {
+		if !state.isLeaving() && !state.isAddressReused {
+			addresses = append(addresses, state.endpoint.Address)
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(count, len(addresses))]
+}
+
 // Place chooses an endpoint for the request. The error is a *reason.Refusal that states
 // that the request has not run.
 func (b *Balancer) Place(request *Request) (*Grant, error) {
--- /dev/null
+++ b/internal/policy/reach/reach_test.go
@@ -0,0 +1,99 @@
+package reach_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"baobabladder.example/baobabladder/internal/policy/reach"
+)
+
+// links are the links of a VM to its endpoints. Probes of a link that is cut fail at once,
+// or hang if isSilent.
+type links struct {
+	isCut, isSilent atomic.Bool
+	probes          atomic.Int64
+
+	mu sync.Mutex
+	// up holds the addresses that are reached even if isCut. Guarded by mu.
+	up map[string]bool
+}
+
+func (l *links) probe(ctx context.Context, address string) error {
+	l.probes.Add(1)
+	l.mu.Lock()
+	isUp := l.up[address]
+	l.mu.Unlock()
+	if isUp || !l.isCut.Load() {
+		return nil
+	}
+	if l.isSilent.Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return errors.New("refused")
+}
+
+func addresses(count int) (all []string) {
+	for i := range count {
+		all = append(all, fmt.Sprint("e", i))
+	}
+	return all
+}
+
+func start(t *testing.T, l *links) *reach.Monitor {
+	monitor := &reach.Monitor{Probe: l.probe, Addresses: addresses}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go monitor.Run(ctx)
+	return monitor
+}
+
+func TestVMCutOffFromAllEndpointsIsFound(t *testing.T) {
+	for _, isSilent := range []bool{false, true} {
+		t.Run(fmt.Sprint("silent ", isSilent), func(t *testing.T) {
+			g := NewWithT(t)
+			l := &links{}
+			l.isSilent.Store(isSilent)
+			monitor := start(t, l)
+			l.isCut.Store(true)
+			monitor.Begin()
+			if !isSilent {
+				monitor.End(false, true)
+			}
+			g.Eventually(monitor.IsCutOff, "3s").Should(BeTrue())
+			l.isCut.Store(false)
+			g.Eventually(monitor.IsCutOff, "5s").Should(BeFalse())
+		})
+	}
+}
+
+// One endpoint that is down or slow must not make the VM count as cut off.
+func TestVMThatReachesAnEndpointIsNotCutOff(t *testing.T) {
+	g := NewWithT(t)
+	l := &links{up: map[string]bool{"e3": true}}
+	l.isCut.Store(true)
+	monitor := start(t, l)
+	monitor.Begin()
+	monitor.End(false, true)
+	g.Eventually(l.probes.Load, "3s").Should(BeNumerically(">=", 4))
+	g.Consistently(monitor.IsCutOff, "1s").Should(BeFalse())
+}
+
+func TestCalmVMProbesNothing(t *testing.T) {
+	g := NewWithT(t)
+	l := &links{}
+	monitor := start(t, l)
+	for range 10 {
+		monitor.Begin()
+		time.Sleep(20 * time.Millisecond)
+		monitor.End(true, false)
+	}
+	g.Expect(l.probes.Load()).To(BeZero())
+}
