Use more of the extra requests for quiet services, and doubt late ones earlier

To complete a bad version harms all callers of the service, to roll back a good one costs its operator a new move, so the doubt goes to the other side again: 15 of 100 late requests with tight time are tolerated, and seven tenths of the extra requests used.

--- a/internal/policy/canary/canary.go
+++ b/internal/policy/canary/canary.go
@@ -38,7 +38,7 @@
 	exposureMargin = 0.75
 	// extraMargin is the fraction of MaxExtra that is used, for a service of which the
 	// share alone gives far fewer than enoughRequests requests.
-	extraMargin    = 0.5
+	extraMargin    = 0.7
 	enoughRequests = 50
 	// maxCredit bounds the requests that a VM may send to the new version in sequence.
 	maxCredit = 2
--- a/internal/policy/canary/evidence.go
+++ b/internal/policy/canary/evidence.go
@@ -52,7 +52,7 @@
 	{"slow", func(c *Counts) int { return c.Slow }, func(c *Counts) int { return c.Answers - c.Tight }, 0.02, 0},
 	// The objects may not be cached yet by the new version's endpoints.
 	{"slow or late", func(c *Counts) int { return c.Slow + c.Late }, func(c *Counts) int { return c.Answers - c.Tight }, 0.05, 0.25},
-	{"late with tight time", func(c *Counts) int { return c.TightLate }, func(c *Counts) int { return c.Tight }, 0.2, 0.25},
+	{"late with tight time", func(c *Counts) int { return c.TightLate }, func(c *Counts) int { return c.Tight }, 0.15, 0.25},
 }
 
 // Evidence is what one VM, or all VMs of a region together, have observed about the
