Forward the requests of a VM that is cut off from all endpoints

A VM that is cut off (see reach.Monitor) now says so to its peers. They leave it out of the directory's answers and give its shares of endpoint limits to others. It forwards its callers' requests to another VM that is not cut off, near ones first, over the client that it uses for endpoints: bodies are streamed, answers must be whole and echo the id, 'not run' is passed on only if both VMs know it, and a caller that leaves ends both legs. A request that reached no endpoint is forwarded even if the VM does not know yet that it is cut off.

Weighed: a shorter life of the directory's answers alone (callers use a VM for three times that life, and a cut data centre would cost an answer for each); calls over net/rpc (whole bodies in memory); a header on the callers' port (callers could forge the workspace).

--- a/internal/base/settings/node.go
+++ b/internal/base/settings/node.go
@@ -29,6 +29,9 @@
 	LookupAddress  string
 	PeerAddress    string
 	MetricsAddress string
+	// ForwardAddress is the IP:port to listen on for requests that other VMs forward; empty
+	// if the VM takes none.
+	ForwardAddress string
 	// Peers holds the peer addresses of some VMs, as IP:port.
 	Peers []string
 	// FirstStart reports whether the whole system starts for the first time, so
@@ -153,6 +156,7 @@
 		{"vm", "lookup_address", "", text(&n.LookupAddress, checkAddress)},
 		{"vm", "peer_address", "", text(&n.PeerAddress, checkAddress)},
 		{"vm", "metrics_address", "", text(&n.MetricsAddress, checkAddress)},
+		{"vm", "forward_address", noForwarding, n.readForwardAddress},
 		{"vm", "peers", noPeers, n.readPeers},
 		{"vm", "first_start", "false", readBool(&n.FirstStart)},
 		{"vm", "log_level", "info", text(&n.LogLevel, checkLevel)},
@@ -168,6 +172,18 @@
 	}
 }
 
+// noForwarding is the forward_address of a VM that takes no forwarded requests.
+const noForwarding = "none"
+
+func (n *Node) readForwardAddress(value string) (allowed string) {
+	n.ForwardAddress = ""
+	if value == noForwarding {
+		return ""
+	}
+	n.ForwardAddress = value
+	return checkAddress(value)
+}
+
 func (n *Node) readPeers(value string) (allowed string) {
 	n.Peers = splitPeers(value)
 	return checkPeers(value)
--- a/internal/base/settings/node_test.go
+++ b/internal/base/settings/node_test.go
@@ -40,6 +40,7 @@
 	g.Expect(node.Peers).To(Equal([]string{"10.1.0.23:8383", "10.2.0.40:8383"}))
 	g.Expect(node.Regions).To(Equal(map[string]string{"leith": "lothian", "dyce": "grampian"}))
 	g.Expect(node.FirstStart).To(BeTrue())
+	g.Expect(node.ForwardAddress).To(BeEmpty(), "a VM takes no forwarded requests unless it is told to")
 	g.Expect(node.Bounds.StopGrace).To(Equal(6 * clock.Second))
 	g.Expect(node.Bounds.RetryRatio).To(Equal(0.2))
 	g.Expect(node.Bounds.LookupLifetime).To(Equal(5*clock.Second), "an omitted key has its default")
@@ -56,6 +57,7 @@
 		"another region":  {"leith = lothian", "leith = clyde", `section [data_centres], key leith: "clyde" is not allowed: the VM's own region, lothian`},
 		"not a Boolean":   {"first_start = true", "first_start = maybe", `key first_start: "maybe" is not allowed: true or false`},
 		"invalid peer":    {"10.2.0.40:8383", "x", "key peers"},
+		"invalid forward": {"first_start = true", "forward_address = x", `key forward_address: "x" is not allowed: an IP number and a port`},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
--- a/internal/control/roster/members.go
+++ b/internal/control/roster/members.go
@@ -24,7 +24,8 @@
 			}
 			state.VM = listed
 		}
-		state.ID, state.Ready, state.Stopping, state.Contact = status.ID, status.Ready, status.Stopping, status.Contact
+		state.ID, state.Ready, state.Stopping = status.ID, status.Ready, status.Stopping
+		state.Contact, state.CutOff = status.Contact, status.CutOff
 		members = append(members, Member{State: state, Reachable: status.Heard, Known: true})
 	}
 	for name, listed := range r.registered {
--- a/internal/control/roster/reports.go
+++ b/internal/control/roster/reports.go
@@ -44,7 +44,7 @@
 	ID vm.ID
 	// Heard is set if the relay's last exchange with the VM is recent enough that the
 	// VM does not count as lost. The other fields repeat those of the VM's State.
-	Heard, Ready, Stopping, Contact bool
+	Heard, Ready, Stopping, Contact, CutOff bool
 }
 
 // receivedReport is a report and the time at which its author wrote it, by this VM's
@@ -95,7 +95,7 @@
 }
 
 func statusOf(state *State, isReachable bool) VMStatus {
-	return VMStatus{ID: state.ID, Heard: isReachable, Ready: state.Ready, Stopping: state.Stopping, Contact: state.Contact}
+	return VMStatus{ID: state.ID, Heard: isReachable, Ready: state.Ready, Stopping: state.Stopping, Contact: state.Contact, CutOff: state.CutOff}
 }
 
 // supersedes reports whether a relay's status replaces the known status: it does if
--- a/internal/control/roster/roster_test.go
+++ b/internal/control/roster/roster_test.go
@@ -119,6 +119,34 @@
 	g.Expect(PreferredVMs(f.vms["vm-01"].Members(), "a region without VMs", "")).To(HaveLen(9))
 }
 
+// Callers went on using VMs that were cut off from all endpoints.
+func TestCutOffVMIsNotPreferredUnlessAllAre(t *testing.T) {
+	for _, count := range []int{9, 48} {
+		g := NewWithT(t)
+		f := newFleet(count)
+		f.run(8 * clock.Second)
+		f.states["vm-00"].CutOff = true
+		f.run(8 * clock.Second)
+		members := f.vms["vm-01"].Members()
+		g.Expect(names(PreferredVMs(members, "a", "a1"))).NotTo(ContainElement("vm-00"))
+		for i := range members {
+			members[i].VM.ForwardAddress = members[i].ID.Name
+		}
+		self := f.states["vm-01"].VM
+		everywhere := func(string) bool { return true }
+		helpers := NewHelpers(members, self)
+		g.Expect(names(helpers.Pick(count, everywhere))).To(And(HaveLen(count-2), Not(ContainElement("vm-00")), Not(ContainElement("vm-01"))))
+		g.Expect(helpers.Pick(1, everywhere)[0].Region).To(Equal(self.Region), "the nearest comes first")
+		g.Expect(helpers.Pick(count, func(region string) bool { return region == "nowhere" })).To(BeEmpty())
+		for _, state := range f.states {
+			state.CutOff = true
+		}
+		f.run(8 * clock.Second)
+		g.Expect(names(PreferredVMs(f.vms["vm-01"].Members(), "a", "a1"))).To(ContainElement("vm-00"))
+		g.Expect(NewHelpers(f.vms["vm-01"].Members(), self).Pick(count, everywhere)).To(BeEmpty())
+	}
+}
+
 func TestRelaysReportAllVMsOfALargeFleet(t *testing.T) {
 	g := NewWithT(t)
 	f := newFleet(48)
--- a/internal/control/roster/state.go
+++ b/internal/control/roster/state.go
@@ -17,6 +17,8 @@
 	// it has begun to shut down, and Contact while the store answers it, as far as it
 	// knows.
 	Ready, Stopping, Contact bool
+	// CutOff is set while the VM reaches no endpoint.
+	CutOff bool
 	// Demand is the rate of requests received by workspace, in requests per second.
 	Demand map[string]float64
 	// Running is the number of the VM's requests in flight on each endpoint.
@@ -55,6 +57,9 @@
 	Regions map[string]map[string]canary.Evidence
 }
 
+// IsServing reports whether the VM takes requests and can run them.
+func (m *Member) IsServing() bool { return m.Reachable && m.Ready && !m.Stopping && !m.CutOff }
+
 // Member is a VM as seen by this VM.
 type Member struct {
 	State
--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -59,9 +59,16 @@
 	// attempts one entry for each attempt.
 	triedEndpoints []string
 	attempts       []attempt
+	// ranAttempts counts the attempts in which an endpoint may have run the request,
+	// earlierAttempts those of a VM that forwarded it.
+	ranAttempts, earlierAttempts int
 	// mayHaveRun reports whether an endpoint may have run the request in one of the
 	// attempts.
 	mayHaveRun bool
+	// isForwarded reports whether another VM forwarded the request to this one; forwardedTo
+	// names the VM to which this one forwarded it last.
+	isForwarded bool
+	forwardedTo string
 	// responseStarted reports whether bytes of the response may have been sent to the
 	// caller, after which the request cannot be retried or refused.
 	responseStarted bool
@@ -148,11 +155,15 @@
 
 func (c *call) chooseService() {
 	name := c.gateway.targetSelector.selectService(c.route)
+	c.gateway.RetryBudget.RecordRequest(name)
+	c.setService(name)
+}
+
+func (c *call) setService(name string) {
 	c.service = c.table.Services[name]
 	if c.service == nil {
 		c.service = &routing.Service{Name: name}
 	}
-	c.gateway.RetryBudget.RecordRequest(name)
 	if cookie, err := c.request.Cookie(c.gateway.Headers.ObjectCookie); err == nil {
 		c.object = name + " " + cookie.Value
 	}
@@ -176,6 +187,12 @@
 	if c.service != nil {
 		fields["service"] = c.service.Name
 	}
+	if c.forwardedTo != "" {
+		fields["forwarded_to"] = c.forwardedTo
+	}
+	if c.isForwarded {
+		fields["is_forwarded"] = true
+	}
 	if c.digest != (blocklist.Digest{}) {
 		fields["request_digest"] = c.digest.String()
 	}
--- a/internal/entry/gateway/checks.go
+++ b/internal/entry/gateway/checks.go
@@ -38,7 +38,7 @@
 	if block.Ends == 0 {
 		return nil
 	}
-	c.gateway.Quota.Refund(c.workspace)
+	c.refund()
 	refusal := reason.NotRun(reason.RequestBlocked, block.Remaining, "%d endpoints ended while they ran the same request", block.Ends)
 	if block.IsCertain() {
 		refusal.Ran, refusal.RetryAfter = reason.RanUnknown, 0
@@ -46,12 +46,19 @@
 	return refusal
 }
 
+// refund returns the request's token to the quota, if this VM took it.
+func (c *call) refund() {
+	if !c.isForwarded {
+		c.gateway.Quota.Refund(c.workspace)
+	}
+}
+
 // checkStop refuses a request that the VM, which is stopping, may not finish before it ends.
 func (c *call) checkStop(ctx context.Context) error {
 	if c.canFinish(ctx) {
 		return nil
 	}
-	c.gateway.Quota.Refund(c.workspace)
+	c.refund()
 	return reason.NotRun(reason.Stopping, stoppingRetryAfter, "this VM ends before the request may be answered, use another one")
 }
 
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"baobabladder.example/baobabladder/internal/wire/caller"
 	"baobabladder.example/baobabladder/internal/wire/endpoint"
 	"baobabladder.example/baobabladder/internal/world/routing"
+	"baobabladder.example/baobabladder/internal/world/vm"
 )
 
 // Headers holds the names of the deployment's own headers and cookie.
@@ -62,7 +63,8 @@
 	Refund(workspace *routing.Workspace)
 }
 
-// Gateway handles callers' requests. All fields but Reach, OnBlock,
+// Gateway handles callers' requests. All fields but Reach, Helpers,
+// PeerClient, OnBlock,
 // RecordLatency, RecordOutcome, RecordLimitedSend, EndsAt, ConfigAge, Log and LogBudget must
 // be set.
 type Gateway struct {
@@ -71,7 +73,11 @@
 	Balancer *balance.Balancer
 	// Reach is optional.
 	Reach Reach
-	Quota Quota
+	// Helpers returns up to count VMs, in regions that isAllowed, to which PeerClient may
+	// forward requests, nearest first; both are optional.
+	Helpers    func(count int, isAllowed func(region string) bool) []vm.VM
+	PeerClient Sender
+	Quota      Quota
 	// Canary chooses the versions that may run a request during a version move, and
 	// counts their responses.
 	Canary *canary.Guard
@@ -126,7 +132,12 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	c := &call{gateway: g, w: w, request: request, arrived: g.Clock.Now()}
-	err := g.serve(c)
+	g.finish(c, g.serve(c))
+}
+
+// finish logs and counts a request that has ended, and refuses it if err is not nil.
+func (g *Gateway) finish(c *call, err error) {
+	w := c.w
 	c.logRequest(err)
 	c.recordLatency(err)
 	switch {
--- a/internal/entry/gateway/requestlog.go
+++ b/internal/entry/gateway/requestlog.go
@@ -90,6 +90,14 @@
 	return c.attempts[len(c.attempts)-1].status
 }
 
+// lastOutcome returns the outcome of the last attempt, or "" without one.
+func (c *call) lastOutcome() balance.Outcome {
+	if len(c.attempts) == 0 {
+		return ""
+	}
+	return c.attempts[len(c.attempts)-1].outcome
+}
+
 // logFields returns the fields that describe the attempt in a log line.
 func (a *attempt) logFields(id string, number int) logrus.Fields {
 	fields := logrus.Fields{
--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -26,16 +26,28 @@
 )
 
 // sendWithRetries sends the request until a response was relayed or no retry is
-// possible.
+// possible. While this VM is cut off from all endpoints, it forwards the request, and also
+// if it did not reach an endpoint.
 func (c *call) sendWithRetries(ctx context.Context) error {
-	for attempts := 1; ; attempts++ {
+	for attempts := 1 + c.earlierAttempts; ; attempts++ {
+		if c.isCutOff() {
+			if helpers := c.helpers(); len(helpers) > 0 {
+				return c.forward(ctx, helpers)
+			}
+		}
 		err := c.sendOnce(ctx)
 		if err == nil {
 			return nil
 		}
 		refusal := caller.AsRefusal(err)
-		c.mayHaveRun = c.mayHaveRun || refusal.Ran != reason.RanNo
+		if refusal.Ran != reason.RanNo {
+			c.mayHaveRun = true
+			c.ranAttempts++
+		}
 		if !c.canRetry(ctx, attempts, refusal) {
+			if helpers := c.helpersAfter(ctx, refusal); len(helpers) > 0 {
+				return c.forward(ctx, helpers)
+			}
 			return c.finalRefusal(refusal)
 		}
 		c.gateway.RetryCounters.Inc(refusal.Reason)
@@ -46,7 +58,7 @@
 // holds for every attempt. In that case the request's token goes back to the quota.
 func (c *call) finalRefusal(refusal *reason.Refusal) error {
 	if !c.mayHaveRun {
-		c.gateway.Quota.Refund(c.workspace)
+		c.refund()
 		return refusal
 	}
 	if refusal.Ran != reason.RanNo {
@@ -201,13 +213,20 @@
 }
 
 func (c *call) send(ctx context.Context, grant *balance.Grant) (*endpoint.Response, error) {
+	request := c.outgoingRequest()
+	request.Header.Set(c.gateway.Headers.Endpoint, grant.Endpoint.ID)
+	return c.gateway.Client.Send(ctx, grant.Endpoint.Address, request)
+}
+
+// outgoingRequest returns the request as it leaves this VM, without the header that names
+// an endpoint.
+func (c *call) outgoingRequest() *endpoint.Request {
 	header := c.request.Header.Clone()
 	header.Del(c.gateway.Headers.Workspace)
 	if c.workspace != nil {
 		header.Set(c.gateway.Headers.Workspace, c.workspace.Name)
 	}
-	header.Set(c.gateway.Headers.Endpoint, grant.Endpoint.ID)
-	return c.gateway.Client.Send(ctx, grant.Endpoint.Address, &endpoint.Request{
+	return &endpoint.Request{
 		Method: c.request.Method,
 		Target: c.request.RequestURI,
 		Host:   c.request.Host,
@@ -215,7 +234,7 @@
 		ID:     c.id,
 		Body:   c.newBodyReader(),
 		Length: c.bodyLength,
-	})
+	}
 }
 
 // remainingTime returns the time to ctx's deadline.
@@ -314,10 +333,10 @@
 }
 
 // canRetryFailedResponse reports whether to retry after a response with a 5xx status:
-// the request is idempotent, an attempt is left, and so is more than the route's
-// target latency.
+// the request is idempotent and was not forwarded, an attempt is left, and so is more than
+// the route's target latency.
 func (c *call) canRetryFailedResponse(ctx context.Context) bool {
-	return c.isIdempotent() && len(c.triedEndpoints)+1 < c.route.MaxAttempts && remainingTime(ctx) > c.route.TargetLatency
+	return c.forwardedTo == "" && c.isIdempotent() && c.earlierAttempts+len(c.triedEndpoints)+1 < c.route.MaxAttempts && remainingTime(ctx) > c.route.TargetLatency
 }
 
 var errCallerGone error = &reason.Refusal{Reason: reason.CallerGone, Ran: reason.RanYes, Detail: "the caller went away before its answer was whole"}
--- a/internal/entry/node/duties.go
+++ b/internal/entry/node/duties.go
@@ -32,6 +32,7 @@
 	}
 	return roster.State{
 		ID: n.id, VM: n.self, Ready: n.hasConfigAndEndpoints(), Stopping: n.stopping.Load(), Contact: isLoaded && n.store.canReachStore(),
+		CutOff: n.reach.IsCutOff(),
 		Demand: n.quota.Demand(), Running: n.balancer.Running(), Away: n.balancer.Relocations(),
 		Limits: n.balancer.LimitReadings(), LimitDemand: n.balancer.LimitDemand(),
 		Trials: n.canary.Evidence(), Revisions: revisions, CopyAge: copyAge,
@@ -79,13 +80,14 @@
 		vms := make([]balance.VM, 0, len(members))
 		for _, member := range members {
 			vms = append(vms, balance.VM{
-				Name: member.ID.Name, Region: member.VM.Region, Unavailable: !member.Reachable || !member.Ready || member.Stopping,
+				Name: member.ID.Name, Region: member.VM.Region, Unavailable: !member.IsServing(),
 			})
 			if member.ID.Name == n.id.Name {
 				continue
 			}
 			demands = append(demands, quota.PeerDemand{VM: member.ID.Name, Demand: member.Demand})
 		}
+		n.helpers.Store(roster.NewHelpers(members, n.self))
 		n.quota.UpdatePeers(demands)
 		n.balancer.UpdatePeers(n.roster.Running(), vms)
 		n.balancer.UpdateLimitDemands(n.limitDemands(members))
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -65,6 +65,8 @@
 	maxLookupLifetime = 2 * clock.Second
 	// endpointConnectTimeout limits the time to connect to an endpoint.
 	endpointConnectTimeout = 350 * clock.Millis(1)
+	// helperConnectTimeout limits the time to connect to a VM that requests are forwarded to.
+	helperConnectTimeout = 350 * clock.Millis(1)
 	// readHeaderTimeout limits the time to read the headers of a readiness check, a
 	// lookup or a request for metrics.
 	readHeaderTimeout = 5 * clock.Second
@@ -123,11 +125,14 @@
 	canary     *canary.Guard
 	blocklist  *blocklist.List
 	// blocked has an element if a request was blocked and peers do not know it yet.
-	blocked        chan struct{}
-	retryBudget    *retry.WindowBudget
-	callerServer   *caller.Server
+	blocked      chan struct{}
+	retryBudget  *retry.WindowBudget
+	callerServer *caller.Server
+	// forwardServer serves the requests that other VMs forward.
+	forwardServer  *caller.Server
 	admission      *admission.Admission
 	dutyAssignment atomic.Pointer[dutyAssignment]
+	helpers        atomic.Pointer[roster.Helpers]
 	objects        objectCache
 	feeds          []*tracker.Feed
 	store          *storeSource
@@ -184,7 +189,7 @@
 	n.id = vm.ID{Name: config.Name, Incarnation: vm.Incarnation(n.clock.Wall())}
 	n.self = vm.VM{
 		Name: config.Name, Role: vm.RoleEntry, State: vm.StateLive, Region: config.Region, DataCentre: config.DataCentre,
-		CallerAddress: config.CallerAddress, PeerAddress: config.PeerAddress,
+		CallerAddress: config.CallerAddress, PeerAddress: config.PeerAddress, ForwardAddress: config.ForwardAddress,
 	}
 	n.metrics = metric.New()
 	n.peers = &peer.Client{}
@@ -208,13 +213,15 @@
 		Client: &endpoint.Client{
 			Names: n.Platform.EndpointHeaders(), ConnectTimeout: endpointConnectTimeout, AcceptUnframed: true, Dial: n.DialEndpoint,
 		},
-		Balancer: n.balancer, Reach: n.reach, Quota: n.admission, Canary: n.canary, RetryBudget: n.retryBudget, Refuser: refuser,
+		Balancer: n.balancer, Reach: n.reach, Helpers: n.pickHelpers, PeerClient: &endpoint.Client{ConnectTimeout: helperConnectTimeout},
+		Quota: n.admission, Canary: n.canary, RetryBudget: n.retryBudget, Refuser: refuser,
 		Blocklist: n.blocklist, OnBlock: n.announceBlock,
 		RetryCounters: metric.NewReasonCounters(n.metrics.Scope, "retries"), Log: n.Log,
 		RecordLatency: latencyRecorder(n.metrics), RecordOutcome: outcomeRecorder(n.metrics), RecordLimitedSend: limitedSendRecorder(n.metrics),
 		ConfigAge: n.configAge, EndsAt: n.plannedEnd,
 	}
 	n.callerServer = &caller.Server{Handler: n.gateway, Refusals: refuser, IdleCloseDelay: config.Bounds.StopGrace / idleCloseDivisor}
+	n.forwardServer = &caller.Server{Handler: n.gateway.ForwardHandler(), Refusals: refuser, IdleCloseDelay: config.Bounds.StopGrace / idleCloseDivisor}
 	n.buildFeeds()
 	n.roster = &roster.Roster{
 		Self: n.self, Peers: n.peers, LocalState: n.localState, OnExchange: n.onExchange, Seeds: config.Peers, Log: n.Log,
@@ -235,6 +242,8 @@
 // listeners holds the VM's listeners.
 type listeners struct {
 	callers, ready, lookup, peers, metrics net.Listener
+	// forwards is nil if the VM takes no forwarded requests.
+	forwards net.Listener
 }
 
 func (n *Node) listen() (open listeners, err error) {
@@ -248,7 +257,11 @@
 		{&open.lookup, config.LookupAddress},
 		{&open.peers, config.PeerAddress},
 		{&open.metrics, config.MetricsAddress},
+		{&open.forwards, config.ForwardAddress},
 	} {
+		if port.address == "" {
+			continue
+		}
 		if *port.listener, err = net.Listen("tcp", port.address); err != nil {
 			return open, err
 		}
@@ -262,6 +275,9 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", n.metrics)
 	lifetime := min(maxLookupLifetime, n.Settings.Bounds.LookupLifetime)
+	if open.forwards != nil {
+		go n.serveAndLog("serving forwarded requests", func() error { return n.forwardServer.Serve(open.forwards) })
+	}
 	go n.serveAndLog("serving peers", func() error { return n.peerServer.Serve(open.peers) })
 	for _, served := range []struct {
 		service  string
--- a/internal/entry/node/reach.go
+++ b/internal/entry/node/reach.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+
+	"baobabladder.example/baobabladder/internal/world/vm"
 )
 
 // probeEndpoint opens a connection to an endpoint and closes it.
@@ -18,8 +20,19 @@
 	return conn.Close()
 }
 
-// onReachChange logs that this VM begins or ceases to be cut off from all endpoints.
+// pickHelpers returns VMs that serve requests in place of this one; see roster.Helpers.
+func (n *Node) pickHelpers(count int, isAllowed func(region string) bool) []vm.VM {
+	helpers := n.helpers.Load()
+	if helpers == nil {
+		return nil
+	}
+	return helpers.Pick(count, isAllowed)
+}
+
+// onReachChange logs that this VM begins or ceases to be cut off from all endpoints, and
+// tells its peers.
 func (n *Node) onReachChange(isCutOff bool) {
+	n.roster.ExchangeNow(context.Background())
 	if isCutOff {
 		n.Log.Warn("cut off from all endpoints")
 		return
--- a/internal/entry/node/stop.go
+++ b/internal/entry/node/stop.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/wire/caller"
 )
 
 const (
@@ -26,11 +27,13 @@
 	limit, cancel := context.WithTimeout(ctx, timeLeft.Duration())
 	defer cancel()
 	var group sync.WaitGroup
-	group.Go(func() {
-		if err := n.callerServer.Shutdown(limit); err != nil {
-			n.Log.WithError(err).Warn("the grace period ended before all connections of callers were closed; the VM stops and interrupts them")
-		}
-	})
+	for clients, server := range map[string]*caller.Server{"callers": n.callerServer, "peers that forward requests": n.forwardServer} {
+		group.Go(func() {
+			if err := server.Shutdown(limit); err != nil {
+				n.Log.WithError(err).Warnf("the grace period ended before all connections of %s were closed; the VM stops and interrupts them", clients)
+			}
+		})
+	}
 	group.Wait()
 }
 
--- a/internal/world/vm/vm.go
+++ b/internal/world/vm/vm.go
@@ -34,6 +34,9 @@
 	CallerAddress string `json:"caller_address,omitempty"`
 	// PeerAddress is the host:port for other entry VMs. Only entry VMs have one.
 	PeerAddress string `json:"peer_address,omitempty"`
+	// ForwardAddress is the host:port for requests that other entry VMs forward; empty if
+	// the VM takes none.
+	ForwardAddress string `json:"forward_address,omitempty"`
 }
 
 // Incarnation identifies one run of a VM's process. It is the wall time of the
