Reset the connection of a request that is given up

The request had been sent at 1.7 s on a kept connection whose link was cut silently, and was given up at its deadline at 5.6 s. The connection was closed in order, so the bytes that the link held up arrived at 10.2 s, when it was back, and the endpoint ran the request.

The connection of an exchange that fails or whose context ends is now reset, which drops what has not arrived. It serves callers too: an order that was answered 504 is not run seconds later.

TestRequestThatIsGivenUpResetsConnection failed before.

--- a/internal/wire/endpoint/conn.go
+++ b/internal/wire/endpoint/conn.go
@@ -99,6 +99,15 @@
 	return c
 }
 
+// abort closes the connection with a reset, so that bytes of the request that a link holds
+// up don't reach the endpoint later, when nobody waits for the answer.
+func (c *conn) abort() {
+	if resettable, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = resettable.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // headLimitedReader reads from a conn and enforces its headBudget.
 type headLimitedReader struct{ conn *conn }
 
--- a/internal/wire/endpoint/endpoint.go
+++ b/internal/wire/endpoint/endpoint.go
@@ -182,7 +182,7 @@
 		return nil, err
 	}
 	exchange := &exchange{client: c, connection: connection, request: request, ctx: ctx}
-	exchange.stopContextWatch = context.AfterFunc(ctx, func() { _ = connection.Close() })
+	exchange.stopContextWatch = context.AfterFunc(ctx, connection.abort)
 	return exchange.run()
 }
 
--- a/internal/wire/endpoint/endpoint_test.go
+++ b/internal/wire/endpoint/endpoint_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -329,6 +330,28 @@
 	return s.takes, io.ErrClosedPipe
 }
 
+// A request whose bytes a cut link held up reached its endpoint seconds after its deadline,
+// when the link was back.
+func TestRequestThatIsGivenUpResetsConnection(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	ended := make(chan error, 1)
+	go func() {
+		connection, err := listener.Accept()
+		if err == nil {
+			_, err = io.Copy(io.Discard, connection)
+		}
+		ended <- err
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err = endpoint.New().Send(ctx, listener.Addr().String(), getRequest("id-1"))
+	g.Expect(err).To(HaveOccurred())
+	g.Eventually(ended, "5s").Should(Receive(MatchError(syscall.ECONNRESET)))
+}
+
 func TestCancelledRequestClosesConnection(t *testing.T) {
 	for _, started := range []string{"", "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nContent-Length: 9\r\n\r\nhalf"} {
 		g := NewWithT(t)
--- a/internal/wire/endpoint/exchange.go
+++ b/internal/wire/endpoint/exchange.go
@@ -162,7 +162,7 @@
 // states that the request may have run.
 func (e *exchange) fail(err error) *reason.Refusal {
 	e.stopContextWatch()
-	_ = e.connection.Close()
+	e.connection.abort()
 	e.stopBody()
 	if _, ok := fault.As[*reason.Refusal](e.bodyErr); ok {
 		err = e.bodyErr
@@ -222,7 +222,7 @@
 	if _, ok := fault.As[*reason.Refusal](e.bodyErr); ok {
 		// Reading the caller's body failed. The connection is closed so that the
 		// endpoint does not accept the truncated request as complete.
-		_ = e.connection.Close()
+		e.connection.abort()
 	}
 }
 
