Send look-ups in flight to another VM when the links fall silent

Orders and uploads may have run and wait for their deadline as before. Where open connections live on while new ones are refused, nothing is cancelled.

TestLookupInFlightIsForwardedWhenLinksFallSilent and TestAnswersOnOpenConnectionsAreAwaited.

--- a/internal/entry/gateway/forward_test.go
+++ b/internal/entry/gateway/forward_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,9 +36,10 @@
 // cutOff is a Reach whose VM is always cut off, or never.
 type cutOff bool
 
-func (c cutOff) IsCutOff() bool { return bool(c) }
-func (cutOff) Begin()           {}
-func (cutOff) End(bool, bool)   {}
+func (c cutOff) IsCutOff() bool      { return bool(c) }
+func (cutOff) Lost() context.Context { return context.Background() }
+func (cutOff) Begin()                {}
+func (cutOff) End(bool, bool)        {}
 
 // tokens is a Quota that admits all requests and counts refunds.
 type tokens struct {
@@ -261,3 +264,46 @@
 		g.Expect(response.Code).To(Equal(http.StatusBadRequest), header)
 	}
 }
+
+// losing is a Reach whose VM becomes cut off when lose is called.
+type losing struct {
+	isCutOff atomic.Bool
+	lost     context.Context
+	endLost  context.CancelFunc
+}
+
+func (l *losing) IsCutOff() bool        { return l.isCutOff.Load() }
+func (l *losing) Lost() context.Context { return l.lost }
+func (*losing) Begin()                  {}
+func (*losing) End(bool, bool)          {}
+
+func (l *losing) lose() {
+	l.isCutOff.Store(true)
+	l.endLost()
+}
+
+// Look-ups that were in flight when the links fell silent were answered at their deadline.
+func TestLookupInFlightIsForwardedWhenLinksFallSilent(t *testing.T) {
+	g := NewWithT(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer silent.Close()
+	e := &testEndpoint{}
+	address := e.start(t)
+	losingVM, helper := newTestVM(t, "vm-1", "a", false, 1, silent.Addr().String()), newTestVM(t, "vm-2", "a", false, 1, address)
+	reach := &losing{}
+	reach.lost, reach.endLost = context.WithCancel(context.Background())
+	losingVM.gateway.Reach = reach
+	losingVM.helpedBy(helper)
+	time.AfterFunc(100*time.Millisecond, reach.lose)
+	startedAt := time.Now()
+	g.Expect(losingVM.send("GET", "/read/x", "").Code).To(Equal(http.StatusOK))
+	g.Expect(time.Since(startedAt)).To(BeNumerically("<", testTimeout.Duration()/2))
+	g.Expect(e.runs).To(HaveLen(1))
+	// An order may have run, so it is not sent again.
+	reach.isCutOff.Store(false)
+	reach.lost, reach.endLost = context.WithCancel(context.Background())
+	time.AfterFunc(100*time.Millisecond, reach.lose)
+	g.Expect(losingVM.send("POST", "/order/x", "body").Code).To(Equal(http.StatusGatewayTimeout))
+	g.Expect(e.runs).To(HaveLen(1))
+}
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -48,6 +48,9 @@
 // Reach tells whether this VM reaches endpoints; see reach.Monitor.
 type Reach interface {
 	IsCutOff() bool
+	// Lost returns a context that ends when the VM becomes cut off and the requests in
+	// flight get no answers either.
+	Lost() context.Context
 	// Begin and End record that a request is sent to an endpoint, and how it ended.
 	Begin()
 	End(isAnswered, isUnreached bool)
--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -123,10 +123,12 @@
 			c.triedEndpoints = append(c.triedEndpoints, grant.Endpoint.ID)
 		}
 	}()
+	ctx, cancel := c.untilLinksAreLost(ctx)
+	defer cancel()
 	response, err := c.send(ctx, grant)
 	if err != nil {
 		result = failedResult(err)
-		return err
+		return linksLost(ctx, err)
 	}
 	status = response.Status
 	result.Limit, result.IsLeaving, result.Pause = balance.ParseLimit(response.Limit), response.IsLeaving, response.Pause
@@ -134,12 +136,40 @@
 	err = c.relayResponse(ctx, response)
 	_ = response.Body.Close()
 	result.Outcome = responseOutcome(response, err)
+	err = linksLost(ctx, err)
 	if err == nil && response.Status < http.StatusInternalServerError {
 		c.gateway.Blocklist.RecordAnswer(c.digest)
 	}
 	return err
 }
 
+// errLinksLost is the cause with which an attempt is cancelled when this VM has lost its
+// links to all endpoints.
+var errLinksLost error = reason.MayHaveRun(reason.EndpointFailed, "this VM has lost its links to all endpoints")
+
+// untilLinksAreLost returns a context for one attempt. That of a request which may be
+// repeated is cancelled when this VM has lost its links to all endpoints.
+func (c *call) untilLinksAreLost(ctx context.Context) (context.Context, context.CancelFunc) {
+	if c.gateway.Reach == nil || !c.isIdempotent() {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(c.gateway.Reach.Lost(), func() { cancel(errLinksLost) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// linksLost returns errLinksLost in place of the error of an attempt that was cancelled for
+// it, and any other error unchanged.
+func linksLost(ctx context.Context, err error) error {
+	if err != nil && context.Cause(ctx) == errLinksLost {
+		return errLinksLost
+	}
+	return err
+}
+
 // beginReach records that a request is sent to an endpoint. The function that it returns
 // records how the request ended.
 func (c *call) beginReach() (end func(isAnswered, isUnreached bool)) {
--- a/internal/policy/reach/reach.go
+++ b/internal/policy/reach/reach.go
@@ -60,6 +60,10 @@
 	nextRoundAt clock.Millis
 	rounds      int
 	isCutOff    bool
+	// lost is done once the VM is cut off and no endpoint answers; see Lost. endLost ends
+	// it. Guarded by mu.
+	lost    context.Context
+	endLost context.CancelFunc
 }
 
 // IsCutOff reports whether this VM reaches no endpoint.
@@ -69,6 +73,17 @@
 	return m.isCutOff
 }
 
+// Lost returns a context that ends when the VM becomes cut off and the requests in flight get
+// no answers either.
+func (m *Monitor) Lost() context.Context {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.lost == nil {
+		m.lost, m.endLost = context.WithCancel(context.Background())
+	}
+	return m.lost
+}
+
 // Begin records that a request is sent to an endpoint. End must be called once for it.
 func (m *Monitor) Begin() {
 	m.mu.Lock()
@@ -171,5 +186,11 @@
 		return false
 	}
 	m.isCutOff, m.rounds = !m.isCutOff, 0
+	if m.isCutOff && now-m.lastAnswerAt >= silenceSpan && m.lost != nil {
+		m.endLost()
+	}
+	if !m.isCutOff {
+		m.lost = nil
+	}
 	return true
 }
--- a/internal/policy/reach/reach_test.go
+++ b/internal/policy/reach/reach_test.go
@@ -67,13 +67,33 @@
 			if !isSilent {
 				monitor.End(false, true)
 			}
+			lost := monitor.Lost()
 			g.Eventually(monitor.IsCutOff, "3s").Should(BeTrue())
+			if isSilent {
+				g.Expect(lost.Done()).To(BeClosed(), "requests in flight get no answers")
+			}
 			l.isCut.Store(false)
 			g.Eventually(monitor.IsCutOff, "5s").Should(BeFalse())
+			g.Expect(monitor.Lost().Err()).NotTo(HaveOccurred())
 		})
 	}
 }
 
+// Requests on connections that live on, while new ones are refused, must not be given up.
+func TestAnswersOnOpenConnectionsAreAwaited(t *testing.T) {
+	g := NewWithT(t)
+	l := &links{}
+	monitor := start(t, l)
+	lost := monitor.Lost()
+	l.isCut.Store(true)
+	g.Eventually(func() bool {
+		monitor.Begin()
+		monitor.End(true, true)
+		return monitor.IsCutOff()
+	}, "3s", "50ms").Should(BeTrue())
+	g.Expect(lost.Err()).NotTo(HaveOccurred())
+}
+
 // One endpoint that is down or slow must not make the VM count as cut off.
 func TestVMThatReachesAnEndpointIsNotCutOff(t *testing.T) {
 	g := NewWithT(t)
