--- a/internal/entry/node/moves.go
+++ b/internal/entry/node/moves.go
@@ -15,11 +15,11 @@
 )
 
 // keepMoveState returns the newest form of a move with the state of the previous one, if
-// the store may have lost that by coming back from a copy: the two are of different eras,
-// or it was lost before, and the newest is not as far. The state must then be written
-// again. Otherwise it returns the newest form.
+// the store may have lost that: the two are of different eras, another writer has spoiled
+// the state, or it was lost before, and the newest is not as far. The state must then be
+// written again. Otherwise it returns the newest form.
 func keepMoveState(previous, newest directory.Move) directory.Move {
-	mayBeLost := previous.IsStateLost || tracker.EraOf(previous.Revision) < tracker.EraOf(newest.Revision)
+	mayBeLost := previous.IsStateLost || newest.IsStateUnreadable || tracker.EraOf(previous.Revision) < tracker.EraOf(newest.Revision)
 	if !mayBeLost || previous.TargetVersion != newest.TargetVersion || previous.State.Progress() <= newest.State.Progress() {
 		return newest
 	}
--- a/internal/entry/node/moves_test.go
+++ b/internal/entry/node/moves_test.go
@@ -29,4 +29,8 @@
 	g.Expect(keepMoveState(before, another).State).To(Equal(directory.MoveRequested), "another version's move")
 	restarted := directory.Move{Service: "cat", TargetVersion: "v2", Revision: tracker.RevisionInEra(1, 95)}
 	g.Expect(keepMoveState(before, restarted).State).To(Equal(directory.MoveRequested), "the same era: the operator took the state away")
+	spoiled := restarted
+	spoiled.IsStateUnreadable = true
+	g.Expect(keepMoveState(before, spoiled).State).To(Equal(directory.MoveDone), "another writer has spoiled the state")
+	g.Expect(keepMoveState(before, spoiled).IsStateLost).To(BeTrue())
 }
--- a/internal/world/directory/directory.go
+++ b/internal/world/directory/directory.go
@@ -88,6 +88,8 @@
 	// IsStateLost reports that the store no longer has the state, because it came back
 	// from a copy.
 	IsStateLost bool
+	// IsStateUnreadable reports that another writer spoiled the state in the store.
+	IsStateUnreadable bool
 	// Revision is the store's revision at the last change of the move.
 	Revision int64
 }
