--- a/internal/wire/endpoint/repeated_test.go
+++ b/internal/wire/endpoint/repeated_test.go
@@ -69,8 +69,8 @@
 // a whole one.
 func TestAnswerThatIsCutAnywhereIsNotWhole(t *testing.T) {
 	for name, whole := range map[string]string{
-		"with a length": "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\nContent-Length: 12\r\n\r\nhello world\n",
-		"in chunks":     "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\nServer-Stamp: s\r\n\r\n6\r\nhello \r\n6\r\nworld\n\r\n0\r\n\r\n",
+		"with a length": "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nAnswer-Stamp: s\r\nContent-Length: 12\r\n\r\nhello world\n",
+		"in chunks":     "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\nAnswer-Stamp: s\r\n\r\n6\r\nhello \r\n6\r\nworld\n\r\n0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
