--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -127,14 +127,7 @@
 	}
 	ctx, cancel := c.withDeadline()
 	defer cancel()
-	if err := c.readBody(ctx); err != nil {
-		return err
-	}
-	c.identify()
-	if err := c.checkBlocklist(); err != nil {
-		return err
-	}
-	if err := c.checkStop(ctx); err != nil {
+	if err := c.receive(ctx); err != nil {
 		return err
 	}
 	return c.sendWithRetries(ctx)
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -184,6 +184,15 @@
 	if err := c.admit(ctx); err != nil {
 		return err
 	}
+	if err := c.receive(ctx); err != nil {
+		return err
+	}
+	c.chooseService()
+	return c.sendWithRetries(ctx)
+}
+
+// receive reads the body and checks whether the request may be sent.
+func (c *call) receive(ctx context.Context) error {
 	if err := c.readBody(ctx); err != nil {
 		return err
 	}
@@ -191,9 +200,5 @@
 	if err := c.checkBlocklist(); err != nil {
 		return err
 	}
-	if err := c.checkStop(ctx); err != nil {
-		return err
-	}
-	c.chooseService()
-	return c.sendWithRetries(ctx)
+	return c.checkStop(ctx)
 }
--- /dev/null
+++ b/internal/entry/gateway/outcome.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/fault"
+	"baobabladder.example/baobabladder/internal/base/reason"
+	"baobabladder.example/baobabladder/internal/policy/balance"
+	"baobabladder.example/baobabladder/internal/policy/canary"
+	"baobabladder.example/baobabladder/internal/wire/caller"
+	"baobabladder.example/baobabladder/internal/wire/endpoint"
+)
+
+// recordCanaryResult counts an attempt for the service's version move. Attempts at cold
+// endpoints, which are still warming up, don't count. status is 0 without a response.
+func (c *call) recordCanaryResult(grant *balance.Grant, outcome balance.Outcome, status int, took clock.Millis) {
+	if grant.IsCold {
+		return
+	}
+	if result, ok := canaryResult(grant, outcome, status, took); ok {
+		c.gateway.Canary.Record(c.service.Name, grant.Endpoint.Version, result)
+	}
+}
+
+// timing compares the time that an attempt took with the usual one; see balance.Grant.
+type timing interface {
+	IsTight() bool
+	IsPastTypical(took clock.Millis) bool
+	IsSlow(took clock.Millis) bool
+}
+
+// canaryResult returns what an attempt shows about the version that ran it; ok is false if
+// it shows nothing.
+func canaryResult(timing timing, outcome balance.Outcome, status int, took clock.Millis) (result canary.Result, ok bool) {
+	result.IsTight = timing.IsTight()
+	// An endpoint may answer itself that the deadline has passed.
+	isLate := outcome == balance.DeadlineExceeded || outcome == balance.Failed && status == http.StatusGatewayTimeout
+	switch {
+	case isLate && !timing.IsPastTypical(took):
+		// The deadline passed before an endpoint usually responds: the request came
+		// with too little time left, which is not the endpoint's fault.
+		return canary.Result{}, false
+	case (isLate || outcome == balance.Answered) && timing.IsSlow(took):
+		result.Outcome = canary.Slow
+	case isLate:
+		result.Outcome = canary.Late
+	case outcome == balance.Failed && status >= http.StatusInternalServerError:
+		result.Outcome = canary.Failed
+	case outcome == balance.Failed:
+		result.Outcome = canary.Ended
+	case outcome != balance.Answered:
+		return canary.Result{}, false
+	}
+	return result, true
+}
+
+// failedResult returns the result of an attempt without a complete response.
+func failedResult(err error) balance.Result {
+	notRun, ok := fault.As[*endpoint.NotRunError](err)
+	if !ok {
+		return balance.Result{Outcome: failureOutcome(err), Running: -1}
+	}
+	result := balance.Result{Outcome: balance.Shed, IsLeaving: notRun.IsLeaving, Pause: notRun.Pause}
+	if notRun.Status == http.StatusMisdirectedRequest {
+		result.Outcome = balance.Moved
+	}
+	result.Running, result.Waiting = parseLoad(notRun.Load)
+	if notRun.Limit != "" {
+		// An endpoint that did not run a request may leave its limit out.
+		result.Limit = balance.ParseLimit(notRun.Limit)
+	}
+	return result
+}
+
+// failureOutcome returns the outcome of an attempt that got no response, or only a part
+// of one.
+func failureOutcome(err error) balance.Outcome {
+	refusal := caller.AsRefusal(err)
+	switch refusal.Reason {
+	case reason.DeadlinePassed:
+		return balance.DeadlineExceeded
+	case reason.CallerGone, reason.BodyShort, reason.BodyTooSlow, reason.BodyTooLarge:
+		return balance.Cancelled
+	}
+	if refusal.Ran == reason.RanNo {
+		return balance.Unreachable
+	}
+	return balance.Failed
+}
+
+func responseOutcome(response *endpoint.Response, err error) balance.Outcome {
+	if err != nil {
+		return failureOutcome(err)
+	}
+	if response.Status >= http.StatusInternalServerError {
+		return balance.Failed
+	}
+	return balance.Answered
+}
+
+// parseLoad parses an endpoint's load report, "running,waiting,slots". running is -1
+// if there is no valid report.
+func parseLoad(load string) (running, waiting int) {
+	parts := strings.Split(load, ",")
+	if len(parts) < 2 {
+		return -1, 0
+	}
+	running, err := strconv.Atoi(strings.TrimSpace(parts[0]))
+	if err != nil || running < 0 {
+		return -1, 0
+	}
+	waiting, err = strconv.Atoi(strings.TrimSpace(parts[1]))
+	if err != nil || waiting < 0 {
+		return -1, 0
+	}
+	return running, waiting
+}
--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -2,29 +2,17 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/fault"
 	"baobabladder.example/baobabladder/internal/base/reason"
 	"baobabladder.example/baobabladder/internal/policy/balance"
-	"baobabladder.example/baobabladder/internal/policy/canary"
 	"baobabladder.example/baobabladder/internal/wire/caller"
 	"baobabladder.example/baobabladder/internal/wire/endpoint"
 )
 
-const (
-	// maxBufferedResponse is the size in bytes up to which a response is read into
-	// memory before its first byte is sent to the caller, so that a truncated one can
-	// be retried or refused.
-	maxBufferedResponse = 256 << 10
-	copyBufferBytes     = 32 << 10
-)
-
 // sendWithRetries sends the request until a response was relayed or no retry is
 // possible. While this VM is cut off from all endpoints, it forwards the request, and also
 // if it did not reach an endpoint.
@@ -192,49 +180,6 @@
 	return true
 }
 
-// recordCanaryResult counts an attempt for the service's version move. Attempts at cold
-// endpoints, which are still warming up, don't count. status is 0 without a response.
-func (c *call) recordCanaryResult(grant *balance.Grant, outcome balance.Outcome, status int, took clock.Millis) {
-	if grant.IsCold {
-		return
-	}
-	if result, ok := canaryResult(grant, outcome, status, took); ok {
-		c.gateway.Canary.Record(c.service.Name, grant.Endpoint.Version, result)
-	}
-}
-
-// timing compares the time that an attempt took with the usual one; see balance.Grant.
-type timing interface {
-	IsTight() bool
-	IsPastTypical(took clock.Millis) bool
-	IsSlow(took clock.Millis) bool
-}
-
-// canaryResult returns what an attempt shows about the version that ran it; ok is false if
-// it shows nothing.
-func canaryResult(timing timing, outcome balance.Outcome, status int, took clock.Millis) (result canary.Result, ok bool) {
-	result.IsTight = timing.IsTight()
-	// An endpoint may answer itself that the deadline has passed.
-	isLate := outcome == balance.DeadlineExceeded || outcome == balance.Failed && status == http.StatusGatewayTimeout
-	switch {
-	case isLate && !timing.IsPastTypical(took):
-		// The deadline passed before an endpoint usually responds: the request came
-		// with too little time left, which is not the endpoint's fault.
-		return canary.Result{}, false
-	case (isLate || outcome == balance.Answered) && timing.IsSlow(took):
-		result.Outcome = canary.Slow
-	case isLate:
-		result.Outcome = canary.Late
-	case outcome == balance.Failed && status >= http.StatusInternalServerError:
-		result.Outcome = canary.Failed
-	case outcome == balance.Failed:
-		result.Outcome = canary.Ended
-	case outcome != balance.Answered:
-		return canary.Result{}, false
-	}
-	return result, true
-}
-
 // recordLimitedSend counts a send to an endpoint that has named a limit.
 func (c *call) recordLimitedSend(grant *balance.Grant) {
 	if grant.Basis.Limit.Statement == balance.LimitNamed && c.gateway.RecordLimitedSend != nil {
@@ -272,141 +217,3 @@
 	deadline, _ := ctx.Deadline()
 	return clock.FromDuration(time.Until(deadline))
 }
-
-// failedResult returns the result of an attempt without a complete response.
-func failedResult(err error) balance.Result {
-	notRun, ok := fault.As[*endpoint.NotRunError](err)
-	if !ok {
-		return balance.Result{Outcome: failureOutcome(err), Running: -1}
-	}
-	result := balance.Result{Outcome: balance.Shed, IsLeaving: notRun.IsLeaving, Pause: notRun.Pause}
-	if notRun.Status == http.StatusMisdirectedRequest {
-		result.Outcome = balance.Moved
-	}
-	result.Running, result.Waiting = parseLoad(notRun.Load)
-	if notRun.Limit != "" {
-		// An endpoint that did not run a request may leave its limit out.
-		result.Limit = balance.ParseLimit(notRun.Limit)
-	}
-	return result
-}
-
-// failureOutcome returns the outcome of an attempt that got no response, or only a part
-// of one.
-func failureOutcome(err error) balance.Outcome {
-	refusal := caller.AsRefusal(err)
-	switch refusal.Reason {
-	case reason.DeadlinePassed:
-		return balance.DeadlineExceeded
-	case reason.CallerGone, reason.BodyShort, reason.BodyTooSlow, reason.BodyTooLarge:
-		return balance.Cancelled
-	}
-	if refusal.Ran == reason.RanNo {
-		return balance.Unreachable
-	}
-	return balance.Failed
-}
-
-func responseOutcome(response *endpoint.Response, err error) balance.Outcome {
-	if err != nil {
-		return failureOutcome(err)
-	}
-	if response.Status >= http.StatusInternalServerError {
-		return balance.Failed
-	}
-	return balance.Answered
-}
-
-// parseLoad parses an endpoint's load report, "running,waiting,slots". running is -1
-// if there is no valid report.
-func parseLoad(load string) (running, waiting int) {
-	parts := strings.Split(load, ",")
-	if len(parts) < 2 {
-		return -1, 0
-	}
-	running, err := strconv.Atoi(strings.TrimSpace(parts[0]))
-	if err != nil || running < 0 {
-		return -1, 0
-	}
-	waiting, err = strconv.Atoi(strings.TrimSpace(parts[1]))
-	if err != nil || waiting < 0 {
-		return -1, 0
-	}
-	return running, waiting
-}
-
-// relayResponse relays a response to the caller. A response of up to
-// maxBufferedResponse bytes is read whole first; a longer one is streamed.
-func (c *call) relayResponse(ctx context.Context, response *endpoint.Response) error {
-	if c.request.Method == http.MethodHead {
-		c.writeResponseHead(response, response.Length)
-		return nil
-	}
-	if response.Length > maxBufferedResponse {
-		return c.relayStream(response, nil)
-	}
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponse))
-	if err != nil {
-		return err
-	}
-	if response.Length < 0 && len(content) == maxBufferedResponse {
-		return c.relayStream(response, content)
-	}
-	if response.Status >= http.StatusInternalServerError && c.canRetryFailedResponse(ctx) {
-		return reason.MayHaveRun(reason.EndpointFailed, "the endpoint answered with status %d", response.Status)
-	}
-	c.writeResponseHead(response, int64(len(content)))
-	if _, err := c.w.Write(content); err != nil {
-		return errCallerGone
-	}
-	return nil
-}
-
-// canRetryFailedResponse reports whether to retry after a response with a 5xx status:
-// the request is idempotent and was not forwarded, an attempt is left, and so is more than
-// the route's target latency.
-func (c *call) canRetryFailedResponse(ctx context.Context) bool {
-	return c.forwardedTo == "" && c.isIdempotent() && c.earlierAttempts+len(c.triedEndpoints)+1 < c.route.MaxAttempts && remainingTime(ctx) > c.route.TargetLatency
-}
-
-var errCallerGone error = &reason.Refusal{Reason: reason.CallerGone, Ran: reason.RanYes, Detail: "the caller went away before its answer was whole"}
-
-func (c *call) relayStream(response *endpoint.Response, prefix []byte) error {
-	c.writeResponseHead(response, response.Length)
-	if _, err := c.w.Write(prefix); err != nil {
-		return errCallerGone
-	}
-	buffer := make([]byte, copyBufferBytes)
-	for {
-		n, err := response.Body.Read(buffer)
-		if n > 0 {
-			if _, err := c.w.Write(buffer[:n]); err != nil {
-				return errCallerGone
-			}
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-// writeResponseHead writes a response's status and headers. A negative length is not
-// declared.
-func (c *call) writeResponseHead(response *endpoint.Response, length int64) {
-	c.responseStarted = true
-	header := c.w.Header()
-	for name, values := range response.Header {
-		header[name] = values
-	}
-	if header.Get("Content-Type") == "" {
-		// Keeps net/http from guessing a type.
-		header["Content-Type"] = nil
-	}
-	if length >= 0 && response.Status != http.StatusNoContent && response.Status != http.StatusNotModified {
-		header.Set("Content-Length", strconv.FormatInt(length, 10))
-	}
-	c.w.WriteHeader(response.Status)
-}
