Let both kinds of version moves share one sliding window

policy/move and policy/canary each had a ring of counts with the same code. It is a package of its own now.

--- a/internal/policy/canary/canary.go
+++ b/internal/policy/canary/canary.go
@@ -139,7 +139,7 @@
 	part := float64(hashing.Strings(g.VM, move.Service, move.TargetVersion)) / math.MaxUint64
 	return &trial{
 		move: move, evidence: Evidence{To: move.TargetVersion}, peers: map[string]Evidence{}, onBad: g.OnBad,
-		credit: part, startedAt: now, creditedAt: now,
+		recent: recentCounts{Span: recentSpan, Count: recentSpans}, credit: part, startedAt: now, creditedAt: now,
 	}
 }
 
@@ -233,7 +233,7 @@
 	if t == nil {
 		return
 	}
-	whole, recent := &t.evidence.Whole, t.recent.advance(g.Clock.Now())
+	whole, recent := &t.evidence.Whole, t.recent.Advance(g.Clock.Now())
 	if version == t.move.TargetVersion {
 		whole.New.record(result)
 		recent.New.record(result)
@@ -254,7 +254,7 @@
 			continue
 		}
 		t.evidence.Bad = t.isBad(now)
-		t.evidence.Recent = t.recent.sum(now)
+		t.evidence.Recent = t.recent.Sum(now)
 		t.evidence.Age = now - t.move.FirstSeen
 		evidence[service] = t.evidence
 	}
@@ -336,7 +336,7 @@
 // evidences returns this VM's evidence and that of each of its peers.
 func (t *trial) evidences(now clock.Millis) []Evidence {
 	own := t.evidence
-	own.Recent = t.recent.sum(now)
+	own.Recent = t.recent.Sum(now)
 	all := make([]Evidence, 0, 1+len(t.peers))
 	all = append(all, own)
 	for _, peer := range t.peers {
--- a/internal/policy/canary/counts.go
+++ b/internal/policy/canary/counts.go
@@ -1,6 +1,9 @@
 package canary
 
-import "baobabladder.example/baobabladder/internal/base/clock"
+import (
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/policy/window"
+)
 
 // Outcome is how a request on a version ended.
 type Outcome int
@@ -79,11 +82,15 @@
 	c.Late += other.Late
 }
 
-func (v *VersionCounts) add(other *VersionCounts) {
+// Add adds the requests that other counts.
+func (v *VersionCounts) Add(other *VersionCounts) {
 	v.New.add(&other.New)
 	v.Old.add(&other.Old)
 }
 
+// Clear sets all counts to 0.
+func (v *VersionCounts) Clear() { *v = VersionCounts{} }
+
 // recentSpan times recentSpans is the length of the window of recent requests.
 const (
 	recentSpan  = clock.Second
@@ -91,27 +98,4 @@
 )
 
 // recentCounts sums up counts over the last recentSpans spans.
-type recentCounts struct {
-	spans [recentSpans]VersionCounts
-	// spanIndex is the number of spans from time 0 to the newest one.
-	spanIndex int64
-}
-
-// advance clears the spans that have left the window and returns the newest one.
-func (r *recentCounts) advance(now clock.Millis) *VersionCounts {
-	at := int64(now / recentSpan)
-	for cleared := 0; r.spanIndex < at && cleared < recentSpans; cleared++ {
-		r.spanIndex++
-		r.spans[r.spanIndex%recentSpans] = VersionCounts{}
-	}
-	r.spanIndex = at
-	return &r.spans[at%recentSpans]
-}
-
-func (r *recentCounts) sum(now clock.Millis) (sum VersionCounts) {
-	r.advance(now)
-	for i := range r.spans {
-		sum.add(&r.spans[i])
-	}
-	return sum
-}
+type recentCounts = window.Sliding[VersionCounts, *VersionCounts]
--- a/internal/policy/canary/evidence.go
+++ b/internal/policy/canary/evidence.go
@@ -91,8 +91,8 @@
 
 // add adds the requests that another VM observed.
 func (e *Evidence) add(other *Evidence) {
-	e.Whole.add(&other.Whole)
-	e.Recent.add(&other.Recent)
+	e.Whole.Add(&other.Whole)
+	e.Recent.Add(&other.Recent)
 }
 
 // comparison compares how often a fault shows in the new version's requests with how
@@ -150,7 +150,7 @@
 	c := comparison{fault: f, windows: 1, maxP: doubtMaxP}
 	var old VersionCounts
 	for i := range vms {
-		old.add(&vms[i])
+		old.Add(&vms[i])
 	}
 	rateOfAll := float64(f.bad(&old.Old)) / float64(max(f.all(&old.Old), 1))
 	var expected float64
--- a/internal/policy/move/evidence.go
+++ b/internal/policy/move/evidence.go
@@ -5,7 +5,6 @@
 	"math"
 	"sort"
 
-	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/policy/likelihood"
 )
 
@@ -140,12 +139,14 @@
 	clear(c.Latency)
 }
 
-func (c *VersionCounts) add(other *VersionCounts) {
+// Add adds the counts of other to c.
+func (c *VersionCounts) Add(other *VersionCounts) {
 	c.New.add(&other.New)
 	c.Old.add(&other.Old)
 }
 
-func (c *VersionCounts) clear() {
+// Clear resets c and keeps its memory.
+func (c *VersionCounts) Clear() {
 	c.New.clear()
 	c.Old.clear()
 }
@@ -300,11 +301,11 @@
 			sum = &Evidence{Service: service, Attempt: attempt, Route: evidence.Route, StageStep: step}
 			byRoute[evidence.Route] = sum
 		}
-		sum.Minute.add(&evidence.Minute)
-		sum.TenMinutes.add(&evidence.TenMinutes)
-		sum.Whole.add(&evidence.Whole)
+		sum.Minute.Add(&evidence.Minute)
+		sum.TenMinutes.Add(&evidence.TenMinutes)
+		sum.Whole.Add(&evidence.Whole)
 		if evidence.StageStep == step {
-			sum.Stage.add(&evidence.Stage)
+			sum.Stage.Add(&evidence.Stage)
 		}
 		sum.Cold = append(sum.Cold, evidence.Cold...)
 	}
@@ -343,30 +344,3 @@
 		}
 	}
 }
-
-// slidingWindow sums up counts over the last ten spans.
-type slidingWindow struct {
-	span  clock.Millis
-	spans [10]VersionCounts
-	// spanIndex is the number of spans from time 0 to the newest one.
-	spanIndex int64
-}
-
-// advance clears the spans that have left the window and returns the newest one.
-func (w *slidingWindow) advance(now clock.Millis) *VersionCounts {
-	at := int64(now / w.span)
-	for cleared := 0; w.spanIndex < at && cleared < len(w.spans); cleared++ {
-		w.spanIndex++
-		w.spans[w.spanIndex%int64(len(w.spans))].clear()
-	}
-	w.spanIndex = at
-	return &w.spans[at%int64(len(w.spans))]
-}
-
-func (w *slidingWindow) sum(now clock.Millis) (sum VersionCounts) {
-	w.advance(now)
-	for i := range w.spans {
-		sum.add(&w.spans[i])
-	}
-	return sum
-}
--- a/internal/policy/move/guard.go
+++ b/internal/policy/move/guard.go
@@ -6,6 +6,7 @@
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/document"
+	"baobabladder.example/baobabladder/internal/policy/window"
 )
 
 const (
@@ -73,6 +74,12 @@
 	ownSuccesses []int64
 }
 
+// windowSpans is the number of spans into which a window is divided.
+const windowSpans = 10
+
+// countsWindow sums up counts over the last windowSpans spans.
+type countsWindow = window.Sliding[VersionCounts, *VersionCounts]
+
 // routeState holds the counts of one route.
 type routeState struct {
 	// newCredit is the unused credit of the new version, in thousandths of a
@@ -85,8 +92,8 @@
 	// running counts this VM's requests in flight on the new version; sent
 	// counts all that it sent there since the attempt began.
 	running, sent int64
-	minute        slidingWindow
-	tenMinutes    slidingWindow
+	minute        countsWindow
+	tenMinutes    countsWindow
 	stage         VersionCounts
 	whole         VersionCounts
 	coldResponses []ColdResponse
@@ -156,7 +163,7 @@
 
 func (m *serviceMove) clearStage() {
 	for _, route := range m.routes {
-		route.stage.clear()
+		route.stage.Clear()
 	}
 }
 
@@ -298,7 +305,7 @@
 		return nil, nil
 	}
 	isGood := outcome == Succeeded
-	for _, counts := range []*VersionCounts{r.minute.advance(now), r.tenMinutes.advance(now), &r.stage, &r.whole} {
+	for _, counts := range []*VersionCounts{r.minute.Advance(now), r.tenMinutes.Advance(now), &r.stage, &r.whole} {
 		if choice.IsNew {
 			counts.New.record(isGood, choice.ColdEndpoint != "", micros)
 		} else {
@@ -488,12 +495,12 @@
 			Service:    m.state.Service,
 			Attempt:    m.state.Attempt,
 			Route:      prefix,
-			Minute:     r.minute.sum(now),
-			TenMinutes: r.tenMinutes.sum(now),
+			Minute:     r.minute.Sum(now),
+			TenMinutes: r.tenMinutes.Sum(now),
 			StageStep:  m.state.Step,
 		}
-		evidence.Stage.add(&r.stage)
-		evidence.Whole.add(&r.whole)
+		evidence.Stage.Add(&r.stage)
+		evidence.Whole.Add(&r.whole)
 		evidence.Cold = append(evidence.Cold, r.coldResponses...)
 		all = append(all, evidence)
 	}
@@ -515,7 +522,7 @@
 func (m *serviceMove) route(prefix string) *routeState {
 	r := m.routes[prefix]
 	if r == nil {
-		r = &routeState{minute: slidingWindow{span: 6 * clock.Second}, tenMinutes: slidingWindow{span: clock.Minute}}
+		r = &routeState{minute: countsWindow{Span: 6 * clock.Second, Count: windowSpans}, tenMinutes: countsWindow{Span: clock.Minute, Count: windowSpans}}
 		m.routes[prefix] = r
 	}
 	return r
