--- a/internal/entry/gateway/forward_test.go
+++ b/internal/entry/gateway/forward_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -105,19 +106,33 @@
 type testEndpoint struct {
 	mu   sync.Mutex
 	runs []string
-	// respond replaces the response.
+	// respond replaces the response. It and runs are guarded by mu.
 	respond func(w http.ResponseWriter, request *http.Request)
 }
 
+// allRuns returns the runs so far.
+func (e *testEndpoint) allRuns() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.runs)
+}
+
+func (e *testEndpoint) setRespond(respond func(w http.ResponseWriter, request *http.Request)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.respond = respond
+}
+
 func (e *testEndpoint) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	body, _ := io.ReadAll(request.Body)
 	e.mu.Lock()
 	e.runs = append(e.runs, request.Method+" "+request.URL.Path+" "+string(body))
+	respond := e.respond
 	e.mu.Unlock()
 	w.Header().Set(endpoint.RequestIDHeader, request.Header.Get(endpoint.RequestIDHeader))
 	w.Header().Set("Stamp", "e1")
-	if e.respond != nil {
-		e.respond(w, request)
+	if respond != nil {
+		respond(w, request)
 		return
 	}
 	_, _ = io.WriteString(w, "done")
@@ -154,7 +169,7 @@
 	g.Expect(response.Code).To(Equal(http.StatusOK))
 	g.Expect(response.Body.String()).To(Equal("done"))
 	g.Expect(response.Header().Get("Stamp")).To(Equal("e1"))
-	g.Expect(e.runs).To(Equal([]string{"POST /order/x body"}))
+	g.Expect(e.allRuns()).To(Equal([]string{"POST /order/x body"}))
 }
 
 func TestForwardingAsksNextHelperOnlyIfRequestHasNotRun(t *testing.T) {
@@ -168,12 +183,12 @@
 		cut.helpedBy(first, sound)
 		g.Expect(cut.send("POST", "/order/x", "body").Code).To(Equal(http.StatusOK))
 	}
-	g.Expect(e.runs).To(HaveLen(2))
+	g.Expect(e.allRuns()).To(HaveLen(2))
 	// The endpoint runs the request and ends the connection, so nobody may send it again.
-	e.respond = func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	e.setRespond(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
 	cut.helpedBy(sound, newTestVM(t, "vm-5", "a", false, 2, address))
 	g.Expect(cut.send("POST", "/order/x", "body").Code).To(Equal(http.StatusBadGateway))
-	g.Expect(e.runs).To(HaveLen(3))
+	g.Expect(e.allRuns()).To(HaveLen(3))
 	g.Expect(sound.tokens.refunds).To(BeZero())
 }
 
@@ -199,7 +214,7 @@
 	cut, foreign := newTestVM(t, "vm-1", "a", true, 1, unusedAddress), newTestVM(t, "vm-2", "b", false, 1, address)
 	cut.helpedBy(foreign)
 	g.Expect(cut.send("POST", "/home/x", "body").Code).To(Equal(http.StatusServiceUnavailable))
-	g.Expect(e.runs).To(BeEmpty())
+	g.Expect(e.allRuns()).To(BeEmpty())
 	g.Expect(cut.send("POST", "/order/x", "body").Code).To(Equal(http.StatusOK))
 }
 
@@ -213,7 +228,7 @@
 	response := cut.send("POST", "/order/x", "body")
 	g.Expect(response.Code).To(Equal(http.StatusInternalServerError))
 	g.Expect(response.Header().Get("Stamp")).To(Equal("e1"))
-	g.Expect(e.runs).To(HaveLen(1))
+	g.Expect(e.allRuns()).To(HaveLen(1))
 }
 
 // An answer that ends early at the helper must not look complete to the caller.
@@ -237,7 +252,7 @@
 	unaware, helper := newTestVM(t, "vm-1", "a", false, 1, unusedAddress), newTestVM(t, "vm-2", "a", false, 1, address)
 	unaware.helpedBy(helper)
 	g.Expect(unaware.send("POST", "/order/x", "body").Code).To(Equal(http.StatusOK))
-	g.Expect(e.runs).To(HaveLen(1))
+	g.Expect(e.allRuns()).To(HaveLen(1))
 }
 
 // The two VMs together may send a request to as many endpoints as its route allows.
@@ -255,7 +270,7 @@
 	response := httptest.NewRecorder()
 	helper.gateway.ForwardHandler().ServeHTTP(response, request)
 	g.Expect(response.Code).To(Equal(http.StatusInternalServerError))
-	g.Expect(e.runs).To(HaveLen(1))
+	g.Expect(e.allRuns()).To(HaveLen(1))
 	for _, header := range []string{forwardedVersionHeader, forwardedAttemptsHeader} {
 		invalid := request.Clone(context.Background())
 		invalid.Header.Set(header, "-1x")
@@ -299,11 +314,11 @@
 	startedAt := time.Now()
 	g.Expect(losingVM.send("GET", "/read/x", "").Code).To(Equal(http.StatusOK))
 	g.Expect(time.Since(startedAt)).To(BeNumerically("<", testTimeout.Duration()/2))
-	g.Expect(e.runs).To(HaveLen(1))
+	g.Expect(e.allRuns()).To(HaveLen(1))
 	// An order may have run, so it is not sent again.
 	reach.isCutOff.Store(false)
 	reach.lost, reach.endLost = context.WithCancel(context.Background())
 	time.AfterFunc(100*time.Millisecond, reach.lose)
 	g.Expect(losingVM.send("POST", "/order/x", "body").Code).To(Equal(http.StatusGatewayTimeout))
-	g.Expect(e.runs).To(HaveLen(1))
+	g.Expect(e.allRuns()).To(HaveLen(1))
 }
