Refuse at once, as not run, what no VM can serve while all links are silent

An attempt that is cancelled because the links were lost keeps what is known of whether it ran.

TestRequestIsRefusedAtOnceIfNobodyReachesEndpoints got 502 before.

--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -31,7 +31,8 @@
 	// maxHelpers is the number of VMs to which one request may be forwarded, one after the
 	// other. The next one gets it only if the one before has not run it.
 	maxHelpers = 2
-	// helperRetryAfter is the Retry-After of a VM that cannot serve a forwarded request.
+	// helperRetryAfter is the Retry-After of a VM that cannot serve a forwarded request, or
+	// has no helper.
 	helperRetryAfter = 250 * clock.Millis(1)
 )
 
@@ -39,6 +40,10 @@
 // all endpoints.
 func (c *call) isCutOff() bool { return c.gateway.Reach != nil && c.gateway.Reach.IsCutOff() }
 
+// hasLostLinks reports whether this VM is cut off and gets no answers on open connections
+// either.
+func (c *call) hasLostLinks() bool { return c.isCutOff() && c.gateway.Reach.Lost().Err() != nil }
+
 // helpers returns the VMs to which the request may be forwarded. A forwarded request is not
 // forwarded again.
 func (c *call) helpers() []vm.VM {
@@ -60,25 +65,31 @@
 	return c.helpers()
 }
 
-// forward sends the request to one of the helpers and relays the response.
+// forward sends the request to one of the helpers and relays the response. There must be one.
 func (c *call) forward(ctx context.Context, helpers []vm.VM) error {
-	for i, helper := range helpers {
-		c.forwardedTo = helper.Name
-		response, err := c.gateway.PeerClient.Send(ctx, helper.ForwardAddress, c.forwardedRequest())
-		if err == nil {
-			err = c.relayResponse(ctx, response)
-			_ = response.Body.Close()
-		}
+	var refusal *reason.Refusal
+	for _, helper := range helpers {
+		err := c.forwardTo(ctx, helper)
 		if err == nil {
 			return nil
 		}
-		refusal := helperRefusal(err)
+		refusal = helperRefusal(err)
 		c.mayHaveRun = c.mayHaveRun || refusal.Ran != reason.RanNo
-		if c.mayHaveRun || i == len(helpers)-1 || ctx.Err() != nil || c.isBodyConsumed() {
-			return c.finalRefusal(refusal)
+		if c.mayHaveRun || ctx.Err() != nil || c.isBodyConsumed() {
+			break
 		}
 	}
-	return nil
+	return c.finalRefusal(refusal)
+}
+
+func (c *call) forwardTo(ctx context.Context, helper vm.VM) error {
+	c.forwardedTo = helper.Name
+	response, err := c.gateway.PeerClient.Send(ctx, helper.ForwardAddress, c.forwardedRequest())
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	return c.relayResponse(ctx, response)
 }
 
 // helperRefusal returns the refusal for a request that a helper has not answered. A helper
--- a/internal/entry/gateway/forward_test.go
+++ b/internal/entry/gateway/forward_test.go
@@ -322,3 +322,26 @@
 	g.Expect(losingVM.send("POST", "/order/x", "body").Code).To(Equal(http.StatusGatewayTimeout))
 	g.Expect(e.allRuns()).To(HaveLen(1))
 }
+
+// While all VMs were cut off, look-ups on dead connections were answered at their deadline, or
+// as if they may have run.
+func TestRequestIsRefusedAtOnceIfNobodyReachesEndpoints(t *testing.T) {
+	g := NewWithT(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer silent.Close()
+	lost := newTestVM(t, "vm-1", "a", false, 1, silent.Addr().String())
+	reach := &losing{}
+	reach.lost, reach.endLost = context.WithCancel(context.Background())
+	lost.gateway.Reach = reach
+	lost.helpedBy()
+	reach.lose()
+	for _, request := range [][2]string{{"GET", "/read/x"}, {"POST", "/order/x"}} {
+		startedAt := time.Now()
+		response := lost.send(request[0], request[1], "")
+		g.Expect(response.Code).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(response.Header().Get("Retry-After")).NotTo(BeEmpty())
+		g.Expect(time.Since(startedAt)).To(BeNumerically("<", testTimeout.Duration()/4))
+	}
+	g.Expect(lost.tokens.refunds).To(Equal(2))
+}
--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -22,6 +23,9 @@
 			if helpers := c.helpers(); len(helpers) > 0 {
 				return c.forward(ctx, helpers)
 			}
+			if c.hasLostLinks() {
+				return c.finalRefusal(reason.NotRun(reason.NoEndpoint, helperRetryAfter, "neither this VM nor another one reaches endpoints"))
+			}
 		}
 		err := c.sendOnce(ctx)
 		if err == nil {
@@ -133,7 +137,7 @@
 
 // errLinksLost is the cause with which an attempt is cancelled when this VM has lost its
 // links to all endpoints.
-var errLinksLost error = reason.MayHaveRun(reason.EndpointFailed, "this VM has lost its links to all endpoints")
+var errLinksLost = errors.New("this VM has lost its links to all endpoints")
 
 // untilLinksAreLost returns a context for one attempt. That of a request which may be
 // repeated is cancelled when this VM has lost its links to all endpoints.
@@ -149,13 +153,15 @@
 	}
 }
 
-// linksLost returns errLinksLost in place of the error of an attempt that was cancelled for
-// it, and any other error unchanged.
+// linksLost returns the error of an attempt, with the reason if it was cancelled because
+// this VM has lost its links.
 func linksLost(ctx context.Context, err error) error {
-	if err != nil && context.Cause(ctx) == errLinksLost {
-		return errLinksLost
+	if err == nil || context.Cause(ctx) != errLinksLost {
+		return err
 	}
-	return err
+	copied := *caller.AsRefusal(err)
+	copied.Reason, copied.Detail = reason.EndpointFailed, errLinksLost.Error()
+	return &copied
 }
 
 // beginReach records that a request is sent to an endpoint. The function that it returns
