--- a/internal/policy/canary/verdict_test.go
+++ b/internal/policy/canary/verdict_test.go
@@ -29,6 +29,23 @@
 	}
 }
 
+var (
+	slow   = canary.Result{Outcome: canary.Slow}
+	failed = canary.Result{Outcome: canary.Failed}
+	ended  = canary.Result{Outcome: canary.Ended}
+	tight  = canary.Result{Outcome: canary.Late, IsTight: true}
+)
+
+// expectOutcome plays a trial and checks its verdict at the deadline.
+func expectOutcome(t *testing.T, state directory.MoveState, phases ...phase) {
+	t.Helper()
+	trial := newTrial()
+	for _, p := range phases {
+		trial.play(p)
+	}
+	NewWithT(t).Expect(trial.outcome()).To(Equal(state))
+}
+
 func good(int) canary.Result { return canary.Result{} }
 
 func (t *trial) play(p phase) {
@@ -53,8 +70,6 @@
 // Versions were completed that were bad less often than a fixed margin allowed, or whose
 // faults were hidden by requests that ended under the old version, or began late.
 func TestBadVersionIsNotCompleted(t *testing.T) {
-	slow, failed, ended := canary.Result{Outcome: canary.Slow}, canary.Result{Outcome: canary.Failed}, canary.Result{Outcome: canary.Ended}
-	tight := canary.Result{Outcome: canary.Late, IsTight: true}
 	for name, phases := range map[string][]phase{
 		"one of eight slow":                    {{100, 6, outcomes(slow, 1, 8), good}},
 		"one of eight failed":                  {{100, 6, outcomes(failed, 1, 8), good}},
@@ -64,13 +79,7 @@
 		"one of three slow in the last 2 s":    {{70, 8, good, good}, {20, 8, outcomes(slow, 1, 3), good}},
 		"one of two late, all with tight time": {{40, 8, outcomes(tight, 1, 2), outcomes(tight, 1, 20)}},
 	} {
-		t.Run(name, func(t *testing.T) {
-			trial := newTrial()
-			for _, p := range phases {
-				trial.play(p)
-			}
-			NewWithT(t).Expect(trial.outcome()).To(Equal(directory.MoveRolledBack))
-		})
+		t.Run(name, func(t *testing.T) { expectOutcome(t, directory.MoveRolledBack, phases...) })
 	}
 }
 
@@ -81,14 +90,12 @@
 	trial.play(phase{97, 8, good, good})
 	g := NewWithT(t)
 	g.Expect(trial.verdict()).To(Equal(directory.MoveRunning))
-	trial.play(phase{11, 8, outcomes(canary.Result{Outcome: canary.Failed}, 1, 2), good})
+	trial.play(phase{11, 8, outcomes(failed, 1, 2), good})
 	g.Expect(trial.outcome()).To(Equal(directory.MoveRolledBack))
 }
 
 // Disturbances that show nothing of the version must not roll a good one back.
 func TestGoodVersionIsCompletedBesideDisturbances(t *testing.T) {
-	slow, failed, ended := canary.Result{Outcome: canary.Slow}, canary.Result{Outcome: canary.Failed}, canary.Result{Outcome: canary.Ended}
-	tight := canary.Result{Outcome: canary.Late, IsTight: true}
 	for name, phases := range map[string][]phase{
 		"one of a hundred failed":           {{90, 8, outcomes(failed, 1, 100), outcomes(failed, 1, 150)}},
 		"both end alike":                    {{90, 8, outcomes(ended, 1, 10), outcomes(ended, 1, 11)}},
@@ -97,13 +104,7 @@
 		"one failed of a few":               {{12, 12, outcomes(failed, 1, 12), outcomes(failed, 1, 100)}},
 		"both fail alike in the last 2 s":   {{70, 8, good, good}, {20, 8, outcomes(failed, 1, 4), outcomes(failed, 1, 4)}},
 	} {
-		t.Run(name, func(t *testing.T) {
-			trial := newTrial()
-			for _, p := range phases {
-				trial.play(p)
-			}
-			NewWithT(t).Expect(trial.outcome()).To(Equal(directory.MoveDone))
-		})
+		t.Run(name, func(t *testing.T) { expectOutcome(t, directory.MoveDone, phases...) })
 	}
 }
 
@@ -111,7 +112,7 @@
 // They must not hide the slowness that the other VMs see.
 func TestDisturbedVMDoesNotHideBadVersion(t *testing.T) {
 	trial := newTrial()
-	trial.play(phase{30, 8, outcomes(canary.Result{Outcome: canary.Slow}, 1, 4), good})
+	trial.play(phase{30, 8, outcomes(slow, 1, 4), good})
 	cut := canary.Counts{Answers: 60, Slow: 45}
 	trial.guard.SetPeerEvidence("vm-2", map[string]canary.Evidence{"s": {
 		To:    "v2",
