Call a VM that serves forwarded requests an alternate, everywhere

Tests of forwarding that began alike share their set-up. No logic changes: go test ./internal/entry/... ./internal/control/roster passes.

--- a/internal/control/roster/alternates.go
+++ b/internal/control/roster/alternates.go
@@ -6,16 +6,16 @@
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
 
-// Helpers holds the VMs that take requests which this VM forwards. It is immutable. The
+// Alternates holds the VMs that take requests which this VM forwards. It is immutable. The
 // zero value holds none.
-type Helpers struct {
+type Alternates struct {
 	// groups holds the VMs of this VM's data centre, those of its region, and the others.
 	groups [3][]vm.VM
 }
 
-// NewHelpers returns the helpers of a VM among the members.
-func NewHelpers(members []Member, self vm.VM) *Helpers {
-	h := &Helpers{}
+// NewAlternates returns the alternates of a VM among the members.
+func NewAlternates(members []Member, self vm.VM) *Alternates {
+	h := &Alternates{}
 	for i := range members {
 		member := &members[i]
 		if member.ID.Name == self.Name || member.VM.ForwardAddress == "" || !member.IsServing() {
@@ -33,21 +33,21 @@
 	return h
 }
 
-// Pick returns up to count helpers in regions that isAllowed, nearest first. Of VMs at the
+// Pick returns up to count alternates in regions that isAllowed, nearest first. Of VMs at the
 // same distance it begins with a random one.
-func (h *Helpers) Pick(count int, isAllowed func(region string) bool) (picked []vm.VM) {
+func (h *Alternates) Pick(count int, isAllowed func(region string) bool) (picked []vm.VM) {
 	for _, group := range h.groups {
 		if len(group) == 0 {
 			continue
 		}
 		first := rand.IntN(len(group))
 		for i := range group {
-			helper := group[(first+i)%len(group)]
+			alternate := group[(first+i)%len(group)]
 			if len(picked) == count {
 				return picked
 			}
-			if isAllowed(helper.Region) {
-				picked = append(picked, helper)
+			if isAllowed(alternate.Region) {
+				picked = append(picked, alternate)
 			}
 		}
 	}
--- a/internal/control/roster/roster_test.go
+++ b/internal/control/roster/roster_test.go
@@ -134,16 +134,16 @@
 		}
 		self := f.states["vm-01"].VM
 		everywhere := func(string) bool { return true }
-		helpers := NewHelpers(members, self)
-		g.Expect(names(helpers.Pick(count, everywhere))).To(And(HaveLen(count-2), Not(ContainElement("vm-00")), Not(ContainElement("vm-01"))))
-		g.Expect(helpers.Pick(1, everywhere)[0].Region).To(Equal(self.Region), "the nearest comes first")
-		g.Expect(helpers.Pick(count, func(region string) bool { return region == "nowhere" })).To(BeEmpty())
+		alternates := NewAlternates(members, self)
+		g.Expect(names(alternates.Pick(count, everywhere))).To(And(HaveLen(count-2), Not(ContainElement("vm-00")), Not(ContainElement("vm-01"))))
+		g.Expect(alternates.Pick(1, everywhere)[0].Region).To(Equal(self.Region), "the nearest comes first")
+		g.Expect(alternates.Pick(count, func(region string) bool { return region == "nowhere" })).To(BeEmpty())
 		for _, state := range f.states {
 			state.CutOff = true
 		}
 		f.run(8 * clock.Second)
 		g.Expect(names(PreferredVMs(f.vms["vm-01"].Members(), "a", "a1"))).To(ContainElement("vm-00"))
-		g.Expect(NewHelpers(f.vms["vm-01"].Members(), self).Pick(count, everywhere)).To(BeEmpty())
+		g.Expect(NewAlternates(f.vms["vm-01"].Members(), self).Pick(count, everywhere)).To(BeEmpty())
 	}
 }
 
--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -28,12 +28,12 @@
 )
 
 const (
-	// maxHelpers is the number of VMs to which one request may be forwarded, one after the
+	// maxAlternates is the number of VMs to which one request may be forwarded, one after the
 	// other. The next one gets it only if the one before has not run it.
-	maxHelpers = 2
-	// helperRetryAfter is the Retry-After of a VM that cannot serve a forwarded request, or
-	// has no helper.
-	helperRetryAfter = 250 * clock.Millis(1)
+	maxAlternates = 2
+	// alternateRetryAfter is the Retry-After of a VM that cannot serve a forwarded request, or
+	// has no alternate.
+	alternateRetryAfter = 250 * clock.Millis(1)
 )
 
 // isCutOff reports whether the request must be forwarded because this VM is cut off from
@@ -44,36 +44,36 @@
 // either.
 func (c *call) hasLostLinks() bool { return c.isCutOff() && c.gateway.Reach.Lost().Err() != nil }
 
-// helpers returns the VMs to which the request may be forwarded. A forwarded request is not
+// alternates returns the VMs to which the request may be forwarded. A forwarded request is not
 // forwarded again.
-func (c *call) helpers() []vm.VM {
-	if c.isForwarded || c.gateway.Helpers == nil {
+func (c *call) alternates() []vm.VM {
+	if c.isForwarded || c.gateway.Alternates == nil {
 		return nil
 	}
-	return c.gateway.Helpers(maxHelpers, func(region string) bool { return routing.IsRegionAllowed(c.route, c.workspace, region) })
+	return c.gateway.Alternates(maxAlternates, func(region string) bool { return routing.IsRegionAllowed(c.route, c.workspace, region) })
 }
 
-// helpersAfter returns the VMs to which the request may be forwarded after its last attempt
+// alternatesAfter returns the VMs to which the request may be forwarded after its last attempt
 // failed: this VM is cut off, or did not reach the endpoint and may just have been.
-func (c *call) helpersAfter(ctx context.Context, refusal *reason.Refusal) []vm.VM {
+func (c *call) alternatesAfter(ctx context.Context, refusal *reason.Refusal) []vm.VM {
 	if c.mayHaveRun || refusal.Ran != reason.RanNo || ctx.Err() != nil || c.isBodyConsumed() {
 		return nil
 	}
 	if !c.isCutOff() && c.lastOutcome() != balance.Unreachable {
 		return nil
 	}
-	return c.helpers()
+	return c.alternates()
 }
 
-// forward sends the request to one of the helpers and relays the response. There must be one.
-func (c *call) forward(ctx context.Context, helpers []vm.VM) error {
+// forward sends the request to one of the alternates and relays the response. There must be one.
+func (c *call) forward(ctx context.Context, alternates []vm.VM) error {
 	var refusal *reason.Refusal
-	for _, helper := range helpers {
-		err := c.forwardTo(ctx, helper)
+	for _, alternate := range alternates {
+		err := c.forwardTo(ctx, alternate)
 		if err == nil {
 			return nil
 		}
-		refusal = helperRefusal(err)
+		refusal = alternateRefusal(err)
 		c.mayHaveRun = c.mayHaveRun || refusal.Ran != reason.RanNo
 		if c.mayHaveRun || ctx.Err() != nil || c.isBodyConsumed() {
 			break
@@ -82,9 +82,9 @@
 	return c.finalRefusal(refusal)
 }
 
-func (c *call) forwardTo(ctx context.Context, helper vm.VM) error {
-	c.forwardedTo = helper.Name
-	response, err := c.gateway.PeerClient.Send(ctx, helper.ForwardAddress, c.forwardedRequest())
+func (c *call) forwardTo(ctx context.Context, alternate vm.VM) error {
+	c.forwardedTo = alternate.Name
+	response, err := c.gateway.PeerClient.Send(ctx, alternate.ForwardAddress, c.forwardedRequest())
 	if err != nil {
 		return err
 	}
@@ -92,9 +92,9 @@
 	return c.relayResponse(ctx, response)
 }
 
-// helperRefusal returns the refusal for a request that a helper has not answered. A helper
+// alternateRefusal returns the refusal for a request that an alternate has not answered. An alternate
 // that has not run it may have said when to come back.
-func helperRefusal(err error) *reason.Refusal {
+func alternateRefusal(err error) *reason.Refusal {
 	refusal := caller.AsRefusal(err)
 	notRun, ok := fault.As[*endpoint.NotRunError](err)
 	if !ok || notRun.Pause == 0 {
@@ -160,13 +160,13 @@
 	header.Del(forwardedVersionHeader)
 	header.Del(forwardedAttemptsHeader)
 	if c.isCutOff() {
-		return reason.NotRun(reason.NoEndpoint, helperRetryAfter, "this VM is cut off from all endpoints too")
+		return reason.NotRun(reason.NoEndpoint, alternateRetryAfter, "this VM is cut off from all endpoints too")
 	}
 	if err := c.findRoute(); err != nil || c.table.Version < version {
-		return reason.NotRun(reason.NotReady, helperRetryAfter, "this VM does not have version %d of the configuration", version)
+		return reason.NotRun(reason.NotReady, alternateRetryAfter, "this VM does not have version %d of the configuration", version)
 	}
 	if c.workspace = c.table.Workspaces[workspace]; c.workspace == nil && workspace != "" {
-		return reason.NotRun(reason.NotReady, helperRetryAfter, "this VM does not know the workspace %s", workspace)
+		return reason.NotRun(reason.NotReady, alternateRetryAfter, "this VM does not know the workspace %s", workspace)
 	}
 	c.setService(service)
 	return nil
--- a/internal/entry/gateway/forward_test.go
+++ b/internal/entry/gateway/forward_test.go
@@ -148,23 +148,29 @@
 // unusedAddress refuses connections.
 const unusedAddress = "127.0.0.1:1"
 
-func (v *testVM) helpedBy(helpers ...*testVM) {
-	v.gateway.Helpers = func(_ int, isAllowed func(region string) bool) (list []vm.VM) {
-		for _, helper := range helpers {
-			if isAllowed(helper.vm.Region) {
-				list = append(list, helper.vm)
+func (v *testVM) withAlternates(alternates ...*testVM) {
+	v.gateway.Alternates = func(_ int, isAllowed func(region string) bool) (list []vm.VM) {
+		for _, alternate := range alternates {
+			if isAllowed(alternate.vm.Region) {
+				list = append(list, alternate.vm)
 			}
 		}
 		return list
 	}
 }
 
-func TestCutOffVMForwardsToHelper(t *testing.T) {
+// newCutOffVM returns a VM that is cut off, and whose alternate reaches the endpoint.
+func newCutOffVM(t *testing.T, e *testEndpoint) *testVM {
+	t.Helper()
+	cut := newTestVM(t, "vm-1", "a", true, 1, unusedAddress)
+	cut.withAlternates(newTestVM(t, "vm-2", "a", false, 1, e.start(t)))
+	return cut
+}
+
+func TestCutOffVMForwardsToAlternate(t *testing.T) {
 	g := NewWithT(t)
 	e := &testEndpoint{}
-	address := e.start(t)
-	cut, helper := newTestVM(t, "vm-1", "a", true, 1, unusedAddress), newTestVM(t, "vm-2", "a", false, 1, address)
-	cut.helpedBy(helper)
+	cut := newCutOffVM(t, e)
 	response := cut.send("POST", "/order/x", "body")
 	g.Expect(response.Code).To(Equal(http.StatusOK))
 	g.Expect(response.Body.String()).To(Equal("done"))
@@ -172,7 +178,7 @@
 	g.Expect(e.allRuns()).To(Equal([]string{"POST /order/x body"}))
 }
 
-func TestForwardingAsksNextHelperOnlyIfRequestHasNotRun(t *testing.T) {
+func TestForwardingAsksNextAlternateOnlyIfRequestHasNotRun(t *testing.T) {
 	g := NewWithT(t)
 	e := &testEndpoint{}
 	address := e.start(t)
@@ -180,31 +186,31 @@
 	alsoCut, outdated := newTestVM(t, "vm-2", "a", true, 2, address), newTestVM(t, "vm-3", "a", false, 1, address)
 	sound := newTestVM(t, "vm-4", "a", false, 2, address)
 	for _, first := range []*testVM{alsoCut, outdated} {
-		cut.helpedBy(first, sound)
+		cut.withAlternates(first, sound)
 		g.Expect(cut.send("POST", "/order/x", "body").Code).To(Equal(http.StatusOK))
 	}
 	g.Expect(e.allRuns()).To(HaveLen(2))
 	// The endpoint runs the request and ends the connection, so nobody may send it again.
 	e.setRespond(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
-	cut.helpedBy(sound, newTestVM(t, "vm-5", "a", false, 2, address))
+	cut.withAlternates(sound, newTestVM(t, "vm-5", "a", false, 2, address))
 	g.Expect(cut.send("POST", "/order/x", "body").Code).To(Equal(http.StatusBadGateway))
 	g.Expect(e.allRuns()).To(HaveLen(3))
 	g.Expect(sound.tokens.refunds).To(BeZero())
 }
 
-// A request that no helper has run is refused as not run, and its token is returned once, by
+// A request that no alternate has run is refused as not run, and its token is returned once, by
 // the VM that took it.
-func TestRequestThatNoHelperRunsIsRefusedAsNotRun(t *testing.T) {
+func TestRequestThatNoAlternateRunsIsRefusedAsNotRun(t *testing.T) {
 	g := NewWithT(t)
-	cut, helper := newTestVM(t, "vm-1", "a", true, 1, unusedAddress), newTestVM(t, "vm-2", "a", true, 1, unusedAddress)
-	cut.helpedBy(helper)
+	cut, alternate := newTestVM(t, "vm-1", "a", true, 1, unusedAddress), newTestVM(t, "vm-2", "a", true, 1, unusedAddress)
+	cut.withAlternates(alternate)
 	startedAt := time.Now()
 	response := cut.send("POST", "/order/x", "body")
 	g.Expect(time.Since(startedAt)).To(BeNumerically("<", time.Second))
 	g.Expect(response.Code).To(Equal(http.StatusServiceUnavailable))
 	g.Expect(response.Header().Get("Retry-After")).NotTo(BeEmpty())
 	g.Expect(cut.tokens.refunds).To(Equal(1))
-	g.Expect(helper.tokens.refunds).To(BeZero())
+	g.Expect(alternate.tokens.refunds).To(BeZero())
 }
 
 func TestBodyIsNotForwardedToForeignRegion(t *testing.T) {
@@ -212,7 +218,7 @@
 	e := &testEndpoint{}
 	address := e.start(t)
 	cut, foreign := newTestVM(t, "vm-1", "a", true, 1, unusedAddress), newTestVM(t, "vm-2", "b", false, 1, address)
-	cut.helpedBy(foreign)
+	cut.withAlternates(foreign)
 	g.Expect(cut.send("POST", "/home/x", "body").Code).To(Equal(http.StatusServiceUnavailable))
 	g.Expect(e.allRuns()).To(BeEmpty())
 	g.Expect(cut.send("POST", "/order/x", "body").Code).To(Equal(http.StatusOK))
@@ -222,25 +228,21 @@
 func TestForwardedFailureIsPassedOn(t *testing.T) {
 	g := NewWithT(t)
 	e := &testEndpoint{respond: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }}
-	address := e.start(t)
-	cut, helper := newTestVM(t, "vm-1", "a", true, 1, unusedAddress), newTestVM(t, "vm-2", "a", false, 1, address)
-	cut.helpedBy(helper)
+	cut := newCutOffVM(t, e)
 	response := cut.send("POST", "/order/x", "body")
 	g.Expect(response.Code).To(Equal(http.StatusInternalServerError))
 	g.Expect(response.Header().Get("Stamp")).To(Equal("e1"))
 	g.Expect(e.allRuns()).To(HaveLen(1))
 }
 
-// An answer that ends early at the helper must not look complete to the caller.
+// An answer that ends early at the alternate must not look complete to the caller.
 func TestForwardedAnswerThatIsCutIsNotComplete(t *testing.T) {
 	g := NewWithT(t)
 	e := &testEndpoint{respond: func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", "100")
 		_, _ = io.WriteString(w, "part")
 	}}
-	address := e.start(t)
-	cut, helper := newTestVM(t, "vm-1", "a", true, 1, unusedAddress), newTestVM(t, "vm-2", "a", false, 1, address)
-	cut.helpedBy(helper)
+	cut := newCutOffVM(t, e)
 	g.Expect(cut.send("POST", "/order/x", "body").Code).To(Equal(http.StatusBadGateway))
 }
 
@@ -249,8 +251,8 @@
 	g := NewWithT(t)
 	e := &testEndpoint{}
 	address := e.start(t)
-	unaware, helper := newTestVM(t, "vm-1", "a", false, 1, unusedAddress), newTestVM(t, "vm-2", "a", false, 1, address)
-	unaware.helpedBy(helper)
+	unaware, alternate := newTestVM(t, "vm-1", "a", false, 1, unusedAddress), newTestVM(t, "vm-2", "a", false, 1, address)
+	unaware.withAlternates(alternate)
 	g.Expect(unaware.send("POST", "/order/x", "body").Code).To(Equal(http.StatusOK))
 	g.Expect(e.allRuns()).To(HaveLen(1))
 }
@@ -260,7 +262,7 @@
 	g := NewWithT(t)
 	e := &testEndpoint{respond: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }}
 	address := e.start(t)
-	helper := newTestVM(t, "vm-2", "a", false, 1, address)
+	alternate := newTestVM(t, "vm-2", "a", false, 1, address)
 	request := httptest.NewRequest("GET", "/read/x", nil)
 	request.Host = "shop.example"
 	request.Header.Set(endpoint.RequestIDHeader, testRequestID)
@@ -268,14 +270,14 @@
 	request.Header.Set(forwardedVersionHeader, "1")
 	request.Header.Set(forwardedAttemptsHeader, "1")
 	response := httptest.NewRecorder()
-	helper.gateway.ForwardHandler().ServeHTTP(response, request)
+	alternate.gateway.ForwardHandler().ServeHTTP(response, request)
 	g.Expect(response.Code).To(Equal(http.StatusInternalServerError))
 	g.Expect(e.allRuns()).To(HaveLen(1))
 	for _, header := range []string{forwardedVersionHeader, forwardedAttemptsHeader} {
 		invalid := request.Clone(context.Background())
 		invalid.Header.Set(header, "-1x")
 		response := httptest.NewRecorder()
-		helper.gateway.ForwardHandler().ServeHTTP(response, invalid)
+		alternate.gateway.ForwardHandler().ServeHTTP(response, invalid)
 		g.Expect(response.Code).To(Equal(http.StatusBadRequest), header)
 	}
 }
@@ -305,11 +307,11 @@
 	defer silent.Close()
 	e := &testEndpoint{}
 	address := e.start(t)
-	losingVM, helper := newTestVM(t, "vm-1", "a", false, 1, silent.Addr().String()), newTestVM(t, "vm-2", "a", false, 1, address)
+	losingVM, alternate := newTestVM(t, "vm-1", "a", false, 1, silent.Addr().String()), newTestVM(t, "vm-2", "a", false, 1, address)
 	reach := &losing{}
 	reach.lost, reach.endLost = context.WithCancel(context.Background())
 	losingVM.gateway.Reach = reach
-	losingVM.helpedBy(helper)
+	losingVM.withAlternates(alternate)
 	time.AfterFunc(100*time.Millisecond, reach.lose)
 	startedAt := time.Now()
 	g.Expect(losingVM.send("GET", "/read/x", "").Code).To(Equal(http.StatusOK))
@@ -334,7 +336,7 @@
 	reach := &losing{}
 	reach.lost, reach.endLost = context.WithCancel(context.Background())
 	lost.gateway.Reach = reach
-	lost.helpedBy()
+	lost.withAlternates()
 	reach.lose()
 	for _, request := range [][2]string{{"GET", "/read/x"}, {"POST", "/order/x"}} {
 		startedAt := time.Now()
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -66,7 +66,7 @@
 	Refund(workspace *routing.Workspace)
 }
 
-// Gateway handles callers' requests. All fields but Reach, Helpers,
+// Gateway handles callers' requests. All fields but Reach, Alternates,
 // PeerClient, OnBlock,
 // RecordLatency, RecordOutcome, RecordLimitedSend, EndsAt, ConfigAge, Log and LogBudget must
 // be set.
@@ -76,9 +76,9 @@
 	Balancer *balance.Balancer
 	// Reach is optional.
 	Reach Reach
-	// Helpers returns up to count VMs, in regions that isAllowed, to which PeerClient may
+	// Alternates returns up to count VMs, in regions that isAllowed, to which PeerClient may
 	// forward requests, nearest first; both are optional.
-	Helpers    func(count int, isAllowed func(region string) bool) []vm.VM
+	Alternates func(count int, isAllowed func(region string) bool) []vm.VM
 	PeerClient Sender
 	Quota      Quota
 	// Canary chooses the versions that may run a request during a version move, and
--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -20,11 +20,11 @@
 func (c *call) sendWithRetries(ctx context.Context) error {
 	for attempts := 1 + c.earlierAttempts; ; attempts++ {
 		if c.isCutOff() {
-			if helpers := c.helpers(); len(helpers) > 0 {
-				return c.forward(ctx, helpers)
+			if alternates := c.alternates(); len(alternates) > 0 {
+				return c.forward(ctx, alternates)
 			}
 			if c.hasLostLinks() {
-				return c.finalRefusal(reason.NotRun(reason.NoEndpoint, helperRetryAfter, "neither this VM nor another one reaches endpoints"))
+				return c.finalRefusal(reason.NotRun(reason.NoEndpoint, alternateRetryAfter, "neither this VM nor another one reaches endpoints"))
 			}
 		}
 		err := c.sendOnce(ctx)
@@ -37,8 +37,8 @@
 			c.ranAttempts++
 		}
 		if !c.canRetry(ctx, attempts, refusal) {
-			if helpers := c.helpersAfter(ctx, refusal); len(helpers) > 0 {
-				return c.forward(ctx, helpers)
+			if alternates := c.alternatesAfter(ctx, refusal); len(alternates) > 0 {
+				return c.forward(ctx, alternates)
 			}
 			return c.finalRefusal(refusal)
 		}
--- a/internal/entry/node/duties.go
+++ b/internal/entry/node/duties.go
@@ -87,7 +87,7 @@
 			}
 			demands = append(demands, quota.PeerDemand{VM: member.ID.Name, Demand: member.Demand})
 		}
-		n.helpers.Store(roster.NewHelpers(members, n.self))
+		n.alternates.Store(roster.NewAlternates(members, n.self))
 		n.quota.UpdatePeers(demands)
 		n.balancer.UpdatePeers(n.roster.Running(), vms)
 		n.balancer.UpdateLimitDemands(n.limitDemands(members))
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -65,8 +65,8 @@
 	maxLookupLifetime = 2 * clock.Second
 	// endpointConnectTimeout limits the time to connect to an endpoint.
 	endpointConnectTimeout = 350 * clock.Millis(1)
-	// helperConnectTimeout limits the time to connect to a VM that requests are forwarded to.
-	helperConnectTimeout = 350 * clock.Millis(1)
+	// alternateConnectTimeout limits the time to connect to a VM that requests are forwarded to.
+	alternateConnectTimeout = 350 * clock.Millis(1)
 	// readHeaderTimeout limits the time to read the headers of a readiness check, a
 	// lookup or a request for metrics.
 	readHeaderTimeout = 5 * clock.Second
@@ -132,7 +132,7 @@
 	forwardServer  *caller.Server
 	admission      *admission.Admission
 	dutyAssignment atomic.Pointer[dutyAssignment]
-	helpers        atomic.Pointer[roster.Helpers]
+	alternates     atomic.Pointer[roster.Alternates]
 	objects        objectCache
 	feeds          []*tracker.Feed
 	store          *storeSource
@@ -213,7 +213,7 @@
 		Client: &endpoint.Client{
 			Names: n.Platform.EndpointHeaders(), ConnectTimeout: endpointConnectTimeout, AcceptUnframed: true, Dial: n.DialEndpoint,
 		},
-		Balancer: n.balancer, Reach: n.reach, Helpers: n.pickHelpers, PeerClient: &endpoint.Client{ConnectTimeout: helperConnectTimeout},
+		Balancer: n.balancer, Reach: n.reach, Alternates: n.pickAlternates, PeerClient: &endpoint.Client{ConnectTimeout: alternateConnectTimeout},
 		Quota: n.admission, Canary: n.canary, RetryBudget: n.retryBudget, Refuser: refuser,
 		Blocklist: n.blocklist, OnBlock: n.announceBlock,
 		RetryCounters: metric.NewReasonCounters(n.metrics.Scope, "retries"), Log: n.Log,
--- a/internal/entry/node/reach.go
+++ b/internal/entry/node/reach.go
@@ -20,13 +20,13 @@
 	return conn.Close()
 }
 
-// pickHelpers returns VMs that serve requests in place of this one; see roster.Helpers.
-func (n *Node) pickHelpers(count int, isAllowed func(region string) bool) []vm.VM {
-	helpers := n.helpers.Load()
-	if helpers == nil {
+// pickAlternates returns VMs that serve requests in place of this one; see roster.Alternates.
+func (n *Node) pickAlternates(count int, isAllowed func(region string) bool) []vm.VM {
+	alternates := n.alternates.Load()
+	if alternates == nil {
 		return nil
 	}
-	return helpers.Pick(count, isAllowed)
+	return alternates.Pick(count, isAllowed)
 }
 
 // onReachChange logs that this VM begins or ceases to be cut off from all endpoints, and
