Say in smaller steps when a VM counts as cut off, and when a request is tried

Read twice by a newcomer: one counter that meant two things in reach.Monitor, a condition of four parts where an attempt ends, and the two places in policy/canary where credit is spent and lacking. They have names now. No logic changes: go test -race ./internal/policy/reach ./internal/policy/canary ./internal/entry/gateway passes.

--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -100,7 +100,7 @@
 	endReach := c.beginReach()
 	defer func() {
 		grant.Done(result)
-		endReach(status > 0 || result.Outcome == balance.Shed || result.Outcome == balance.Moved, result.Outcome == balance.Unreachable)
+		endReach(status, result.Outcome)
 		took := c.gateway.Clock.Now() - sentAt
 		c.recordCanaryResult(grant, result.Outcome, status, took)
 		if c.gateway.RecordOutcome != nil {
@@ -165,13 +165,17 @@
 }
 
 // beginReach records that a request is sent to an endpoint. The function that it returns
-// records how the request ended.
-func (c *call) beginReach() (end func(isAnswered, isUnreached bool)) {
-	if c.gateway.Reach == nil {
-		return func(bool, bool) {}
+// records how the request ended; status is 0 if no response was read.
+func (c *call) beginReach() (end func(status int, outcome balance.Outcome)) {
+	reach := c.gateway.Reach
+	if reach == nil {
+		return func(int, balance.Outcome) {}
+	}
+	reach.Begin()
+	return func(status int, outcome balance.Outcome) {
+		isAnswered := status > 0 || outcome == balance.Shed || outcome == balance.Moved
+		reach.End(isAnswered, outcome == balance.Unreachable)
 	}
-	c.gateway.Reach.Begin()
-	return c.gateway.Reach.End
 }
 
 // recordEnd records on the blocklist that an attempt ended with its endpoint, if it did, and
--- a/internal/policy/canary/canary.go
+++ b/internal/policy/canary/canary.go
@@ -197,7 +197,9 @@
 	share := g.MaxShare * exposureMargin
 	t.shareCredit += share
 	t.credit = min(t.credit+share+g.extraCredit(t), maxCredit)
-	if t.credit < 1 || t.credit < maxCredit && !t.isTried(object) {
+	// Credit that tried objects do not use up goes to any object, so that the share is used.
+	mayTry := t.credit >= maxCredit || t.credit >= 1 && t.isTried(object)
+	if !mayTry {
 		return Choice{Not: t.move.TargetVersion}
 	}
 	t.credit--
@@ -216,8 +218,10 @@
 	}
 	t.creditedAt = now
 	elapsed := float64(now-t.startedAt) / float64(t.move.MaxDuration)
-	expected := t.shareCredit / elapsed * float64(g.vms)
-	return g.MaxExtra * extraMargin / float64(g.vms) * since * max(1-expected/enoughRequests, 0)
+	// ofShare is what the share will have given in the whole trial, over all VMs.
+	ofShare := t.shareCredit / elapsed * float64(g.vms)
+	lacking := max(1-ofShare/enoughRequests, 0)
+	return g.MaxExtra * extraMargin / float64(g.vms) * since * lacking
 }
 
 // isTried reports whether requests about the object are tried before others.
--- a/internal/policy/reach/reach.go
+++ b/internal/policy/reach/reach.go
@@ -55,11 +55,12 @@
 	// isUnreached is set when no connection to an endpoint could be opened since the last
 	// round of probes. Guarded by mu.
 	isUnreached bool
-	// nextRoundAt is the earliest time of the next round. rounds counts the last rounds
-	// with the same result, which speaks against isCutOff. Guarded by mu.
+	// nextRoundAt is the earliest time of the next round. Guarded by mu.
 	nextRoundAt clock.Millis
-	rounds      int
-	isCutOff    bool
+	// isCutOff is the finding. opposing counts the latest rounds, in sequence, whose results
+	// speak against it. Both are guarded by mu.
+	isCutOff bool
+	opposing int
 	// lost is done once the VM is cut off and no endpoint answers; see Lost. endLost ends
 	// it. Guarded by mu.
 	lost    context.Context
@@ -124,7 +125,7 @@
 		return false
 	}
 	isSilent := m.inFlight > 0 && now-max(m.lastAnswerAt, m.inFlightSince) >= silenceSpan
-	return m.isCutOff || m.rounds > 0 || m.isUnreached || isSilent
+	return m.isCutOff || m.opposing > 0 || m.isUnreached || isSilent
 }
 
 // probeRound probes endpoints and applies the result.
@@ -166,31 +167,40 @@
 func (m *Monitor) apply(isReached bool) (changed bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.Clock.Now()
-	if isReached != m.isCutOff {
-		// The round confirms what is known.
-		m.rounds = 0
-		m.nextRoundAt = now + calmSpan
-		if m.isCutOff {
-			m.nextRoundAt = now + recoveryInterval
-		}
+	isOpposing := isReached == m.isCutOff
+	m.planRound(isOpposing)
+	if !isOpposing {
+		m.opposing = 0
 		return false
 	}
-	m.rounds++
-	needed := cutOffRounds
-	if m.isCutOff {
-		needed = reachedRounds
-		m.nextRoundAt = now + recoveryInterval
-	}
-	if m.rounds < needed {
+	m.opposing++
+	if m.isCutOff && m.opposing < reachedRounds || !m.isCutOff && m.opposing < cutOffRounds {
 		return false
 	}
-	m.isCutOff, m.rounds = !m.isCutOff, 0
-	if m.isCutOff && now-m.lastAnswerAt >= silenceSpan && m.lost != nil {
-		m.endLost()
+	m.isCutOff, m.opposing = !m.isCutOff, 0
+	m.updateLost()
+	return true
+}
+
+// planRound sets the time of the round after the current one. While the VM seems to become
+// cut off, that is at once. The caller must hold mu.
+func (m *Monitor) planRound(isOpposing bool) {
+	now := m.Clock.Now()
+	switch {
+	case m.isCutOff:
+		m.nextRoundAt = now + recoveryInterval
+	case !isOpposing:
+		m.nextRoundAt = now + calmSpan
 	}
-	if !m.isCutOff {
+}
+
+// updateLost ends the context of Lost, or drops it, after isCutOff has changed. The caller
+// must hold mu.
+func (m *Monitor) updateLost() {
+	switch {
+	case !m.isCutOff:
 		m.lost = nil
+	case m.lost != nil && m.Clock.Now()-m.lastAnswerAt >= silenceSpan:
+		m.endLost()
 	}
-	return true
 }
