Serve further requests of a connection beside earlier ones, and answer them in order

A caller who left while a further request waited was noticed when the first one ended. The deadline of a request counted from its turn, so one could be run after its caller had given it up.

Cause: net/http serves a connection's requests in turn and doesn't read the connection while a further request waits.

Ruled out: a server of our own, and a stage before net/http on every connection (docs/design/requests.md).

Change: while requests come one at a time, net/http reads the connection as before. Once one may begin beside another, a pipeline reads it and shows net/http a connection for each request in flight. The handlers decide what may run beside others, by the route. The listeners moved out of server.go.

Tests that failed before: TestPipelinedLookupsRunTogether (deadline passed instead of the first answer), and TestDeadlineCountsWhileRequestWaitsBehindOthers (status 200 instead of 503). Race detector: packages wire/caller and entry/gateway three times, passed.

--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -36,6 +36,8 @@
 	gateway *Gateway
 	w       http.ResponseWriter
 	request *http.Request
+	// arrived is when the request was read from the caller. It may have waited behind others
+	// of its connection since.
 	arrived clock.Millis
 	// id is the request id, from the caller or generated. Endpoints echo it.
 	id    string
@@ -129,7 +131,7 @@
 }
 
 // withDeadline returns a context that ends at the route's timeout, or at the
-// caller's deadline if that is sooner. A request that is not idempotent continues
+// caller's deadline if that is sooner; both count from the request's arrival. A request that is not idempotent continues
 // when its caller disconnects: cancelling it would only hide whether it ran.
 func (c *call) withDeadline() (context.Context, context.CancelFunc) {
 	deadline := c.route.Timeout
@@ -140,7 +142,7 @@
 	if !c.isIdempotent() {
 		ctx = context.WithoutCancel(ctx)
 	}
-	return context.WithTimeout(ctx, deadline.Duration())
+	return context.WithTimeout(ctx, (deadline - (c.gateway.Clock.Now() - c.arrived)).Duration())
 }
 
 func (c *call) isIdempotent() bool { return c.route.Work == document.WorkCatalogue }
@@ -172,6 +174,9 @@
 // logFields returns the fields that describe the call in a log line.
 func (c *call) logFields() logrus.Fields {
 	fields := logrus.Fields{"request_id": c.id, "after_ms": c.gateway.Clock.Now() - c.arrived}
+	if waited := caller.Waited(c.request); waited > 0 {
+		fields["waited_ms"] = waited
+	}
 	if c.table != nil {
 		fields["version"] = c.table.Version
 		if c.gateway.ConfigAge != nil {
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -134,7 +134,7 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	c := &call{gateway: g, w: w, request: request, arrived: g.Clock.Now()}
+	c := &call{gateway: g, w: w, request: request, arrived: g.Clock.Now() - caller.Waited(request)}
 	g.finish(c, g.serve(c))
 }
 
@@ -181,6 +181,9 @@
 	}
 	ctx, cancel := c.withDeadline()
 	defer cancel()
+	if err := caller.AwaitTurn(ctx, c.request, c.isIdempotent()); err != nil {
+		return err
+	}
 	if err := c.admit(ctx); err != nil {
 		return err
 	}
--- a/internal/entry/router/call.go
+++ b/internal/entry/router/call.go
@@ -96,13 +96,13 @@
 }
 
 // withDeadline returns a context that ends at the route's deadline, or at the
-// caller's if that is sooner.
+// caller's if that is sooner; both count from the request's arrival.
 func (c *call) withDeadline() (context.Context, context.CancelFunc) {
 	deadline := c.route.Deadline
 	if c.head.Deadline > 0 && c.head.Deadline < deadline {
 		deadline = c.head.Deadline
 	}
-	return context.WithTimeout(c.request.Context(), deadline.Duration())
+	return context.WithTimeout(c.request.Context(), (deadline - caller.Waited(c.request)).Duration())
 }
 
 func (c *call) admit(ctx context.Context) error {
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -130,6 +130,9 @@
 	}
 	ctx, cancel := c.withDeadline()
 	defer cancel()
+	if err := caller.AwaitTurn(ctx, c.request, c.route.Work == document.WorkCatalogue); err != nil {
+		return err
+	}
 	if err := c.readBody(ctx); err != nil {
 		return err
 	}
@@ -145,6 +148,9 @@
 // logFields returns the fields that describe the call in a log line.
 func (c *call) logFields() logrus.Fields {
 	fields := logrus.Fields{"request_id": c.id}
+	if waited := caller.Waited(c.request); waited > 0 {
+		fields["waited_ms"] = waited
+	}
 	if c.service != nil {
 		fields["service"] = c.service.Name
 		fields["route"] = c.route.Prefix
--- a/internal/wire/caller/body.go
+++ b/internal/wire/caller/body.go
@@ -50,8 +50,8 @@
 // The body may have at most limit bytes and must be complete by deadline.
 func NewBody(w http.ResponseWriter, request *http.Request, limit int64, deadline time.Time) *Body {
 	grace := defaultBodyGrace
-	if c := connOf(request); c != nil && c.server.BodyGrace > 0 {
-		grace = c.server.BodyGrace
+	if s := streamOf(request); s != nil && s.conn.server.BodyGrace > 0 {
+		grace = s.conn.server.BodyGrace
 	}
 	return &Body{body: request.Body, w: w, control: http.NewResponseController(w), limit: limit, grace: grace, deadline: deadline}
 }
--- a/internal/wire/caller/caller_test.go
+++ b/internal/wire/caller/caller_test.go
@@ -71,7 +71,9 @@
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 		defer cancel()
-		_ = server.Shutdown(ctx)
+		if err := server.Shutdown(ctx); err == context.DeadlineExceeded {
+			t.Error("a connection or request did not end")
+		}
 		_ = listener.Close()
 		<-served
 	})
--- a/internal/wire/caller/conn.go
+++ b/internal/wire/caller/conn.go
@@ -8,8 +8,7 @@
 	"net"
 	"net/http"
 	"os"
-	"strconv"
-	"strings"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,66 +20,155 @@
 const rawWriteTimeout = 1 * clock.Second
 
 // conn is one caller's connection. It parses the bytes that net/http reads, because
-// net/http does not report two things: a head with both Content-Length and
-// Transfer-Encoding, and the requests that it refuses itself. Each Read returns bytes
-// of at most one request, so that conn knows where each head begins.
+// net/http does not report where a request ends, nor the requests that it refuses
+// itself, nor a head with both Content-Length and Transfer-Encoding.
+//
+// net/http reads the connection through its first stream. Once a request may begin before
+// the one before it was answered, a pipeline reads it instead.
 type conn struct {
 	net.Conn
 	server *Server
-
-	// framing is used only by the reading goroutine.
-	framing framing
+	// first is the stream of the first request.
+	first *stream
 
 	mu sync.Mutex
-	// hasRequest is set when a byte was read of a request that has no complete
-	// response yet. Guarded by mu.
-	hasRequest bool
-	// isServing is set while the request's handler runs. Guarded by mu.
-	isServing bool
+	// framing is the position of what was handed to streams. Guarded by mu.
+	framing framing
+	// received holds what was read and not handed to a stream, in order. Guarded by mu.
+	received []segment
+	// pipeline is nil until a request may begin before the one before it was answered.
+	// Guarded by mu.
+	pipeline *pipeline
 	// isClosing is set when the connection was idle and is being closed. Guarded by
 	// mu.
 	isClosing bool
-	// headRefusal is the refusal of the request whose head was read, or nil. Guarded
-	// by mu.
-	headRefusal *reason.Refusal
-	// isLast is set when the connection accepts no request after the current one.
+	// isLast is set when the connection accepts no request after those that have begun.
 	// Guarded by mu.
 	isLast bool
-	// isRefused is set when conn itself refused the current request. Guarded by mu.
-	isRefused bool
 }
 
-// Read implements net.Conn.
-func (c *conn) Read(buffer []byte) (n int, err error) {
-	if c.framing.buffered == nil {
-		n, err = c.Conn.Read(buffer)
-		n = c.framing.split(buffer[:n])
-	} else {
-		n = c.framing.readBuffered(buffer)
+// segment is what one read of a connection returned.
+type segment struct {
+	at    clock.Millis
+	bytes []byte
+}
+
+func newConn(accepted net.Conn, server *Server) *conn {
+	c := &conn{Conn: accepted, server: server}
+	c.first = &stream{conn: c}
+	return c
+}
+
+// read reads the connection for its first stream, unless there is a pipeline. While the
+// handler of the stream's request runs, it only notices that the caller leaves, and keeps
+// what the caller sends meanwhile.
+func (c *conn) read(s *stream, buffer []byte) (n int, isPipelined bool, err error) {
+	for {
+		n, isAnswering, isPipelined := c.readReceived(s, buffer)
+		if n > 0 || isPipelined {
+			return n, isPipelined, nil
+		}
+		into := c.readBuffer(s, buffer, isAnswering)
+		count, err := c.Conn.Read(into)
+		if count > 0 {
+			n, isClosing := c.take(s, into[:count], isAnswering)
+			if isClosing {
+				n, err = c.drain(buffer)
+			}
+			if n > 0 || isClosing {
+				return n, false, err
+			}
+			continue
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return 0, false, err
+		}
+		if !isAnswering {
+			s.refuseSlowHead()
+			return 0, false, err
+		}
+		if !c.wantsPipeline(s) {
+			return 0, false, err
+		}
+	}
+}
+
+// readBuffer returns the buffer for the next read of the connection. net/http waits for the
+// caller to leave with a buffer of one byte.
+func (c *conn) readBuffer(s *stream, buffer []byte, isAnswering bool) []byte {
+	if !isAnswering {
+		return buffer
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.received) == 0 {
+		return buffer
+	}
+	return make([]byte, pipelineReadBytes)
+}
+
+// readReceived reads what was received of the current request of s. isAnswering reports
+// that the request was read whole before and its handler runs or is about to.
+func (c *conn) readReceived(s *stream, buffer []byte) (n int, isAnswering, isPipelined bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pipeline == nil && c.mustPipeline(s) {
+		c.beginPipeline()
 	}
-	if n > 0 && !c.markRequestStarted() {
-		return c.drain(buffer)
+	if c.pipeline != nil {
+		return 0, false, true
 	}
-	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) && c.framing.isInHead() {
-		c.refuse(reason.NotRun(reason.HeadTooSlow, 0, "the request's head came too slowly"))
+	isAnswering = s.hasRequest && !s.isHandled && !c.framing.isInRequest()
+	if isAnswering || len(c.received) == 0 {
+		return 0, isAnswering, false
 	}
-	return n, err
+	if from := c.received[0]; !s.hasRequest {
+		s.waited = clock.Clock{}.Now() - from.at
+	}
+	return copy(buffer, c.advance(s, len(buffer))), false, false
 }
 
-// markRequestStarted records that bytes of a request were read. It returns false if
-// the connection is being closed.
-func (c *conn) markRequestStarted() bool {
+// advance returns up to limit bytes of what was received of the current request, and hands
+// them to s.
+func (c *conn) advance(s *stream, limit int) []byte {
+	from := &c.received[0]
+	n := c.framing.advance(from.bytes[:min(limit, len(from.bytes))])
+	content := from.bytes[:n]
+	if from.bytes = from.bytes[n:]; len(from.bytes) == 0 {
+		c.received = slices.Delete(c.received, 0, 1)
+	}
+	s.markReceived()
+	return content
+}
+
+// take hands received bytes to s and returns how many belong to its request. It keeps the
+// rest; if s is answering its request, it keeps all. isClosing reports that the connection
+// is being closed.
+func (c *conn) take(s *stream, received []byte, isAnswering bool) (n int, isClosing bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isClosing {
-		return false
+		return 0, true
 	}
-	c.hasRequest = true
-	if c.framing.refusal != nil {
-		c.headRefusal, c.framing.refusal = c.framing.refusal, nil
+	if !isAnswering {
+		n = c.framing.advance(received)
+		s.markReceived()
 	}
-	c.isLast = c.isLast || c.framing.isEndUnknown
-	return true
+	c.keep(received[n:])
+	return n, false
+}
+
+// keep appends a copy of received bytes to those that were not handed to a stream.
+func (c *conn) keep(received []byte) {
+	if len(received) > 0 {
+		c.received = append(c.received, segment{clock.Clock{}.Now(), bytes.Clone(received)})
+	}
+}
+
+func (c *conn) wantsPipeline(s *stream) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.mustPipeline(s)
 }
 
 // drain records a Stopping refusal for a request that arrives on a connection that is
@@ -95,41 +183,8 @@
 	}
 }
 
-// Write implements net.Conn. What net/http writes while no handler runs is an error
-// response of its own; Write replaces it with a refusal.
-func (c *conn) Write(buffer []byte) (int, error) {
-	c.mu.Lock()
-	fromHandler := c.isServing
-	c.mu.Unlock()
-	if fromHandler {
-		return c.Conn.Write(buffer)
-	}
-	refusal := reason.NotRun(reason.BadRequest, 0, "the request is malformed")
-	if bytes.HasPrefix(buffer, []byte("HTTP/1.1 431")) {
-		refusal = reason.NotRun(reason.HeadTooLarge, 0, "the head is larger than %d bytes", maxHeadBytes)
-	}
-	c.refuse(refusal)
-	return len(buffer), nil
-}
-
-// refuse writes and records the refusal of a request that reached no handler. It does
-// nothing if the request was refused already or the connection is being closed.
-func (c *conn) refuse(refusal *reason.Refusal) {
-	c.mu.Lock()
-	first := !c.isRefused && !c.isClosing
-	c.isRefused = true
-	c.mu.Unlock()
-	if !first {
-		return
-	}
-	c.server.Refusals.Record(refusal, nil)
-	_ = c.SetWriteDeadline(time.Now().Add(rawWriteTimeout.Duration()))
-	_, _ = c.Conn.Write(rawRefusal(refusal))
-}
-
-// CloseWrite closes the write side of the connection. net/http calls it before it
-// closes a connection, so that the end of a response is not lost.
-func (c *conn) CloseWrite() error {
+// closeWrite closes the write side of the connection.
+func (c *conn) closeWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
@@ -142,27 +197,16 @@
 	return c.Conn.Close()
 }
 
-// beginRequest records that the handler runs. It returns the refusal of the head, or
-// nil, and whether the request is the last one on the connection.
-func (c *conn) beginRequest() (refusal *reason.Refusal, isLast bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.isServing = true
-	refusal, c.headRefusal = c.headRefusal, nil
-	return refusal, c.isLast
-}
-
-// onConnState is the http.Server's ConnState hook. It resets the state of the request
-// when net/http reports the connection as idle.
-func onConnState(connection net.Conn, state http.ConnState) {
-	if state != http.StateIdle {
-		return
+// isIdle reports whether no byte was read of a request without a complete response. mu
+// must be held.
+func (c *conn) isIdle() bool {
+	if len(c.received) > 0 {
+		return false
 	}
-	c := connection.(*conn)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.isServing = false
-	c.hasRequest = c.framing.isInHead() || c.framing.buffered != nil
+	if c.pipeline == nil {
+		return !c.first.hasRequest
+	}
+	return len(c.pipeline.inFlight) == 0
 }
 
 // closeIfIdle sends a Stopping refusal and closes the connection if no byte of a
@@ -170,7 +214,7 @@
 // the refusal states.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
-	isIdle := !c.hasRequest && !c.isClosing
+	isIdle := c.isIdle() && !c.isClosing
 	if isIdle {
 		c.isClosing = true
 	}
@@ -180,7 +224,7 @@
 	}
 	_ = c.SetWriteDeadline(time.Now().Add(rawWriteTimeout.Duration()))
 	_, _ = c.Conn.Write(rawRefusal(newStoppingRefusal()))
-	_ = c.CloseWrite()
+	_ = c.closeWrite()
 	_ = c.SetReadDeadline(time.Now().Add(drainTimeout.Duration()))
 }
 
@@ -220,111 +264,3 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(connection, maxHeadBytes))
 	}
 }
-
-// framing tracks where requests begin and end in a stream of bytes. Its zero value is
-// positioned at the start of a head.
-type framing struct {
-	// line holds the current line of the head, up to maxLineBytes.
-	line []byte
-	// headBytes counts the bytes read of the current head.
-	headBytes int
-	// bodyRemaining counts the bytes of the body that were not read yet.
-	bodyRemaining int64
-	// isEndUnknown is set for a chunked request, whose end is not tracked.
-	isEndUnknown bool
-	// hasContentLength, hasTransferEncoding and contentLength hold what was parsed of
-	// the current head.
-	hasContentLength, hasTransferEncoding bool
-	contentLength                         int64
-	// refusal is the refusal of the request whose head is complete, or nil.
-	refusal *reason.Refusal
-	// buffered holds the bytes that were read beyond the current head or body.
-	buffered []byte
-}
-
-// maxLineBytes bounds the bytes kept of a header line. It is enough to parse
-// Content-Length and Transfer-Encoding.
-const maxLineBytes = 64
-
-// isInHead reports whether a head was read in part.
-func (f *framing) isInHead() bool { return f.headBytes > 0 }
-
-// split tracks bytes that were received, returns how many belong to the current head
-// or body, and buffers the rest.
-func (f *framing) split(received []byte) (n int) {
-	n = f.advance(received)
-	if n < len(received) {
-		f.buffered = bytes.Clone(received[n:])
-	}
-	return n
-}
-
-// readBuffered copies buffered bytes of the current head or body into buffer and
-// returns their number.
-func (f *framing) readBuffered(buffer []byte) (n int) {
-	n = f.advance(f.buffered[:min(len(buffer), len(f.buffered))])
-	copy(buffer, f.buffered[:n])
-	if f.buffered = f.buffered[n:]; len(f.buffered) == 0 {
-		f.buffered = nil
-	}
-	return n
-}
-
-// advance returns how many of the received bytes belong to the current head or body
-// and updates the position.
-func (f *framing) advance(received []byte) int {
-	if f.isEndUnknown {
-		return len(received)
-	}
-	if f.bodyRemaining > 0 {
-		n := min(int64(len(received)), f.bodyRemaining)
-		f.bodyRemaining -= n
-		return int(n)
-	}
-	for i, c := range received {
-		f.headBytes++
-		if c != '\n' {
-			if len(f.line) < maxLineBytes {
-				f.line = append(f.line, c)
-			}
-			continue
-		}
-		if f.parseLine() {
-			return i + 1
-		}
-	}
-	return len(received)
-}
-
-// parseLine parses the current line of the head and reports whether the head is
-// complete.
-func (f *framing) parseLine() bool {
-	line := strings.TrimSuffix(string(f.line), "\r")
-	f.line = f.line[:0]
-	if line == "" {
-		// If this is the first line, net/http refuses it and closes the connection.
-		f.finishHead()
-		return true
-	}
-	name, value, _ := strings.Cut(line, ":")
-	switch strings.ToLower(strings.TrimSpace(name)) {
-	case "content-length":
-		f.hasContentLength = true
-		f.contentLength, _ = strconv.ParseInt(strings.TrimSpace(value), 10, 64)
-	case "transfer-encoding":
-		f.hasTransferEncoding = true
-	}
-	return false
-}
-
-// finishHead sets refusal, isEndUnknown and bodyRemaining from the parsed head and
-// resets the head's state.
-func (f *framing) finishHead() {
-	if f.hasContentLength && f.hasTransferEncoding {
-		f.refusal = reason.NotRun(reason.BadRequest, 0, "the head has both Content-Length and Transfer-Encoding")
-	}
-	f.isEndUnknown = f.hasTransferEncoding
-	f.bodyRemaining = max(f.contentLength, 0)
-	f.headBytes, f.contentLength = 0, 0
-	f.hasContentLength, f.hasTransferEncoding = false, false
-}
--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -8,13 +8,9 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"baobabladder.example/baobabladder/internal/base/clock"
-	"baobabladder.example/baobabladder/internal/base/reason"
 )
 
 const (
@@ -74,6 +70,8 @@
 
 	once sync.Once
 	http *http.Server
+	// streams hands further streams of connections to http.
+	streams *streamListener
 	// shutdownStarted is closed when a shutdown begins, shutdownDone when Shutdown
 	// returns.
 	shutdownStarted, shutdownDone chan struct{}
@@ -83,16 +81,19 @@
 	listener net.Listener
 	// conns holds the open connections. Guarded by mu.
 	conns map[*conn]struct{}
+	// addedStreams counts the requests that run beside an earlier one of their connection.
+	// Guarded by mu.
+	addedStreams int
 	// hasShutdownBegun is set when a shutdown begins and stays set. Guarded by mu.
 	hasShutdownBegun bool
 }
 
-// connKey is the context key of a request's *conn.
-type connKey struct{}
+// streamKey is the context key of a request's *stream.
+type streamKey struct{}
 
-func connOf(request *http.Request) *conn {
-	c, _ := request.Context().Value(connKey{}).(*conn)
-	return c
+func streamOf(request *http.Request) *stream {
+	s, _ := request.Context().Value(streamKey{}).(*stream)
+	return s
 }
 
 func orDefault(value, fallback clock.Millis) time.Duration {
@@ -107,6 +108,7 @@
 		s.shutdownStarted = make(chan struct{})
 		s.shutdownDone = make(chan struct{})
 		s.conns = map[*conn]struct{}{}
+		s.streams = newStreamListener()
 		s.http = &http.Server{
 			Handler:           http.HandlerFunc(s.serve),
 			ReadHeaderTimeout: orDefault(s.HeadTimeout, defaultHeadTimeout),
@@ -115,7 +117,7 @@
 			ErrorLog:          stdlog.New(io.Discard, "", 0),
 			ConnState:         onConnState,
 			ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-				return context.WithValue(ctx, connKey{}, c)
+				return context.WithValue(ctx, streamKey{}, c)
 			},
 		}
 	})
@@ -133,6 +135,7 @@
 		// Shutdown may have run closeListener before the listener was set.
 		go s.closeListener()
 	}
+	go func() { _ = s.http.Serve(s.streams) }()
 	err := s.http.Serve(&limitedListener{Listener: listener, server: s})
 	if s.isShuttingDown() {
 		<-s.shutdownDone
@@ -226,8 +229,10 @@
 
 // serve handles one request.
 func (s *Server) serve(w http.ResponseWriter, request *http.Request) {
-	refusal, isLast := connOf(request).beginRequest()
-	if s.isShuttingDown() || isLast {
+	stream := streamOf(request)
+	refusal, isLast := stream.beginRequest()
+	defer stream.endHandler()
+	if isLast || s.isShuttingDown() && stream.beginLast() {
 		w.Header().Set("Connection", "close")
 	}
 	if refusal != nil {
@@ -236,6 +241,7 @@
 		return
 	}
 	if len(request.URL.Path) >= len(internalPrefix) && request.URL.Path[:len(internalPrefix)] == internalPrefix {
+		_ = AwaitTurn(request.Context(), request, true)
 		_, err := ReadHead(request)
 		if err == nil {
 			err = s.serveInternal(w, request)
@@ -247,14 +253,15 @@
 	}
 	// A shutdown may begin while the request runs. shutdownWriter then announces the
 	// close in the response.
-	s.Handler.ServeHTTP(&shutdownWriter{ResponseWriter: w, server: s}, request)
+	s.Handler.ServeHTTP(&shutdownWriter{ResponseWriter: w, server: s, stream: stream}, request)
 }
 
 // shutdownWriter adds "Connection: close" to a response if a shutdown began before its
-// head is written.
+// head is written and no later request of the connection has begun.
 type shutdownWriter struct {
 	http.ResponseWriter
 	server      *Server
+	stream      *stream
 	wroteHeader bool
 }
 
@@ -265,7 +272,7 @@
 func (w *shutdownWriter) WriteHeader(status int) {
 	if status >= http.StatusOK && !w.wroteHeader {
 		w.wroteHeader = true
-		if w.server.isShuttingDown() {
+		if w.server.isShuttingDown() && w.stream.beginLast() {
 			w.Header().Set("Connection", "close")
 		}
 	}
@@ -280,84 +287,46 @@
 	return w.ResponseWriter.Write(buffer)
 }
 
-// limitedListener refuses connections above the Server's limit.
-type limitedListener struct {
-	net.Listener
-	server *Server
-	// activeRefusals counts the goroutines that write a refusal.
-	activeRefusals atomic.Int32
-}
-
-// Accept implements net.Listener.
-func (l *limitedListener) Accept() (net.Conn, error) {
-	for {
-		accepted, err := l.Listener.Accept()
-		if err != nil {
-			return nil, l.acceptError(err)
-		}
-		if c := l.server.track(accepted); c != nil {
-			return c, nil
-		}
-		l.refuse(accepted)
-	}
-}
-
-// acceptError replaces err by http.ErrServerClosed during a shutdown. Otherwise net/http
-// would take the expired deadline of the listener for a temporary error and call Accept
-// again. It also closes the listener without delay: connections that the kernel
-// establishes after the last Accept are reset when the listener is closed.
-func (l *limitedListener) acceptError(err error) error {
-	if l.server.isShuttingDown() {
-		_ = l.Listener.Close()
-		return http.ErrServerClosed
+// track wraps and registers an accepted connection. It returns nil if MaxConnections
+// is reached.
+func (s *Server) track(accepted net.Conn) *conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.hasRoom() {
+		return nil
 	}
-	return err
+	c := newConn(accepted, s)
+	s.conns[c] = struct{}{}
+	return c
 }
 
-// Close implements net.Listener. During a shutdown it does nothing, because
-// closeListener closes the listener.
-func (l *limitedListener) Close() error {
-	if l.server.isShuttingDown() {
-		return nil
+// hasRoom reports whether another connection, or a further request in flight on one, is
+// within MaxConnections. mu must be held.
+func (s *Server) hasRoom() bool {
+	limit := s.MaxConnections
+	if limit == 0 {
+		limit = defaultMaxConnections
 	}
-	return l.Listener.Close()
+	return len(s.conns)+s.addedStreams < limit
 }
 
-// maxConcurrentRefusals bounds the connections above MaxConnections to which a refusal
-// is being written.
-const maxConcurrentRefusals = 64
-
-// refuse records the refusal of a connection and writes it in a new goroutine. With
-// maxConcurrentRefusals active it closes the connection without a refusal.
-func (l *limitedListener) refuse(accepted net.Conn) {
-	refusal := reason.NotRun(reason.TooManyConnections, defaultRetryAfter, "this VM has too many connections")
-	l.server.Refusals.Record(refusal, logrus.Fields{"remote": accepted.RemoteAddr().String()})
-	if l.activeRefusals.Add(1) > maxConcurrentRefusals {
-		l.activeRefusals.Add(-1)
-		_ = accepted.Close()
-		return
+// addStream counts a request that runs beside an earlier one of its connection. It returns
+// false if MaxConnections is reached.
+func (s *Server) addStream() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.hasRoom() {
+		return false
 	}
-	go func() {
-		defer l.activeRefusals.Add(-1)
-		writeAndClose(accepted, rawRefusal(refusal))
-	}()
+	s.addedStreams++
+	return true
 }
 
-// track wraps and registers an accepted connection. It returns nil if MaxConnections
-// is reached.
-func (s *Server) track(accepted net.Conn) *conn {
+// removeStreams undoes count calls of addStream.
+func (s *Server) removeStreams(count int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	limit := s.MaxConnections
-	if limit == 0 {
-		limit = defaultMaxConnections
-	}
-	if len(s.conns) >= limit {
-		return nil
-	}
-	c := &conn{Conn: accepted, server: s}
-	s.conns[c] = struct{}{}
-	return c
+	s.addedStreams -= count
 }
 
 func (s *Server) untrack(c *conn) {
--- a/internal/wire/caller/shutdown_test.go
+++ b/internal/wire/caller/shutdown_test.go
@@ -21,7 +21,7 @@
 	busy, peer := net.Pipe()
 	defer peer.Close()
 	active := server.track(busy)
-	active.hasRequest = true
+	active.first.hasRequest = true
 	stopped := make(chan error, 1)
 	go func() { stopped <- server.Shutdown(context.Background()) }()
 	g.Eventually(server.isShuttingDown).Should(BeTrue())
--- /dev/null
+++ b/internal/wire/caller/stream.go
@@ -0,0 +1,302 @@
+package caller
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/reason"
+)
+
+// idleStreamTimeout is how long a stream other than a connection's first waits for a
+// request before it ends.
+const idleStreamTimeout = 1 * clock.Second
+
+// stream carries requests of a caller's connection that are served one after the other.
+// net/http takes it for a connection. While a connection has only its first stream, the
+// stream reads and writes the connection itself; after that the pipeline hands requests
+// to streams and puts their responses in order.
+//
+// conn.mu guards all fields but conn.
+type stream struct {
+	conn *conn
+
+	// hasRequest is set when a byte was read of a request that has no complete
+	// response yet.
+	hasRequest bool
+	// isServing is set from the start of the request's handler to the end of its response,
+	// isHandled once the handler has returned.
+	isServing, isHandled bool
+	// headRefusal is the refusal of the request whose head was read, or nil.
+	headRefusal *reason.Refusal
+	// isLast is set when the connection accepts no request after this one.
+	isLast bool
+	// isRefused is set when the stream itself refused the current request.
+	isRefused bool
+	// allowsNext is set when the connection's next request may begin before the response
+	// to this one is complete; see AwaitTurn.
+	allowsNext bool
+	// waited is how long the request waited behind earlier ones before it began.
+	waited clock.Millis
+
+	// pending holds bytes of the request that were handed to the stream and not read yet.
+	pending []byte
+	// readDeadline is the deadline of reads, which readTimer enforces in a pipeline.
+	readDeadline time.Time
+	readTimer    *time.Timer
+	// held holds the bytes of a response whose turn has not come.
+	held []byte
+	// isDone is set when the response is complete but may wait for its turn, isFinal when
+	// it also ends the connection.
+	isDone, isFinal bool
+	// isRetired is set when the stream gets no further request.
+	isRetired bool
+	// isCancelled is set when the connection ended before the turn of the response came.
+	isCancelled bool
+}
+
+// Read implements net.Conn.
+func (s *stream) Read(buffer []byte) (n int, err error) {
+	n, isPipelined, err := s.conn.read(s, buffer)
+	if isPipelined {
+		return s.readPending(buffer)
+	}
+	return n, err
+}
+
+// readPending reads what the pipeline hands to the stream.
+func (s *stream) readPending(buffer []byte) (n int, err error) {
+	c := s.conn
+	c.mu.Lock()
+	n, err = c.pipeline.read(s, buffer)
+	c.mu.Unlock()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		s.refuseSlowHead()
+	}
+	return n, err
+}
+
+// refuseSlowHead refuses the request whose head has not come in time, if there is one.
+func (s *stream) refuseSlowHead() {
+	c := s.conn
+	c.mu.Lock()
+	isSlow := s.hasRequest && c.framing.isInHead() && (c.pipeline == nil || c.pipeline.receiver == s)
+	c.mu.Unlock()
+	if isSlow {
+		s.refuse(reason.NotRun(reason.HeadTooSlow, 0, "the request's head came too slowly"))
+	}
+}
+
+// markReceived records that bytes of a request were handed to the stream. conn.mu must be
+// held.
+func (s *stream) markReceived() {
+	c := s.conn
+	s.hasRequest = true
+	if c.framing.refusal != nil {
+		s.headRefusal, c.framing.refusal = c.framing.refusal, nil
+	}
+	s.isLast = s.isLast || c.framing.isEndUnknown
+	c.isLast = c.isLast || s.isLast
+}
+
+// Write implements net.Conn. What net/http writes while no handler runs is an error
+// response of its own; Write replaces it with a refusal.
+func (s *stream) Write(buffer []byte) (int, error) {
+	c := s.conn
+	c.mu.Lock()
+	isServing, isPipelined := s.isServing, c.pipeline != nil
+	c.mu.Unlock()
+	if isServing && !isPipelined {
+		return c.Conn.Write(buffer)
+	}
+	if isServing {
+		return s.writeInTurn(buffer)
+	}
+	refusal := reason.NotRun(reason.BadRequest, 0, "the request is malformed")
+	if bytes.HasPrefix(buffer, []byte("HTTP/1.1 431")) {
+		refusal = reason.NotRun(reason.HeadTooLarge, 0, "the head is larger than %d bytes", maxHeadBytes)
+	}
+	s.refuse(refusal)
+	return len(buffer), nil
+}
+
+// writeInTurn writes bytes of a response behind all earlier responses of a pipelined
+// connection. It may return before they are written.
+func (s *stream) writeInTurn(buffer []byte) (int, error) {
+	c := s.conn
+	c.mu.Lock()
+	isHeld, err := c.pipeline.hold(s, buffer)
+	c.mu.Unlock()
+	if isHeld || err != nil {
+		return len(buffer), err
+	}
+	return c.Conn.Write(buffer)
+}
+
+// refuse writes and records the refusal of a request that reached no handler. It does
+// nothing if the request was refused already or the connection is being closed.
+func (s *stream) refuse(refusal *reason.Refusal) {
+	c := s.conn
+	c.mu.Lock()
+	first, isPipelined := !s.isRefused && !c.isClosing, c.pipeline != nil
+	s.isRefused = true
+	c.mu.Unlock()
+	if !first {
+		return
+	}
+	c.server.Refusals.Record(refusal, nil)
+	if isPipelined {
+		_, _ = s.writeInTurn(rawRefusal(refusal))
+		return
+	}
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(rawWriteTimeout.Duration()))
+	_, _ = c.Conn.Write(rawRefusal(refusal))
+}
+
+// CloseWrite closes the write side of the connection. net/http calls it before it
+// closes a connection, so that the end of a response is not lost.
+func (s *stream) CloseWrite() error {
+	if s.endInPipeline() {
+		return nil
+	}
+	return s.conn.closeWrite()
+}
+
+// Close implements net.Conn.
+func (s *stream) Close() error {
+	if s.endInPipeline() {
+		return nil
+	}
+	return s.conn.Close()
+}
+
+// endInPipeline ends the stream in the connection's pipeline, or returns false if there is
+// none.
+func (s *stream) endInPipeline() bool {
+	c := s.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pipeline == nil {
+		return false
+	}
+	c.pipeline.end(s)
+	return true
+}
+
+// SetReadDeadline implements net.Conn.
+func (s *stream) SetReadDeadline(at time.Time) error {
+	c := s.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s != c.first && !s.hasRequest && !at.IsZero() {
+		at = earlier(at, time.Now().Add(idleStreamTimeout.Duration()))
+	}
+	s.readDeadline = at
+	if c.pipeline == nil {
+		return c.Conn.SetReadDeadline(at)
+	}
+	s.startReadTimer()
+	return nil
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// startReadTimer makes reads of the stream notice its deadline. conn.mu must be held, and
+// there must be a pipeline.
+func (s *stream) startReadTimer() {
+	if s.readTimer != nil {
+		s.readTimer.Stop()
+		s.readTimer = nil
+	}
+	wait := time.Until(s.readDeadline)
+	switch {
+	case s.readDeadline.IsZero():
+	case wait <= 0:
+		s.conn.pipeline.changed.Broadcast()
+	default:
+		s.readTimer = time.AfterFunc(wait, s.conn.pipeline.wake)
+	}
+}
+
+// SetWriteDeadline implements net.Conn. In a pipeline it does nothing, because streams
+// share the connection.
+func (s *stream) SetWriteDeadline(at time.Time) error {
+	s.conn.mu.Lock()
+	defer s.conn.mu.Unlock()
+	if s.conn.pipeline != nil {
+		return nil
+	}
+	return s.conn.Conn.SetWriteDeadline(at)
+}
+
+// SetDeadline implements net.Conn.
+func (s *stream) SetDeadline(at time.Time) error {
+	return errors.Join(s.SetReadDeadline(at), s.SetWriteDeadline(at))
+}
+
+// LocalAddr implements net.Conn.
+func (s *stream) LocalAddr() net.Addr { return s.conn.LocalAddr() }
+
+// RemoteAddr implements net.Conn.
+func (s *stream) RemoteAddr() net.Addr { return s.conn.RemoteAddr() }
+
+// beginRequest records that the handler runs. It returns the refusal of the head, or
+// nil, and whether the request is the last one on the connection.
+func (s *stream) beginRequest() (refusal *reason.Refusal, isLast bool) {
+	s.conn.mu.Lock()
+	defer s.conn.mu.Unlock()
+	s.isServing = true
+	refusal, s.headRefusal = s.headRefusal, nil
+	return refusal, s.isLast
+}
+
+// endHandler records that the handler has returned.
+func (s *stream) endHandler() {
+	s.conn.mu.Lock()
+	defer s.conn.mu.Unlock()
+	s.isHandled = true
+}
+
+// beginLast makes the stream's request the last one of the connection. It returns false
+// if a later one has begun already.
+func (s *stream) beginLast() bool {
+	c := s.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pipeline != nil && !c.pipeline.isNewest(s) {
+		return false
+	}
+	s.isLast, c.isLast = true, true
+	return true
+}
+
+// onConnState is the http.Server's ConnState hook. It ends the current request of the
+// stream when net/http reports the stream as idle.
+func onConnState(connection net.Conn, state http.ConnState) {
+	if state != http.StateIdle {
+		return
+	}
+	s := connection.(*stream)
+	c := s.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.isServing, s.isHandled, s.allowsNext, s.waited = false, false, false, 0
+	if c.pipeline == nil {
+		// net/http may have read the beginning of the next request.
+		s.hasRequest = c.framing.isInRequest()
+		return
+	}
+	c.pipeline.complete(s)
+}
+
+// errCallerGone is what a stream's writes return after the connection has ended.
+var errCallerGone = errors.New("the caller's connection has ended")
