Count an endpoint as ended only if it takes no new connection though others do

Cause: a connection that is closed before an answer counted as the end of its endpoint. Endpoints that lose answers reset connections and live on: 314 of 357 such "ends" were followed by an answer of the same endpoint within 3 s.

Ruled out: answers outweigh the closes (they did not: one look-up's object has one endpoint, which is the one that resets); to believe an endpoint less once it has answered after a close (each VM has to see that first).

Change: reach.Monitor opens a connection to the endpoint, and if that fails to others. If none takes one, the VM's own links are at fault, and nothing is known of the endpoint.

--- a/internal/entry/gateway/forward_test.go
+++ b/internal/entry/gateway/forward_test.go
@@ -42,6 +42,8 @@
 func (cutOff) Begin()                {}
 func (cutOff) End(bool, bool)        {}
 
+func (cutOff) HasEnded(context.Context, string) bool { return true }
+
 // tokens is a Quota that admits all requests and counts refunds.
 type tokens struct {
 	mu      sync.Mutex
@@ -294,6 +296,8 @@
 func (*losing) Begin()                  {}
 func (*losing) End(bool, bool)          {}
 
+func (*losing) HasEnded(context.Context, string) bool { return true }
+
 func (l *losing) lose() {
 	l.isCutOff.Store(true)
 	l.endLost()
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -54,6 +54,8 @@
 	// Begin and End record that a request is sent to an endpoint, and how it ended.
 	Begin()
 	End(isAnswered, isUnreached bool)
+	// HasEnded reports whether the endpoint at the address has ended; it may wait for that.
+	HasEnded(ctx context.Context, address string) bool
 }
 
 // Quota enforces each workspace's rate and burst over all VMs; see
@@ -66,15 +68,15 @@
 	Refund(workspace *routing.Workspace)
 }
 
-// Gateway handles callers' requests. All fields but Reach, Alternates,
-// PeerClient, OnBlock,
+// Gateway handles callers' requests. All fields but Reach, Alternates, PeerClient, OnBlock,
 // RecordLatency, RecordOutcome, RecordLimitedSend, EndsAt, ConfigAge, Log and LogBudget must
 // be set.
 type Gateway struct {
 	Headers  Headers
 	Client   Sender
 	Balancer *balance.Balancer
-	// Reach is optional.
+	// Reach is optional. Without it, an endpoint that closes a connection before it answers
+	// is taken to have ended.
 	Reach Reach
 	// Alternates returns up to count VMs, in regions that isAllowed, to which PeerClient may
 	// forward requests, nearest first; both are optional.
--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -106,7 +106,7 @@
 		if c.gateway.RecordOutcome != nil {
 			c.gateway.RecordOutcome(string(result.Outcome))
 		}
-		endpointEnded := c.recordEnd(err, sentAt)
+		endpointEnded := c.recordEnd(err, grant.Endpoint.Address, sentAt)
 		c.attempts = append(c.attempts, attempt{
 			startedAfter: sentAt - c.arrived, basis: grant.Basis, outcome: result.Outcome, duration: took, status: status,
 			endpointEnded: endpointEnded, endpointLeaving: result.IsLeaving, err: err,
@@ -179,9 +179,9 @@
 }
 
 // recordEnd records on the blocklist that an attempt ended with its endpoint, if it did, and
-// reports whether it did.
-func (c *call) recordEnd(err error, sentAt clock.Millis) (endpointEnded bool) {
-	if _, endpointEnded = fault.As[*endpoint.EndedError](err); !endpointEnded {
+// reports whether it did. An endpoint that only closed the connection has not ended.
+func (c *call) recordEnd(err error, address string, sentAt clock.Millis) (endpointEnded bool) {
+	if _, isClosed := fault.As[*endpoint.EndedError](err); !isClosed || !c.hasEnded(address) {
 		return false
 	}
 	if c.gateway.Blocklist.RecordEnd(c.digest, sentAt) && c.gateway.OnBlock != nil {
@@ -190,6 +190,12 @@
 	return true
 }
 
+// hasEnded reports whether an endpoint that closed a connection has ended.
+func (c *call) hasEnded(address string) bool {
+	reach := c.gateway.Reach
+	return reach == nil || reach.HasEnded(context.WithoutCancel(c.request.Context()), address)
+}
+
 // recordLimitedSend counts a send to an endpoint that has named a limit.
 func (c *call) recordLimitedSend(grant *balance.Grant) {
 	if grant.Basis.Limit.Statement == balance.LimitNamed && c.gateway.RecordLimitedSend != nil {
--- a/internal/policy/reach/reach.go
+++ b/internal/policy/reach/reach.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
@@ -163,6 +164,17 @@
 	return false
 }
 
+// HasEnded reports whether the endpoint at the address, which has closed a connection, has
+// ended: it takes no new connection though another endpoint does. If no endpoint does, this
+// VM's links may be at fault, and nothing is known of the endpoint.
+func (m *Monitor) HasEnded(ctx context.Context, address string) bool {
+	if m.reachesAny(ctx, []string{address}) {
+		return false
+	}
+	others := slices.DeleteFunc(m.Addresses(probeCount), func(other string) bool { return other == address })
+	return m.reachesAny(ctx, others)
+}
+
 // apply applies the result of a round and reports whether isCutOff has changed.
 func (m *Monitor) apply(isReached bool) (changed bool) {
 	m.mu.Lock()
--- a/internal/policy/reach/reach_test.go
+++ b/internal/policy/reach/reach_test.go
@@ -117,3 +117,16 @@
 	}
 	g.Expect(l.probes.Load()).To(BeZero())
 }
+
+// Guards against requests that are blocked because endpoints, or this VM's own links, close
+// connections.
+func TestEndpointHasEndedOnlyIfOthersAreReached(t *testing.T) {
+	g := NewWithT(t)
+	l := &links{up: map[string]bool{"e3": true}}
+	l.isCut.Store(true)
+	monitor := &reach.Monitor{Probe: l.probe, Addresses: addresses}
+	g.Expect(monitor.HasEnded(t.Context(), "e0")).To(BeTrue())
+	g.Expect(monitor.HasEnded(t.Context(), "e3")).To(BeFalse(), "the endpoint takes connections")
+	l.up["e3"] = false
+	g.Expect(monitor.HasEnded(t.Context(), "e0")).To(BeFalse(), "no endpoint takes connections from this VM")
+}
