--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -17,7 +17,6 @@
 	"github.com/sirupsen/logrus"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
-	"baobabladder.example/baobabladder/internal/base/fault"
 	"baobabladder.example/baobabladder/internal/base/metric"
 	"baobabladder.example/baobabladder/internal/base/reason"
 	"baobabladder.example/baobabladder/internal/control/freshness"
@@ -25,7 +24,6 @@
 	"baobabladder.example/baobabladder/internal/wire/store"
 	"baobabladder.example/baobabladder/internal/world/membership"
 	"baobabladder.example/baobabladder/internal/world/replica"
-	"baobabladder.example/baobabladder/internal/world/vm"
 )
 
 // Durations of calls and delays.
@@ -70,9 +68,6 @@
 // revision.
 const probePrefix = "probe/"
 
-// ReceiverName is the name under which Receiver is registered for net/rpc.
-const ReceiverName = "Follower"
-
 // Store is the part of the store's client that a Follower uses.
 type Store interface {
 	Watch(ctx context.Context, prefixes []string, after int64, wait clock.Millis) (store.Listing, error)
@@ -87,19 +82,6 @@
 	revision int64
 }
 
-// FetchRequest requests the changes after a revision.
-type FetchRequest struct{ After int64 }
-
-// PushRequest sends changes to a peer.
-type PushRequest struct {
-	// After is the revision after which Page has the changes.
-	After int64
-	Page  replica.Page
-}
-
-// PushReply is the reply to a PushRequest.
-type PushReply struct{ Summary replica.Summary }
-
 // Follower keeps one VM's copy of the configuration up to date. All exported fields
 // must be set, except those marked optional.
 type Follower struct {
@@ -359,192 +341,9 @@
 	}
 }
 
-// CatchUp fetches what the copy of the peer at address has and this VM's copy lacks.
-// isComplete reports whether the copy then has everything that reply summarises. It
-// serves as heartbeat.CatchUp.
-func (f *Follower) CatchUp(ctx context.Context, address string, reply *heartbeat.AskReply) (isComplete bool, err error) {
-	defer fault.Annotate(&err, "catching up with %s", reply.Profile.ID.Name)
-	if f.hasContentOf(address, reply.Summary) {
-		return true, nil
-	}
-	if f.Replica.Summary().Revision == 0 {
-		f.initialFetch.Lock()
-		defer f.initialFetch.Unlock()
-		if f.hasContentOf(address, reply.Summary) {
-			return true, nil
-		}
-	}
-	if err := f.fetchFrom(ctx, address); err != nil {
-		return false, err
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.caughtUpWith == nil {
-		f.caughtUpWith = map[string]replica.Summary{}
-	}
-	f.caughtUpWith[address] = reply.Summary
-	return true, nil
-}
-
-// hasContentOf reports whether the copy is known to have all content that a peer's
-// summary covers.
-func (f *Follower) hasContentOf(address string, peerSummary replica.Summary) bool {
-	ownSummary := f.Replica.Summary()
-	if peerSummary.Digest == ownSummary.Digest && peerSummary.Revision <= ownSummary.Revision {
-		return true
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.caughtUpWith[address] == peerSummary && peerSummary != replica.Summary{}
-}
-
-// fetchFrom merges everything that the peer at address has after this copy's
-// revision, page by page.
-func (f *Follower) fetchFrom(ctx context.Context, address string) (err error) {
-	// The timeout of a heartbeat allows for one small reply only; pages may take
-	// longer.
-	ctx = context.WithoutCancel(ctx)
-	for after := f.Replica.Summary().Revision; ; {
-		page, err := f.fetchPage(ctx, address, after)
-		if err != nil {
-			return err
-		}
-		if _, err := f.Replica.MergePage(page, after); err != nil {
-			f.Log.WithError(err).Error("decoding an object of a peer failed; its older value stays in force")
-		}
-		if page.Next == 0 {
-			return nil
-		}
-		after = page.Next
-	}
-}
-
-func (f *Follower) fetchPage(ctx context.Context, address string, after int64) (page replica.Page, err error) {
-	ctx, cancel := context.WithTimeout(ctx, pageTimeout.Duration())
-	defer cancel()
-	err = f.Peers.Call(ctx, address, ReceiverName+".Fetch", FetchRequest{After: after}, &page)
-	return page, err
-}
-
-// pushLocal sends the changes after a revision to the reachable peers in this VM's
-// data centre. It does not wait for them, because a peer that hangs must not delay
-// the next watch. Peers that miss the push fetch the changes after their next
-// heartbeat.
-func (f *Follower) pushLocal(ctx context.Context, after int64) {
-	var local []membership.Member
-	for _, member := range f.Heartbeat.View().Peers() {
-		if member.DataCentre == f.Heartbeat.Self.DataCentre && member.Reachable {
-			local = append(local, member)
-		}
-	}
-	if len(local) == 0 {
-		return
-	}
-	if f.localPushes.Add(1) > maxLocalPushes {
-		f.localPushes.Add(-1)
-		return
-	}
-	push := PushRequest{After: after, Page: f.Replica.Page(after)}
-	f.spawn(func() {
-		defer f.localPushes.Add(-1)
-		f.pushTo(context.WithoutCancel(ctx), local, push)
-	})
-}
-
-func (f *Follower) spawn(run func()) {
-	if f.Spawn != nil {
-		f.Spawn(run)
-		return
-	}
-	go run()
-}
-
-// PushAll sends the given objects and the pending withdrawals to all other members.
-// It retries until each has confirmed or ctx ends. It returns the names of the
-// members that have confirmed, this VM included, and of those that have not, both
-// sorted.
-func (f *Follower) PushAll(ctx context.Context, objects []store.Object) (confirmed, unconfirmed []string) {
-	push := PushRequest{Page: replica.Page{Listing: store.Listing{Objects: objects}, Pending: f.Replica.PendingWithdrawals()}}
-	confirmed = []string{f.Heartbeat.ID.Name}
-	unconfirmed = []string{}
-	remaining := f.Heartbeat.View().Peers()
-	for len(remaining) > 0 {
-		acknowledged := f.pushTo(ctx, remaining, push)
-		confirmed = append(confirmed, acknowledged...)
-		remaining = slices.DeleteFunc(remaining, func(m membership.Member) bool { return slices.Contains(acknowledged, m.Name) })
-		if len(remaining) == 0 || clock.Sleep(ctx, pushRetryDelay) != nil {
-			break
-		}
-	}
-	for _, member := range remaining {
-		unconfirmed = append(unconfirmed, member.Name)
-	}
-	slices.Sort(confirmed)
-	return confirmed, unconfirmed
-}
-
-// pushTo pushes once to each member and returns the names of those that confirmed.
-func (f *Follower) pushTo(ctx context.Context, members []membership.Member, push PushRequest) (confirmed []string) {
-	var mu sync.Mutex
-	var group sync.WaitGroup
-	slots := make(chan struct{}, maxParallelPushes)
-	ctx, cancel := context.WithTimeout(ctx, pushTimeout.Duration())
-	defer cancel()
-	for _, member := range members {
-		slots <- struct{}{}
-		group.Add(1)
-		f.spawn(func() {
-			defer group.Done()
-			defer func() { <-slots }()
-			var reply PushReply
-			if err := f.Peers.Call(ctx, member.PeerAddress, ReceiverName+".Push", push, &reply); err != nil {
-				f.Log.WithError(err).WithField("peer", member.Name).Debug("pushing changes to a peer failed; the peer fetches them after its next heartbeat")
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			confirmed = append(confirmed, member.Name)
-		})
-	}
-	group.Wait()
-	return confirmed
-}
-
-// countLocalMembers returns the number of VMs in this VM's data centre that are not
-// leaving, at least 1.
-func (f *Follower) countLocalMembers() (count int) {
-	for _, member := range f.Heartbeat.View().Members {
-		if member.DataCentre == f.Heartbeat.Self.DataCentre && member.State != vm.StateLeaving {
-			count++
-		}
-	}
-	return max(count, 1)
-}
-
 func (f *Follower) jitter(n clock.Millis) clock.Millis {
 	if f.Jitter == nil {
 		return 0
 	}
 	return f.Jitter(n)
 }
-
-// Receiver serves peers over net/rpc.
-type Receiver struct{ follower *Follower }
-
-// NewReceiver returns the Receiver of a Follower. Register it under ReceiverName.
-func NewReceiver(follower *Follower) *Receiver { return &Receiver{follower: follower} }
-
-// Fetch replies with the changes after a revision.
-func (r *Receiver) Fetch(request FetchRequest, page *replica.Page) error {
-	*page = r.follower.Replica.Page(request.After)
-	return nil
-}
-
-// Push merges changes. A reply without an error confirms that they are in force.
-func (r *Receiver) Push(request PushRequest, reply *PushReply) error {
-	if _, err := r.follower.Replica.MergePage(request.Page, request.After); err != nil {
-		return err
-	}
-	reply.Summary = r.follower.Replica.Summary()
-	return nil
-}
