Keep a VM running when a peer's call panics

The operators' report "one malformed message or unexpected error took a whole process down" could happen here: net/rpc calls a receiver in a goroutine of its own, and a panic there ends the process, with all its callers' requests. (A panic in a request's handler ends its connection only; net/http sees to that.)

Ruled out: a recover in each receiver's method (some twenty, and the next one would lack it), and rpc.ServeRequest in a loop (calls that wait would hold the next ones up).

Change: each call of a connection has a goroutine that reads it, starts the next one, and calls ServeRequest; a panic closes the connection and is logged with method and stack. Messages on the wire are those of net/rpc's own codec: old and new VMs understand each other.

Failed before: TestReceiverThatPanicsEndsOnlyItsConnection (the test process ended with "panic: 3"). TestMalformedMessagesEndOnlyTheirConnection passed before and after. Race detector on the package, three times: passed. Not covered: a panic while a VM handles a peer's reply.

--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -194,6 +194,7 @@
 	n.metrics = metric.New()
 	n.peers = &peer.Client{}
 	n.peerServer = peer.NewServer()
+	n.peerServer.Log = n.Log
 	n.balancer = &balance.Balancer{
 		VM: config.Name, Region: config.Region, DataCentre: config.DataCentre,
 		ColdLimit: balance.ColdLimit{Overage: config.Bounds.ColdOverage, Slack: config.Bounds.ColdSlack},
--- a/internal/entry/process/controlplane.go
+++ b/internal/entry/process/controlplane.go
@@ -86,6 +86,7 @@
 		Name: config.Name, Role: vm.RoleEntry, State: vm.StateLive, Region: config.Region, DataCentre: config.DataCentre,
 		CallerAddress: config.CallerAddress, PeerAddress: config.PeerAddress,
 	}
+	c.peerServer.Log = log
 	c.heartbeat = &heartbeat.Heartbeat{
 		Self: self, ID: c.id, Replica: c.replica, Freshness: c.freshness, Peers: c.peerClient,
 		Seeds: config.Peers, Claims: c.heldClaims, Jitter: jitter,
--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 
 	"github.com/joomcode/errorx"
+	"github.com/sirupsen/logrus"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/fault"
@@ -28,6 +29,9 @@
 
 // Server serves calls from peers.
 type Server struct {
+	// Log is optional.
+	Log logrus.FieldLogger
+
 	rpc   *rpc.Server
 	bytes atomic.Int64
 
@@ -93,7 +97,7 @@
 	s.mu.Lock()
 	s.conns[conn] = true
 	s.mu.Unlock()
-	s.rpc.ServeConn(&CountingConn{Conn: conn, Bytes: &s.bytes})
+	newCalls(s, &CountingConn{Conn: conn, Bytes: &s.bytes}).serve()
 	s.mu.Lock()
 	delete(s.conns, conn)
 	s.mu.Unlock()
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/joomcode/errorx"
 	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus/hooks/test"
 
 	"baobabladder.example/baobabladder/internal/wire/peer"
 )
@@ -108,3 +111,52 @@
 	g.Eventually(call, "20s").Should(Succeed())
 	g.Expect(opened).To(HaveLen(2))
 }
+
+// Panic panics, as a receiver may for a message that no VM of its own build sends.
+func (e *Echo) Panic(message Message, _ *Message) error {
+	panic(message.Number)
+}
+
+// Guards against a process that ends because a receiver cannot handle one message.
+func TestReceiverThatPanicsEndsOnlyItsConnection(t *testing.T) {
+	g := NewWithT(t)
+	address, echo, server := serve(t)
+	log, hook := test.NewNullLogger()
+	server.Log = log
+	held, other := &peer.Client{}, &peer.Client{}
+	defer held.Close()
+	defer other.Close()
+	replied := make(chan Message, 1)
+	go func() {
+		var reply Message
+		_ = held.Call(t.Context(), address, "Echo.Call", Message{Number: 2, Held: true}, &reply)
+		replied <- reply
+	}()
+	g.Eventually(echo.blocked, "20s").Should(Receive())
+	var reply Message
+	g.Expect(other.Call(t.Context(), address, "Echo.Panic", Message{Number: 3}, &reply)).To(MatchError(ContainSubstring("Echo.Panic")))
+	g.Eventually(hook.LastEntry, "20s").Should(HaveField("Data", And(HaveKeyWithValue("method", "Echo.Panic"), HaveKeyWithValue("cause", "3"))))
+	g.Expect(other.Call(t.Context(), address, "Echo.Call", Message{Number: 4}, &reply)).To(Succeed())
+	g.Expect(reply.Number).To(Equal(4))
+	close(echo.release)
+	g.Eventually(replied, "20s").Should(Receive(HaveField("Number", 2)), "a call on another connection")
+}
+
+func TestMalformedMessagesEndOnlyTheirConnection(t *testing.T) {
+	g := NewWithT(t)
+	address, _, _ := serve(t)
+	for _, raw := range []string{"", "\x00", "GET / HTTP/1.1\r\n\r\n", "\xf8\xff\xff\xff\xff\xff\xff\xff\xff", "\xfc\x3f\xff\xff\xff" + strings.Repeat("a", 100), strings.Repeat("\x7f", 1000)} {
+		conn, err := net.Dial("tcp", address)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, _ = conn.Write([]byte(raw))
+		g.Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+		g.Expect(conn.SetReadDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
+		_, err = io.Copy(io.Discard, conn)
+		g.Expect(err).NotTo(HaveOccurred(), "the connection did not end")
+		_ = conn.Close()
+	}
+	client := &peer.Client{}
+	defer client.Close()
+	var reply Message
+	g.Expect(client.Call(t.Context(), address, "Echo.Call", Message{Number: 5}, &reply)).To(Succeed())
+}
