--- a/internal/wire/caller/pipeline_test.go
+++ b/internal/wire/caller/pipeline_test.go
@@ -351,3 +351,46 @@
 	_ = connection.Close()
 	g.Eventually(stopped, testTimeout).Should(Receive(BeNil()))
 }
+
+// A response that breaks off, and a body that is too large, end the connection: what lies
+// behind is not run and not answered.
+func TestNothingBehindBrokenExchangeIsAnswered(t *testing.T) {
+	var behind atomic.Int32
+	ts := newTestServer(t, func(s *caller.Server) {
+		count := countBody(s)
+		s.Handler = http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+			_ = caller.AwaitTurn(request.Context(), request, request.URL.Path == "/a")
+			switch request.URL.Path {
+			case "/broken":
+				w.Header().Set("Content-Length", "1000")
+				_, _ = io.WriteString(w, "the beginning")
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			case "/behind":
+				behind.Add(1)
+			}
+			count(w, request)
+		})
+	})
+	for name, raw := range map[string]string{
+		"response":          rawGet("/broken"),
+		"body":              rawPost("/large", strings.Repeat("a", 2<<20)),
+		"body of one chunk": "POST /large HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n100001\r\n" + strings.Repeat("a", 1<<20+1) + "\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			connection := ts.dial(g)
+			defer connection.Close()
+			go func() { _, _ = io.WriteString(connection, rawGet("/a")+raw+strings.Repeat(rawGet("/behind"), 3)) }()
+			reader := bufio.NewReader(connection)
+			for want := range 2 {
+				response, err := http.ReadResponse(reader, nil)
+				g.Expect(err).NotTo(HaveOccurred(), "response %d", want)
+				_, _ = io.Copy(io.Discard, response.Body)
+			}
+			rest, _ := io.ReadAll(reader)
+			g.Expect(string(rest)).To(BeEmpty())
+			g.Expect(behind.Load()).To(BeZero())
+		})
+	}
+}
