--- a/internal/wire/caller/conn.go
+++ b/internal/wire/caller/conn.go
@@ -182,6 +182,7 @@
 	}
 }
 
+// wantsPipeline is mustPipeline for callers that do not hold mu.
 func (c *conn) wantsPipeline(s *stream) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
