--- a/internal/wire/caller/pipeline_fuzz_test.go
+++ b/internal/wire/caller/pipeline_fuzz_test.go
@@ -44,7 +44,7 @@
 	f.Fuzz(func(t *testing.T, raw []byte, split uint16) {
 		connection, err := net.Dial("tcp", ts.address)
 		if err != nil {
-			t.Skip(err)
+			t.Fatal(err)
 		}
 		defer connection.Close()
 		_ = connection.SetDeadline(time.Now().Add(testTimeout))
