Give a peer's tokens only to requests that waited when it was asked

Cause, found by reading: a VM asks a peer for as many tokens as requests wait, the peer spends them at once, and the reply admitted the oldest requests in the queue when it came, also those that had joined after the peer had spent them. With a VM that is paused for seconds, or on a busy machine, the requests that it asked for have left meanwhile, and later ones run on old tokens, beside the whole rate and burst of their own window. Ruled out: an owner's bucket (these processes divide by shares), slots and loans (they stay held).

Change: requests in the queue are numbered, and a reply admits only those that were queued when the call was sent. Tokens for which nobody waits any more are lost, as after a lost reply. The spec now prints the requests of the window that breaks the limit.

Measured: TestTokenOfPeerAdmitsNoRequestThatCameAfterTheCall failed before and passes; internal/policy/limit and internal/policy/divide pass, with the refusals inside the rate there.

--- a/cmd/baobabladder/endpoints_test.go
+++ b/cmd/baobabladder/endpoints_test.go
@@ -185,9 +185,11 @@
 // sentRequest is one request and its result.
 type sentRequest struct {
 	id, method, path, key, order string
-	body                         io.Reader
-	header                       map[string]string
-	sentAt, endedAt              time.Time
+	// vm is the name of the VM that it was sent to.
+	vm              string
+	body            io.Reader
+	header          map[string]string
+	sentAt, endedAt time.Time
 
 	status      int
 	reason, ran string
@@ -204,6 +206,7 @@
 // send sends the request once through a VM, on the client's connections.
 func (s *sentRequest) send(client *http.Client, v *entryVM) *sentRequest {
 	s.id = strconv.FormatInt(lastSendID.Add(1), 10)
+	s.vm = v.Name
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, s.method, "http://"+v.CallerAddress+s.path, s.body)
--- a/cmd/baobabladder/limits_test.go
+++ b/cmd/baobabladder/limits_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -14,24 +16,38 @@
 )
 
 // excess returns by how many requests any time window exceeds what rate and burst allow
-// at most. A request is admitted between its sending and its arrival, so a window counts
-// only requests that were both sent and received in it. A request that was held up in a
-// frozen VM thus counts only in windows that span its whole duration.
-func excess(arrivals []arrival, sent map[string]*sentRequest, rate, burst float64) (most float64) {
+// at most, and the arrivals in that window. A request is admitted between its sending and
+// its arrival, so a window counts only requests that were both sent and received in it. A
+// request that was held up in a frozen VM thus counts only in windows that span its whole
+// duration.
+func excess(arrivals []arrival, sent map[string]*sentRequest, rate, burst float64) (most float64, window []arrival) {
 	for _, first := range arrivals {
 		from := sent[first.sendID].sentAt
-		held := 0.0
+		var held []arrival
 		for _, a := range arrivals {
 			if a.at.Before(from) || sent[a.sendID].sentAt.Before(from) {
 				continue
 			}
-			held++
+			held = append(held, a)
 			// The policies' clock has a resolution of 1 ms.
-			window := a.at.Sub(from) + time.Millisecond
-			most = max(most, held-burst-rate*window.Seconds())
+			duration := a.at.Sub(from) + time.Millisecond
+			if over := float64(len(held)) - burst - rate*duration.Seconds(); over > most {
+				most, window = over, slices.Clone(held)
+			}
 		}
 	}
-	return most
+	return most, window
+}
+
+// describeArrivals lists arrivals with the VM, the sending and the status of each.
+func describeArrivals(arrivals []arrival, sent map[string]*sentRequest) string {
+	var text strings.Builder
+	for _, a := range arrivals {
+		s := sent[a.sendID]
+		fmt.Fprintf(&text, "%s sent %s to %s, reached %s after %s, status %d\n",
+			a.sendID, s.sentAt.Format("05.000"), s.vm, a.endpoint, a.at.Sub(s.sentAt), s.status)
+	}
+	return text.String()
 }
 
 // arrivalsOf returns the arrivals of the sent requests. It leaves out others, such as
@@ -95,7 +111,8 @@
 
 		sent := l.stop()
 		arrivals := arrivalsOf(arrivalsAt(endpoints...), sent)
-		Expect(excess(arrivals, sent, rate, burst)).To(BeNumerically("<=", 0))
+		over, window := excess(arrivals, sent, rate, burst)
+		Expect(over).To(BeNumerically("<=", 0), describeArrivals(window, sent))
 		Expect(len(sent)).To(BeNumerically(">", 2*len(arrivals)), "callers must send several times the rate")
 	})
 })
--- a/internal/policy/limit/limit_test.go
+++ b/internal/policy/limit/limit_test.go
@@ -22,11 +22,13 @@
 
 var large = contract.RateResource("artes", "large")
 
-// fakePeer is the only other VM of the fleet. While frozen, it does not reply in time.
+// fakePeer is the only other VM of the fleet. While frozen, it does not reply in time. Its
+// replies arrive replyDelay late.
 type fakePeer struct {
-	limiter limit.Limiter
-	asked   atomic.Int64
-	frozen  bool
+	limiter    limit.Limiter
+	asked      atomic.Int64
+	frozen     bool
+	replyDelay clock.Millis
 }
 
 func (p *fakePeer) NearestPeers() []string { return []string{"vm2"} }
@@ -40,7 +42,9 @@
 		return limit.TakeReply{}, context.DeadlineExceeded
 	}
 	time.Sleep(roundTrip.Duration())
-	return p.limiter.Serve(request), ctx.Err()
+	reply := p.limiter.Serve(request)
+	time.Sleep(p.replyDelay.Duration())
+	return reply, ctx.Err()
 }
 
 func limiterWith(peer *fakePeer, own, peerShare contract.Share) *limit.Limiter {
@@ -74,6 +78,22 @@
 	})
 }
 
+// A VM that was paused reads replies to calls that it made for requests which have left
+// since. The tokens in them were spent before later requests came.
+func TestTokenOfPeerAdmitsNoRequestThatCameAfterTheCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		peer := &fakePeer{replyDelay: 1 * clock.Second}
+		limiter := limiterWith(peer, contract.Share{}, contract.Share{Size: contract.TokensPerRequest})
+		leaving, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		g.Expect(limiter.Admit(leaving, "artes", "large")).NotTo(Succeed())
+		g.Expect(limiter.Admit(context.Background(), "artes", "large")).NotTo(Succeed())
+		time.Sleep(2 * time.Second)
+		g.Expect(peer.asked.Load()).To(BeNumerically(">", 0))
+	})
+}
+
 // overload sends 1000 requests a second for 10 s and returns how many are admitted.
 func overload(limiter *limit.Limiter) int64 {
 	var all sync.WaitGroup
--- a/internal/policy/limit/remote.go
+++ b/internal/policy/limit/remote.go
@@ -69,6 +69,8 @@
 	// waiters is the queue of requests that wait for a token, oldest first. Guarded by
 	// mu.
 	waiters []waiter
+	// lastQueued is the number of the request that joined the queue last. Guarded by mu.
+	lastQueued int64
 	// hasWaiters reports whether the queue is not empty. New requests must then join
 	// the queue, as they would otherwise take the tokens for which older requests wait.
 	hasWaiters atomic.Bool
@@ -98,6 +100,8 @@
 
 // waiter is a request in the queue.
 type waiter struct {
+	// number counts the requests of the workspace in the order in which they joined.
+	number int64
 	// admitted receives at most one value.
 	admitted chan bool
 	// isFromPeer reports whether the request is a TakeRequest of a peer. It only gets
@@ -168,7 +172,8 @@
 		return false
 	}
 	admitted := make(chan bool, 1)
-	w.setWaitersLocked(append(w.waiters, waiter{admitted: admitted, isFromPeer: isFromPeer}))
+	w.lastQueued++
+	w.setWaitersLocked(append(w.waiters, waiter{number: w.lastQueued, admitted: admitted, isFromPeer: isFromPeer}))
 	starts := !w.isServing
 	w.isServing = true
 	w.mu.Unlock()
@@ -269,16 +274,15 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	taken, _ := w.allocation.TakeMultiple(int64(len(w.waiters)), contract.TokensPerRequest)
-	w.admitLocked(taken, true)
+	w.admitLocked(taken, func(waiter) bool { return true })
 }
 
-// admitLocked admits the oldest queued requests, one for each token. Unless
-// includePeers is set, it skips requests sent by peers, for which tokens of other VMs
-// must not be used.
-func (w *workspaceLimiter) admitLocked(tokens int64, includePeers bool) {
+// admitLocked admits the oldest queued requests for which mayAdmit returns true, one for
+// each token.
+func (w *workspaceLimiter) admitLocked(tokens int64, mayAdmit func(waiter) bool) {
 	remaining := w.waiters[:0:0]
 	for _, waiter := range w.waiters {
-		if tokens > 0 && (includePeers || !waiter.isFromPeer) {
+		if tokens > 0 && mayAdmit(waiter) {
 			waiter.admitted <- true
 			tokens--
 			continue
@@ -368,8 +372,13 @@
 }
 
 // sendTake sends a request to one peer and admits queued requests with the tokens that
-// it returns.
+// it returns. Requests that join the queue meanwhile get none of them: the peer may have
+// spent the tokens before they came, and then more could run in a time window than rate
+// and burst allow. Requests that were sent by peers get none either.
 func (w *workspaceLimiter) sendTake(ctx context.Context, peer string, request TakeRequest) (taken int64) {
+	w.mu.Lock()
+	lastQueued := w.lastQueued
+	w.mu.Unlock()
 	w.counters.peersAsked.Inc(1)
 	reply, err := w.limiter.Peers.Take(ctx, peer, request)
 	if err != nil {
@@ -379,7 +388,7 @@
 	defer w.mu.Unlock()
 	w.recordReplyLocked(peer, reply, err)
 	w.peerAdmissions.add(w.limiter.Clock.Now(), reply.Taken)
-	w.admitLocked(reply.Taken, false)
+	w.admitLocked(reply.Taken, func(queued waiter) bool { return queued.number <= lastQueued && !queued.isFromPeer })
 	return reply.Taken
 }
 
