Read objects that no endpoint has when a new run of an endpoint is awaited

Cause: the test was wrong. Its eight objects had been read at the other endpoint meanwhile and stay warm there as long as that endpoint answers faster than expected (factor 0.7), while the new run starts at the expected time (factor 1). That is what callers are served best by. Where answers take less than the clock's millisecond, the test read them for 20 s at the same place; otherwise the factor swings around 1 and they moved.

Change: the test awaits the same, with objects that were not read before, new ones in each round. TestNewRunGetsUnreadObjects shows both halves: 10,000 reads of warm objects stay, and at least a quarter of 100 others go to the new run.

--- a/internal/policy/balance/home_test.go
+++ b/internal/policy/balance/home_test.go
@@ -95,3 +95,31 @@
 	}
 	g.Expect(f.place(t, request("x")).Endpoint.ID).NotTo(Equal(first.Endpoint.ID))
 }
+
+// A new run of an endpoint gets the objects that were not read while it was away. Those that
+// were stay where they are warm, if that endpoint answers faster than expected.
+func TestNewRunGetsUnreadObjects(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(5)
+	other, started := f.endpoints[0], f.endpoints[4]
+	readAt := func(object int) string {
+		grant := f.place(t, request(fmt.Sprint("object ", object)))
+		grant.Done(Result{Outcome: Answered, Running: -1})
+		return grant.Endpoint.ID
+	}
+	f.endpoints = []directory.Endpoint{other}
+	f.update(nil)
+	for round := range 50 {
+		g.Expect(readAt(round % 8)).To(Equal(other.ID))
+	}
+	f.endpoints = []directory.Endpoint{other, started}
+	f.update(nil)
+	for round := range 10_000 {
+		g.Expect(readAt(round % 8)).To(Equal(other.ID))
+	}
+	unread := map[string]int{}
+	for i := range 100 {
+		unread[readAt(8+i)]++
+	}
+	g.Expect(unread[started.ID]).To(BeNumerically(">=", 25), "%v", unread)
+}
