--- /dev/null
+++ b/internal/base/settings/builds_test.go
@@ -0,0 +1,34 @@
+package settings_test
+
+import (
+	"reflect"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/settings"
+)
+
+// The files in testdata hold every key that the earlier build knows. They are never changed,
+// only added to: a VM starts with the file that the build before it was started with.
+func TestSettingsOfEarlierBuildAreRead(t *testing.T) {
+	g := NewWithT(t)
+	entry, err := settings.Load("testdata/entry.ini")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(entry).To(Equal(settings.Settings{
+		Name: "ness", Region: "lothian", DataCentre: "lothian-1", Store: "http://127.0.0.1:9001/",
+		CallerAddress: "127.0.0.1:9002", PeerAddress: "127.0.0.1:9003", OperatorAddress: "127.0.0.1:9004",
+		Peers: []string{"127.0.0.1:9005", "127.0.0.1:9006"}, LogLevel: "warning",
+	}))
+	node, err := settings.LoadNode("testdata/node.ini")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(node.Bounds).To(Equal(settings.Bounds{
+		StopGrace: 1 * clock.Second, LookupLifetime: 2 * clock.Second, RetryRatio: 0.3, RetrySlack: 4, RetryWindow: 5 * clock.Second,
+		TrialShare: 0.6, TrialSlack: 7, ColdOverage: 8, ColdSlack: 9,
+	}))
+	fields := reflect.ValueOf(node)
+	for i := range fields.NumField() {
+		g.Expect(fields.Field(i).IsZero()).To(BeFalse(), "%s was not read", fields.Type().Field(i).Name)
+	}
+}
--- /dev/null
+++ b/internal/wire/peer/builds_test.go
@@ -0,0 +1,160 @@
+package peer_test
+
+import (
+	"bytes"
+	"encoding/gob"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"baobabladder.example/baobabladder/internal/base/hashing"
+	"baobabladder.example/baobabladder/internal/control/admission"
+	"baobabladder.example/baobabladder/internal/control/divider"
+	"baobabladder.example/baobabladder/internal/control/follower"
+	"baobabladder.example/baobabladder/internal/control/heartbeat"
+	"baobabladder.example/baobabladder/internal/control/mover"
+	"baobabladder.example/baobabladder/internal/control/roster"
+	"baobabladder.example/baobabladder/internal/control/tracker"
+	"baobabladder.example/baobabladder/internal/policy/limit"
+	"baobabladder.example/baobabladder/internal/world/contract"
+	"baobabladder.example/baobabladder/internal/world/replica"
+)
+
+// recordMessages makes TestMessagesOfEarlierBuildAreUnderstood write the messages instead of
+// reading them. It is set once for each landed build; see docs/design/builds.md.
+var recordMessages = flag.Bool("record", false, "record the messages of this build")
+
+// messages returns a value of each type that VMs send to each other, with all fields filled.
+func messages() (all []any) {
+	all = []any{
+		&admission.Report{}, &admission.Reply{},
+		&contract.Offer{}, &contract.Report{}, &contract.LoanRequest{}, &contract.LoanReply{}, &contract.Settlement{},
+		&divider.TermRequest{}, &divider.WakeRequest{}, &divider.WakeReply{}, &divider.SettleReply{},
+		&limit.TakeRequest{}, &limit.TakeReply{},
+		&follower.FetchRequest{}, &replica.Page{}, &follower.PushRequest{}, &follower.PushReply{},
+		&heartbeat.AskRequest{}, &heartbeat.AskReply{}, &heartbeat.LeaveReply{},
+		&mover.CollectRequest{}, &mover.CollectReply{}, &mover.Report{}, &mover.ReportReply{},
+		&roster.State{},
+		&tracker.WatchRequest{}, &tracker.Changes{},
+	}
+	for _, message := range all {
+		fill(reflect.ValueOf(message).Elem(), fmt.Sprintf("%T", message))
+	}
+	return all
+}
+
+// fill sets all exported fields of a value to values other than zero, which depend on nothing
+// but path, the names of the type and the fields.
+func fill(value reflect.Value, path string) {
+	number := int64(hashing.Strings(path)%100) + 1
+	switch value.Kind() {
+	case reflect.Bool:
+		value.SetBool(true)
+	case reflect.String:
+		value.SetString(path)
+	case reflect.Float64:
+		value.SetFloat(float64(number))
+	case reflect.Int, reflect.Int64:
+		value.SetInt(number)
+	case reflect.Uint8, reflect.Uint64:
+		value.SetUint(uint64(number))
+	case reflect.Pointer:
+		value.Set(reflect.New(value.Type().Elem()))
+		fill(value.Elem(), path)
+	case reflect.Slice:
+		value.Set(reflect.MakeSlice(value.Type(), 1, 1))
+		fill(value.Index(0), path)
+	case reflect.Array:
+		for i := range value.Len() {
+			fill(value.Index(i), fmt.Sprint(path, " ", i))
+		}
+	case reflect.Map:
+		key, element := reflect.New(value.Type().Key()).Elem(), reflect.New(value.Type().Elem()).Elem()
+		fill(key, path)
+		fill(element, path)
+		value.Set(reflect.MakeMap(value.Type()))
+		value.SetMapIndex(key, element)
+	case reflect.Struct:
+		for i := range value.NumField() {
+			if field := value.Type().Field(i); field.IsExported() {
+				fill(value.Field(i), path+"."+field.Name)
+			}
+		}
+	default:
+		panic(fmt.Sprintf("%s is a %s", path, value.Kind()))
+	}
+}
+
+// recordOf returns the name of the file with a recorded message.
+func recordOf(message any, extension string) string {
+	return filepath.Join("testdata", "messages", fmt.Sprintf("%T%s", message, extension)[1:])
+}
+
+// record writes a message as VMs send it, and as JSON to compare with.
+func record(g *WithT, message any) {
+	var sent bytes.Buffer
+	g.Expect(gob.NewEncoder(&sent).Encode(message)).To(Succeed())
+	text, err := json.MarshalIndent(message, "", " ")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(os.WriteFile(recordOf(message, ".gob"), sent.Bytes(), 0o644)).To(Succeed())
+	g.Expect(os.WriteFile(recordOf(message, ".json"), append(text, '\n'), 0o644)).To(Succeed())
+}
+
+// asJSON returns a value as encoding/json decodes it into an empty interface.
+func asJSON(g *WithT, text []byte) (value any) {
+	g.Expect(json.Unmarshal(text, &value)).To(Succeed())
+	return value
+}
+
+// missing returns the paths of the parts of want that got lacks or has with another value.
+func missing(want, got any, path string) (paths []string) {
+	switch want := want.(type) {
+	case map[string]any:
+		fields, _ := got.(map[string]any)
+		for name, part := range want {
+			paths = append(paths, missing(part, fields[name], path+"."+name)...)
+		}
+		return paths
+	case []any:
+		elements, _ := got.([]any)
+		if len(elements) != len(want) {
+			return []string{path}
+		}
+		for i := range want {
+			paths = append(paths, missing(want[i], elements[i], path)...)
+		}
+		return paths
+	}
+	if !reflect.DeepEqual(want, got) {
+		return []string{path}
+	}
+	return nil
+}
+
+// While VMs are replaced one after the other, those of the earlier build send their messages
+// to those of this one.
+func TestMessagesOfEarlierBuildAreUnderstood(t *testing.T) {
+	g := NewWithT(t)
+	for _, message := range messages() {
+		if *recordMessages {
+			record(g, message)
+			continue
+		}
+		name := fmt.Sprintf("%T", message)
+		sent, err := os.ReadFile(recordOf(message, ".gob"))
+		g.Expect(err).NotTo(HaveOccurred(), name)
+		want, err := os.ReadFile(recordOf(message, ".json"))
+		g.Expect(err).NotTo(HaveOccurred(), name)
+		received := reflect.New(reflect.TypeOf(message).Elem()).Interface()
+		g.Expect(gob.NewDecoder(bytes.NewReader(sent)).Decode(received)).To(Succeed(), name)
+		got, err := json.Marshal(received)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(missing(asJSON(g, want), asJSON(g, got), name)).To(BeEmpty())
+	}
+}
