Ignore counts in peers' messages that make no sense

Seen: nothing by callers. But a report or a reply with tokens that are no number, infinite or 1e300 lifted a workspace's limit for good, or kept all its requests out: comparisons with NaN are false, so a bucket with it always had a token. A limit reading of a peer with an age below 0 stayed the newest, one with no number as its rate set a limit that never ended.

Change: a VM's report and an owner's reply are left out for a workspace whose counts are no number or above a million. Limit readings of peers are checked like those that endpoints write. Ruled out as further cases of this kind: blocked requests (checked already), evidence on versions (counts are integers).

Not covered: messages between VMs of 'baobabladder entry'.

--- a/internal/control/admission/admission.go
+++ b/internal/control/admission/admission.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
@@ -30,6 +31,9 @@
 	// prefetchFactor is the number of tokens requested for each request refused since
 	// the last report, so that the next such requests need no call.
 	prefetchFactor = 1.0
+	// maxCount bounds the requests or tokens that one message counts; one with more, or
+	// with what is no number, is malformed.
+	maxCount = 1e6
 )
 
 // ReceiverName is the name under which Receiver is registered for net/rpc.
@@ -211,6 +215,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for name, grant := range reply.Grants {
+		if !isPlausible(grant.Tokens) || grant.Tokens < 0 {
+			continue
+		}
 		s := a.state(name)
 		s.hasReplied, s.repliedAt = true, now
 		s.isStrict = grant.Strict
@@ -225,13 +232,17 @@
 	}
 }
 
+// isPlausible reports whether a message may contain the count.
+func isPlausible(count float64) bool { return math.Abs(count) <= maxCount }
+
 // replyTo processes a report on workspaces that this VM owns.
 func (a *Admission) replyTo(usages map[string]quota.Usage) (reply Reply) {
 	reply = Reply{Grants: make(map[string]quota.Grant, len(usages))}
 	defer func() { reply.Strict = a.OwnedBuckets.StrictWorkspaces() }()
 	fraction := a.ReachableFraction()
 	for name, usage := range usages {
-		if workspace := a.Workspace(name); workspace != nil && workspace.Rate > 0 {
+		workspace := a.Workspace(name)
+		if workspace != nil && workspace.Rate > 0 && isPlausible(usage.Used) && isPlausible(usage.Want) {
 			reply.Grants[name] = a.OwnedBuckets.Report(workspace, usage, fraction)
 		}
 	}
--- a/internal/control/admission/admission_test.go
+++ b/internal/control/admission/admission_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -79,6 +80,36 @@
 // Guards against an exceeded limit at VMs with few requests. 86 VMs that rarely got a
 // request of a workspace admitted one each after the owner had marked it as strict:
 // 494 in 5 s instead of at most 482.
+// A report or a reply that makes no sense must not lift a limit, nor keep all requests out.
+func TestMalformedCountsLeaveTheLimitInForce(t *testing.T) {
+	const rate = 10
+	for _, count := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), 1e300, -1e300} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(2, rate)
+			f.admit(2 * rate)
+			odd := map[string]quota.Usage{f.workspace.Name: {Used: count, Want: count}}
+			var reply admission.Reply
+			g.Expect(admission.NewReceiver(f.vms[0]).Report(admission.Report{VM: "odd", Usages: odd}, &reply)).To(Succeed())
+			whole := f.mesh.Handlers["vm-0"]
+			f.mesh.Handlers["vm-0"] = func(_ string, _, reply any) error {
+				reply.(*admission.Reply).Grants = map[string]quota.Grant{f.workspace.Name: {Strict: true, Tokens: count}}
+				return nil
+			}
+			f.manual.Advance(clock.Second)
+			f.admit(2)
+			f.mesh.Handlers["vm-0"] = whole
+			admitted := 0
+			for range 100 {
+				f.manual.Advance(100)
+				admitted += f.admit(4)
+			}
+			g.Expect(admitted).To(BeNumerically(">=", 10*rate/2))
+			g.Expect(admitted).To(BeNumerically("<=", 10*rate+2*rate))
+		})
+	}
+}
+
 func TestStrictWorkspacesAreListedInEveryReply(t *testing.T) {
 	g := NewWithT(t)
 	f := newFleet(86, 20)
--- a/internal/policy/balance/limit.go
+++ b/internal/policy/balance/limit.go
@@ -47,12 +47,14 @@
 		return Limit{Statement: LimitNone}
 	}
 	rate, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+	if err != nil || !isRate(rate) {
 		return Limit{}
 	}
 	return Limit{LimitNamed, rate}
 }
 
+func isRate(rate float64) bool { return rate >= 0 && !math.IsInf(rate, 0) }
+
 // LimitReading is what a VM knows of an endpoint's limit, for its peers.
 type LimitReading struct {
 	Limit Limit
@@ -86,12 +88,16 @@
 }
 
 // MergeLimitReadings adds the limits that a peer knows. Of several readings of one
-// endpoint the newest counts. Endpoints not in the directory are ignored.
+// endpoint the newest counts. Endpoints not in the directory and readings that make no sense
+// are ignored.
 func (b *Balancer) MergeLimitReadings(readings map[string]LimitReading) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.Clock.Now()
 	for id, reading := range readings {
+		if reading.Age < 0 || !isRate(reading.Limit.Rate) {
+			continue
+		}
 		if state := b.states[id]; state != nil && state.endpoint.Started == reading.Started {
 			state.said.limit.set(reading.Limit, now-reading.Age, now)
 		}
--- a/internal/policy/balance/limit_test.go
+++ b/internal/policy/balance/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -388,3 +389,19 @@
 		f.balancer.refreshLimit(state, 0)
 	}
 }
+
+// A reading with an age below 0 would stay the newest, one without a rate would set no limit.
+func TestMalformedReadingIsIgnored(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(4)
+	id := f.endpoints[0].ID
+	for _, reading := range []LimitReading{
+		{Limit: Limit{LimitNamed, 1}, Age: -clock.Hour},
+		{Limit: Limit{LimitNamed, math.NaN()}},
+		{Limit: Limit{LimitNamed, math.Inf(1)}},
+		{Limit: Limit{LimitNamed, -1}},
+	} {
+		f.balancer.MergeLimitReadings(map[string]LimitReading{id: reading})
+		g.Expect(f.balancer.LimitUses()).To(BeEmpty(), "%v", reading)
+	}
+}
