--- a/internal/entry/node/malformed_test.go
+++ b/internal/entry/node/malformed_test.go
@@ -3,9 +3,7 @@
 import (
 	"fmt"
 	"io"
-	"math"
 	"math/rand/v2"
-	"reflect"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -16,6 +14,7 @@
 	"baobabladder.example/baobabladder/internal/control/roster"
 	"baobabladder.example/baobabladder/internal/control/tracker"
 	"baobabladder.example/baobabladder/internal/entry/gateway"
+	"baobabladder.example/baobabladder/internal/standin/fuzz"
 	"baobabladder.example/baobabladder/internal/wire/endpoint"
 	"baobabladder.example/baobabladder/internal/world/directory"
 	"baobabladder.example/baobabladder/internal/world/routing"
@@ -32,65 +31,15 @@
 func (namesOnly) EndpointHeaders() endpoint.HeaderNames { return endpoint.HeaderNames{} }
 func (namesOnly) Era() int64                            { return 1 }
 
-// names are those that messages and the VM's own objects share, so that a message is about
-// something that the VM knows.
-var names = []string{"", "vm-1", "vm-2", "cat", "ord", "e-1", "e-2", "v1", "v2", "north", "south", "t1", "\xff"}
-
-// scramble sets a value, and all that it contains, to odd values.
-func scramble(value reflect.Value, random *rand.Rand) {
-	switch value.Kind() {
-	case reflect.Bool:
-		value.SetBool(random.IntN(2) == 0)
-	case reflect.String:
-		value.SetString(names[random.IntN(len(names))])
-	case reflect.Float64:
-		value.SetFloat([]float64{0, 1, -1, 1e300, math.Inf(1), math.Inf(-1), math.NaN()}[random.IntN(7)])
-	case reflect.Int, reflect.Int64:
-		value.SetInt([]int64{0, 1, 2, -1, 1000, math.MaxInt64, math.MinInt64}[random.IntN(7)])
-	case reflect.Uint8, reflect.Uint64:
-		value.SetUint([]uint64{0, 1, 255}[random.IntN(3)])
-	case reflect.Slice:
-		value.Set(reflect.MakeSlice(value.Type(), random.IntN(4), 4))
-		for i := range value.Len() {
-			scramble(value.Index(i), random)
-		}
-	case reflect.Array:
-		for i := range value.Len() {
-			scramble(value.Index(i), random)
-		}
-	case reflect.Map:
-		value.Set(reflect.MakeMap(value.Type()))
-		for range random.IntN(4) {
-			key, element := reflect.New(value.Type().Key()).Elem(), reflect.New(value.Type().Elem()).Elem()
-			scramble(key, random)
-			scramble(element, random)
-			value.SetMapIndex(key, element)
-		}
-	case reflect.Struct:
-		for i := range value.NumField() {
-			if value.Type().Field(i).IsExported() {
-				scramble(value.Field(i), random)
-			}
-		}
-	default:
-		panic(fmt.Sprint("no odd value of a ", value.Kind()))
-	}
-}
-
-func scrambled[T any](random *rand.Rand) (message T) {
-	scramble(reflect.ValueOf(&message).Elem(), random)
-	return message
-}
-
 // receiveScrambled makes the node receive one message of each kind, and then work with what
 // it knows as it does in the background.
-func receiveScrambled(n *Node, random *rand.Rand) {
+func receiveScrambled(n *Node, scrambler *fuzz.Scrambler) {
 	var state roster.State
-	_ = roster.NewReceiver(n.roster).Exchange(scrambled[roster.State](random), &state)
+	_ = roster.NewReceiver(n.roster).Exchange(fuzz.Scrambled[roster.State](scrambler), &state)
 	var reply admission.Reply
-	_ = admission.NewReceiver(n.admission).Report(scrambled[admission.Report](random), &reply)
+	_ = admission.NewReceiver(n.admission).Report(fuzz.Scrambled[admission.Report](scrambler), &reply)
 	var changes tracker.Changes
-	_ = tracker.NewReceiver(n.feeds...).Fetch(scrambled[string](random), &changes)
+	_ = tracker.NewReceiver(n.feeds...).Fetch(fuzz.Scrambled[string](scrambler), &changes)
 	members := n.roster.Members()
 	n.limitDemands(members)
 	n.preferredVMs("north", "n1")
@@ -124,12 +73,15 @@
 	}, nil, nil))
 	n.canary.Update(map[string]directory.Move{"cat": {Service: "cat", TargetVersion: "v2", MaxDuration: 10_000}})
 	n.admission.Workspace = func(string) *routing.Workspace { return &routing.Workspace{Name: "t1", Rate: 10, Burst: 10} }
-	random := rand.New(rand.NewPCG(1, 1))
+	scrambler := &fuzz.Scrambler{
+		Random: rand.New(rand.NewPCG(1, 1)),
+		Names:  []string{"", "vm-1", "vm-2", "cat", "ord", "e-1", "e-2", "v1", "v2", "north", "south", "t1", "\xff"},
+	}
 	for round := range rounds {
 		if round == rounds/2 {
 			// From here on the fleet is too large for a full mesh.
 			n.roster.SetRegistered(largeFleet())
 		}
-		g.Expect(func() { receiveScrambled(n, random) }).NotTo(Panic(), "round %d", round)
+		g.Expect(func() { receiveScrambled(n, scrambler) }).NotTo(Panic(), "round %d", round)
 	}
 }
