Fill messages for tests in one place

Cause: the test of recorded messages and the tests of odd ones each walked a message's fields by reflection. Change: internal/standin/fuzz fills a message, with values that an interface chooses: odd ones by a seed, or such that depend on the field's path alone. No product code changes.

--- a/internal/entry/node/malformed_test.go
+++ b/internal/entry/node/malformed_test.go
@@ -31,15 +31,15 @@
 func (namesOnly) EndpointHeaders() endpoint.HeaderNames { return endpoint.HeaderNames{} }
 func (namesOnly) Era() int64                            { return 1 }
 
-// receiveScrambled makes the node receive one message of each kind, and then work with what
+// receiveOdd makes the node receive one odd message of each kind, and then work with what
 // it knows as it does in the background.
-func receiveScrambled(n *Node, scrambler *fuzz.Scrambler) {
+func receiveOdd(n *Node, odd *fuzz.Odd) {
 	var state roster.State
-	_ = roster.NewReceiver(n.roster).Exchange(fuzz.Scrambled[roster.State](scrambler), &state)
+	_ = roster.NewReceiver(n.roster).Exchange(fuzz.New[roster.State](odd), &state)
 	var reply admission.Reply
-	_ = admission.NewReceiver(n.admission).Report(fuzz.Scrambled[admission.Report](scrambler), &reply)
+	_ = admission.NewReceiver(n.admission).Report(fuzz.New[admission.Report](odd), &reply)
 	var changes tracker.Changes
-	_ = tracker.NewReceiver(n.feeds...).Fetch(fuzz.Scrambled[string](scrambler), &changes)
+	_ = tracker.NewReceiver(n.feeds...).Fetch(fuzz.New[string](odd), &changes)
 	members := n.roster.Members()
 	n.limitDemands(members)
 	n.preferredVMs("north", "n1")
@@ -61,7 +61,7 @@
 }
 
 // One malformed message of a peer, or reply to this VM, must not end the process.
-func TestScrambledMessagesEndNothing(t *testing.T) {
+func TestOddMessagesEndNothing(t *testing.T) {
 	const rounds = 20_000
 	g := NewWithT(t)
 	log := logrus.New()
@@ -73,15 +73,15 @@
 	}, nil, nil))
 	n.canary.Update(map[string]directory.Move{"cat": {Service: "cat", TargetVersion: "v2", MaxDuration: 10_000}})
 	n.admission.Workspace = func(string) *routing.Workspace { return &routing.Workspace{Name: "t1", Rate: 10, Burst: 10} }
-	scrambler := &fuzz.Scrambler{
+	odd := &fuzz.Odd{
 		Random: rand.New(rand.NewPCG(1, 1)),
-		Names:  []string{"", "vm-1", "vm-2", "cat", "ord", "e-1", "e-2", "v1", "v2", "north", "south", "t1", "\xff"},
+		Texts:  []string{"", "vm-1", "vm-2", "cat", "ord", "e-1", "e-2", "v1", "v2", "north", "south", "t1", "\xff"},
 	}
 	for round := range rounds {
 		if round == rounds/2 {
 			// From here on the fleet is too large for a full mesh.
 			n.roster.SetRegistered(largeFleet())
 		}
-		g.Expect(func() { receiveScrambled(n, scrambler) }).NotTo(Panic(), "round %d", round)
+		g.Expect(func() { receiveOdd(n, odd) }).NotTo(Panic(), "round %d", round)
 	}
 }
--- a/internal/entry/process/malformed_test.go
+++ b/internal/entry/process/malformed_test.go
@@ -23,37 +23,37 @@
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
 
-// scrambledPeers are peers whose every reply is scrambled.
-type scrambledPeers struct{ scrambler *fuzz.Scrambler }
+// oddPeers are peers whose every reply has odd values.
+type oddPeers struct{ odd *fuzz.Odd }
 
 // Call implements PeerCaller of the packages of control.
-func (p scrambledPeers) Call(_ context.Context, _, _ string, _, reply any) error {
-	p.scrambler.Scramble(reply)
+func (p oddPeers) Call(_ context.Context, _, _ string, _, reply any) error {
+	fuzz.Fill(reply, p.odd)
 	return nil
 }
 
-// receiveScrambled makes the VM receive one message of each kind, and then work with what it
+// receiveOdd makes the VM receive one odd message of each kind, and then work with what it
 // knows as it does in the background.
-func receiveScrambled(p *policies, s *fuzz.Scrambler) {
+func receiveOdd(p *policies, odd *fuzz.Odd) {
 	control := p.control
 	ofHeartbeat := heartbeat.NewReceiver(control.heartbeat)
-	_ = ofHeartbeat.Ask(fuzz.Scrambled[heartbeat.AskRequest](s), &heartbeat.AskReply{})
-	_ = ofHeartbeat.Leave(fuzz.Scrambled[heartbeat.AskReply](s), &heartbeat.LeaveReply{})
+	_ = ofHeartbeat.Ask(fuzz.New[heartbeat.AskRequest](odd), &heartbeat.AskReply{})
+	_ = ofHeartbeat.Leave(fuzz.New[heartbeat.AskReply](odd), &heartbeat.LeaveReply{})
 	ofFollower := follower.NewReceiver(control.follower)
-	_ = ofFollower.Push(fuzz.Scrambled[follower.PushRequest](s), &follower.PushReply{})
-	_ = ofFollower.Fetch(fuzz.Scrambled[follower.FetchRequest](s), &replica.Page{})
+	_ = ofFollower.Push(fuzz.New[follower.PushRequest](odd), &follower.PushReply{})
+	_ = ofFollower.Fetch(fuzz.New[follower.FetchRequest](odd), &replica.Page{})
 	ofDivider := &divider.Receiver{Divider: p.divider}
-	offer, take := fuzz.Scrambled[contract.Offer](s), fuzz.Scrambled[limit.TakeRequest](s)
+	offer, take := fuzz.New[contract.Offer](odd), fuzz.New[limit.TakeRequest](odd)
 	_ = ofDivider.Offer(&offer, &contract.Report{})
 	take.Patience = min(take.Patience, 1)
 	_ = ofDivider.Take(&take, &limit.TakeReply{})
-	loan, settlement := fuzz.Scrambled[contract.LoanRequest](s), fuzz.Scrambled[contract.Settlement](s)
+	loan, settlement := fuzz.New[contract.LoanRequest](odd), fuzz.New[contract.Settlement](odd)
 	_ = ofDivider.Lend(&loan, &contract.LoanReply{})
 	_ = ofDivider.Settle(&settlement, &divider.SettleReply{})
-	wake := fuzz.Scrambled[divider.WakeRequest](s)
+	wake := fuzz.New[divider.WakeRequest](odd)
 	_ = ofDivider.Wake(&wake, &divider.WakeReply{})
 	ofMover := &mover.Receiver{Mover: p.mover}
-	collect, report := fuzz.Scrambled[mover.CollectRequest](s), fuzz.Scrambled[mover.Report](s)
+	collect, report := fuzz.New[mover.CollectRequest](odd), fuzz.New[mover.Report](odd)
 	_ = ofMover.Collect(&collect, &mover.CollectReply{})
 	_ = ofMover.Report(&report, &mover.ReportReply{})
 	_ = control.heartbeat.Ask(context.Background(), "vm-2")
@@ -64,7 +64,7 @@
 }
 
 // One malformed message of a peer, or reply to this VM, must not end the process.
-func TestScrambledMessagesEndNothing(t *testing.T) {
+func TestOddMessagesEndNothing(t *testing.T) {
 	const rounds = 20_000
 	g := NewWithT(t)
 	log := logrus.New()
@@ -75,18 +75,18 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	p, err := newPolicies(control, config)
 	g.Expect(err).NotTo(HaveOccurred())
-	scrambler := &fuzz.Scrambler{
+	odd := &fuzz.Odd{
 		Random: rand.New(rand.NewPCG(1, 1)),
-		Names: []string{
+		Texts: []string{
 			"", "vm-1", "vm-2", "cat", "v1", "v2", "north", "n1", "t1", "\xff", string(vm.RoleEntry), string(vm.StateLive),
 			string(contract.RateResource("cat", "t1")), string(contract.SlotsResource("cat", "e-1")), string(contract.LinkResource("north", "south")), "services/cat", "[service]",
 		},
 	}
 	// Work that would otherwise run beside the test, with the same random numbers.
 	control.heartbeat.Spawn = func(run func()) { run() }
-	peers := scrambledPeers{scrambler}
+	peers := oddPeers{odd}
 	control.heartbeat.Peers, control.follower.Peers, p.mover.Peers, p.divider.Peers = peers, peers, peers, peers
 	for round := range rounds {
-		g.Expect(func() { receiveScrambled(p, scrambler) }).NotTo(Panic(), "round %d", round)
+		g.Expect(func() { receiveOdd(p, odd) }).NotTo(Panic(), "round %d", round)
 	}
 }
--- a/internal/wire/peer/builds_test.go
+++ b/internal/wire/peer/builds_test.go
@@ -9,11 +9,11 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
 
-	"baobabladder.example/baobabladder/internal/base/hashing"
 	"baobabladder.example/baobabladder/internal/control/admission"
 	"baobabladder.example/baobabladder/internal/control/divider"
 	"baobabladder.example/baobabladder/internal/control/follower"
@@ -22,6 +22,7 @@
 	"baobabladder.example/baobabladder/internal/control/roster"
 	"baobabladder.example/baobabladder/internal/control/tracker"
 	"baobabladder.example/baobabladder/internal/policy/limit"
+	"baobabladder.example/baobabladder/internal/standin/fuzz"
 	"baobabladder.example/baobabladder/internal/world/contract"
 	"baobabladder.example/baobabladder/internal/world/replica"
 )
@@ -44,56 +45,15 @@
 		&tracker.WatchRequest{}, &tracker.Changes{},
 	}
 	for _, message := range all {
-		fill(reflect.ValueOf(message).Elem(), fmt.Sprintf("%T", message))
+		fuzz.Fill(message, fuzz.ByPath{})
 	}
 	return all
 }
 
-// fill sets all exported fields of a value to values other than zero, which depend on nothing
-// but path, the names of the type and the fields.
-func fill(value reflect.Value, path string) {
-	number := int64(hashing.Strings(path)%100) + 1
-	switch value.Kind() {
-	case reflect.Bool:
-		value.SetBool(true)
-	case reflect.String:
-		value.SetString(path)
-	case reflect.Float64:
-		value.SetFloat(float64(number))
-	case reflect.Int, reflect.Int64:
-		value.SetInt(number)
-	case reflect.Uint8, reflect.Uint64:
-		value.SetUint(uint64(number))
-	case reflect.Pointer:
-		value.Set(reflect.New(value.Type().Elem()))
-		fill(value.Elem(), path)
-	case reflect.Slice:
-		value.Set(reflect.MakeSlice(value.Type(), 1, 1))
-		fill(value.Index(0), path)
-	case reflect.Array:
-		for i := range value.Len() {
-			fill(value.Index(i), fmt.Sprint(path, " ", i))
-		}
-	case reflect.Map:
-		key, element := reflect.New(value.Type().Key()).Elem(), reflect.New(value.Type().Elem()).Elem()
-		fill(key, path)
-		fill(element, path)
-		value.Set(reflect.MakeMap(value.Type()))
-		value.SetMapIndex(key, element)
-	case reflect.Struct:
-		for i := range value.NumField() {
-			if field := value.Type().Field(i); field.IsExported() {
-				fill(value.Field(i), path+"."+field.Name)
-			}
-		}
-	default:
-		panic(fmt.Sprintf("%s is a %s", path, value.Kind()))
-	}
-}
-
-// recordOf returns the name of the file with a recorded message.
+// recordOf returns the name of the file with a recorded message, to which message points.
 func recordOf(message any, extension string) string {
-	return filepath.Join("testdata", "messages", fmt.Sprintf("%T%s", message, extension)[1:])
+	typeName := strings.TrimPrefix(fmt.Sprintf("%T", message), "*")
+	return filepath.Join("testdata", "messages", typeName+extension)
 }
 
 // record writes a message as VMs send it, and as JSON to compare with.
