End a fetch from a peer whose pages do not advance

Seen: nothing by callers; found while reading what a malformed reply can do. A VM that fetches a peer's copy asks for page after page until the peer names no further one. A peer that always named the same revision kept it asking for good, and a VM that had just started waits for that fetch before it serves.

Change: a page whose last revision is not after the one that it was asked for ends the fetch with an error that names both; the next heartbeat tries again. Ruled out: a sound page, whose objects each have a revision above the one asked for.

Measured: TestFetchEndsIfPagesDoNotAdvance failed before (ended by its stand-in after 100 fetches) and passes; the package's tests pass.

--- a/internal/control/admission/admission.go
+++ b/internal/control/admission/admission.go
@@ -31,8 +31,8 @@
 	// prefetchFactor is the number of tokens requested for each request refused since
 	// the last report, so that the next such requests need no call.
 	prefetchFactor = 1.0
-	// maxCount bounds the requests or tokens that one message counts; one with more, or
-	// with what is no number, is malformed.
+	// maxCount bounds the requests or tokens that one message counts. A message with more,
+	// or with NaN, is malformed.
 	maxCount = 1e6
 )
 
--- a/internal/control/follower/catchup.go
+++ b/internal/control/follower/catchup.go
@@ -48,7 +48,7 @@
 }
 
 // fetchFrom merges everything that the peer at address has after this copy's
-// revision, page by page.
+// revision, page by page. It fails if the pages do not advance.
 func (f *Follower) fetchFrom(ctx context.Context, address string) (err error) {
 	// The timeout of a heartbeat allows for one small reply only; pages may take
 	// longer.
@@ -64,6 +64,9 @@
 		if page.Next == 0 {
 			return nil
 		}
+		if page.Next <= after {
+			return errMalformed.New("the peer names revision %d as the last one of its page after revision %d", page.Next, after)
+		}
 		after = page.Next
 	}
 }
--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -62,6 +62,7 @@
 var (
 	errorNamespace  = errorx.NewNamespace("follower")
 	errOtherWatcher = errorNamespace.NewType("preceded").New("another VM of the data centre watches the store")
+	errMalformed    = errorNamespace.NewType("malformed")
 )
 
 // probePrefix is not the prefix of any key, so a listing under it has only the store's
--- a/internal/control/follower/follower_test.go
+++ b/internal/control/follower/follower_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 
 	. "github.com/onsi/gomega"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/control/heartbeat"
 	"baobabladder.example/baobabladder/internal/wire/store"
+	"baobabladder.example/baobabladder/internal/world/replica"
 )
 
 // blockingStore blocks every watch until its call ends.
@@ -49,3 +52,27 @@
 	second.heartbeat.Refresh()
 	g.Expect(second.heartbeat.View().Member("b").HasContact).To(BeTrue(), "a watch that was ended must not count as an outage")
 }
+
+// endlessPeer replies to every fetch with a page after which there is always the same one.
+type endlessPeer struct{ fetches int }
+
+func (p *endlessPeer) Call(_ context.Context, _, _ string, _, reply any) error {
+	if p.fetches++; p.fetches > 100 {
+		return errors.New("fetched without an end")
+	}
+	reply.(*replica.Page).Next = 7
+	return nil
+}
+
+// A peer whose pages do not advance kept a VM fetching for good, and from serving if it had
+// just started.
+func TestFetchEndsIfPagesDoNotAdvance(t *testing.T) {
+	g := NewWithT(t)
+	v, peer := newTestVM(t, "a"), &endlessPeer{}
+	v.follower.Peers = peer
+	odd := &heartbeat.AskReply{Profile: &heartbeat.Profile{}, Summary: replica.Summary{Revision: 9}}
+	isComplete, err := v.follower.CatchUp(context.Background(), "b", odd)
+	g.Expect(isComplete).To(BeFalse())
+	g.Expect(err).To(MatchError(ContainSubstring("page after revision 7")))
+	g.Expect(peer.fetches).To(BeNumerically("<=", 2))
+}
