Say what is malformed in the test of counts, and what package fuzz fills

Cause: read as a newcomer, the test of malformed counts did not say which of its two messages goes to whom, and a name in it said nothing; the package comment of the stand-in for fuzzing was unclear. Change: a comment, a name and a sentence. No product code changes.

--- a/internal/control/admission/admission_test.go
+++ b/internal/control/admission/admission_test.go
@@ -88,17 +88,18 @@
 			g := NewWithT(t)
 			f := newFleet(2, rate)
 			f.admit(2 * rate)
+			// One report to the owner, and one reply to the other VM, are malformed.
 			odd := map[string]quota.Usage{f.workspace.Name: {Used: count, Want: count}}
 			var reply admission.Reply
 			g.Expect(admission.NewReceiver(f.vms[0]).Report(admission.Report{VM: "odd", Usages: odd}, &reply)).To(Succeed())
-			whole := f.mesh.Handlers["vm-0"]
+			ofOwner := f.mesh.Handlers["vm-0"]
 			f.mesh.Handlers["vm-0"] = func(_ string, _, reply any) error {
 				reply.(*admission.Reply).Grants = map[string]quota.Grant{f.workspace.Name: {Strict: true, Tokens: count}}
 				return nil
 			}
 			f.manual.Advance(clock.Second)
 			f.admit(2)
-			f.mesh.Handlers["vm-0"] = whole
+			f.mesh.Handlers["vm-0"] = ofOwner
 			admitted := 0
 			for range 100 {
 				f.manual.Advance(100)
--- a/internal/standin/fuzz/fuzz.go
+++ b/internal/standin/fuzz/fuzz.go
@@ -1,6 +1,6 @@
 // Package fuzz runs the project's stateful property-based tests, written with rapid, with
-// fixed seeds, so that their results are reproducible. It also fills messages with values, odd
-// ones or such that two builds can compare. Only tests use it.
+// fixed seeds, so that their results are reproducible. It also fills messages with values: odd
+// ones, or ones that two builds can compare. Only tests use it.
 package fuzz
 
 import (
