review: a restarted gateway sends requests to instances that have left

Looked for copies of the store's objects that are merged in the wrong order: a listing in several pages beside a newer copy from a peer. Shown with a script: a gateway is killed and started again while instances whose entries are removed serve on. More than 5 s after its start it sends requests to them, up to 14 s after their entries were removed. Run five times: broken each time (14 late requests each). With TROUBLE=0 it held twice.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review/harness drain review/1
