--- a/review/harness/drain.go
+++ b/review/harness/drain.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"baobabladder.example/baobabladder/internal/base/hashing"
-	"baobabladder.example/baobabladder/platform/standin"
 )
 
 const (
@@ -20,30 +19,35 @@
 	// catalogueEndpoints and ordersEndpoints are the numbers of endpoints of the services.
 	catalogueEndpoints = 100
 	ordersEndpoints    = 900
-	// leavingEndpoints of the catalogue leave, one every leavingInterval.
-	leavingEndpoints = 15
-	leavingInterval  = 30 * time.Millisecond
+	// leavingEndpoints of the catalogue leave, one every leavingInterval. One in
+	// silentDivisor never reports that it drains: its entry is removed. The others report
+	// it, and keep their entries.
+	leavingEndpoints = 20
+	silentDivisor    = 3
+	leavingInterval  = 25 * time.Millisecond
+	// leavingDelay is the time from the restart until the first of them leaves.
+	leavingDelay = 250 * time.Millisecond
 	// calmSpan is the time between the start of the gateways and the disruption.
 	calmSpan = 6 * time.Second
 	// drain is the bound of that name, and touchSpan is more than stable_window.
 	drain     = 2500 * time.Millisecond
 	touchSpan = 5 * time.Second
-	// staySpan is how long endpoints serve after their entry is gone.
+	// staySpan is how long endpoints serve after they began to leave.
 	staySpan = 16 * time.Second
 	// requestInterval is the time between two requests, requestTimeout the callers' deadline.
 	requestInterval = 20 * time.Millisecond
 	requestTimeout  = 4 * time.Second
 )
 
-// departure is an endpoint whose entry was removed from the store.
+// departure is an endpoint that leaves, and when the store had accepted that.
 type departure struct {
-	endpoint *standin.Endpoint
+	endpoint *registered
 	at       time.Time
 }
 
-// runDrain removes the entries of endpoints that serve on for a while, and looks whether a
-// gateway in touch still sends requests to them. With trouble, the gateway is killed and
-// started again as the first of them leaves.
+// runDrain makes endpoints leave that serve on for a while, and looks whether a gateway in
+// touch still sends requests to them. With trouble, the gateway is killed and
+// started again just before the first of them leaves.
 func runDrain(r *run) (isBroken bool, err error) {
 	endpoints, far, err := r.startFleet()
 	if err != nil {
@@ -64,6 +68,7 @@
 		}
 		r.record("started %s again", far.name)
 	}
+	time.Sleep(leavingDelay)
 	departures := r.leave(endpoints[:leavingEndpoints])
 	if err := r.awaitReady(far); err != nil {
 		return false, err
@@ -79,7 +84,7 @@
 
 // startFleet starts all endpoints and two gateways: one in the store's region, and the
 // returned one in another region.
-func (r *run) startFleet() (catalogue []*standin.Endpoint, far *gateway, err error) {
+func (r *run) startFleet() (catalogue []*registered, far *gateway, err error) {
 	nearStore, otherRegion := location{"leith", "lothian"}, location{"dyce", "grampian"}
 	r.putConfig()
 	for i := range catalogueEndpoints + ordersEndpoints {
@@ -114,12 +119,17 @@
 	return catalogue, far, err
 }
 
-// leave removes the entries of the endpoints one after the other.
-func (r *run) leave(endpoints []*standin.Endpoint) (departures []departure) {
-	for _, e := range endpoints {
-		r.store.Remove("servers", e.ID)
+// leave makes the endpoints leave one after the other.
+func (r *run) leave(endpoints []*registered) (departures []departure) {
+	for i, e := range endpoints {
+		if i%silentDivisor == 0 {
+			r.store.Remove("servers", e.ID)
+			r.record("the entry of endpoint %s is removed", e.ID)
+		} else {
+			r.store.Put("servers", e.ID, strings.Replace(e.entry, `"ready"`, `"draining"`, 1))
+			r.record("endpoint %s reports that it drains", e.ID)
+		}
 		departures = append(departures, departure{e, time.Now()})
-		r.record("the entry of endpoint %s is removed", e.ID)
 		time.Sleep(leavingInterval)
 	}
 	return departures
@@ -159,7 +169,7 @@
 }
 
 // recordRuns records which endpoint ran which requests.
-func (r *run) recordRuns(endpoints []*standin.Endpoint) {
+func (r *run) recordRuns(endpoints []*registered) {
 	for _, e := range endpoints {
 		var ids []string
 		for _, each := range e.Runs() {
@@ -186,7 +196,7 @@
 				continue
 			}
 			late++
-			r.record("request %d ran at %s on endpoint %s, whose entry was removed %d ms before it was sent", number, each.At.Format("15:04:05.000"), left.endpoint.ID, sentAt.Sub(left.at).Milliseconds())
+			r.record("request %d ran at %s on endpoint %s, which had left %d ms before it was sent", number, each.At.Format("15:04:05.000"), left.endpoint.ID, sentAt.Sub(left.at).Milliseconds())
 		}
 	}
 	r.record("the leaving endpoints ran %d requests in time, %d late", sound, late)
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -27,13 +27,14 @@
 
 func main() { os.Exit(runCase(os.Args[1:])) }
 
-// runCase runs the case that the arguments name: its name and the folder of its record.
+// runCase runs the case that the arguments name: its name, the folder of its record, and 0
+// for a run without the disruption or 1 for one with it.
 func runCase(args []string) (code int) {
-	if len(args) != 2 || cases[args[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER")
+	if len(args) != 3 || cases[args[0]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER 0|1")
 		return exitNotRun
 	}
-	r, err := newRun(args[1], os.Getenv("TROUBLE") != "0")
+	r, err := newRun(args[1], args[2] != "0")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
--- a/review/harness/run.go
+++ b/review/harness/run.go
@@ -213,15 +213,22 @@
 	return fmt.Errorf("%s is not ready after %s", g.name, readyTimeout)
 }
 
+// registered is an endpoint with its entry in the store.
+type registered struct {
+	standin.Endpoint
+	entry string
+}
+
 // addEndpoint starts an endpoint and registers it.
-func (r *run) addEndpoint(id, service string, at location) (*standin.Endpoint, error) {
-	e := &standin.Endpoint{ID: id, ServiceTime: serviceTime}
+func (r *run) addEndpoint(id, service string, at location) (*registered, error) {
+	e := &registered{Endpoint: standin.Endpoint{ID: id, ServiceTime: serviceTime}}
 	address, _, err := e.Serve()
 	if err != nil {
 		return nil, err
 	}
-	r.store.Put("servers", id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":8,"state":"ready","cold_left":"0ms","seq":1,"born":%d}`,
-		service, address, at.dataCentre, r.startedAt.Add(-time.Hour).UnixMilli()))
+	e.entry = fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":8,"state":"ready","cold_left":"0ms","seq":1,"born":%d}`,
+		service, address, at.dataCentre, r.startedAt.Add(-time.Hour).UnixMilli())
+	r.store.Put("servers", id, e.entry)
 	return e, nil
 }
 
--- a/review/harness/tenant.go
+++ b/review/harness/tenant.go
@@ -6,8 +6,6 @@
 	"net"
 	"net/http"
 	"time"
-
-	"baobabladder.example/baobabladder/platform/standin"
 )
 
 // tenantRequests is the number of requests that runTenant sends.
@@ -18,7 +16,7 @@
 func runTenant(r *run) (isBroken bool, err error) {
 	at := location{"leith", "lothian"}
 	r.putConfig()
-	endpoints := []*standin.Endpoint{}
+	endpoints := []*registered{}
 	for i := range 2 {
 		e, err := r.addEndpoint(fmt.Sprint("i-", i), "catalogue", at)
 		if err != nil {
