Record a trial's evidence with the move's state

Cause: what VMs count of a new version was in memory only. At the deadline a VM that knew of nothing took that for "there is nothing", as with a quiet service. Ruled out: a wrong age of the move (14.82 s, as it should be), evidence that survives at a VM and is not asked for (all were killed), a version found bad that was forgotten (none had been found bad before the kill).

Change: one VM records the evidence of all in the move's status every 2 s (eight times in a long move); evidence says from which age of the move on it counts, so that recorded and later counts add up and none counts twice. A move of which less than half was observed or recorded goes on beyond its deadline. A VM that has not observed the whole trial completes 0.4 s later, or once it has heard one that did.

--- a/internal/entry/node/moves.go
+++ b/internal/entry/node/moves.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 
 	"github.com/sirupsen/logrus"
 
@@ -55,24 +56,31 @@
 }
 
 // writeMoveVerdicts writes the verdicts of this VM's canary guard on version moves to
-// the store if this VM is the writer.
+// the store if this VM is the writer. It writes them side by side, as moves that were
+// ordered together also have their deadlines together.
 func (n *Node) writeMoveVerdicts(ctx context.Context, candidates []roster.Member) {
 	verdicts := n.canary.PendingVerdicts()
 	if len(verdicts) == 0 || !n.isMoveWriter(candidates) {
 		return
 	}
+	var writes sync.WaitGroup
 	for _, verdict := range verdicts {
-		if verdict.Move.StartedWall == 0 {
-			verdict.Move.StartedWall = n.clock.Wall() - (n.clock.Now() - verdict.Move.FirstSeen)
-		}
-		fields := moveFields(verdict.Move, &verdict.Evidence)
-		fields["state"], fields["why"] = verdict.State, verdict.Reason
-		if err := n.Platform.WriteMove(ctx, verdict.Move, verdict.State); err != nil {
-			n.Log.WithError(err).WithFields(fields).Warn("writing the state of a version move failed")
-			continue
-		}
-		n.Log.WithFields(fields).Info("wrote the state of a version move")
+		writes.Go(func() { n.writeMoveVerdict(ctx, verdict) })
+	}
+	writes.Wait()
+}
+
+func (n *Node) writeMoveVerdict(ctx context.Context, verdict canary.Verdict) {
+	if verdict.Move.StartedWall == 0 {
+		verdict.Move.StartedWall = n.clock.Wall() - (n.clock.Now() - verdict.Move.FirstSeen)
+	}
+	fields := moveFields(verdict.Move, &verdict.Evidence)
+	fields["state"], fields["why"] = verdict.State, verdict.Reason
+	if err := n.Platform.WriteMove(ctx, verdict.Move, verdict.State, verdict.Evidence); err != nil {
+		n.Log.WithError(err).WithFields(fields).Warn("writing the state of a version move failed")
+		return
 	}
+	n.Log.WithFields(fields).Info("wrote the state of a version move")
 }
 
 // moveFields returns the fields that describe a version move and the evidence of all VMs
@@ -100,7 +108,7 @@
 	for _, move := range n.lostMoves() {
 		n.nextMoveRewriteAt = now + moveRewriteInterval
 		line := n.Log.WithFields(logrus.Fields{"service": move.Service, "to": move.TargetVersion, "state": move.State})
-		if err := n.Platform.WriteMove(ctx, move, move.State); err != nil {
+		if err := n.Platform.WriteMove(ctx, move, move.State, canary.Evidence{}); err != nil {
 			line.WithError(err).Warn("writing the lost state of a version move failed; retrying")
 			continue
 		}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -85,6 +85,8 @@
 	DecodeConfig(object tracker.Object) (table *routing.Table, found bool, err error)
 	DecodeEndpoint(object tracker.Object, now clock.Millis, regions map[string]string) (directory.Endpoint, error)
 	DecodeMove(object tracker.Object, now clock.Millis) (directory.Move, error)
+	// DecodeEvidence returns the evidence that WriteMove recorded with a move's state.
+	DecodeEvidence(object tracker.Object) (evidence canary.Evidence, found bool)
 	DecodeVM(object tracker.Object) (vm.VM, error)
 	// Era returns the store's era, as far as this VM knows. It rises each time that the
 	// store comes back from a copy.
@@ -94,9 +96,9 @@
 	IsNewer(kind string, object, other tracker.Object) bool
 	// Register writes this VM's registration to the store.
 	Register(ctx context.Context, self vm.VM) error
-	// WriteMove writes the state of a move to the store, unless the move is done, rolled
-	// back or replaced by another one there.
-	WriteMove(ctx context.Context, move directory.Move, state directory.MoveState) error
+	// WriteMove writes the state of a move and the evidence on it to the store, unless the
+	// move is done, rolled back or replaced by another one there.
+	WriteMove(ctx context.Context, move directory.Move, state directory.MoveState, evidence canary.Evidence) error
 	ReadyHandler(isReady func() bool) http.Handler
 	LookupHandler(preferredVMs func(region, dataCentre string) []vm.VM, lifetime clock.Millis) http.Handler
 }
--- a/internal/entry/node/objects.go
+++ b/internal/entry/node/objects.go
@@ -8,6 +8,7 @@
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/control/tracker"
+	"baobabladder.example/baobabladder/internal/policy/canary"
 	"baobabladder.example/baobabladder/internal/world/directory"
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
@@ -20,6 +21,8 @@
 	// move. Entries that cannot be decoded are left out. Guarded by mu.
 	endpoints map[string]directory.Endpoint
 	moves     map[string]directory.Move
+	// recorded holds the evidence on the moves that the store has, by service. Guarded by mu.
+	recorded map[string]canary.Evidence
 	// unreadable maps "KIND/NAME" to the revision of the entry that was last logged as
 	// unreadable. Guarded by mu.
 	unreadable map[string]int64
@@ -182,6 +185,7 @@
 	old := n.objects.moves
 	n.objects.mu.Unlock()
 	moves := make(map[string]directory.Move, len(objects))
+	recorded := map[string]canary.Evidence{}
 	for _, object := range objects {
 		decoded, err := n.Platform.DecodeMove(object, now)
 		if err != nil {
@@ -194,9 +198,12 @@
 			n.Log.WithFields(logrus.Fields{"service": decoded.Service, "to": decoded.TargetVersion, "state": decoded.State}).Info("version move")
 		}
 		moves[decoded.Service] = decoded
+		if evidence, found := n.Platform.DecodeEvidence(object); found {
+			recorded[decoded.Service] = evidence
+		}
 	}
 	n.objects.mu.Lock()
-	n.objects.moves = moves
+	n.objects.moves, n.objects.recorded = moves, recorded
 	n.objects.mu.Unlock()
 	n.updateDirectory()
 }
@@ -245,6 +252,9 @@
 	}
 	newest := directory.New(list, n.objects.evacuated, n.objects.moves)
 	n.canary.Update(newest.Moves)
+	for service, evidence := range n.objects.recorded {
+		n.canary.SetRecorded(service, evidence)
+	}
 	n.balancer.UpdateDirectory(newest)
 }
 
--- a/internal/policy/canary/canary.go
+++ b/internal/policy/canary/canary.go
@@ -9,6 +9,11 @@
 // stops sending requests to a bad version as soon as its own requests and those that its
 // peers report show that it is bad. At the deadline a doubt is enough. One of the VMs
 // records the outcome.
+//
+// VMs that are killed lose what they have counted. So the evidence of all VMs is recorded
+// beside the state of the move now and then, and a VM that starts again counts on from
+// there. A trial of which too little was observed goes on beyond its deadline: that no
+// fault is known says nothing then.
 package canary
 
 import (
@@ -42,6 +47,16 @@
 	enoughRequests = 50
 	// maxCredit bounds the requests that a VM may send to the new version in sequence.
 	maxCredit = 2
+	// recordParts is how often the evidence is recorded in a trial, at least minRecordInterval
+	// apart.
+	recordParts       = 8
+	minRecordInterval = 2 * clock.Second
+	// minObservedDivisor gives the part of a trial, MaxDuration/minObservedDivisor, that must
+	// have been observed before a move is completed.
+	minObservedDivisor = 2
+	// lateObserverDelay is how much later than others a VM that has not observed the whole
+	// trial completes a move, so that it hears of the doubts of those that have.
+	lateObserverDelay = 400 * clock.Millis(1)
 )
 
 // Choice restricts the versions that may run a request.
@@ -98,6 +113,10 @@
 	recent   recentCounts
 	// peers holds the latest evidence of each peer.
 	peers map[string]Evidence
+	// recorded is what is known from the store of the time before VMs started again; see
+	// combined. lastRecordAge is the age of the newest record, or of the last try to write one.
+	recorded      Evidence
+	lastRecordAge clock.Millis
 	// credit is the number of requests that may be sent to the new version now. shareCredit
 	// is what MaxShare has added to it since startedAt, when this VM saw the move, and
 	// creditedAt when the part of MaxExtra was last added.
@@ -259,13 +278,14 @@
 		}
 		t.evidence.Bad = t.isBad(now)
 		t.evidence.Recent = t.recent.Sum(now)
-		t.evidence.Age = now - t.move.FirstSeen
+		t.evidence.Age, t.evidence.ObservedFrom = now-t.move.FirstSeen, t.observedFrom()
 		evidence[service] = t.evidence
 	}
 	return evidence
 }
 
-// PendingVerdicts returns the verdicts that are to be recorded now.
+// PendingVerdicts returns the verdicts that are to be recorded now. A verdict that keeps a
+// move running is returned again only after a while, whether it could be recorded or not.
 func (g *Guard) PendingVerdicts() (verdicts []Verdict) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -275,6 +295,7 @@
 			continue
 		}
 		if verdict, hasVerdict := t.verdict(now); hasVerdict {
+			t.lastRecordAge = now - t.move.FirstSeen
 			verdict.Move, verdict.Evidence = t.move, t.totalEvidence(now)
 			verdicts = append(verdicts, verdict)
 		}
@@ -282,19 +303,21 @@
 	return verdicts
 }
 
-// verdict returns the move's next state; ok is false if the state does not change.
+// verdict returns the move's next state, or its present one if only the evidence is to be
+// recorded; ok is false if nothing is to be written.
 func (t *trial) verdict(now clock.Millis) (verdict Verdict, ok bool) {
-	lead := min(completionLead, t.move.MaxDuration/completionLeadDivisor)
-	isDue := now-t.move.FirstSeen >= t.move.MaxDuration-lead
+	isDue := t.isDue(now)
 	switch {
 	case t.isBad(now):
 		return Verdict{State: directory.MoveRolledBack, Reason: "the new version answers worse than the old one"}, true
 	case isDue && t.isDoubtful(now):
 		return Verdict{State: directory.MoveRolledBack, Reason: "until its deadline the new version did not answer as well as the old one"}, true
-	case isDue:
+	case isDue && t.mayComplete(now):
 		return Verdict{State: directory.MoveDone, Reason: "the new version answered as well as the old one until its deadline"}, true
 	case t.move.State == directory.MoveRequested:
 		return Verdict{State: directory.MoveRunning, Reason: "the trial has begun"}, true
+	case !isDue && t.isRecordDue(now):
+		return Verdict{State: directory.MoveRunning, Reason: "the evidence is recorded"}, true
 	default:
 		return Verdict{}, false
 	}
@@ -313,7 +336,7 @@
 			return true
 		}
 	}
-	if why := firstThat(compare(t.evidences(now)), (*comparison).isFault); why != "" {
+	if why := firstThat(compare(t.combined(now)), (*comparison).isFault); why != "" {
 		t.setBad(now, why)
 	}
 	return t.evidence.Bad
@@ -322,7 +345,7 @@
 // isDoubtful reports whether the new version must be rolled back at its deadline,
 // according to the evidence of all VMs together. It is then bad from now on.
 func (t *trial) isDoubtful(now clock.Millis) bool {
-	why := firstThat(compare(t.evidences(now)), (*comparison).isDoubt)
+	why := firstThat(compare(t.combined(now)), (*comparison).isDoubt)
 	if why != "" {
 		t.setBad(now, why)
 	}
@@ -336,24 +359,3 @@
 		t.onBad(t.move, t.totalEvidence(now), why)
 	}
 }
-
-// evidences returns this VM's evidence and that of each of its peers.
-func (t *trial) evidences(now clock.Millis) []Evidence {
-	own := t.evidence
-	own.Recent = t.recent.Sum(now)
-	all := make([]Evidence, 0, 1+len(t.peers))
-	all = append(all, own)
-	for _, peer := range t.peers {
-		all = append(all, peer)
-	}
-	return all
-}
-
-// totalEvidence returns the combined evidence of all VMs.
-func (t *trial) totalEvidence(now clock.Millis) Evidence {
-	sum := Evidence{To: t.move.TargetVersion, Age: now - t.move.FirstSeen, Bad: t.evidence.Bad}
-	for _, evidence := range t.evidences(now) {
-		sum.add(&evidence)
-	}
-	return sum
-}
--- a/internal/policy/canary/counts.go
+++ b/internal/policy/canary/counts.go
@@ -71,6 +71,19 @@
 	}
 }
 
+// maxAnswers is more than a trial can have, and small enough for sums.
+const maxAnswers = 1 << 40
+
+// isValid reports whether the counts are of requests that each ended in one way.
+func (c *Counts) isValid() bool {
+	for _, count := range []int{c.Failed, c.Ended, c.Tight, c.TightLate, c.Slow, c.Late} {
+		if count < 0 || count > c.Answers {
+			return false
+		}
+	}
+	return c.Answers <= maxAnswers && c.Tight >= c.TightLate && c.Failed+c.Ended+c.TightLate+c.Slow+c.Late <= c.Answers
+}
+
 // add adds the requests that other counts.
 func (c *Counts) add(other *Counts) {
 	c.Answers += other.Answers
--- a/internal/policy/canary/evidence.go
+++ b/internal/policy/canary/evidence.go
@@ -55,16 +55,19 @@
 	{"late with tight time", func(c *Counts) int { return c.TightLate }, func(c *Counts) int { return c.Tight }, 0.15, 0.25},
 }
 
-// Evidence is what one VM, or all VMs of a region together, have observed about the
-// versions of a service.
+// Evidence is what one VM, or all VMs of a region or of the fleet together, have observed
+// about the versions of a service.
 type Evidence struct {
 	// To is the version on trial.
 	To string
 	// Age is how long ago the VM, or one of the peers that reported to it, first knew
 	// of the move.
 	Age clock.Millis
-	// Whole counts the requests since the VM first knew of the move, Recent those of the
-	// last seconds. A fault that begins late shows in Recent, a rare one in Whole.
+	// ObservedFrom is the age of the move from which on the evidence counts requests: 0 for
+	// a VM that knew of the move from the beginning, more for one that started later.
+	ObservedFrom clock.Millis
+	// Whole counts the requests since ObservedFrom, Recent those of the last seconds. A
+	// fault that begins late shows in Recent, a rare one in Whole.
 	Whole, Recent VersionCounts
 	// Bad reports whether the VM has found the new version bad.
 	Bad bool
@@ -81,6 +84,9 @@
 			if found && sum.To != e.To {
 				continue
 			}
+			if found {
+				e.ObservedFrom = min(sum.ObservedFrom, e.ObservedFrom)
+			}
 			e.Age, e.Bad = max(sum.Age, e.Age), sum.Bad || e.Bad
 			e.add(&sum)
 			sums[service] = e
