Count no answer of a request that had too little time

Cause: a request that was sent with less time than a run without cache takes and missed its deadline was not counted, as that is not the version's fault. One that was answered in that time was counted as good. So of such requests only the good ones counted.

Change: neither counts. A failure still does. TestAnswerWithTooLittleTimeShowsNothing failed before. Ruled out: a lower bar after a restart (a good version at the tolerated rate would be rolled back in 15 of 100).

--- a/internal/entry/gateway/outcome.go
+++ b/internal/entry/gateway/outcome.go
@@ -27,6 +27,7 @@
 
 // timing compares the time that an attempt took with the usual one; see balance.Grant.
 type timing interface {
+	HasTypicalTime() bool
 	IsTight() bool
 	IsPastTypical(took clock.Millis) bool
 	IsSlow(took clock.Millis) bool
@@ -43,6 +44,9 @@
 		// The deadline passed before an endpoint usually responds: the request came
 		// with too little time left, which is not the endpoint's fault.
 		return canary.Result{}, false
+	case outcome == balance.Answered && !timing.HasTypicalTime():
+		// It would not have counted if it had been late, so it must not count as good.
+		return canary.Result{}, false
 	case (isLate || outcome == balance.Answered) && timing.IsSlow(took):
 		result.Outcome = canary.Slow
 	case isLate:
--- a/internal/entry/gateway/outcome_test.go
+++ b/internal/entry/gateway/outcome_test.go
@@ -10,9 +10,11 @@
 	"baobabladder.example/baobabladder/internal/policy/canary"
 )
 
-// usualTime is a timing of which 100 ms are typical and more than 200 ms slow.
-type usualTime struct{}
+// usualTime is a timing of which 100 ms are typical and more than 200 ms slow. The request
+// had remaining when it was sent, or enough if that is 0.
+type usualTime struct{ remaining clock.Millis }
 
+func (t usualTime) HasTypicalTime() bool               { return t.remaining == 0 || t.remaining >= 100 }
 func (usualTime) IsTight() bool                        { return false }
 func (usualTime) IsPastTypical(took clock.Millis) bool { return took >= 100 }
 func (usualTime) IsSlow(took clock.Millis) bool        { return took > 200 }
@@ -47,3 +49,15 @@
 		})
 	}
 }
+
+// Guards against a slow version that looks good because of the runs that had too little time
+// only those that were answered counted.
+func TestAnswerWithTooLittleTimeShowsNothing(t *testing.T) {
+	g := NewWithT(t)
+	for remaining, counts := range map[clock.Millis]bool{90: false, 110: true} {
+		_, got := canaryResult(usualTime{remaining}, balance.Answered, 200, 60)
+		g.Expect(got).To(Equal(counts), "%d ms left", remaining)
+	}
+	_, got := canaryResult(usualTime{90}, balance.Failed, 500, 60)
+	g.Expect(got).To(BeTrue(), "a failure shows the version at any time")
+}
--- a/internal/policy/balance/grant.go
+++ b/internal/policy/balance/grant.go
@@ -167,6 +167,10 @@
 // endpoint that is not warm for the object.
 func (g *Grant) IsPastTypical(took clock.Millis) bool { return float64(took) >= g.typical }
 
+// HasTypicalTime reports whether the request, when it was sent, had as much time left as is
+// typical of an endpoint that is not warm for the object.
+func (g *Grant) HasTypicalTime() bool { return float64(g.request.Remaining) >= g.typical }
+
 // tightFactor is how many times the expected response time a request must have left, or
 // a good endpoint may miss the deadline too.
 const tightFactor = 1.5
