Believe no older news of an object that the copy lacks

Cause: its listing of 1,000 endpoints takes over a second. Meanwhile it adopts a peer's newer copy. The listing was then merged over that, and each object that the copy lacked was added, whatever its revision. The copy kept its newer revision, from which the next watch begins, so nothing removed the endpoints again. Ruled out for this case: a peer's copy that still holds them, and a late reply of a watch; both can happen.

Change: a copy is complete up to its revision, so what it lacks and what last changed before that was removed. Listings, peers' copies and late replies pass this one rule. A peer's copy names the objects whose removal it delays, and an older listing no longer cancels a delay.

--- a/internal/control/tracker/era_test.go
+++ b/internal/control/tracker/era_test.go
@@ -99,7 +99,7 @@
 	g := NewWithT(t)
 	f := newTestFeed(t, written("a", "1", 0, 8))
 	f.list(t, RevisionInEra(1, 4), written("a", "1", 1, 3))
-	f.Adopt([]Object{written("a", "0", 0, 80)}, RevisionInEra(0, 90))
+	f.Adopt([]Object{written("a", "0", 0, 80)}, RevisionInEra(0, 90), nil)
 	g.Expect(f.content("a")).To(Equal("1"))
 	g.Expect(f.NewestChange()).To(Equal(RevisionInEra(1, 3)))
 }
--- a/internal/control/tracker/fetch.go
+++ b/internal/control/tracker/fetch.go
@@ -70,7 +70,7 @@
 		f.warn("unpacking a peer's copy failed; keeping this VM's copy", err)
 		return
 	}
-	f.Adopt(objects, fetched.Revision)
+	f.Adopt(objects, fetched.Revision, fetched.Leaving)
 	f.abandonWatch(f.runningWatch())
 	if f.Log != nil {
 		f.Log.WithField("kind", f.Kind).WithField("revision", fetched.Revision).Info("fetched a peer's copy")
--- a/internal/control/tracker/merge.go
+++ b/internal/control/tracker/merge.go
@@ -13,7 +13,10 @@
 func (f *Feed) fullCopy() unpackedReply {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	a := unpackedReply{Changes: Changes{Revision: f.revision, InContact: f.hasStoreContact()}, after: fullCopyRevision, mergeCount: f.mergeCount}
+	a := unpackedReply{
+		Changes: Changes{Revision: f.revision, InContact: f.hasStoreContact(), Leaving: slices.Sorted(maps.Keys(f.pendingRemovals))},
+		after:   fullCopyRevision, mergeCount: f.mergeCount,
+	}
 	if a.Packed = f.packedReplies[fullCopyRevision]; a.Packed != nil {
 		return a
 	}
@@ -23,12 +26,22 @@
 	return a
 }
 
-// Adopt replaces the copy by a peer's copy if that is newer.
-func (f *Feed) Adopt(objects []Object, revision int64) {
+// Adopt replaces the copy by a peer's copy if that is newer. leaving names the objects in it
+// that have been removed, which the peer keeps for a while; see removalDelay.
+func (f *Feed) Adopt(objects []Object, revision int64, leaving []string) {
 	f.mergeMu.Lock()
 	defer f.mergeMu.Unlock()
-	if revision > f.Revision() {
-		f.mergeListing(objects, revision)
+	if revision <= f.Revision() {
+		return
+	}
+	f.mergeListing(objects, revision)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, name := range leaving {
+		// What has a later revision was written again after the removal.
+		if known, found := f.objects[name]; found && known.Revision <= revision {
+			f.pendingRemovals[name] = f.Clock.Now() + removalDelay
+		}
 	}
 }
 
@@ -41,16 +54,47 @@
 }
 
 // mergeReply merges a reply with the changes after a revision. A late reply that tells
-// less than the copy has learnt meanwhile is ignored: it could bring back an object that
-// has been removed.
+// less than the copy has learnt meanwhile is ignored, and of one that tells more, what is
+// no news.
 func (f *Feed) mergeReply(after int64, objects []Object, revision int64) {
 	f.mergeMu.Lock()
 	defer f.mergeMu.Unlock()
-	if known := f.Revision(); known <= after || revision > known {
+	switch known := f.Revision(); {
+	case known <= after:
+		f.merge(objects, revision)
+	case revision > known:
+		f.mu.Lock()
+		objects = f.news(objects)
+		f.mu.Unlock()
 		f.merge(objects, revision)
 	}
 }
 
+// news returns the objects that tell of a later moment than the copy knows. The copy is
+// complete up to its revision. So an object that it lacks and that last changed at or before
+// that revision has been removed since: it comes from a listing that took long, or from a late
+// reply, and nothing would remove it again, as the next watch begins at the copy's revision.
+// The same holds for an object whose removal is delayed. The caller must hold mu.
+func (f *Feed) news(objects []Object) (newer []Object) {
+	for _, object := range objects {
+		_, found := f.objects[object.Name]
+		_, isLeaving := f.pendingRemovals[object.Name]
+		isInCopy := found && !isLeaving
+		if isInCopy || object.Deleted || object.Revision > f.revision || f.mayBeRestored(object) {
+			newer = append(newer, object)
+		}
+	}
+	return newer
+}
+
+// mayBeRestored reports whether an object may be one of those that the copy refused while
+// the store had just come back from a copy, and not one that has been removed since. The
+// caller must hold mu.
+func (f *Feed) mayBeRestored(object Object) bool {
+	removed, found := f.removals[object.Name]
+	return f.graceUntil > 0 && (!found || removed.object.Revision < object.Revision)
+}
+
 // mergeListing is applyListing for callers that hold mergeMu.
 func (f *Feed) mergeListing(objects []Object, revision int64) {
 	f.logIgnored(objects, revision)
@@ -60,6 +104,9 @@
 		objects = f.keepAcknowledged(objects)
 	} else {
 		objects = f.withRemovals(objects, revision)
+		if revision < f.revision {
+			objects = f.news(objects)
+		}
 		f.graceUntil = 0
 	}
 	f.mu.Unlock()
@@ -151,10 +198,15 @@
 	if found && object.Revision < known.Revision {
 		return false
 	}
+	isChanged := !found || object.Revision > known.Revision
 	if !object.Deleted {
-		delete(f.pendingRemovals, object.Name)
+		if isChanged {
+			// Its owner has written it again. What is listed as it was before says nothing
+			// of the removal.
+			delete(f.pendingRemovals, object.Name)
+		}
 		f.objects[object.Name] = object
-		return !found || object.Revision != known.Revision
+		return isChanged
 	}
 	if !found {
 		return false
--- a/internal/control/tracker/relay.go
+++ b/internal/control/tracker/relay.go
@@ -44,6 +44,9 @@
 	// InContact is set if the store answers the replying VM directly, not through
 	// another relay.
 	InContact bool
+	// Leaving names the objects of a whole copy that the platform has removed and that the
+	// VM keeps for a while; see removalDelay.
+	Leaving []string
 	// HistoryGone is set if the relay no longer has all changes after the requested
 	// revision.
 	HistoryGone bool
--- a/internal/control/tracker/tracker_test.go
+++ b/internal/control/tracker/tracker_test.go
@@ -66,7 +66,7 @@
 	f := newTestFeed(t, Object{Name: "a", Revision: 8, Spec: []byte("new")})
 	f.watch(t, 11, Object{Name: "a", Revision: 7, Spec: []byte("old")})
 	g.Expect(string(f.objects["a"].Spec)).To(Equal("new"))
-	f.Adopt([]Object{{Name: "b", Revision: 3}}, 9)
+	f.Adopt([]Object{{Name: "b", Revision: 3}}, 9, nil)
 	g.Expect(f.names).To(Equal([]string{"a"}), "a peer's older copy must be ignored")
 }
 
