Bound what a VM admits without asking by a bucket of its own

Cause: no grant bounded what VMs might spend without asking. Far from the limit a VM admitted freely for 10 s after the owner's last reply; without the owner it took the share of its own risen demand, from a bucket filled since its start; reports without a reply were dropped; the owner granted the whole rate until it counted the others as lost. A model of 8 VMs shows it: TestLimitHoldsWhileVMsAreCutOffAsDemandRises failed in 128 cases before, by up to 127 requests.

Change: what a VM may admit without asking is in one small bucket, refilled at an equal share of the rate and filled by each reply of an owner that is far from the limit. An owner withholds the share of each VM that falls silent. Unanswered reports are told again; to another owner, what the bucket lacks. The owner's bucket of a VM that started again begins empty in each fleet. A VM whose owner does not reply asks it again after 0.5 s.

The tests of package quota set the number of peers in place of their demand, since shares no longer depend on it; what they expect is unchanged.

--- a/internal/control/admission/admission.go
+++ b/internal/control/admission/admission.go
@@ -1,11 +1,12 @@
 // Package admission enforces the workspaces' rate limits over the whole fleet. Each
 // workspace has a token bucket at one VM, its owner. The other VMs report to the
 // owner four times a second how many requests they admitted. While a workspace is far
-// below its limit they admit requests without tokens. Near the limit the owner marks
-// the workspace as strict, and they request tokens before they admit. A VM that does
-// not reach the owner admits from its own share of the limit; see quota.Limiter. So a
-// request waits for a call to another VM only if its workspace is near its limit or
-// this VM has no recent reply of the owner.
+// below its limit they admit requests from a small bucket of their own, which each reply of
+// the owner fills; see quota.Limiter. Near the limit the owner marks the workspace as
+// strict, and they request tokens before they admit. So a request waits for a call to
+// another VM only if its workspace is near its limit or its requests come together at this
+// VM, and a VM that does not reach the owner admits no more than its share of the limit and
+// what its bucket holds.
 package admission
 
 import (
@@ -28,6 +29,9 @@
 	// sends no reports and receives no replies. Its first request after the owner
 	// became strict is reported, so the next one is not admitted without tokens.
 	replyMaxAge = 10 * clock.Second
+	// ownerPause is how long a VM does not ask an owner again that has not replied, so that
+	// not each request waits for callTimeout.
+	ownerPause = 500 * clock.Millis(1)
 	// prefetchFactor is the number of tokens requested for each request refused since
 	// the last report, so that the next such requests need no call.
 	prefetchFactor = 1.0
@@ -77,7 +81,7 @@
 	ReachableFraction func() float64
 	// OwnedBuckets holds the buckets of the workspaces that this VM owns.
 	OwnedBuckets *quota.Owner
-	// LocalLimiter holds this VM's own shares of all limits.
+	// LocalLimiter holds what this VM may admit without asking.
 	LocalLimiter *quota.Limiter
 	Clock        clock.Clock
 
@@ -99,6 +103,14 @@
 	hasReplied bool
 	// waitUntil is when the owner will have more tokens.
 	waitUntil clock.Millis
+	// unanswered counts the requests in reports without a reply, the last of them to the
+	// owner unansweredBy.
+	unanswered   float64
+	unansweredBy string
+	// failedAt is when the owner last did not reply, if it has not replied since; hasFailed
+	// is set then.
+	failedAt  clock.Millis
+	hasFailed bool
 }
 
 // Admit takes one token of the workspace's limit for a request. If there is none, ok
@@ -112,7 +124,7 @@
 	a.mu.Lock()
 	s := a.state(workspace.Name)
 	isCurrent := s.hasReplied && now-s.repliedAt < replyMaxAge
-	if isCurrent && s.take() {
+	if isCurrent && a.take(s, workspace) {
 		a.mu.Unlock()
 		return 0, true
 	}
@@ -122,13 +134,17 @@
 		a.mu.Unlock()
 		return wait, false
 	}
+	hasOwner := !s.hasFailed || now-s.failedAt >= ownerPause
 	a.mu.Unlock()
+	if !hasOwner {
+		return a.admitLocally(workspace)
+	}
 	return a.requestTokens(ctx, workspace)
 }
 
-// take admits one request if the owner's last reply allows it. The caller must hold
-// mu.
-func (s *workspaceState) take() bool {
+// take admits one request if the owner's last reply allows it: with a token that the owner
+// granted, or far from the limit from this VM's own bucket. The caller must hold mu.
+func (a *Admission) take(s *workspaceState, workspace *routing.Workspace) bool {
 	if s.isStrict && s.tokens < 1 {
 		return false
 	}
@@ -136,19 +152,27 @@
 		s.tokens--
 		return true
 	}
+	if _, ok := a.LocalLimiter.Admit(workspace); !ok {
+		return false
+	}
 	s.used++
 	return true
 }
 
-// admitLocally admits one request from this VM's own share of the limit.
+// admitLocally admits one request from this VM's own bucket. It is not reported while this VM
+// knows no owner but has known one: owners withhold the shares of VMs that they lost.
 func (a *Admission) admitLocally(workspace *routing.Workspace) (wait clock.Millis, ok bool) {
 	wait, ok = a.LocalLimiter.Admit(workspace)
-	if ok {
-		a.mu.Lock()
-		a.state(workspace.Name).used++
-		a.mu.Unlock()
+	if !ok {
+		return wait, false
 	}
-	return wait, ok
+	_, isOwnerKnown := a.OwnerOf(workspace.Name)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if s := a.state(workspace.Name); isOwnerKnown || !s.hasReplied {
+		s.used++
+	}
+	return 0, true
 }
 
 // requestTokens requests tokens from the owner and admits one request if they
@@ -156,7 +180,7 @@
 func (a *Admission) requestTokens(ctx context.Context, workspace *routing.Workspace) (wait clock.Millis, ok bool) {
 	a.mu.Lock()
 	s := a.state(workspace.Name)
-	usage := quota.Usage{Used: s.used, Want: 1 + s.refused*prefetchFactor}
+	usage := quota.Usage{Used: s.used + a.takeUnanswered(workspace.Name, a.ownerName(workspace.Name)), Want: 1 + s.refused*prefetchFactor}
 	s.usedBefore, s.used, s.refused = s.used, 0, 0
 	a.mu.Unlock()
 	usages := map[string]quota.Usage{workspace.Name: usage}
@@ -165,7 +189,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if s.take() {
+	if a.take(s, workspace) {
 		return 0, true
 	}
 	return max(s.waitUntil-a.Clock.Now(), 1), false
@@ -186,14 +210,12 @@
 		a.restoreUsages(usages)
 		return false
 	case owner.Name == a.Self:
-		reply = a.replyTo(usages)
+		reply = a.replyTo(a.Self, usages)
 	default:
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout.Duration())
 		defer cancel()
 		if err := a.Peers.Call(ctx, owner.PeerAddress, reportMethod, Report{a.Self, usages}, &reply); err != nil {
-			// The owner may have processed the report, so the usages are not reported
-			// again. The error is small, as the local share used instead is far below
-			// the limit.
+			a.recordFailure(owner.Name, usages)
 			return false
 		}
 	}
@@ -210,6 +232,43 @@
 	}
 }
 
+// recordFailure records that an owner has not replied to a report. It may have processed
+// the report, or not. So what was admitted is reported to it again, while unused tokens are
+// not returned again: in doubt the owner has too few.
+func (a *Admission) recordFailure(owner string, usages map[string]quota.Usage) {
+	now := a.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for name, usage := range usages {
+		s := a.state(name)
+		s.unanswered += max(usage.Used, 0)
+		s.unansweredBy = owner
+		s.failedAt, s.hasFailed = now, true
+	}
+}
+
+// takeUnanswered returns how many requests in unanswered reports are to be reported to an
+// owner, and forgets them. An owner that is not the one of those reports has withheld this
+// VM's share meanwhile, so it gets only what the VM's bucket lacks. The caller must hold mu.
+func (a *Admission) takeUnanswered(workspace, owner string) (used float64) {
+	s := a.state(workspace)
+	used = s.unanswered
+	if s.unansweredBy != owner && used > 0 {
+		used = min(used, a.LocalLimiter.Spent(a.Workspace(workspace)))
+	}
+	s.unanswered = 0
+	return used
+}
+
+// ownerName returns the name of a workspace's owner, or "" if it is not known.
+func (a *Admission) ownerName(workspace string) string {
+	owner, known := a.OwnerOf(workspace)
+	if !known {
+		return ""
+	}
+	return owner.Name
+}
+
 func (a *Admission) applyReply(reply Reply) {
 	now := a.Clock.Now()
 	a.mu.Lock()
@@ -219,12 +278,13 @@
 			continue
 		}
 		s := a.state(name)
-		s.hasReplied, s.repliedAt = true, now
+		s.hasReplied, s.repliedAt, s.hasFailed = true, now, false
 		s.isStrict = grant.Strict
 		s.waitUntil = now + grant.Wait
 		s.tokens += grant.Tokens
 		if !grant.Strict {
 			s.tokens = 0
+			a.LocalLimiter.Fill(a.Workspace(name))
 		}
 	}
 	for _, name := range reply.Strict {
@@ -235,15 +295,15 @@
 // isPlausible reports whether a message may contain the count.
 func isPlausible(count float64) bool { return math.Abs(count) <= maxCount }
 
-// replyTo processes a report on workspaces that this VM owns.
-func (a *Admission) replyTo(usages map[string]quota.Usage) (reply Reply) {
+// replyTo processes a VM's report on workspaces that this VM owns.
+func (a *Admission) replyTo(reporter string, usages map[string]quota.Usage) (reply Reply) {
 	reply = Reply{Grants: make(map[string]quota.Grant, len(usages))}
 	defer func() { reply.Strict = a.OwnedBuckets.StrictWorkspaces() }()
-	fraction := a.ReachableFraction()
+	reach := quota.Reach{Fraction: a.ReachableFraction(), Share: a.LocalLimiter.Share()}
 	for name, usage := range usages {
 		workspace := a.Workspace(name)
 		if workspace != nil && workspace.Rate > 0 && isPlausible(usage.Used) && isPlausible(usage.Want) {
-			reply.Grants[name] = a.OwnedBuckets.Report(workspace, usage, fraction)
+			reply.Grants[name] = a.OwnedBuckets.Report(workspace, reporter, usage, reach)
 		}
 	}
 	return reply
@@ -262,6 +322,7 @@
 		return
 	}
 	s.used--
+	a.LocalLimiter.Refund(workspace)
 }
 
 // state returns the state of a workspace, created if need be. The caller must hold
@@ -287,6 +348,13 @@
 	}
 }
 
+// ReportNow sends what is to be reported and returns when the owners have replied.
+func (a *Admission) ReportNow(ctx context.Context) {
+	for _, usages := range a.collectDue() {
+		a.sendReport(ctx, usages)
+	}
+}
+
 // collectDue returns the usages to report, by owner and workspace, and resets the
 // counts. A workspace is reported while it has requests and once more afterwards.
 func (a *Admission) collectDue() map[string]map[string]quota.Usage {
@@ -294,7 +362,7 @@
 	defer a.mu.Unlock()
 	usagesByOwner := map[string]map[string]quota.Usage{}
 	for name, s := range a.states {
-		if s.used == 0 && s.refused == 0 && s.usedBefore == 0 && s.tokens == 0 {
+		if s.used == 0 && s.refused == 0 && s.usedBefore == 0 && s.tokens == 0 && s.unanswered == 0 {
 			continue
 		}
 		owner, known := a.OwnerOf(name)
@@ -305,7 +373,7 @@
 			usagesByOwner[owner.Name] = map[string]quota.Usage{}
 		}
 		// Unused tokens are returned to the owner for other VMs.
-		usagesByOwner[owner.Name][name] = quota.Usage{Used: s.used - s.tokens, Want: s.refused * prefetchFactor}
+		usagesByOwner[owner.Name][name] = quota.Usage{Used: s.used + a.takeUnanswered(name, owner.Name) - s.tokens, Want: s.refused * prefetchFactor}
 		s.tokens = 0
 		s.usedBefore, s.used, s.refused = s.used+s.refused, 0, 0
 	}
@@ -320,6 +388,6 @@
 
 // Report processes a VM's report and replies with the tokens that it may use.
 func (r *Receiver) Report(report Report, reply *Reply) error {
-	*reply = r.admission.replyTo(report.Usages)
+	*reply = r.admission.replyTo(report.VM, report.Usages)
 	return nil
 }
--- a/internal/control/admission/admission_test.go
+++ b/internal/control/admission/admission_test.go
@@ -33,11 +33,7 @@
 	for i := range count {
 		name := fmt.Sprint("vm-", i)
 		local := &quota.Limiter{Clock: f.manual.Clock()}
-		var others []quota.PeerDemand
-		for range count - 1 {
-			others = append(others, quota.PeerDemand{})
-		}
-		local.UpdatePeers(others)
+		local.SetPeers(count - 1)
 		a := &admission.Admission{
 			Self: name, Peers: mesh.Client{Mesh: f.mesh, From: name}, Clock: f.manual.Clock(), OwnedBuckets: &quota.Owner{Clock: f.manual.Clock()}, LocalLimiter: local,
 			OwnerOf:           func(string) (vm.VM, bool) { return vm.VM{Name: "vm-0", PeerAddress: "vm-0"}, !f.mesh.Isolated[name] },
--- a/internal/entry/node/duties.go
+++ b/internal/entry/node/duties.go
@@ -12,7 +12,6 @@
 	"baobabladder.example/baobabladder/internal/control/roster"
 	"baobabladder.example/baobabladder/internal/control/tracker"
 	"baobabladder.example/baobabladder/internal/policy/balance"
-	"baobabladder.example/baobabladder/internal/policy/quota"
 	"baobabladder.example/baobabladder/internal/world/routing"
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
@@ -76,19 +75,14 @@
 			n.canary.ClearPeerEvidence()
 			wasRelay = isRelay
 		}
-		demands := []quota.PeerDemand{}
 		vms := make([]balance.VM, 0, len(members))
 		for _, member := range members {
 			vms = append(vms, balance.VM{
 				Name: member.ID.Name, Region: member.VM.Region, Unavailable: !member.IsServing(),
 			})
-			if member.ID.Name == n.id.Name {
-				continue
-			}
-			demands = append(demands, quota.PeerDemand{VM: member.ID.Name, Demand: member.Demand})
 		}
 		n.alternates.Store(roster.NewAlternates(members, n.self))
-		n.quota.UpdatePeers(demands)
+		n.quota.SetPeers(len(members) - 1)
 		n.balancer.UpdatePeers(n.roster.Running(), vms)
 		n.balancer.UpdateLimitDemands(n.limitDemands(members))
 		n.retryBudget.SetVMs(len(members))
@@ -189,15 +183,15 @@
 // of quotas.
 const ownershipSettleTime = 4 * clock.Second
 
-// restartSettleTime is how long a relay of a large fleet assumes after its own restart
-// that all VMs are restarting, as after a loss of power: the VMs become ready and
-// reach the store one by one, and the owners of quotas change each time.
+// restartSettleTime is how long a VM assumes after its own restart that it may have owned the
+// buckets of quotas before, or that all VMs are restarting, as after a loss of power: the VMs
+// become ready and reach the store one by one, and the owners of quotas change each time.
 const restartSettleTime = 6 * clock.Second
 
 // isOwnershipUnstable reports whether the owners of quotas may be changing often, so
 // that a new owner must start with an empty bucket; see quota.Owner.
 func (n *Node) isOwnershipUnstable() bool {
-	return !n.Settings.FirstStart && n.clock.Now()-n.startedAt < restartSettleTime && n.roster.HasFollowers()
+	return !n.Settings.FirstStart && n.clock.Now()-n.startedAt < restartSettleTime
 }
 
 // fillOwnedBursts fills the buckets of the workspaces that this VM owns. It does so
--- a/internal/policy/quota/owner.go
+++ b/internal/policy/quota/owner.go
@@ -22,6 +22,11 @@
 	// strictAnnounceTime is how long after the last report StrictWorkspaces lists a
 	// workspace.
 	strictAnnounceTime = 2 * clock.Second
+	// A VM that reports a workspace does so each 0.25 s while it has requests. If one falls
+	// silent for silentAfter, it may have lost the owner, and its share is withheld until
+	// silentUntil, by when the owner knows which VMs it has lost.
+	silentAfter = 600 * clock.Millis(1)
+	silentUntil = 2500 * clock.Millis(1)
 	// initialBurstFraction is the fraction of a burst in the bucket of a new owner, as
 	// its predecessor may have granted the rest.
 	initialBurstFraction = 0.3
@@ -70,17 +75,30 @@
 	demand     float64
 	refilledAt clock.Millis
 	isStrict   bool
+	// reportedAt is when each VM last reported, by name.
+	reportedAt map[string]clock.Millis
+}
+
+// Reach is what an owner reaches of the fleet.
+type Reach struct {
+	// Fraction is the fraction of the limit that the VMs which the owner reaches may use
+	// together. It is below 1 if the owner does not reach all VMs.
+	Fraction float64
+	// Share is the fraction that one VM may use without an owner.
+	Share float64
 }
 
 // Report records a VM's usage of a workspace and returns what the VM may admit.
-// fraction is the fraction of the limit that the VMs which this owner reaches may use
-// together. It is below 1 if the owner does not reach all VMs.
-func (o *Owner) Report(workspace *routing.Workspace, usage Usage, fraction float64) Grant {
+func (o *Owner) Report(workspace *routing.Workspace, vm string, usage Usage, reach Reach) Grant {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	rate, burst := workspace.Rate*fraction, max(workspace.Burst*fraction, 1)
+	burst := max(workspace.Burst*reach.Fraction, 1)
 	b := o.bucket(workspace.Name, burst)
-	b.refill(o.Clock.Now(), rate, burst)
+	now := o.Clock.Now()
+	b.reportedAt[vm] = now
+	withheld := float64(b.countSilent(now)) * reach.Share
+	rate := workspace.Rate * max(reach.Fraction-withheld, reach.Share)
+	b.refill(now, rate, burst)
 	b.tokens -= usage.Used
 	b.demand += (usage.Used + usage.Want) * float64(clock.Second) / float64(ownerDemandDecayTime)
 	switch {
@@ -121,7 +139,7 @@
 	}
 	b := o.buckets[name]
 	if b == nil {
-		b = &ownedBucket{tokens: initialBurstFraction * burst, refilledAt: o.Clock.Now(), isStrict: true}
+		b = &ownedBucket{tokens: initialBurstFraction * burst, refilledAt: o.Clock.Now(), isStrict: true, reportedAt: map[string]clock.Millis{}}
 		if o.IsOwnershipUnstable != nil && o.IsOwnershipUnstable() {
 			b.tokens = 0
 		}
@@ -130,6 +148,20 @@
 	return b
 }
 
+// countSilent returns how many VMs have ceased to report lately, and forgets those that have
+// done so longer ago.
+func (b *ownedBucket) countSilent(now clock.Millis) (count int) {
+	for vm, at := range b.reportedAt {
+		switch silent := now - at; {
+		case silent >= silentUntil:
+			delete(b.reportedAt, vm)
+		case silent >= silentAfter:
+			count++
+		}
+	}
+	return count
+}
+
 // refill adds the tokens for the time since the last call and decays the demand.
 func (b *ownedBucket) refill(now clock.Millis, rate, burst float64) {
 	elapsed := float64(now - b.refilledAt)
--- a/internal/policy/quota/quota.go
+++ b/internal/policy/quota/quota.go
@@ -6,12 +6,11 @@
 // owner afterwards. Otherwise the owner is strict about the workspace: a VM needs a
 // token, granted by the owner, for each request it admits.
 //
-// A Limiter needs no owner: each VM has a token bucket of its own, with a share of the
-// workspace's rate and burst. The share is the VM's part of the demand of all VMs,
-// which VMs report to each other. The last demand reported by a VM must be passed to
-// UpdatePeers for some time after its reports have ceased. A VM that is partitioned
-// from the others therefore keeps its share, they keep theirs, and together they stay
-// within the limit.
+// A Limiter needs no owner: it holds what a VM may admit without asking. Each VM has a
+// bucket of its own, refilled at an equal share of the workspace's rate, which holds
+// little. So all VMs together admit at most the limit by it, whichever of them reach each
+// other, and an owner that grants the limit less the shares of the VMs that it does not
+// reach exceeds it by no more than what these buckets hold.
 package quota
 
 import (
@@ -25,21 +24,15 @@
 const (
 	// demandDecayTime is the time constant of the smoothed demand.
 	demandDecayTime = 2 * clock.Second
-	// minDemandFraction is the least demand assumed for a VM, as a fraction of the
-	// workspace's rate. It gives a VM without demand tokens for its first request.
-	minDemandFraction = 0.04
-	// initialTokens is the number of tokens in a new bucket. It is small because a
-	// restarted VM must not admit its part of the burst again.
+	// A VM's bucket holds bucketSpan of its share of the rate, and bucketBase tokens, so
+	// that requests which come together are admitted.
+	bucketSpan = 500 * clock.Millis(1)
+	bucketBase = 1
+	// initialTokens is the most that a new bucket has. It is small because a restarted VM
+	// must not admit again what it had admitted before.
 	initialTokens = 2
 )
 
-// PeerDemand is the demand of callers at another VM, in requests per second by
-// workspace. Demand is nil if the VM has never reported.
-type PeerDemand struct {
-	VM     string
-	Demand map[string]float64
-}
-
 // Limiter admits requests within this VM's share of each limit. The zero value is ready
 // for use.
 type Limiter struct {
@@ -48,8 +41,8 @@
 	mu sync.Mutex
 	// buckets holds the bucket of each requested workspace, by name. Guarded by mu.
 	buckets map[string]*bucket
-	// peers is the last argument of UpdatePeers. Guarded by mu.
-	peers []PeerDemand
+	// peers is the number of other VMs. Guarded by mu.
+	peers int
 }
 
 // bucket is the token bucket for this VM's share of a workspace's limit.
@@ -61,11 +54,12 @@
 	demandUpdatedAt clock.Millis
 }
 
-// UpdatePeers replaces the demand of the other VMs.
-func (l *Limiter) UpdatePeers(peers []PeerDemand) {
+// SetPeers sets the number of other VMs that have a share, those included that do not reach
+// this VM.
+func (l *Limiter) SetPeers(count int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.peers = peers
+	l.peers = count
 }
 
 // Observe counts one request towards this VM's demand for the workspace.
@@ -91,13 +85,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Clock.Now()
-	b := l.bucket(workspace.Name, now)
-	share := l.share(workspace, b.demandAt(now))
-	rate := workspace.Rate * share
-	size := max(workspace.Burst*share, 1)
-	elapsed := float64(now-b.refilledAt) / float64(clock.Second)
-	b.tokens = min(b.tokens+elapsed*rate, size)
-	b.refilledAt = now
+	b, rate := l.bucket(workspace.Name, now), l.share(workspace)
+	b.refill(now, rate)
 	if b.tokens >= 1 {
 		b.tokens--
 		return 0, true
@@ -105,6 +94,39 @@
 	return clock.Millis((1-b.tokens)/max(rate, 1e-3)*float64(clock.Second)) + 1, false
 }
 
+// Share returns the fraction of each limit that this VM may use without asking.
+func (l *Limiter) Share() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return 1 / float64(1+l.peers)
+}
+
+// Fill fills the workspace's bucket. It must be called only if the workspace's owner allows
+// it, which is far from the limit then.
+func (l *Limiter) Fill(workspace *routing.Workspace) {
+	if workspace == nil || workspace.Rate <= 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.bucket(workspace.Name, l.Clock.Now())
+	b.tokens = bucketSize(l.share(workspace))
+}
+
+// Spent returns how many tokens the workspace's bucket lacks: what this VM has admitted
+// beyond its share of the rate.
+func (l *Limiter) Spent(workspace *routing.Workspace) (tokens float64) {
+	if workspace == nil || workspace.Rate <= 0 {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Now()
+	b, rate := l.bucket(workspace.Name, now), l.share(workspace)
+	b.refill(now, rate)
+	return bucketSize(rate) - b.tokens
+}
+
 // Refund returns the token that Admit took for a request that did not run.
 func (l *Limiter) Refund(workspace *routing.Workspace) {
 	if workspace == nil || workspace.Rate <= 0 {
@@ -148,19 +170,21 @@
 	return b.demand * math.Exp(-float64(now-b.demandUpdatedAt)/float64(demandDecayTime))
 }
 
-// share returns this VM's fraction of a workspace's limit, given this VM's demand in
-// requests per second. The demand of a VM that has never reported is assumed to equal
-// this VM's. The caller must hold mu.
-func (l *Limiter) share(workspace *routing.Workspace, demand float64) float64 {
-	minDemand := workspace.Rate * minDemandFraction
-	own := max(demand, minDemand)
-	total := own
-	for _, peer := range l.peers {
-		if peer.Demand == nil {
-			total += max(own, minDemand)
-			continue
-		}
-		total += max(peer.Demand[workspace.Name], minDemand)
-	}
-	return own / total
+// share returns this VM's part of the workspace's rate, in requests per second. The caller
+// must hold mu.
+func (l *Limiter) share(workspace *routing.Workspace) float64 {
+	return workspace.Rate / float64(1+l.peers)
+}
+
+// refill adds the tokens for the time since the last call. rate is the VM's share, in
+// requests per second.
+func (b *bucket) refill(now clock.Millis, rate float64) {
+	elapsed := float64(now-b.refilledAt) / float64(clock.Second)
+	b.tokens = min(b.tokens+elapsed*rate, bucketSize(rate))
+	b.refilledAt = now
+}
+
+// bucketSize returns how many tokens a bucket holds that is refilled at a rate.
+func bucketSize(rate float64) float64 {
+	return bucketBase + rate*float64(bucketSpan)/float64(clock.Second)
 }
--- a/internal/policy/quota/quota_test.go
+++ b/internal/policy/quota/quota_test.go
@@ -19,6 +19,9 @@
 	slack   = 20
 )
 
+// alone is what an owner reaches that is the only VM.
+var alone = quota.Reach{Fraction: 1, Share: 1}
+
 func maxAdmissions(workspace *routing.Workspace) float64 {
 	return (workspace.Rate*float64(window)/float64(clock.Second)+workspace.Burst)*overage + slack
 }
@@ -48,9 +51,7 @@
 			var admitted []clock.Millis
 			for now := clock.Millis(0); now < 20*clock.Second; now += 10 {
 				for i, limiter := range limiters {
-					if now%250 == 0 {
-						limiter.UpdatePeers(demandOfOthers(limiters, i))
-					}
+					limiter.SetPeers(vms - 1)
 					// The demand moves from VM to VM and is five times the rate.
 					if (int(now/clock.Second)+i)%vms < max(vms/4, 1) {
 						for range max(8/vms, 1) {
@@ -68,15 +69,6 @@
 	}
 }
 
-func demandOfOthers(limiters []*quota.Limiter, self int) (others []quota.PeerDemand) {
-	for i, limiter := range limiters {
-		if i != self {
-			others = append(others, quota.PeerDemand{VM: fmt.Sprint(i), Demand: limiter.Demand()})
-		}
-	}
-	return others
-}
-
 func TestRefusalReportsWhenTokenIsAvailable(t *testing.T) {
 	g := NewWithT(t)
 	manual := &clock.Manual{}
@@ -113,6 +105,7 @@
 			manual := &clock.Manual{}
 			owner := &quota.Owner{Clock: manual.Clock()}
 			workspace := &routing.Workspace{Name: "w", Rate: rate, Burst: rate}
+			reach := quota.Reach{Fraction: 1, Share: 0.05}
 			const (
 				vms      = 20
 				interval = 250
@@ -137,7 +130,7 @@
 					arrivals++
 					v := &all[arrivals*7%vms]
 					if v.grant.Strict && v.grant.Tokens < 1 {
-						v.grant = owner.Report(workspace, quota.Usage{Used: v.used, Want: 1 + v.refused}, 1)
+						v.grant = owner.Report(workspace, fmt.Sprint(arrivals*7%vms), quota.Usage{Used: v.used, Want: 1 + v.refused}, reach)
 						v.used, v.refused = 0, 0
 					}
 					switch {
@@ -154,7 +147,7 @@
 				for i := range all {
 					if v := &all[i]; (now+clock.Millis(i)*step)%interval == 0 {
 						unused := v.grant.Tokens
-						v.grant = owner.Report(workspace, quota.Usage{Used: v.used - unused, Want: v.refused}, 1)
+						v.grant = owner.Report(workspace, fmt.Sprint(i), quota.Usage{Used: v.used - unused, Want: v.refused}, reach)
 						v.used, v.refused = 0, 0
 					}
 				}
@@ -169,7 +162,7 @@
 func TestNewOwnerDoesNotGrantFullBurst(t *testing.T) {
 	g := NewWithT(t)
 	workspace := &routing.Workspace{Name: "w", Rate: 10, Burst: 100}
-	grant := (&quota.Owner{}).Report(workspace, quota.Usage{Want: 1000}, 1)
+	grant := (&quota.Owner{}).Report(workspace, "vm", quota.Usage{Want: 1000}, alone)
 	g.Expect(grant.Strict).To(BeTrue())
 	g.Expect(grant.Tokens).To(BeNumerically("<", 50))
 }
@@ -184,7 +177,7 @@
 	for range 6 {
 		owner := &quota.Owner{Clock: manual.Clock(), IsOwnershipUnstable: func() bool { return true }}
 		for range 4 {
-			granted += owner.Report(workspace, quota.Usage{Want: 1000}, 1).Tokens
+			granted += owner.Report(workspace, "vm", quota.Usage{Want: 1000}, alone).Tokens
 			manual.Advance(250)
 		}
 	}
@@ -200,12 +193,12 @@
 	owner := &quota.Owner{Clock: manual.Clock()}
 	workspace := &routing.Workspace{Name: "w", Rate: 10, Burst: 20}
 	owner.FillBurst(workspace)
-	g.Expect(owner.Report(workspace, quota.Usage{Used: 1}, 1).Strict).To(BeFalse(), "far below the limit VMs must not need tokens")
-	granted := owner.Report(workspace, quota.Usage{Used: 14, Want: 100}, 1).Tokens
+	g.Expect(owner.Report(workspace, "vm", quota.Usage{Used: 1}, alone).Strict).To(BeFalse(), "far below the limit VMs must not need tokens")
+	granted := owner.Report(workspace, "vm", quota.Usage{Used: 14, Want: 100}, alone).Tokens
 	g.Expect(granted).To(BeNumerically("==", 5), "the owner must grant only what is left of the burst")
 
 	owner.FillBurst(workspace)
-	g.Expect(owner.Report(workspace, quota.Usage{Want: 100}, 1).Tokens).To(BeZero(), "FillBurst must not refill a bucket in use")
+	g.Expect(owner.Report(workspace, "vm", quota.Usage{Want: 100}, alone).Tokens).To(BeZero(), "FillBurst must not refill a bucket in use")
 }
 
 func TestOwnerThatReachesHalfOfVMsGrantsHalf(t *testing.T) {
@@ -215,7 +208,7 @@
 	workspace := &routing.Workspace{Name: "w", Rate: 100, Burst: 100}
 	granted := 0.0
 	for range 100 {
-		granted += owner.Report(workspace, quota.Usage{Want: 50}, 0.5).Tokens
+		granted += owner.Report(workspace, "vm", quota.Usage{Want: 50}, quota.Reach{Fraction: 0.5, Share: 0.1}).Tokens
 		manual.Advance(100)
 	}
 	g.Expect(granted).To(BeNumerically("<=", 0.5*(100*10+100)))
