Bound the messages that are read from a peer

Change: a connection to or from a peer reads at most 32 MB for a message and its header, and ends beyond that. The client has its own codec for that; the bytes on the wire are those of net/rpc's own.

--- a/internal/wire/peer/calls.go
+++ b/internal/wire/peer/calls.go
@@ -21,6 +21,7 @@
 type calls struct {
 	server  *Server
 	conn    io.ReadWriteCloser
+	reader  *messageReader
 	decoder *gob.Decoder
 	// running counts the goroutines.
 	running sync.WaitGroup
@@ -32,8 +33,8 @@
 }
 
 func newCalls(server *Server, conn io.ReadWriteCloser) *calls {
-	buffer := bufio.NewWriter(conn)
-	return &calls{server: server, conn: conn, decoder: gob.NewDecoder(conn), encoder: gob.NewEncoder(buffer), buffer: buffer}
+	reader, buffer := &messageReader{reader: conn}, bufio.NewWriter(conn)
+	return &calls{server: server, conn: conn, reader: reader, decoder: gob.NewDecoder(reader), encoder: gob.NewEncoder(buffer), buffer: buffer}
 }
 
 // serve serves calls until the connection ends and all calls have been replied to.
@@ -75,6 +76,7 @@
 
 // ReadRequestHeader implements rpc.ServerCodec.
 func (c *call) ReadRequestHeader(request *rpc.Request) error {
+	c.reader.beginMessage()
 	err := c.decoder.Decode(request)
 	c.method = request.ServiceMethod
 	return err
--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -191,7 +191,7 @@
 	if err != nil {
 		return nil, err
 	}
-	opened := rpc.NewClient(&CountingConn{Conn: conn, Bytes: &c.bytes})
+	opened := rpc.NewClientWithCodec(newClientCodec(&CountingConn{Conn: conn, Bytes: &c.bytes}))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if client = c.conns[address]; client != nil {
