Remove a caller's connection headers before setting the VM's own

Cause: the headers that the Connection header names were left out as the head was written, after the VM had set the workspace, the endpoint that is meant and, between VMs, the headers of a forwarded request. Ruled out: a key that is not matched, and the caller's own value reaching the endpoint.

Change: they are removed from the copy of the caller's headers before any of the VM's own is set. TestConnectionHeaderRemovesNoHeaderOfTheVM failed before.

--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -210,9 +210,11 @@
 }
 
 // outgoingRequest returns the request as it leaves this VM, without the header that names
-// an endpoint.
+// an endpoint. What concerns the caller's connection is removed before this VM sets its own
+// headers: a caller's Connection header may name any of them.
 func (c *call) outgoingRequest() *endpoint.Request {
 	header := c.request.Header.Clone()
+	endpoint.RemoveConnectionHeaders(header)
 	header.Del(c.gateway.Headers.Workspace)
 	if c.workspace != nil {
 		header.Set(c.gateway.Headers.Workspace, c.workspace.Name)
--- a/internal/wire/endpoint/head.go
+++ b/internal/wire/endpoint/head.go
@@ -115,6 +115,13 @@
 	return exclude
 }
 
+// RemoveConnectionHeaders removes the headers that concern one connection only.
+func RemoveConnectionHeaders(header http.Header) {
+	for name := range withConnectionTokens(header) {
+		header.Del(name)
+	}
+}
+
 // filterResponseHeader removes from a response header what the caller must not
 // receive and returns the header.
 func (c *Client) filterResponseHeader(header http.Header) http.Header {
