Use no slack for retries in the window after a restart

Cause: a VM counts the retries of the window in memory. One that started again used its part of the slack a second time. Ruled out: late arrivals alone, a wrong number of VMs, and the part for a VM's own requests, which begins at nothing.

Change: a VM uses its part of the slack from one window after its start on, but at the first start of the system. TestSlackIsNotUsedAgainAfterRestart failed before (22 retries, 19 allowed).

--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -210,6 +210,9 @@
 	n.canary = &canary.Guard{VM: config.Name, MaxShare: config.Bounds.TrialShare, MaxExtra: config.Bounds.TrialSlack, OnBad: n.logBadVersion}
 	n.blocklist, n.blocked = &blocklist.List{VM: config.Name}, make(chan struct{}, 1)
 	n.retryBudget = &retry.WindowBudget{Length: config.Bounds.RetryWindow, Ratio: config.Bounds.RetryRatio, Slack: config.Bounds.RetrySlack}
+	if !config.FirstStart {
+		n.retryBudget.SlackFrom = n.clock.Now() + config.Bounds.RetryWindow
+	}
 	refuser := caller.RefusalWriter{Counters: metric.NewReasonCounters(n.metrics.Scope, "refusals"), GatewayStatuses: true}
 	n.gateway = &gateway.Gateway{
 		Headers: n.Platform.Headers(),
--- a/internal/policy/retry/window.go
+++ b/internal/policy/retry/window.go
@@ -24,6 +24,9 @@
 	Length clock.Millis
 	Ratio  float64
 	Slack  float64
+	// SlackFrom is the time from which on this VM uses its part of Slack. A VM that has
+	// started again may have used it shortly before.
+	SlackFrom clock.Millis
 
 	mu sync.Mutex
 	// vms is the number of VMs among which the slack is divided. Guarded by mu.
@@ -64,7 +67,7 @@
 		requests += bucket.requests
 		retries += bucket.retries
 	}
-	allowed := usableFraction * (w.Ratio*float64(requests) + w.Slack/float64(max(w.vms, 1)))
+	allowed := usableFraction * (w.Ratio*float64(requests) + w.slack())
 	if float64(retries+1) > allowed {
 		return false
 	}
@@ -72,6 +75,14 @@
 	return true
 }
 
+// slack returns this VM's part of Slack. The caller must hold mu.
+func (w *WindowBudget) slack() float64 {
+	if w.Clock.Now() < w.SlackFrom {
+		return 0
+	}
+	return w.Slack / float64(max(w.vms, 1))
+}
+
 // advance clears the service's buckets that have expired and returns the current one.
 // The caller must hold mu.
 func (w *WindowBudget) advance(service string) *bucket {
