Withhold only the shares of VMs that reported in sequence

VMs that get a request of a workspace every few seconds report each and fall silent, and the owner withheld the share of each of them for two seconds.

Change: a VM counts as silent only if it had reported three times, at most 0.5 s apart. A new owner begins with a tenth of the burst, and a VM's bucket holds 0.3 s of its share: if the owner itself is cut off, both add to what it goes on granting to itself.

--- a/internal/policy/quota/owner.go
+++ b/internal/policy/quota/owner.go
@@ -22,14 +22,16 @@
 	// strictAnnounceTime is how long after the last report StrictWorkspaces lists a
 	// workspace.
 	strictAnnounceTime = 2 * clock.Second
-	// A VM that reports a workspace does so each 0.25 s while it has requests. If one falls
-	// silent for silentAfter, it may have lost the owner, and its share is withheld until
-	// silentUntil, by when the owner knows which VMs it has lost.
-	silentAfter = 600 * clock.Millis(1)
-	silentUntil = 2500 * clock.Millis(1)
+	// A VM that reports a workspace does so each 0.25 s while it has requests. If one that has
+	// reported minReports times, at most silentAfter apart, falls silent for silentAfter, it
+	// may have lost the owner, and its share is withheld until silentUntil, by when the owner
+	// knows which VMs it has lost. A VM with few requests reports each of them twice.
+	minReports  = 3
+	silentAfter = 500 * clock.Millis(1)
+	silentUntil = 2200 * clock.Millis(1)
 	// initialBurstFraction is the fraction of a burst in the bucket of a new owner, as
 	// its predecessor may have granted the rest.
-	initialBurstFraction = 0.3
+	initialBurstFraction = 0.1
 )
 
 // Usage is a VM's report about one workspace.
@@ -75,8 +77,14 @@
 	demand     float64
 	refilledAt clock.Millis
 	isStrict   bool
-	// reportedAt is when each VM last reported, by name.
-	reportedAt map[string]clock.Millis
+	// reporters holds the VMs that have reported lately, by name.
+	reporters map[string]reporter
+}
+
+// reporter is a VM that reports: when it last did, and how often in sequence.
+type reporter struct {
+	at    clock.Millis
+	count int
 }
 
 // Reach is what an owner reaches of the fleet.
@@ -95,7 +103,7 @@
 	burst := max(workspace.Burst*reach.Fraction, 1)
 	b := o.bucket(workspace.Name, burst)
 	now := o.Clock.Now()
-	b.reportedAt[vm] = now
+	b.recordReporter(vm, now)
 	withheld := float64(b.countSilent(now)) * reach.Share
 	rate := workspace.Rate * max(reach.Fraction-withheld, reach.Share)
 	b.refill(now, rate, burst)
@@ -139,7 +147,7 @@
 	}
 	b := o.buckets[name]
 	if b == nil {
-		b = &ownedBucket{tokens: initialBurstFraction * burst, refilledAt: o.Clock.Now(), isStrict: true, reportedAt: map[string]clock.Millis{}}
+		b = &ownedBucket{tokens: initialBurstFraction * burst, refilledAt: o.Clock.Now(), isStrict: true, reporters: map[string]reporter{}}
 		if o.IsOwnershipUnstable != nil && o.IsOwnershipUnstable() {
 			b.tokens = 0
 		}
@@ -148,14 +156,22 @@
 	return b
 }
 
+func (b *ownedBucket) recordReporter(vm string, now clock.Millis) {
+	r := b.reporters[vm]
+	if now-r.at >= silentAfter {
+		r.count = 0
+	}
+	b.reporters[vm] = reporter{at: now, count: r.count + 1}
+}
+
 // countSilent returns how many VMs have ceased to report lately, and forgets those that have
 // done so longer ago.
 func (b *ownedBucket) countSilent(now clock.Millis) (count int) {
-	for vm, at := range b.reportedAt {
-		switch silent := now - at; {
+	for vm, r := range b.reporters {
+		switch silent := now - r.at; {
 		case silent >= silentUntil:
-			delete(b.reportedAt, vm)
-		case silent >= silentAfter:
+			delete(b.reporters, vm)
+		case silent >= silentAfter && r.count >= minReports:
 			count++
 		}
 	}
--- a/internal/policy/quota/quota.go
+++ b/internal/policy/quota/quota.go
@@ -26,7 +26,7 @@
 	demandDecayTime = 2 * clock.Second
 	// A VM's bucket holds bucketSpan of its share of the rate, and bucketBase tokens, so
 	// that requests which come together are admitted.
-	bucketSpan = 500 * clock.Millis(1)
+	bucketSpan = 300 * clock.Millis(1)
 	bucketBase = 1
 	// initialTokens is the most that a new bucket has. It is small because a restarted VM
 	// must not admit again what it had admitted before.
