Log and count how a request was sent and how its endpoint refused it

A try line now has the status of a refusal (not_run_status), the number of the request on its connection, whether the connection had carried the id before, and how many answers to other requests were discarded. The metric endpoint_oddities counts the last two and statuses that promise 'not run' without a statement.

--- a/internal/base/metric/help.go
+++ b/internal/base/metric/help.go
@@ -15,6 +15,7 @@
 	"limit_peers_asked":      "Requests that a peer was asked to admit.",
 	"limit_peers_unanswered": "Questions to peers for admission that got no answer.",
 	"limit_refused":          "Requests over their workspace's rate.",
+	"endpoint_oddities":      "Tries at endpoints with something unusual, by kind.",
 	"limited_sends":          "Sends to endpoints that have named a limit, by whether the request was sent before.",
 	"log_lines_dropped":      "Log lines that were not written, by kind.",
 	"operator_commands":      "Operators' commands, by command and outcome.",
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -69,7 +69,7 @@
 }
 
 // Gateway handles callers' requests. All fields but Reach, Alternates, PeerClient, OnBlock,
-// RecordLatency, RecordOutcome, RecordLimitedSend, EndsAt, ConfigAge, Log and LogBudget must
+// RecordLatency, RecordOutcome, RecordOddity, RecordLimitedSend, EndsAt, ConfigAge, Log and LogBudget must
 // be set.
 type Gateway struct {
 	Headers  Headers
@@ -100,6 +100,8 @@
 	RecordLatency func(work, outcome string, took clock.Millis)
 	// RecordOutcome counts an attempt at an endpoint by its outcome.
 	RecordOutcome func(outcome string)
+	// RecordOddity counts what is unusual about an attempt at an endpoint.
+	RecordOddity func(oddity Oddity)
 	// RecordLimitedSend counts an attempt at an endpoint that has named a limit.
 	RecordLimitedSend func(isRetry bool)
 	// EndsAt returns when the VM ends, if it is stopping; optional.
--- a/internal/entry/gateway/outcome.go
+++ b/internal/entry/gateway/outcome.go
@@ -122,3 +122,54 @@
 	}
 	return running, waiting
 }
+
+// notRunStatus returns the status with which the endpoint stated that it did not run the
+// request, or 0.
+func notRunStatus(err error) int {
+	if notRun, ok := fault.As[*endpoint.NotRunError](err); ok {
+		return notRun.Status
+	}
+	return 0
+}
+
+// Oddity is what is unusual about an attempt, as a label of a metric.
+type Oddity string
+
+// Values of Oddity.
+const (
+	// DiscardedAnswer is an answer to another request that came first.
+	DiscardedAnswer Oddity = "discarded_answer"
+	// RepeatedID is an id that the connection had carried before.
+	RepeatedID Oddity = "repeated_id"
+	// UnstatedPromise is an answer whose status promises that the request did not run,
+	// without the endpoint's statement that it did not.
+	UnstatedPromise Oddity = "unstated_promise"
+)
+
+// recordOddities counts what is unusual about an attempt; status is that of the endpoint's
+// answer, or 0.
+func (c *call) recordOddities(status int, trace *endpoint.Trace) {
+	if c.gateway.RecordOddity == nil {
+		return
+	}
+	if trace.DiscardedAnswers > 0 {
+		c.gateway.RecordOddity(DiscardedAnswer)
+	}
+	if trace.IsIDRepeated {
+		c.gateway.RecordOddity(RepeatedID)
+	}
+	if isPromise(status) {
+		c.gateway.RecordOddity(UnstatedPromise)
+	}
+}
+
+// isPromise reports whether a caller takes the status for the promise that its request has
+// not run and will not.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/entry/gateway/requestlog.go
+++ b/internal/entry/gateway/requestlog.go
@@ -10,6 +10,7 @@
 	"baobabladder.example/baobabladder/internal/base/reason"
 	"baobabladder.example/baobabladder/internal/policy/balance"
 	"baobabladder.example/baobabladder/internal/wire/caller"
+	"baobabladder.example/baobabladder/internal/wire/endpoint"
 )
 
 // attempt is one attempt of a request at an endpoint, kept for the log: the basis of
@@ -21,7 +22,10 @@
 	basis        balance.Basis
 	outcome      balance.Outcome
 	duration     clock.Millis
-	status       int
+	// status is the status of the endpoint's answer, or 0; notRunStatus that of an answer
+	// which states that the request did not run.
+	status, notRunStatus int
+	trace                endpoint.Trace
 	// endpointEnded reports that the endpoint closed the connection before it answered.
 	endpointEnded bool
 	// endpointLeaving reports that the endpoint said in its response that it leaves.
@@ -112,6 +116,10 @@
 	if a.status > 0 {
 		fields["status"] = a.status
 	}
+	if a.notRunStatus > 0 {
+		fields["not_run_status"] = a.notRunStatus
+	}
+	a.addTrace(fields)
 	if a.endpointLeaving {
 		fields["endpoint_leaving"] = true
 	}
@@ -123,3 +131,14 @@
 	}
 	return fields
 }
+
+// addTrace adds how the attempt was sent.
+func (a *attempt) addTrace(fields logrus.Fields) {
+	fields["conn_requests"] = a.trace.ConnRequests
+	if a.trace.IsIDRepeated {
+		fields["id_repeated"] = true
+	}
+	if a.trace.DiscardedAnswers > 0 {
+		fields["discarded_answers"] = a.trace.DiscardedAnswers
+	}
+}
--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -96,6 +96,7 @@
 	c.recordLimitedSend(grant)
 	sentAt := c.gateway.Clock.Now()
 	status := 0
+	var trace endpoint.Trace
 	result := balance.Result{Outcome: balance.Cancelled, Running: -1}
 	endReach := c.beginReach()
 	defer func() {
@@ -108,16 +109,18 @@
 		}
 		endpointEnded := c.recordEnd(err, grant.Endpoint.Address, sentAt)
 		c.attempts = append(c.attempts, attempt{
-			startedAfter: sentAt - c.arrived, basis: grant.Basis, outcome: result.Outcome, duration: took, status: status,
+			startedAfter: sentAt - c.arrived, basis: grant.Basis, outcome: result.Outcome, duration: took,
+			status: status, notRunStatus: notRunStatus(err), trace: trace,
 			endpointEnded: endpointEnded, endpointLeaving: result.IsLeaving, err: err,
 		})
+		c.recordOddities(status, &trace)
 		if err != nil {
 			c.triedEndpoints = append(c.triedEndpoints, grant.Endpoint.ID)
 		}
 	}()
 	ctx, cancel := c.untilLinksAreLost(ctx)
 	defer cancel()
-	response, err := c.send(ctx, grant)
+	response, err := c.send(ctx, grant, &trace)
 	if err != nil {
 		result = failedResult(err)
 		return linksLost(ctx, err)
@@ -203,8 +206,10 @@
 	}
 }
 
-func (c *call) send(ctx context.Context, grant *balance.Grant) (*endpoint.Response, error) {
+// send sends the request to the endpoint of the grant and fills in trace.
+func (c *call) send(ctx context.Context, grant *balance.Grant, trace *endpoint.Trace) (*endpoint.Response, error) {
 	request := c.outgoingRequest()
+	request.Trace = trace
 	request.Header.Set(c.gateway.Headers.Endpoint, grant.Endpoint.ID)
 	return c.gateway.Client.Send(ctx, grant.Endpoint.Address, request)
 }
--- a/internal/entry/node/metrics.go
+++ b/internal/entry/node/metrics.go
@@ -7,6 +7,7 @@
 	"baobabladder.example/baobabladder/internal/base/logging"
 	"baobabladder.example/baobabladder/internal/base/metric"
 	"baobabladder.example/baobabladder/internal/control/roster"
+	"baobabladder.example/baobabladder/internal/entry/gateway"
 )
 
 // latencyBuckets are the upper bounds of the latency histogram: 10 ms and eleven more,
@@ -29,6 +30,13 @@
 	}
 }
 
+// oddityRecorder returns a function that counts what is unusual about attempts.
+func oddityRecorder(registry *metric.Registry) func(oddity gateway.Oddity) {
+	return func(oddity gateway.Oddity) {
+		registry.Scope.Tagged(map[string]string{"kind": string(oddity)}).Counter("endpoint_oddities").Inc(1)
+	}
+}
+
 // limitedSendRecorder returns a function that counts sends to endpoints that have
 // named a limit: the first of each request, and its retries.
 func limitedSendRecorder(registry *metric.Registry) func(isRetry bool) {
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -223,7 +223,8 @@
 		Quota: n.admission, Canary: n.canary, RetryBudget: n.retryBudget, Refuser: refuser,
 		Blocklist: n.blocklist, OnBlock: n.announceBlock,
 		RetryCounters: metric.NewReasonCounters(n.metrics.Scope, "retries"), Log: n.Log,
-		RecordLatency: latencyRecorder(n.metrics), RecordOutcome: outcomeRecorder(n.metrics), RecordLimitedSend: limitedSendRecorder(n.metrics),
+		RecordLatency: latencyRecorder(n.metrics), RecordOutcome: outcomeRecorder(n.metrics),
+		RecordOddity: oddityRecorder(n.metrics), RecordLimitedSend: limitedSendRecorder(n.metrics),
 		ConfigAge: n.configAge, EndsAt: n.plannedEnd,
 	}
 	n.callerServer = &caller.Server{Handler: n.gateway, Refusals: refuser, IdleCloseDelay: config.Bounds.StopGrace / idleCloseDivisor}
--- a/internal/wire/endpoint/conn.go
+++ b/internal/wire/endpoint/conn.go
@@ -66,6 +66,7 @@
 	idleTimeout clock.Millis
 	// requests counts the requests started on the connection.
 	requests int
+	ids      carriedIDs
 }
 
 // setIdleTimeout sets idleTimeout from the timeout parameter, in whole seconds, of
@@ -136,11 +137,12 @@
 	return n, err
 }
 
-// writeHead writes the head of a request. The deadline of ctx is the write
-// deadline.
-func (c *conn) writeHead(ctx context.Context, head []byte) error {
+// writeHead writes the head of the request with the given id. The deadline of ctx is the
+// write deadline.
+func (c *conn) writeHead(ctx context.Context, id string, head []byte) error {
 	c.bytesSent.Store(0)
 	c.requests++
+	c.ids.add(id)
 	if err := ctx.Err(); err != nil {
 		return err
 	}
--- a/internal/wire/endpoint/endpoint.go
+++ b/internal/wire/endpoint/endpoint.go
@@ -88,6 +88,8 @@
 	// the endpoint was chosen, because their result may have changed while the
 	// connection was set up or the VM was paused.
 	BeforeSend func() error
+	// Trace, if not nil, is filled in before Send returns.
+	Trace *Trace
 }
 
 // Response is the response of an endpoint. The receiver must close Body.
@@ -220,7 +222,15 @@
 			return err
 		}
 	}
-	return connection.writeHead(ctx, head)
+	r.trace(connection)
+	return connection.writeHead(ctx, r.ID, head)
+}
+
+// trace records on which connection the request is about to be written.
+func (r *Request) trace(connection *conn) {
+	if r.Trace != nil {
+		*r.Trace = Trace{ConnRequests: connection.requests + 1, IsIDRepeated: connection.ids.has(r.ID)}
+	}
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
--- a/internal/wire/endpoint/exchange.go
+++ b/internal/wire/endpoint/exchange.go
@@ -85,6 +85,9 @@
 		if err := discard(response.Body); err != nil {
 			return nil, err
 		}
+		if e.request.Trace != nil {
+			e.request.Trace.DiscardedAnswers++
+		}
 	}
 }
 
