Show that the copy of a refusal is taken for the answer to a run

Callers got 503 for an order that an endpoint ran: the endpoint had refused it, got it again over the same connection, wrote the refusal once more and ran it. The copy bears the request's id, by which the client tells answers apart.

The tests fail on this code: the client in 24 of 24 forms (four statuses; no, one or two requests between; answered or closed behind the copy), and a gateway in two ways. A caller sends an order again under its id; or, within one call, an endpoint refuses the order under the ID that its address had before (421), and gets it under its present ID over the same connection. The second needs no caller that repeats itself, which the report has neither.

--- /dev/null
+++ b/internal/entry/gateway/promise_test.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"baobabladder.example/baobabladder/internal/wire/endpoint"
+	"baobabladder.example/baobabladder/internal/world/directory"
+)
+
+// copyingEndpoint refuses the requests that shouldRefuse and runs the others. Before it
+// answers a request that it runs, it copies its latest refusal on the connection.
+type copyingEndpoint struct {
+	address      string
+	shouldRefuse func(request *http.Request) (status int)
+	runs         atomic.Int32
+}
+
+func newCopyingEndpoint(t *testing.T, shouldRefuse func(request *http.Request) int) *copyingEndpoint {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	e := &copyingEndpoint{address: listener.Addr().String(), shouldRefuse: shouldRefuse}
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(connection)
+		}
+	}()
+	return e
+}
+
+func (e *copyingEndpoint) serve(connection net.Conn) {
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	refusal := ""
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		id := request.Header.Get(endpoint.RequestIDHeader)
+		if status := e.shouldRefuse(request); status > 0 {
+			refusal = fmt.Sprintf("HTTP/1.1 %d No\r\nRequest-Id: %s\r\nRequest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", status, id)
+			fmt.Fprint(connection, refusal)
+			continue
+		}
+		e.runs.Add(1)
+		fmt.Fprintf(connection, "%sHTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 4\r\n\r\ndone", refusal, id)
+	}
+}
+
+// Guards against a promise for an order that runs: an endpoint that has its address anew
+// refuses the order under the ID of before, and copies that refusal when it runs it.
+func TestCopiedRefusalOfAnAddressUsedAgainIsNoPromise(t *testing.T) {
+	g := NewWithT(t)
+	e := newCopyingEndpoint(t, func(request *http.Request) int {
+		if request.Header.Get("Endpoint") == "former" {
+			return http.StatusMisdirectedRequest
+		}
+		return 0
+	})
+	v := newTestVM(t, "vm", "a", false, 1, e.address)
+	v.gateway.Balancer.UpdateDirectory(directory.New([]directory.Endpoint{
+		{ID: "former", Service: "s", Address: e.address, Region: "a", Slots: 4},
+		{ID: "present", Service: "s", Address: e.address, Region: "b", Slots: 4},
+	}, nil, nil))
+	outcomes := 0
+	v.gateway.RecordOutcome = func(string) { outcomes++ }
+	response := v.send(http.MethodPost, "/order/x", "paper")
+	g.Expect(outcomes).To(Equal(2), "the former ID is tried first")
+	g.Expect(e.runs.Load()).To(BeEquivalentTo(1))
+	g.Expect(response.Code).To(Equal(http.StatusOK), response.Body.String())
+}
+
+// Guards against a promise for an order that its caller sends again under its id: the
+// endpoint runs it and copies its earlier refusal.
+func TestCopiedRefusalIsNoPromiseForTheOrderSentAgain(t *testing.T) {
+	g := NewWithT(t)
+	var sends atomic.Int32
+	e := newCopyingEndpoint(t, func(*http.Request) int {
+		if sends.Add(1) == 1 {
+			return http.StatusServiceUnavailable
+		}
+		return 0
+	})
+	v := newTestVM(t, "vm", "a", false, 1, e.address)
+	g.Expect(v.send(http.MethodPost, "/order/x", "paper").Code).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(v.send(http.MethodPost, "/order/x", "paper").Code).To(Equal(http.StatusOK))
+	g.Expect(e.runs.Load()).To(BeEquivalentTo(1))
+}
--- a/internal/wire/endpoint/repeated_test.go
+++ b/internal/wire/endpoint/repeated_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -89,3 +90,57 @@
 		})
 	}
 }
+
+// Guards against the copy of a request's own earlier refusal that is taken for the answer to
+// the request, sent again, which the endpoint runs.
+func TestCopiedRefusalIsNoAnswerToItsRequestSentAgain(t *testing.T) {
+	for _, status := range []string{"503", "429", "421", "400"} {
+		for between := range 3 {
+			for _, isAnswered := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s/%d between/answered %v", status, between, isAnswered), func(t *testing.T) {
+					g := NewWithT(t)
+					refusal := strings.NewReplacer("503", status, "ID", "again").Replace(shedResponse)
+					var refused, ran atomic.Int32
+					server := newFaultyServer(t, func(server *faultyServer, connection net.Conn, reader *bufio.Reader) {
+						copied := ""
+						for {
+							switch id := server.readHead(reader); {
+							case id == "":
+								return
+							case id != "again":
+								_, _ = io.WriteString(connection, strings.ReplaceAll(okResponse, "ID", id))
+							case refused.Add(1) == 1:
+								copied = refusal
+								_, _ = io.WriteString(connection, refusal)
+							default:
+								ran.Add(1)
+								_, _ = io.WriteString(connection, copied)
+								if !isAnswered {
+									return
+								}
+								_, _ = io.WriteString(connection, strings.ReplaceAll(okResponse, "ID", id))
+							}
+						}
+					})
+					client := endpoint.New()
+					_, err := exchange(client, server.address, getRequest("again"))
+					_, isNotRun := fault.As[*endpoint.NotRunError](err)
+					g.Expect(isNotRun).To(BeTrue(), "%v", err)
+					for i := range between {
+						_, err := exchange(client, server.address, getRequest(fmt.Sprint("other", i)))
+						g.Expect(err).NotTo(HaveOccurred())
+					}
+					_, err = exchange(client, server.address, getRequest("again"))
+					g.Expect(ran.Load()).To(BeEquivalentTo(1))
+					if isAnswered {
+						g.Expect(err).NotTo(HaveOccurred())
+						return
+					}
+					refusalOfRun, ok := fault.As[*reason.Refusal](err)
+					g.Expect(ok).To(BeTrue(), "%v", err)
+					g.Expect(refusalOfRun.Ran).To(Equal(reason.RanUnknown), "%v", err)
+				})
+			}
+		}
+	}
+}
