Show that an endpoint's status goes out as a promise that it did not make

An endpoint answers an order with 503, 429 or 408 and does not state that it did not run it. The caller gets that status and takes it for 'not run and never will be'.

--- a/internal/entry/gateway/promise_test.go
+++ b/internal/entry/gateway/promise_test.go
@@ -103,3 +103,23 @@
 	g.Expect(v.send(http.MethodPost, "/order/x", "paper").Code).To(Equal(http.StatusOK))
 	g.Expect(e.runs.Load()).To(BeEquivalentTo(1))
 }
+
+// Guards against a status that promises "not run" for an order of which its endpoint has not
+// said so: the endpoint may have run it.
+func TestStatusWithoutStatementIsNoPromise(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			g := NewWithT(t)
+			e := &testEndpoint{}
+			e.setRespond(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) })
+			v := newTestVM(t, "vm", "a", false, 1, e.start(t))
+			response := v.send(http.MethodPost, "/order/x", "paper")
+			g.Expect(e.allRuns()).To(HaveLen(1))
+			g.Expect(response.Code).To(Equal(http.StatusBadGateway))
+			g.Expect(response.Header()).NotTo(HaveKey("Stamp"))
+			if status < http.StatusInternalServerError {
+				g.Expect(v.send(http.MethodGet, "/read/x", "").Code).To(Equal(status), "a look-up may be repeated in any case")
+			}
+		})
+	}
+}
