Carry an id once on a connection to an endpoint

An endpoint may write the copy of an earlier answer at any later point of a connection. The client tells it from the answer that is due by the id alone, which says nothing if the id went over the connection before. That happens when a caller sends a request again, and within one call when two IDs of endpoints have one address.

Cause: the client took 'this answer bears my id' for 'this is my answer'. The first implies the second only on a connection that has carried the id once. This now holds for each connection: it remembers the ids that it has carried, as digests, the pool gives none that has carried the id, and after 512 requests a connection ends instead of forgetting. So it covers copies of all answers, not only of refusals, and callers, forwarding VMs and addresses that are used again alike.

Ruled out: to end each connection on which something was refused.

--- a/internal/entry/gateway/outcome.go
+++ b/internal/entry/gateway/outcome.go
@@ -139,7 +139,7 @@
 const (
 	// DiscardedAnswer is an answer to another request that came first.
 	DiscardedAnswer Oddity = "discarded_answer"
-	// RepeatedID is an id that the connection had carried before.
+	// RepeatedID is an id that a kept connection had carried before, which was not used.
 	RepeatedID Oddity = "repeated_id"
 	// UnstatedPromise is an answer whose status promises that the request did not run,
 	// without the endpoint's statement that it did not.
--- a/internal/wire/endpoint/conn.go
+++ b/internal/wire/endpoint/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http/httputil"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -64,9 +65,10 @@
 	// idleTimeout is how long the connection may stay idle; 0 selects
 	// defaultIdleTimeout.
 	idleTimeout clock.Millis
-	// requests counts the requests started on the connection.
-	requests int
-	ids      carriedIDs
+	// ids holds the ids of the requests that were started on the connection. Each was
+	// started once: an endpoint may write the copy of an earlier answer at any time, and only
+	// its id tells it from the answer that is due.
+	ids carriedIDs
 }
 
 // setIdleTimeout sets idleTimeout from the timeout parameter, in whole seconds, of
@@ -141,7 +143,6 @@
 // write deadline.
 func (c *conn) writeHead(ctx context.Context, id string, head []byte) error {
 	c.bytesSent.Store(0)
-	c.requests++
 	c.ids.add(id)
 	if err := ctx.Err(); err != nil {
 		return err
@@ -233,33 +234,36 @@
 	idle map[string][]*conn
 }
 
-// get removes and returns the most recently used connection to address that is
-// still usable, or returns nil.
-func (p *pool) get(address string, now clock.Millis) *conn {
+// get removes and returns the most recently used connection to address that is still
+// usable and has not carried the id, or returns nil. hasCarried reports whether one of the
+// connections has carried the id.
+func (p *pool) get(address, id string, now clock.Millis) (c *conn, hasCarried bool) {
 	for {
-		c := p.popLast(address)
-		if c == nil {
-			return nil
-		}
-		if c.stopWatch() && c.isWithinIdleTimeout(now) {
-			return c
+		popped, popHasCarried := p.popLast(address, id)
+		hasCarried = hasCarried || popHasCarried
+		if popped == nil || popped.stopWatch() && popped.isWithinIdleTimeout(now) {
+			return popped, hasCarried
 		}
-		_ = c.Close()
+		_ = popped.Close()
 	}
 }
 
-// popLast removes and returns the most recently used connection without checking
-// it, or returns nil.
-func (p *pool) popLast(address string) *conn {
+// popLast removes and returns the most recently used connection that has not carried the
+// id, without checking whether it is usable, or returns nil. hasCarried reports whether it
+// left one that has.
+func (p *pool) popLast(address, id string) (c *conn, hasCarried bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[address]
-	if len(idle) == 0 {
-		return nil
+	for i := len(idle) - 1; i >= 0; i-- {
+		if !idle[i].ids.has(id) {
+			last := idle[i]
+			p.idle[address] = slices.Delete(idle, i, i+1)
+			return last, hasCarried
+		}
+		hasCarried = true
 	}
-	last := idle[len(idle)-1]
-	p.idle[address] = idle[:len(idle)-1]
-	return last
+	return nil, hasCarried
 }
 
 // put adds an idle connection and starts watching it. It evicts the longest idle
--- a/internal/wire/endpoint/endpoint.go
+++ b/internal/wire/endpoint/endpoint.go
@@ -193,7 +193,9 @@
 func (c *Client) sendHead(ctx context.Context, address string, request *Request) (*conn, error) {
 	head := formatHead(ctx, address, request)
 	if !request.NewConnection {
-		if reused := c.pool.get(address, c.Clock.Now()); reused != nil {
+		reused, hasCarried := c.pool.get(address, request.ID, c.Clock.Now())
+		request.trace(func(trace *Trace) { trace.IsIDRepeated = hasCarried })
+		if reused != nil {
 			err := request.write(ctx, reused, head)
 			if err == nil {
 				return reused, nil
@@ -222,14 +224,14 @@
 			return err
 		}
 	}
-	r.trace(connection)
+	r.trace(func(trace *Trace) { trace.ConnRequests = connection.ids.count() + 1 })
 	return connection.writeHead(ctx, r.ID, head)
 }
 
-// trace records on which connection the request is about to be written.
-func (r *Request) trace(connection *conn) {
+// trace lets record fill in the request's Trace, if it has one.
+func (r *Request) trace(record func(trace *Trace)) {
 	if r.Trace != nil {
-		*r.Trace = Trace{ConnRequests: connection.requests + 1, IsIDRepeated: connection.ids.has(r.ID)}
+		record(r.Trace)
 	}
 }
 
--- a/internal/wire/endpoint/exchange.go
+++ b/internal/wire/endpoint/exchange.go
@@ -78,16 +78,14 @@
 		}
 		response.Close = response.Close || stale > 0
 		echoedIDs := response.Header.Values(RequestIDHeader)
-		isStale := len(echoedIDs) == 1 && echoedIDs[0] != e.request.ID && e.connection.requests > 1
+		isStale := len(echoedIDs) == 1 && echoedIDs[0] != e.request.ID && e.connection.ids.count() > 1
 		if !isStale || stale == maxStaleResponses || response.Close && stale == 0 {
 			return response, nil
 		}
 		if err := discard(response.Body); err != nil {
 			return nil, err
 		}
-		if e.request.Trace != nil {
-			e.request.Trace.DiscardedAnswers++
-		}
+		e.request.trace(func(trace *Trace) { trace.DiscardedAnswers++ })
 	}
 }
 
@@ -272,13 +270,13 @@
 }
 
 // finish sets the error that later reads return. It returns the connection to the
-// pool if reusable is set, ctx has not ended and the request body was sent without
-// error; otherwise it closes the connection.
+// pool if reusable is set, ctx has not ended, the request body was sent without
+// error and the connection may carry another id; otherwise it closes the connection.
 func (r *responseBody) finish(err error, reusable bool) {
 	r.isDone, r.err = true, err
 	connection := r.exchange.connection
 	watchStopped := r.exchange.stopContextWatch()
-	if !reusable || !watchStopped || r.exchange.bodyErr != nil {
+	if !reusable || !watchStopped || r.exchange.bodyErr != nil || connection.ids.isFull() {
 		_ = connection.Close()
 		return
 	}
