Relay no status that promises more than its endpoint stated

The endpoint may have run it.

Cause: a status that the VM may send only on evidence was taken from an answer that holds none. Now such an answer to a request that must not run twice is a failure of unknown outcome: 502, without the endpoint's headers. Requests that may be repeated still get the endpoint's status. What the users' pages say of it, and why the promise binds, is in docs/design/platform.md.

Ruled out: 421, which the client reads as 'not run' already; the handler that is configured by documents, whose callers read Request-Ran, not the status.

--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -21,6 +21,9 @@
 // relayResponse relays a response to the caller. A response of up to
 // maxBufferedResponse bytes is read whole first; a longer one is streamed.
 func (c *call) relayResponse(ctx context.Context, response *endpoint.Response) error {
+	if isPromise(response.Status) && !c.isIdempotent() {
+		return reason.MayHaveRun(reason.EndpointFailed, "the endpoint answered with status %d without stating that it did not run the request", response.Status)
+	}
 	if c.request.Method == http.MethodHead {
 		c.writeResponseHead(response, response.Length)
 		return nil
