Say 'not run' of a request that is refused before it is sent

A look-up or upload whose key was withdrawn, whose deadline had passed or whose VM's copy had become stale just before it was sent was refused as if it may have run, if its connection had carried another request before: the count of bytes sent was still that one's. Callers got 'unknown' where 'not run' holds; no promise was broken, a true one was lost. Orders weren't affected, since they always get a new connection here, nor 'baobabladder gateway', which makes no such check.

The count is now that of the current request from the moment the connection is put back, and a request that was refused doesn't open another connection. TestRequestRefusedBeforeSendingIsNotRunOnAnyConnection failed on the kept connection before ('unknown' in place of 'no', 5 of 5 runs), and passes.

--- a/internal/wire/endpoint/conn.go
+++ b/internal/wire/endpoint/conn.go
@@ -270,6 +270,7 @@
 // connection to the same address if there are too many or if that one expired.
 func (p *pool) put(c *conn, now clock.Millis) {
 	c.idleSince = now
+	c.bytesSent.Store(0)
 	c.watchResult = make(chan error, 1)
 	_ = c.SetDeadline(time.Time{})
 	go c.watchIdle(p.remove)
--- a/internal/wire/endpoint/endpoint.go
+++ b/internal/wire/endpoint/endpoint.go
@@ -189,7 +189,8 @@
 }
 
 // sendHead returns a connection on which the head was written. If writing to a
-// reused connection fails before any byte was sent, it tries a new connection.
+// reused connection fails before any byte was sent, it tries a new connection, unless
+// BeforeSend has refused the request.
 func (c *Client) sendHead(ctx context.Context, address string, request *Request) (*conn, error) {
 	head := formatHead(ctx, address, request)
 	if !request.NewConnection {
@@ -201,8 +202,9 @@
 				return reused, nil
 			}
 			_ = reused.Close()
-			if reused.bytesSent.Load() > 0 {
-				return nil, newRefusal(ctx, true, err)
+			isSent := reused.bytesSent.Load() > 0
+			if _, isRefused := fault.As[*reason.Refusal](err); isRefused || isSent {
+				return nil, newRefusal(ctx, isSent, err)
 			}
 		}
 	}
