Keep the rule for 'not run' over several attempts in one place

The handlers for documents and for registered endpoints each held a copy of the rule that a refusal states 'not run' only if no attempt may have run the request, and of the refusal for callers that left. A change to one could have missed the other. Both now use reason.Refusal.OverAttempts and caller.ErrLeft.

--- a/internal/base/reason/reason.go
+++ b/internal/base/reason/reason.go
@@ -88,3 +88,14 @@
 func MayHaveRun(why Reason, format string, args ...any) *Refusal {
 	return &Refusal{Reason: why, Ran: RanUnknown, Detail: fmt.Sprintf(format, args...)}
 }
+
+// OverAttempts returns the refusal of a request whose last attempt was refused with r. It
+// states "not run" only if no earlier attempt may have run the request.
+func (r *Refusal) OverAttempts(mayHaveRun bool) *Refusal {
+	if r.Ran != RanNo || !mayHaveRun {
+		return r
+	}
+	copied := *r
+	copied.Ran = RanUnknown
+	return &copied
+}
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"baobabladder.example/baobabladder/internal/base/reason"
+	"baobabladder.example/baobabladder/internal/wire/caller"
 	"baobabladder.example/baobabladder/internal/wire/endpoint"
 )
 
@@ -43,7 +44,7 @@
 	}
 	c.writeResponseHead(response, int64(len(content)))
 	if _, err := c.w.Write(content); err != nil {
-		return errCallerGone
+		return caller.ErrLeft
 	}
 	return nil
 }
@@ -55,19 +56,17 @@
 	return c.forwardedTo == "" && c.isIdempotent() && c.earlierAttempts+len(c.triedEndpoints)+1 < c.route.MaxAttempts && remainingTime(ctx) > c.route.TargetLatency
 }
 
-var errCallerGone error = &reason.Refusal{Reason: reason.CallerGone, Ran: reason.RanYes, Detail: "the caller went away before its answer was whole"}
-
 func (c *call) relayStream(response *endpoint.Response, prefix []byte) error {
 	c.writeResponseHead(response, response.Length)
 	if _, err := c.w.Write(prefix); err != nil {
-		return errCallerGone
+		return caller.ErrLeft
 	}
 	buffer := make([]byte, copyBufferBytes)
 	for {
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
 			if _, err := c.w.Write(buffer[:n]); err != nil {
-				return errCallerGone
+				return caller.ErrLeft
 			}
 		}
 		if err == io.EOF {
--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -46,19 +46,13 @@
 	}
 }
 
-// finalRefusal returns the refusal for the caller, which states "not run" only if that
-// holds for every attempt. In that case the request's token goes back to the quota.
+// finalRefusal returns the refusal for the caller. If no attempt may have run the request,
+// its token goes back to the quota.
 func (c *call) finalRefusal(refusal *reason.Refusal) error {
 	if !c.mayHaveRun {
 		c.refund()
-		return refusal
 	}
-	if refusal.Ran != reason.RanNo {
-		return refusal
-	}
-	copied := *refusal
-	copied.Ran = reason.RanUnknown
-	return &copied
+	return refusal.OverAttempts(c.mayHaveRun)
 }
 
 // canRetry reports whether to retry, and takes the retry from the budget. A request
--- a/internal/entry/router/paced.go
+++ b/internal/entry/router/paced.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"baobabladder.example/baobabladder/internal/base/reason"
+	"baobabladder.example/baobabladder/internal/wire/caller"
 	"baobabladder.example/baobabladder/internal/wire/endpoint"
 	"baobabladder.example/baobabladder/internal/world/contract"
 )
@@ -67,7 +68,7 @@
 
 func (p *pacedResponse) interruptedError() error {
 	if p.ctx.Err() == context.Canceled {
-		return errCallerGone
+		return caller.ErrLeft
 	}
 	return reason.MayHaveRun(reason.DeadlinePassed, "the deadline passed while the answer came over a link")
 }
--- a/internal/entry/router/run.go
+++ b/internal/entry/router/run.go
@@ -46,26 +46,15 @@
 		refusal := caller.AsRefusal(err)
 		c.mayHaveRun = c.mayHaveRun || refusal.Ran != reason.RanNo
 		if !placed {
-			return c.finalRefusal(refusal)
+			return refusal.OverAttempts(c.mayHaveRun)
 		}
 		wait, ok := c.canRetry(ctx, attempts, refusal)
 		if !ok || clock.Sleep(ctx, wait) != nil {
-			return c.finalRefusal(refusal)
+			return refusal.OverAttempts(c.mayHaveRun)
 		}
 	}
 }
 
-// finalRefusal returns the refusal for the caller, which states "not run" only if that
-// holds for every attempt.
-func (c *call) finalRefusal(refusal *reason.Refusal) error {
-	if refusal.Ran != reason.RanNo || !c.mayHaveRun {
-		return refusal
-	}
-	copied := *refusal
-	copied.Ran = reason.RanUnknown
-	return &copied
-}
-
 // canRetry reports whether to retry, and after which wait. A request that may have
 // run is retried only on catalogue routes, whose requests are idempotent.
 func (c *call) canRetry(ctx context.Context, attempts int, refusal *reason.Refusal) (wait clock.Millis, ok bool) {
@@ -273,13 +262,11 @@
 func (c *call) relayBuffered(ctx context.Context, response *endpoint.Response, content []byte) error {
 	defer c.writeResponseHead(ctx, response)()
 	if _, err := c.w.Write(content); err != nil {
-		return errCallerGone
+		return caller.ErrLeft
 	}
 	return nil
 }
 
-var errCallerGone error = &reason.Refusal{Reason: reason.CallerGone, Ran: reason.RanYes, Detail: "the caller went away before its answer was whole"}
-
 func (c *call) relayStream(ctx context.Context, response *endpoint.Response, buffer []byte) error {
 	defer c.writeResponseHead(ctx, response)()
 	control := http.NewResponseController(c.w)
@@ -287,7 +274,7 @@
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
 			if _, err := c.w.Write(buffer[:n]); err != nil {
-				return errCallerGone
+				return caller.ErrLeft
 			}
 			if response.Length < 0 {
 				_ = control.Flush()
--- a/internal/wire/caller/refusal.go
+++ b/internal/wire/caller/refusal.go
@@ -83,6 +83,9 @@
 	}
 }
 
+// ErrLeft is the refusal of a request whose caller left while it was being answered.
+var ErrLeft error = &reason.Refusal{Reason: reason.CallerGone, Ran: reason.RanYes, Detail: "the caller went away before its answer was whole"}
+
 // AsRefusal returns the refusal in the chain of err. For an error without one it
 // returns an Internal refusal that does not contain the text of err.
 func AsRefusal(err error) *reason.Refusal {
