Serve or time out a head that is whole as its time ends

On a connection with several requests in flight, a request whose last bytes came just as its time for the head ended was refused as 400 bad_request. It is a proper request, nothing of it ran, and callers don't repeat it after 400.

Cause: the stream looked at its deadline before the bytes that it had been handed, and whether the head was unfinished was asked under a second lock, when the rest of it might have been handed over. Then neither the request nor the refusal 408 was right, and net/http's own 400 for the failed read went out. Now the bytes come first, and both questions are asked under one lock.

--- a/internal/wire/caller/conn.go
+++ b/internal/wire/caller/conn.go
@@ -92,7 +92,9 @@
 			return 0, false, err
 		}
 		if next == readRequest {
-			s.refuseSlowHead()
+			if c.isInHead(s) {
+				s.refuseSlowHead()
+			}
 			return 0, false, err
 		}
 		if !c.wantsPipeline(s) {
@@ -189,6 +191,13 @@
 	return c.mustPipeline(s)
 }
 
+// isInHead is stream.isInHead for callers that do not hold mu.
+func (c *conn) isInHead(s *stream) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return s.isInHead()
+}
+
 // drain records a Stopping refusal for a request that arrives on a connection that is
 // being closed, and discards the bytes that still arrive for up to drainTimeout.
 func (c *conn) drain(buffer []byte) (int, error) {
--- a/internal/wire/caller/pipeline.go
+++ b/internal/wire/caller/pipeline.go
@@ -194,17 +194,11 @@
 	return s
 }
 
-// read reads bytes that were handed to s. It waits for them until the deadline of s or
-// the end of the connection.
+// read reads bytes that were handed to s. If there are none, it waits for them until the
+// deadline of s or the end of the connection.
 func (p *pipeline) read(s *stream, buffer []byte) (n int, err error) {
 	for {
 		switch {
-		case !s.readDeadline.IsZero() && !time.Now().Before(s.readDeadline):
-			if !s.hasRequest || s.isDone {
-				// net/http ends a stream that was idle for too long.
-				p.retire(s)
-			}
-			return 0, os.ErrDeadlineExceeded
 		case len(s.pending) > 0:
 			n = copy(buffer, s.pending)
 			if s.pending = s.pending[n:]; len(s.pending) == 0 {
@@ -213,6 +207,12 @@
 			p.unreadBytes -= n
 			p.changed.Broadcast()
 			return n, nil
+		case !s.readDeadline.IsZero() && !time.Now().Before(s.readDeadline):
+			if !s.hasRequest || s.isDone {
+				// net/http ends a stream that was idle for too long.
+				p.retire(s)
+			}
+			return 0, os.ErrDeadlineExceeded
 		case s.isCancelled || p.hasLeft || p.isFinished:
 			return 0, io.EOF
 		}
--- /dev/null
+++ b/internal/wire/caller/slowhead_test.go
@@ -0,0 +1,34 @@
+package caller_test
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"baobabladder.example/baobabladder/internal/wire/caller"
+)
+
+// Guards against a proper request that is refused as malformed because its head was whole just
+// as its time ended.
+func TestHeadThatIsWholeAsItsTimeEndsIsNotMalformed(t *testing.T) {
+	g := NewWithT(t)
+	ts, h := newPipelineServer(t, func(s *caller.Server) { s.HeadTimeout = 5 })
+	close(h.release)
+	head := rawGet("/b")
+	for i := range 400 {
+		connection := ts.dial(g)
+		_, _ = io.WriteString(connection, rawGet("/a")+head[:9])
+		reader := bufio.NewReader(connection)
+		expectAnswers(g, reader, "/a")
+		time.Sleep(4*time.Millisecond + time.Duration(i%20)*100*time.Microsecond)
+		_, _ = io.WriteString(connection, head[9:])
+		response, err := http.ReadResponse(reader, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(response.StatusCode).To(BeElementOf(http.StatusOK, http.StatusRequestTimeout), "request %d", i)
+		_ = connection.Close()
+	}
+}
--- a/internal/wire/caller/stream.go
+++ b/internal/wire/caller/stream.go
@@ -73,22 +73,25 @@
 	c := s.conn
 	c.mu.Lock()
 	n, err = c.pipeline.read(s, buffer)
+	// Once mu is released, the pipeline may hand over the rest of the head.
+	isSlow := errors.Is(err, os.ErrDeadlineExceeded) && s.isInHead()
 	c.mu.Unlock()
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if isSlow {
 		s.refuseSlowHead()
 	}
 	return n, err
 }
 
-// refuseSlowHead refuses the request whose head has not come in time, if there is one.
-func (s *stream) refuseSlowHead() {
+// isInHead reports whether a part of a request's head was handed to the stream. conn.mu must
+// be held.
+func (s *stream) isInHead() bool {
 	c := s.conn
-	c.mu.Lock()
-	isSlow := s.hasRequest && c.framing.isInHead() && (c.pipeline == nil || c.pipeline.receiver == s)
-	c.mu.Unlock()
-	if isSlow {
-		s.refuse(reason.NotRun(reason.HeadTooSlow, 0, "the request's head came too slowly"))
-	}
+	return s.hasRequest && c.framing.isInHead() && (c.pipeline == nil || c.pipeline.receiver == s)
+}
+
+// refuseSlowHead refuses the request whose head has not come in time.
+func (s *stream) refuseSlowHead() {
+	s.refuse(reason.NotRun(reason.HeadTooSlow, 0, "the request's head came too slowly"))
 }
 
 // markReceived records that bytes of a request were handed to the stream. conn.mu must be
