--- a/internal/wire/endpoint/endpoint_test.go
+++ b/internal/wire/endpoint/endpoint_test.go
@@ -39,7 +39,13 @@
 	conns, closedConns int
 }
 
-func newFaultyServer(t *testing.T, handle handler) *faultyServer {
+// testContext is a *testing.T or a *rapid.T.
+type testContext interface {
+	Cleanup(end func())
+	Fatal(args ...any)
+}
+
+func newFaultyServer(t testContext, handle handler) *faultyServer {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
