--- a/internal/entry/gateway/promise_test.go
+++ b/internal/entry/gateway/promise_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
@@ -15,22 +16,25 @@
 	"baobabladder.example/baobabladder/internal/world/directory"
 )
 
-// copyingEndpoint refuses the requests that shouldRefuse and runs the others. Before it
-// answers a request that it runs, it copies its latest refusal on the connection.
+// copyingEndpoint refuses the requests for which refuse returns a status, and runs the
+// others. Before its answer to an order that it runs, it copies its latest refusal on the
+// connection or, if there is none, writes begun, unless the order is the first request.
 type copyingEndpoint struct {
-	address      string
-	shouldRefuse func(request *http.Request) (status int)
-	runs         atomic.Int32
+	address string
+	refuse  func(request *http.Request) (status int)
+	begun   string
+	// runs counts the orders that ran.
+	runs atomic.Int32
 }
 
-func newCopyingEndpoint(t *testing.T, shouldRefuse func(request *http.Request) int) *copyingEndpoint {
+func newCopyingEndpoint(t *testing.T, refuse func(request *http.Request) int, begun string) *copyingEndpoint {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	e := &copyingEndpoint{address: listener.Addr().String(), shouldRefuse: shouldRefuse}
+	e := &copyingEndpoint{address: listener.Addr().String(), refuse: refuse, begun: begun}
 	go func() {
 		for {
 			connection, err := listener.Accept()
@@ -46,7 +50,7 @@
 func (e *copyingEndpoint) serve(connection net.Conn) {
 	defer connection.Close()
 	reader := bufio.NewReader(connection)
-	refusal := ""
+	before := ""
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
@@ -54,13 +58,19 @@
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
 		id := request.Header.Get(endpoint.RequestIDHeader)
-		if status := e.shouldRefuse(request); status > 0 {
-			refusal = fmt.Sprintf("HTTP/1.1 %d No\r\nRequest-Id: %s\r\nRequest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", status, id)
-			fmt.Fprint(connection, refusal)
+		if status := e.refuse(request); status > 0 {
+			before = fmt.Sprintf("HTTP/1.1 %d No\r\nRequest-Id: %s\r\nRequest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", status, id)
+			_, _ = io.WriteString(connection, before)
 			continue
 		}
-		e.runs.Add(1)
-		fmt.Fprintf(connection, "%sHTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 4\r\n\r\ndone", refusal, id)
+		if request.Method == http.MethodPost {
+			e.runs.Add(1)
+			_, _ = io.WriteString(connection, before)
+		}
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 4\r\n\r\ndone", id)
+		if before == "" {
+			before = e.begun
+		}
 	}
 }
 
@@ -73,7 +83,7 @@
 			return http.StatusMisdirectedRequest
 		}
 		return 0
-	})
+	}, "")
 	v := newTestVM(t, "vm", "a", false, 1, e.address)
 	v.gateway.Balancer.UpdateDirectory(directory.New([]directory.Endpoint{
 		{ID: "former", Service: "s", Address: e.address, Region: "a", Slots: 4},
@@ -97,13 +107,35 @@
 			return http.StatusServiceUnavailable
 		}
 		return 0
-	})
+	}, "")
 	v := newTestVM(t, "vm", "a", false, 1, e.address)
 	g.Expect(v.send(http.MethodPost, "/order/x", "paper").Code).To(Equal(http.StatusServiceUnavailable))
 	g.Expect(v.send(http.MethodPost, "/order/x", "paper").Code).To(Equal(http.StatusOK))
 	g.Expect(e.runs.Load()).To(BeEquivalentTo(1))
 }
 
+// Guards against a promise for an order that runs, or a second run of it, because its answer
+// came behind the beginning of a refusal and was read as one with it.
+func TestBegunRefusalIsNoPromiseForTheOrderBehindIt(t *testing.T) {
+	g := NewWithT(t)
+	runAll := func(*http.Request) int { return 0 }
+	first, second := newCopyingEndpoint(t, runAll, "HTTP/1.1 421 Mis"), newCopyingEndpoint(t, runAll, "HTTP/1.1 421 Mis")
+	v := newTestVM(t, "vm", "a", false, 1, unusedAddress)
+	v.gateway.Balancer.UpdateDirectory(directory.New([]directory.Endpoint{
+		{ID: "first", Service: "s", Address: first.address, Region: "a", Slots: 4},
+		{ID: "second", Service: "s", Address: second.address, Region: "a", Slots: 4},
+	}, nil, nil))
+	for i := range 20 {
+		lookup := httptest.NewRequest(http.MethodGet, "/read/x", nil)
+		lookup.Host = "shop.example"
+		lookup.Header.Set(endpoint.RequestIDHeader, fmt.Sprint("lookup-", i))
+		v.gateway.ServeHTTP(httptest.NewRecorder(), lookup)
+	}
+	response := v.send(http.MethodPost, "/order/x", "paper")
+	g.Expect(first.runs.Load()+second.runs.Load()).To(BeEquivalentTo(1), "runs of the order")
+	g.Expect(isPromise(response.Code)).To(BeFalse(), "status %d", response.Code)
+}
+
 // Guards against a status that promises "not run" for an order of which its endpoint has not
 // said so: the endpoint may have run it.
 func TestStatusWithoutStatementIsNoPromise(t *testing.T) {
--- a/internal/wire/endpoint/copies_test.go
+++ b/internal/wire/endpoint/copies_test.go
@@ -39,6 +39,8 @@
 	Age, Cut int
 	// Interim is written before the copy, Header added to its head.
 	Interim, Header string
+	// IsBegun leaves out the second piece: the copy is only begun.
+	IsBegun bool
 }
 
 var anyCopies = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) answerCopy {
@@ -47,6 +49,7 @@
 		Cut:     rapid.IntRange(0, 150).Draw(t, "cut"),
 		Interim: rapid.SampledFrom([]string{"", "HTTP/1.1 102 Processing\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"}).Draw(t, "interim"),
 		Header:  rapid.SampledFrom([]string{"", "", "", "Connection: close\r\n"}).Draw(t, "header"),
+		IsBegun: rapid.Bool().Draw(t, "begun"),
 	}
 }), 1, 3)
 
@@ -181,9 +184,15 @@
 	for i := 0; i < len(copies) && len(w.answers) > 0; i++ {
 		w.hasCopies = true
 		text := copies[i].text(w.answers)
-		cut := copies[i].Cut % len(text)
+		cut := 1 + copies[i].Cut%(len(text)-1)
+		if copies[i].IsBegun && cut == len(copies[i].Interim) {
+			// A whole interim response disturbs nothing.
+			cut--
+		}
 		w.write(text[:cut])
-		w.write(text[cut:])
+		if !copies[i].IsBegun {
+			w.write(text[cut:])
+		}
 	}
 }
 
@@ -220,7 +229,7 @@
 	planned := &plannedSend{
 		number:  len(c.sends),
 		request: getRequest(fmt.Sprint("r", rapid.IntRange(0, 4).Draw(t, "id"))),
-		head:    rapid.SampledFrom([]string{ranHead, ranHead, "503 x" + notRun, "429 x" + notRun, "400 x" + notRun, "421 x" + notRun, "421 x"}).Draw(t, "head"),
+		head:    rapid.SampledFrom([]string{ranHead, ranHead, "503 Unavailable" + notRun, "429 Requests" + notRun, "400 Bad" + notRun, "421 Misdirected" + notRun, "421 Misdirected"}).Draw(t, "head"),
 		arrived: make(chan struct{}), held: make(chan struct{}), settled: make(chan struct{}),
 	}
 	planned.request.Target = fmt.Sprint("/", planned.number)
--- /dev/null
+++ b/internal/wire/endpoint/cutcopy_test.go
@@ -0,0 +1,42 @@
+package endpoint_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"baobabladder.example/baobabladder/internal/base/fault"
+	"baobabladder.example/baobabladder/internal/base/reason"
+	"baobabladder.example/baobabladder/internal/wire/endpoint"
+)
+
+// Guards against the beginning of a copy that is read as one head with the answer behind it,
+// and so as a refusal of a request that the endpoint runs.
+func TestBeginningOfACopyIsNoRefusalOfTheNextRequest(t *testing.T) {
+	for name, beginning := range map[string]string{
+		"in the reason of a 421":    "HTTP/1.1 421 Mis",
+		"in a header before the id": "HTTP/1.1 503 No\r\nRequest-Not-Run: fu",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			server := newFaultyServer(t, func(server *faultyServer, connection net.Conn, reader *bufio.Reader) {
+				first := server.readHead(reader)
+				_, _ = io.WriteString(connection, strings.ReplaceAll(shedResponse, "ID", first))
+				next := server.readHead(reader)
+				_, _ = io.WriteString(connection, beginning+strings.ReplaceAll(okResponse, "ID", next))
+			})
+			client := endpoint.New()
+			_, err := exchange(client, server.address, getRequest("r1"))
+			_, isNotRun := fault.As[*endpoint.NotRunError](err)
+			g.Expect(isNotRun).To(BeTrue(), "%v", err)
+			_, err = exchange(client, server.address, getRequest("r2"))
+			refusal, _ := fault.As[*reason.Refusal](err)
+			g.Expect(refusal).NotTo(BeNil(), "no answer is whole and by itself")
+			g.Expect(refusal.Ran).To(Equal(reason.RanUnknown), "%v", err)
+		})
+	}
+}
