Count a withheld answer for what it says of its endpoint

An order that its endpoint answered with 429 or 408, without the statement that it did not run it, counted as an attempt whose connection broke: the version was charged with an endpoint that ended, three in sequence suspended the endpoint, its affinity was dropped, the request stayed on the blocklist and the connection was closed.

Cause: the error that keeps the status from the caller also stood for the outcome at the endpoint. A withheld answer is now read to its end and counts by its status, as before. TestStatusWithoutStatementIsNoPromise checks the outcome; it failed for 429 and 408 before ('failed' in place of 'answered').

--- a/internal/entry/gateway/outcome.go
+++ b/internal/entry/gateway/outcome.go
@@ -95,8 +95,10 @@
 	return balance.Failed
 }
 
+// responseOutcome returns the outcome of an attempt that got a response; err is the error of
+// relaying it. A response that was withheld counts by its status.
 func responseOutcome(response *endpoint.Response, err error) balance.Outcome {
-	if err != nil {
+	if _, isWithheld := fault.As[*unstatedPromiseError](err); err != nil && !isWithheld {
 		return failureOutcome(err)
 	}
 	if response.Status >= http.StatusInternalServerError {
--- a/internal/entry/gateway/promise_test.go
+++ b/internal/entry/gateway/promise_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"baobabladder.example/baobabladder/internal/policy/balance"
 	"baobabladder.example/baobabladder/internal/wire/endpoint"
 	"baobabladder.example/baobabladder/internal/world/directory"
 )
@@ -145,6 +146,11 @@
 			e := &testEndpoint{}
 			e.setRespond(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) })
 			v := newTestVM(t, "vm", "a", false, 1, e.start(t))
+			outcome := balance.Answered
+			if status >= http.StatusInternalServerError {
+				outcome = balance.Failed
+			}
+			v.gateway.RecordOutcome = func(got string) { g.Expect(got).To(BeEquivalentTo(outcome), "of the endpoint") }
 			response := v.send(http.MethodPost, "/order/x", "paper")
 			g.Expect(e.allRuns()).To(HaveLen(1))
 			g.Expect(response.Code).To(Equal(http.StatusBadGateway))
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -23,7 +23,7 @@
 // maxBufferedResponse bytes is read whole first; a longer one is streamed.
 func (c *call) relayResponse(ctx context.Context, response *endpoint.Response) error {
 	if isPromise(response.Status) && !c.isIdempotent() {
-		return reason.MayHaveRun(reason.EndpointFailed, "the endpoint answered with status %d without stating that it did not run the request", response.Status)
+		return withhold(response)
 	}
 	if c.request.Method == http.MethodHead {
 		c.writeResponseHead(response, response.Length)
@@ -49,6 +49,21 @@
 	return nil
 }
 
+// unstatedPromiseError is the error for a whole response whose status promises more than the
+// endpoint stated.
+type unstatedPromiseError struct{ *reason.Refusal }
+
+// Unwrap returns the refusal that is sent to the caller.
+func (e *unstatedPromiseError) Unwrap() error { return e.Refusal }
+
+// withhold reads a response that is not relayed to its end.
+func withhold(response *endpoint.Response) error {
+	if _, err := io.CopyN(io.Discard, response.Body, maxBufferedResponse); err != nil && err != io.EOF {
+		return err
+	}
+	return &unstatedPromiseError{reason.MayHaveRun(reason.EndpointFailed, "the endpoint answered with status %d without stating that it did not run the request", response.Status)}
+}
+
 // canRetryFailedResponse reports whether to retry after a response with a 5xx status:
 // the request is idempotent and was not forwarded, an attempt is left, and so is more than
 // the route's target latency.
--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
@@ -126,7 +125,7 @@
 	_ = response.Body.Close()
 	result.Outcome = responseOutcome(response, err)
 	err = linksLost(ctx, err)
-	if err == nil && response.Status < http.StatusInternalServerError {
+	if result.Outcome == balance.Answered {
 		c.gateway.Blocklist.RecordAnswer(c.digest)
 	}
 	return err
