--- a/internal/wire/endpoint/endpoint_test.go
+++ b/internal/wire/endpoint/endpoint_test.go
@@ -521,3 +521,17 @@
 		})
 	}
 }
+
+// Guards against a connection that remembers ever more ids, or forgets some.
+func TestConnectionEndsAfterItsLastID(t *testing.T) {
+	g := NewWithT(t)
+	server := newFaultyServer(t, respondWith(okResponse, false))
+	client := endpoint.New()
+	const idsOfAConnection = 512
+	for i := range 2*idsOfAConnection + 1 {
+		_, err := exchange(client, server.address, getRequest(fmt.Sprint("r", i)))
+		g.Expect(err).NotTo(HaveOccurred())
+		_, conns, _ := server.counts()
+		g.Expect(conns).To(Equal(1+i/idsOfAConnection), "after %d requests", i+1)
+	}
+}
