Move borrowing, sampling and link bandwidth of placement to files of their own

placement.go (455 lines) and service.go (448) each held several jobs. What a request borrows from peers is now in borrow.go, how a large group of endpoints is sampled in sample.go, and what a request takes of a link in link.go, each with its constants. isExcluded is slices.Contains.

--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -22,6 +22,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
@@ -34,8 +35,6 @@
 )
 
 const (
-	// borrowTimeout limits the wait for a slot lent by a peer.
-	borrowTimeout = 20 * clock.Millis(1)
 	// minQueueWait is how long a request waits for a slot at least, unless its
 	// deadline comes earlier.
 	minQueueWait = 250 * clock.Millis(1)
@@ -47,9 +46,6 @@
 	// free without the end of a request, for example because this VM's share
 	// grew.
 	pollInterval = 5 * clock.Millis(1)
-	// maxBorrowCandidates limits the endpoints that a borrow request to peers
-	// names.
-	maxBorrowCandidates = 16
 	// refusalRetryAfter is the Retry-After of requests that got no slot.
 	refusalRetryAfter = 200 * clock.Millis(1)
 )
@@ -357,68 +353,6 @@
 	}
 }
 
-// borrow asks peers for a slot in the local region. w is the request's entry in
-// the queue, or nil if it is not queued. Only the waiter that is to be served
-// next may borrow or, if the queue is empty, a request that is not queued.
-func (p *Placer) borrow(ctx context.Context, request *Request, choice move.Choice, w *waiter) *Grant {
-	if p.Slots == nil {
-		return nil
-	}
-	candidates := p.borrowCandidates(request, choice, w)
-	if len(candidates) == 0 {
-		return nil
-	}
-	timeout := min(borrowTimeout, request.Remaining)
-	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
-	defer cancel()
-	resource, lent := p.Slots.Borrow(ctx, candidates)
-	if !lent {
-		return nil
-	}
-	return p.acceptBorrowed(request, choice, resource)
-}
-
-// acceptBorrowed turns a borrowed slot into a grant, or releases it if the endpoint
-// can no longer be used.
-func (p *Placer) acceptBorrowed(request *Request, choice move.Choice, resource contract.Resource) *Grant {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	state := p.serviceState(request.Service, choice)
-	endpoint := state.byResource[resource]
-	if endpoint == nil || !endpoint.isOpen || !state.shift.canPlace(endpoint.config.Region, state.nearestRegion()) {
-		p.Slots.Release(resource)
-		return nil
-	}
-	return p.newGrant(state, state.region(endpoint.config.Region), endpoint, request, choice, p.Clock.Now())
-}
-
-// borrowCandidates returns the endpoints in the local region on which request
-// may borrow a slot, or nil if another waiter is to be served first.
-func (p *Placer) borrowCandidates(request *Request, choice move.Choice, w *waiter) (candidates []contract.Resource) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	state := p.serviceState(request.Service, choice)
-	now := p.Clock.Now()
-	if next := state.nextWaiter(now); next >= 0 && state.queue.waiters[next] != w {
-		return nil
-	}
-	for i := range state.regions {
-		region := &state.regions[i]
-		group := region.group(choice)
-		if region.isRemote || !group.canServe(request) || !region.health.isUsable(now) {
-			continue
-		}
-		start := int(p.nextRandom() % uint64(len(group.endpoints)))
-		for j := range group.endpoints {
-			endpoint := group.endpoints[(start+j)%len(group.endpoints)]
-			if len(candidates) < maxBorrowCandidates && endpoint.isUsable(now) && !isExcluded(request.ExcludedEndpoints, endpoint) {
-				candidates = append(candidates, endpoint.resource)
-			}
-		}
-	}
-	return candidates
-}
-
 // nextRandom returns a pseudo-random number (xorshift). The caller must hold mu.
 func (p *Placer) nextRandom() uint64 {
 	if p.randomState == 0 {
@@ -446,10 +380,5 @@
 }
 
 func isExcluded(names []string, e *endpointState) bool {
-	for _, name := range names {
-		if name == e.config.Name {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(names, e.config.Name)
 }
--- a/internal/policy/placement/service.go
+++ b/internal/policy/placement/service.go
@@ -10,15 +10,6 @@
 )
 
 const (
-	// maxFullScan is the size up to which all endpoints of a group are compared.
-	// Larger groups are sampled, so that the cost of a selection does not depend on
-	// the size.
-	maxFullScan = 24
-	// sampleSize is the number of endpoints that are compared in a sample.
-	sampleSize = 8
-	// fullScanInterval is how often a large group is searched completely after a
-	// sample found no free slot.
-	fullScanInterval = 10 * clock.Millis(1)
 	// minSpillHeadroom is the share of this VM's slots in a remote region, in
 	// thousandths, that must be free before traffic spills to it.
 	minSpillHeadroom = 150
@@ -28,15 +19,6 @@
 	// minLatencyDivisor divides the difference that each slower request adds to the
 	// minimum latency.
 	minLatencyDivisor = 64
-	// uploadLinkShare is the share of a link's bandwidth, in thousandths, that
-	// uploads may use.
-	uploadLinkShare = 600
-	// firstChunk is the number of bytes that must be available on the link for a
-	// paced body.
-	firstChunk = 16 << 10
-	// uploadBurstSeconds limits an upload burst to the uploads' share of the
-	// bandwidth in this many seconds.
-	uploadBurstSeconds = 1
 )
 
 // serviceState holds the state of one service and the index of its endpoints. The
@@ -293,89 +275,6 @@
 	return true
 }
 
-// cheapest returns the endpoint of a group with the lowest cost among those with a
-// free slot, or nil. The caller must hold mu.
-func (p *Placer) cheapest(group *endpointGroup, request *Request, now clock.Millis) (chosen *endpointState) {
-	group.choiceCount++
-	group.isExploring = group.choiceCount%exploreInterval == 0
-	defer func() { group.isExploring = false }()
-	if len(group.endpoints) <= maxFullScan {
-		for _, e := range group.endpoints {
-			chosen = p.cheaper(chosen, e, request, now)
-		}
-		return chosen
-	}
-	p.refillCandidates(group, 2)
-	chosen = p.sampleCandidates(group, request, now)
-	if chosen == nil && (!group.wasScanned || now-group.fullScanAt >= fullScanInterval) {
-		group.wasScanned, group.fullScanAt = true, now
-		p.refillCandidates(group, len(group.endpoints))
-		chosen = p.sampleCandidates(group, request, now)
-	}
-	return chosen
-}
-
-// cheaper returns e if it is usable, has a free slot and costs less than chosen,
-// which may be nil. Otherwise it returns chosen.
-func (p *Placer) cheaper(chosen, e *endpointState, request *Request, now clock.Millis) *endpointState {
-	if !e.isUsable(now) || isExcluded(request.ExcludedEndpoints, e) || p.freeSlots(e) < 1 {
-		return chosen
-	}
-	if chosen == nil || e.cost(now) < chosen.cost(now) {
-		return e
-	}
-	return chosen
-}
-
-// refillCandidates checks the next count endpoints and adds those with free slots
-// to the candidates.
-func (p *Placer) refillCandidates(group *endpointGroup, count int) {
-	for range count {
-		index := group.scanCursor
-		group.scanCursor = (group.scanCursor + 1) % len(group.endpoints)
-		if !group.isCandidate[index] && group.endpoints[index].isOpen && p.freeSlots(group.endpoints[index]) > 0 {
-			group.isCandidate[index] = true
-			group.candidates = append(group.candidates, int32(index))
-		}
-	}
-}
-
-// sampleCandidates compares some random candidates and removes those that are
-// full. Each candidate is removed at most once for each time it was added, so
-// the amortized cost of a call is constant.
-func (p *Placer) sampleCandidates(group *endpointGroup, request *Request, now clock.Millis) (chosen *endpointState) {
-	for compared := 0; compared < sampleSize && len(group.candidates) > 0; {
-		index := int(p.nextRandom() % uint64(len(group.candidates)))
-		e := group.endpoints[group.candidates[index]]
-		if !e.isOpen || p.freeSlots(e) < 1 {
-			last := len(group.candidates) - 1
-			group.isCandidate[group.candidates[index]] = false
-			group.candidates[index] = group.candidates[last]
-			group.candidates = group.candidates[:last]
-			continue
-		}
-		compared++
-		chosen = p.cheaper(chosen, e, request, now)
-	}
-	return chosen
-}
-
-// takeLinkBytes takes the request's bytes on the link to a remote region. It
-// returns false if too few are available. The caller must hold mu.
-func (p *Placer) takeLinkBytes(state *serviceState, region *region, request *Request, now clock.Millis) bool {
-	bytes := request.Bytes
-	if bytes < 0 {
-		bytes = request.Route.MaxBody
-	}
-	if request.Route.Work == document.WorkUpload && !p.takeUploadBytes(state, region, request.Bytes, now) {
-		return false
-	}
-	if request.Paced {
-		bytes = min(bytes, firstChunk)
-	}
-	return p.Links == nil || p.Links.Take(region.link, bytes)
-}
-
 // hasHeadroom reports whether at least minSpillHeadroom of this VM's slots in the
 // group are free.
 func (p *Placer) hasHeadroom(group *endpointGroup) bool {
@@ -388,47 +287,6 @@
 	return free > 0 && free*1000 >= (free+running)*minSpillHeadroom
 }
 
-// takeUploadBytes takes bytes from this VM's part of the uploads' share of the
-// link, and reports whether there were any. The parts of all VMs add up to
-// uploadLinkShare, so the rest of the bandwidth always remains for orders. An
-// upload of unknown size must stay in its region, so it gets none.
-func (p *Placer) takeUploadBytes(state *serviceState, region *region, bytes int64, now clock.Millis) bool {
-	if bytes < 0 || p.fleet == nil {
-		return false
-	}
-	link := p.fleet.Link(p.Region, region.name)
-	if link == nil {
-		return false
-	}
-	bucket := state.uploadBuckets[region.name]
-	if bucket == nil {
-		bucket = &uploadBucket{updatedAt: now}
-		state.uploadBuckets[region.name] = bucket
-	}
-	rate := int64(link.Mbit) * 125 * uploadLinkShare / 1000 / int64(max(p.entryVMs, 1))
-	return bucket.take(bytes, rate, now)
-}
-
-// uploadBucket is a token bucket that a single upload may overdraw, so that an
-// upload larger than the burst can pass.
-type uploadBucket struct {
-	// bytes is the number of bytes that may be sent; negative after an overdraft.
-	bytes     int64
-	updatedAt clock.Millis
-}
-
-// take takes bytes from a bucket that fills at rate bytes per millisecond. It
-// returns false if the bucket is empty.
-func (b *uploadBucket) take(bytes, rate int64, now clock.Millis) bool {
-	b.bytes = min(b.bytes+rate*int64(now-b.updatedAt), rate*uploadBurstSeconds*int64(clock.Second))
-	b.updatedAt = now
-	if b.bytes <= 0 {
-		return false
-	}
-	b.bytes -= bytes
-	return true
-}
-
 // isDeadlineUnmeetable reports whether the remaining time is less than half the
 // recent minimum latency of the route. An average instead of the minimum would
 // refuse small uploads on a route with large ones.
