Keep the calls in flight to other VMs in one type

The divider had three maps of calls in flight, each with a function that creates it, and the roster had a fourth with its own begin and end. They are now inflight.Set, whose zero value is empty. In the roster an exchange ends for the set after the peer's exclusion is recorded, where both were under one lock before, so a next exchange sees the exclusion as it did.

--- a/internal/control/divider/divider.go
+++ b/internal/control/divider/divider.go
@@ -22,6 +22,7 @@
 	"baobabladder.example/baobabladder/internal/base/account"
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/fault"
+	"baobabladder.example/baobabladder/internal/control/inflight"
 	"baobabladder.example/baobabladder/internal/policy/divide"
 	"baobabladder.example/baobabladder/internal/policy/limit"
 	"baobabladder.example/baobabladder/internal/world/contract"
@@ -94,15 +95,13 @@
 	mu sync.Mutex
 	// allocator is nil unless this VM is the divider. Guarded by mu.
 	allocator *divide.Allocator
-	// offering holds the VMs with an Offer call in flight. Guarded by mu.
-	offering map[string]bool
-	// settling holds the lenders with a Settle call in flight. Guarded by mu.
-	settling map[string]bool
 	// roundDue, of capacity 1, holds a value if the next round should start early. It
 	// is created at first use and never replaced. Guarded by mu.
 	roundDue chan struct{}
-	// waking holds the divider with a Wake call in flight. Guarded by mu.
-	waking map[string]bool
+
+	// offering holds the VMs with an Offer call in flight, settling the lenders with a
+	// Settle call, waking the divider with a Wake call.
+	offering, settling, waking inflight.Set
 }
 
 // Run fences this VM against old terms, and then holds and divides limits until ctx
@@ -219,11 +218,11 @@
 // report.
 func (d *Divider) sendWake(ctx context.Context) {
 	name := d.Holder.DividerToNotify(max(wakeDelay, d.roundInterval()))
-	if name == "" || !d.beginCall(d.wakingLocked, name) {
+	if name == "" || !d.waking.Begin(name) {
 		return
 	}
 	go func() {
-		defer d.endCall(d.wakingLocked, name)
+		defer d.waking.End(name)
 		ctx, cancel := context.WithTimeout(ctx, wakeTimeout.Duration())
 		defer cancel()
 		d.count("limits_wakes", 1)
@@ -259,7 +258,7 @@
 // with an Offer call in flight.
 func (d *Divider) round(ctx context.Context) {
 	for _, vmOffer := range d.plan() {
-		if d.beginCall(d.offeringLocked, vmOffer.VM.Name) {
+		if d.offering.Begin(vmOffer.VM.Name) {
 			go d.send(ctx, vmOffer)
 		}
 	}
@@ -311,7 +310,7 @@
 
 // send sends an offer to a VM and applies the VM's report to the allocator.
 func (d *Divider) send(ctx context.Context, vmOffer divide.VMOffer) {
-	defer d.endCall(d.offeringLocked, vmOffer.VM.Name)
+	defer d.offering.End(vmOffer.VM.Name)
 	report, err := d.offer(ctx, vmOffer)
 	if err != nil {
 		d.count("limits_offers_failed", 1)
@@ -362,14 +361,14 @@
 
 func (d *Divider) settleLoans(ctx context.Context) {
 	for lender, settlement := range d.Holder.UnconfirmedSettlements() {
-		if d.beginCall(d.settlingLocked, lender) {
+		if d.settling.Begin(lender) {
 			go d.settleWith(ctx, lender, settlement)
 		}
 	}
 }
 
 func (d *Divider) settleWith(ctx context.Context, lender string, settlement *contract.Settlement) {
-	defer d.endCall(d.settlingLocked, lender)
+	defer d.settling.End(lender)
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout.Duration())
 	defer cancel()
 	if err := d.call(ctx, lender, "Settle", settlement, &SettleReply{}); err != nil {
@@ -387,44 +386,6 @@
 	return d.Peers.Call(ctx, member.PeerAddress, ReceiverName+"."+method, args, reply)
 }
 
-func (d *Divider) offeringLocked() map[string]bool {
-	if d.offering == nil {
-		d.offering = map[string]bool{}
-	}
-	return d.offering
-}
-
-func (d *Divider) settlingLocked() map[string]bool {
-	if d.settling == nil {
-		d.settling = map[string]bool{}
-	}
-	return d.settling
-}
-
-func (d *Divider) wakingLocked() map[string]bool {
-	if d.waking == nil {
-		d.waking = map[string]bool{}
-	}
-	return d.waking
-}
-
-// beginCall adds name to a set of calls in flight and reports whether it was absent.
-func (d *Divider) beginCall(set func() map[string]bool, name string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if set()[name] {
-		return false
-	}
-	set()[name] = true
-	return true
-}
-
-func (d *Divider) endCall(set func() map[string]bool, name string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(set(), name)
-}
-
 func (d *Divider) count(name string, by int64) {
 	if d.Scope != nil {
 		d.Scope.Counter(name).Inc(by)
--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -21,6 +21,7 @@
 	"github.com/sirupsen/logrus"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/control/inflight"
 	"baobabladder.example/baobabladder/internal/policy/canary"
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
@@ -72,6 +73,8 @@
 
 	// cachedSelf is the last result of LocalState.
 	cachedSelf atomic.Pointer[cachedState]
+	// exchanging holds the peers with an exchange in flight.
+	exchanging inflight.Set
 
 	mu sync.Mutex
 	// registered holds the registered VMs by name. registeredAt is when the first
@@ -105,8 +108,6 @@
 	packedRunningAt clock.Millis
 	// loggedLost holds the VMs that were last logged as lost. Guarded by mu.
 	loggedLost map[string]bool
-	// inFlight holds the peers with an exchange in flight. Guarded by mu.
-	inFlight map[string]bool
 	// excludedUntil holds, for each peer whose last call failed, the time until which
 	// it is not chosen as a relay. Guarded by mu.
 	excludedUntil map[string]clock.Millis
@@ -150,7 +151,7 @@
 	for ctx.Err() == nil {
 		targets := r.targets()
 		for name, address := range targets {
-			if r.beginCall(name) {
+			if r.exchanging.Begin(name) {
 				go r.exchange(ctx, name, address)
 			}
 		}
@@ -220,26 +221,12 @@
 	return name > r.Self.Name || !found || r.Clock.Now()-peer.receivedAt > r.lostAfter()
 }
 
-func (r *Roster) beginCall(name string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.inFlight[name] {
-		return false
-	}
-	if r.inFlight == nil {
-		r.inFlight = map[string]bool{}
-	}
-	r.inFlight[name] = true
-	return true
-}
-
 func (r *Roster) exchange(ctx context.Context, name, address string) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout.Duration())
 	defer cancel()
 	var reply State
 	err := r.Peers.Call(ctx, address, exchangeMethod, r.stateFor(name, false), &reply)
 	r.mu.Lock()
-	delete(r.inFlight, name)
 	if r.excludedUntil == nil {
 		r.excludedUntil = map[string]clock.Millis{}
 	}
@@ -248,6 +235,7 @@
 		r.excludedUntil[name] = r.Clock.Now() + relayExclusionTime
 	}
 	r.mu.Unlock()
+	r.exchanging.End(name)
 	if err == nil {
 		r.receive(reply)
 	}
