--- a/internal/world/replica/replica.go
+++ b/internal/world/replica/replica.go
@@ -9,9 +9,7 @@
 	"hash/fnv"
 	"maps"
 	"slices"
-	"sort"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -27,59 +25,11 @@
 // moves.
 const MovePrefix = "moves/"
 
-// PageBytes is the maximum total size of the keys and values in one Page, in
-// bytes. A single object larger than this gets a separate page.
-const PageBytes = 1 << 20
-
 // Prefixes returns the store key prefixes of the objects that a replica holds.
 func Prefixes() []string {
 	return []string{document.ObjectPrefix, key.ObjectPrefix, MovePrefix}
 }
 
-// Service is the document of a service that is currently in force.
-type Service struct {
-	*document.Service
-	Revision int64
-}
-
-// Snapshot is an immutable view of a replica.
-type Snapshot struct {
-	// Revision is the store revision up to which the snapshot is complete.
-	Revision int64
-	// Services is sorted by name.
-	Services []Service
-	// Fleet is nil until a fleet document is known.
-	Fleet         *document.Fleet
-	FleetRevision int64
-	// Keys holds the keys by digest. A key counts as withdrawn as soon as its
-	// withdrawal is pending.
-	Keys map[key.Digest]key.Key
-	// Moves holds the encoded state of each service's version move, by service
-	// name.
-	Moves map[string]json.RawMessage
-}
-
-// Service returns the service with the given name, or nil.
-func (s *Snapshot) Service(name string) *Service {
-	for i := range s.Services {
-		if s.Services[i].Name == name {
-			return &s.Services[i]
-		}
-	}
-	return nil
-}
-
-// Match returns the service and route with the longest prefix of path, or nil.
-func (s *Snapshot) Match(path string) (service *Service, route *document.Route) {
-	for i := range s.Services {
-		candidate := s.Services[i].Route(path)
-		if candidate != nil && (route == nil || len(candidate.Prefix) > len(route.Prefix)) {
-			service, route = &s.Services[i], candidate
-		}
-	}
-	return service, route
-}
-
 // Summary identifies the content of a replica, so that two replicas can be
 // compared without exchanging their objects.
 type Summary struct {
@@ -90,19 +40,6 @@
 	Digest uint64 `json:"digest"`
 }
 
-// Page is a part of a replica's content, in order of object version.
-type Page struct {
-	// Listing holds the objects. Its Revision is the revision up to which the
-	// receiver is complete afterwards, provided that it was complete up to the
-	// revision it asked to start after.
-	Listing store.Listing `json:"listing"`
-	// Next is the revision to start the next page after; 0 on the last page.
-	Next int64 `json:"next"`
-	// Pending holds the ids of API keys whose withdrawal was requested. The store
-	// may not show the withdrawal yet.
-	Pending []string `json:"pending,omitempty"`
-}
-
 // Replica is a copy of the configuration in which every object only moves to
 // newer versions. Its zero value is empty and ready to use.
 type Replica struct {
@@ -137,12 +74,6 @@
 // snapshotParts marks parts of a snapshot as outdated.
 type snapshotParts struct{ documents, keys, moves bool }
 
-// parsedDocument is a document parsed from a store object.
-type parsedDocument struct {
-	document *document.Document
-	revision int64
-}
-
 // Snapshot returns the current snapshot; it is never nil.
 func (r *Replica) Snapshot() *Snapshot {
 	if snapshot := r.snapshot.Load(); snapshot != nil {
@@ -198,36 +129,6 @@
 	}
 }
 
-// ChangesSince returns the objects changed after revision, and the revision up
-// to which the copy is complete.
-func (r *Replica) ChangesSince(revision int64) (listing store.Listing) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return store.Listing{Revision: r.revision, Objects: r.changedAfter(revision)}
-}
-
-// Page returns the objects changed after revision, up to PageBytes of them.
-func (r *Replica) Page(revision int64) (page Page) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	objects := r.changedAfter(revision)
-	size := 0
-	for i, object := range objects {
-		size += len(object.Key) + len(object.Value)
-		if size > PageBytes && i > 0 {
-			objects = objects[:i]
-			page.Next = objects[i-1].Version
-			break
-		}
-	}
-	page.Listing = store.Listing{Revision: r.revision, Objects: objects}
-	if page.Next > 0 {
-		page.Listing.Revision = min(r.revision, page.Next)
-	}
-	page.Pending = slices.Sorted(maps.Keys(r.pending))
-	return page
-}
-
 // PendingWithdrawals returns the ids of the API keys that WithdrawKeys or a
 // peer's page marked as withdrawn, sorted.
 func (r *Replica) PendingWithdrawals() []string {
@@ -259,18 +160,6 @@
 	return object, found && !object.Deleted
 }
 
-// changedAfter returns the objects changed after revision, in order of version.
-// The caller must hold mu.
-func (r *Replica) changedAfter(revision int64) (objects []store.Object) {
-	for _, object := range r.objects {
-		if object.Version > revision {
-			objects = append(objects, object)
-		}
-	}
-	sort.Slice(objects, func(i, j int) bool { return objects[i].Version < objects[j].Version })
-	return objects
-}
-
 // merge stores newer objects. The caller must hold mu.
 func (r *Replica) merge(objects []store.Object) (changed bool, err error) {
 	if r.objects == nil {
@@ -314,109 +203,6 @@
 	return changed
 }
 
-// load parses an object's value and updates the map for its kind. The caller
-// must hold mu.
-func (r *Replica) load(object store.Object) error {
-	if service, found := strings.CutPrefix(object.Key, MovePrefix); found {
-		r.outdated.moves = true
-		setOrDelete(r.moves, service, json.RawMessage(object.Value), object.Deleted)
-		return nil
-	}
-	if strings.HasPrefix(object.Key, key.ObjectPrefix) {
-		r.outdated.keys = true
-		k, err := parseKey(object)
-		if err == nil {
-			setOrDelete(r.keys, object.Key, k, object.Deleted)
-		}
-		return err
-	}
-	if strings.HasPrefix(object.Key, document.ObjectPrefix) {
-		r.outdated.documents = true
-		parsed, err := parseDocument(object)
-		if err == nil {
-			setOrDelete(r.documents, object.Key, parsed, object.Deleted)
-		}
-		return err
-	}
-	return nil
-}
-
-func setOrDelete[V any](values map[string]V, name string, value V, deleted bool) {
-	if deleted {
-		delete(values, name)
-		return
-	}
-	values[name] = value
-}
-
-// parseKey parses an API key. A deleted object yields the zero Key.
-func parseKey(object store.Object) (k key.Key, err error) {
-	if object.Deleted {
-		return key.Key{}, nil
-	}
-	err = json.Unmarshal(object.Value, &k)
-	return k, err
-}
-
-// parseDocument parses and validates a document. A deleted object yields the
-// zero value.
-func parseDocument(object store.Object) (parsed parsedDocument, err error) {
-	if object.Deleted {
-		return parsedDocument{}, nil
-	}
-	var record document.Record
-	if err := json.Unmarshal(object.Value, &record); err != nil {
-		return parsedDocument{}, err
-	}
-	parsed.revision = record.Revision
-	parsed.document, err = document.Parse([]byte(record.Text))
-	return parsed, err
-}
-
-// publish replaces the snapshot if the copy's content or revision changed. The
-// caller must hold mu.
-func (r *Replica) publish(changed bool) {
-	old := r.Snapshot()
-	if !changed {
-		if old.Revision != r.revision {
-			updated := *old
-			updated.Revision = r.revision
-			r.snapshot.Store(&updated)
-		}
-		return
-	}
-	// Unchanged parts are shared with the old snapshot, which is immutable.
-	next := *old
-	next.Revision = r.revision
-	if r.outdated.documents {
-		next.Services, next.Fleet, next.FleetRevision = nil, nil, 0
-		for _, parsed := range r.documents {
-			next.addDocument(parsed)
-		}
-		sort.Slice(next.Services, func(i, j int) bool { return next.Services[i].Name < next.Services[j].Name })
-	}
-	if r.outdated.keys {
-		next.Keys = make(map[key.Digest]key.Key, len(r.keys))
-		for _, k := range r.keys {
-			k.Withdrawn = k.Withdrawn || r.pending[k.ID]
-			next.Keys[k.Digest] = k
-		}
-	}
-	if r.outdated.moves {
-		next.Moves = maps.Clone(r.moves)
-	}
-	r.outdated = snapshotParts{}
-	r.snapshot.Store(&next)
-}
-
-func (s *Snapshot) addDocument(parsed parsedDocument) {
-	if parsed.document.Fleet != nil {
-		s.Fleet, s.FleetRevision = parsed.document.Fleet, parsed.revision
-		return
-	}
-	s.Services = append(s.Services, Service{Service: parsed.document.Service, Revision: parsed.revision})
-}
-
 // hash returns a 64-bit hash of an object's key and version.
 func hash(objectKey string, version int64) uint64 {
 	h := fnv.New64a()
