Don't take an endpoint for unreachable when its request isn't passed on

Seen: requests with a method that VMs don't pass on, or with a target in absolute form, get 400. Each counted as an attempt at an endpoint that can't be reached, and suspended it, though nothing was sent. One caller could suspend all endpoints of a service at a VM.

Cause: every refusal that says "not run" and has no reason listed counted as a connection that failed. The endpoint client also refuses requests that it can't write.

Evidence: TestRequestThatIsNotPassedOnIsNoFailureOfItsEndpoint, which failed with the outcome "unreachable" in both forms. Ruled out: entry/router, where reasons not listed count as cancelled.

Change: bad_request counts as cancelled. The test passes; the packages' tests pass with -race.

--- a/internal/entry/gateway/outcome.go
+++ b/internal/entry/gateway/outcome.go
@@ -86,7 +86,7 @@
 	switch refusal.Reason {
 	case reason.DeadlinePassed:
 		return balance.DeadlineExceeded
-	case reason.CallerGone, reason.BodyShort, reason.BodyTooSlow, reason.BodyTooLarge:
+	case reason.BadRequest, reason.CallerGone, reason.BodyShort, reason.BodyTooSlow, reason.BodyTooLarge:
 		return balance.Cancelled
 	}
 	if refusal.Ran == reason.RanNo {
--- a/internal/entry/gateway/outcome_test.go
+++ b/internal/entry/gateway/outcome_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -61,3 +62,21 @@
 	_, got := canaryResult(usualTime{90}, balance.Failed, 500, 60)
 	g.Expect(got).To(BeTrue(), "a failure shows the version at any time")
 }
+
+// Guards against a caller that takes endpoints out of use: requests that are never sent to
+// them counted as endpoints that can't be reached.
+func TestRequestThatIsNotPassedOnIsNoFailureOfItsEndpoint(t *testing.T) {
+	for method, target := range map[string]string{"PROPFIND": "/order/x", "GET": "http://shop.example/order/x"} {
+		t.Run(method, func(t *testing.T) {
+			g := NewWithT(t)
+			e := &testEndpoint{}
+			v := newTestVM(t, "vm", "a", false, 1, e.start(t))
+			var outcomes []string
+			v.gateway.RecordOutcome = func(outcome string) { outcomes = append(outcomes, outcome) }
+			g.Expect(v.send(method, target, "").Code).To(Equal(http.StatusBadRequest))
+			g.Expect(e.allRuns()).To(BeEmpty())
+			g.Expect(v.send(http.MethodPost, "/order/x", "paper").Code).To(Equal(http.StatusOK))
+			g.Expect(outcomes).To(HaveExactElements("cancelled", "answered"))
+		})
+	}
+}
