Refuse a request id whose echo looks like a begun answer

Seen: a caller that sends a request id such as "HTTP/1.1 200" gets 502 for requests that its endpoint ran and answered, and each counts as a failure of the endpoint and of its version.

Cause: endpoints echo the id, and a status line in a head marks it as two heads read as one. The id is the one value of a head that callers choose and that endpoints must repeat.

Ruled out: to leave the id's line out of the check, since one value less would be looked at in every head.

Change: the endpoint client refuses such an id before it sends anything, 400 and not run. Endpoints that write a status line into another header still get their answers refused. The tests of wire/endpoint and of the packages under entry/ pass with -race.

--- a/internal/wire/endpoint/cutcopy_test.go
+++ b/internal/wire/endpoint/cutcopy_test.go
@@ -44,3 +44,16 @@
 		})
 	}
 }
+
+// Guards against a caller whose request ids make proper answers look like begun ones, and so
+// their endpoints like failing ones.
+func TestIDThatHoldsAStatusLineIsRefusedUnsent(t *testing.T) {
+	g := NewWithT(t)
+	server := newFaultyServer(t, respondWith(okResponse, false))
+	_, err := exchange(endpoint.New(), server.address, getRequest("HTTP/1.1 200"))
+	refusal, _ := fault.As[*reason.Refusal](err)
+	g.Expect(refusal).NotTo(BeNil())
+	g.Expect(*refusal).To(And(HaveField("Reason", reason.BadRequest), HaveField("Ran", reason.RanNo)))
+	_, conns, _ := server.counts()
+	g.Expect(conns).To(BeZero())
+}
--- a/internal/wire/endpoint/head.go
+++ b/internal/wire/endpoint/head.go
@@ -44,7 +44,7 @@
 }
 
 // checkRequest refuses a method or target that cannot be forwarded in a well-formed
-// head.
+// head, and an id whose echo holdsStatusLine would find.
 func checkRequest(request *Request) *reason.Refusal {
 	switch request.Method {
 	case http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions:
@@ -54,6 +54,9 @@
 	if !strings.HasPrefix(request.Target, "/") || strings.ContainsFunc(request.Target, func(r rune) bool { return r <= ' ' || r == 0x7f }) {
 		return reason.NotRun(reason.BadRequest, 0, "the path is not passed on")
 	}
+	if statusLine.MatchString(request.ID) {
+		return reason.NotRun(reason.BadRequest, 0, "the request id is not passed on: its echo can't be told from the beginning of an answer")
+	}
 	return nil
 }
 
