End a stop in its grace beside callers that do not read

Seen by reading the stop path: closeIdleConns wrote the refusal of a stop to one idle connection after the other, and each write may take 1 s (rawWriteTimeout) if the caller doesn't read and the kernel takes no more bytes. The context that limits Shutdown was looked at only after all of them. So a VM with many such connections outlasted its grace, and was killed with requests in flight.

Evidence: the new test fails on the code before: with 5 such connections and a context of 100 ms Shutdown took 5.0 s.

Ruled out, by reading, for the gateway's stop: the announcement to peers doesn't wait, the other waits end with the context, the buffered log lines have 200 ms.

Each refusal is written in a goroutine of its own now. The connection is marked as closing before, as it was: a request that arrives later isn't run. Tests of the package pass.

--- a/internal/wire/caller/conn.go
+++ b/internal/wire/caller/conn.go
@@ -238,7 +238,7 @@
 
 // closeIfIdle sends a Stopping refusal and closes the connection if no byte of a
 // request was read. A request that the caller sends at the same time is not run, as
-// the refusal states.
+// the refusal states. It does not wait for a caller that does not read.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
 	isIdle := c.isIdle() && !c.isClosing
@@ -246,9 +246,13 @@
 		c.isClosing = true
 	}
 	c.mu.Unlock()
-	if !isIdle {
-		return
+	if isIdle {
+		go c.refuseAndCloseWrite()
 	}
+}
+
+// refuseAndCloseWrite writes a Stopping refusal and closes the write side of the connection.
+func (c *conn) refuseAndCloseWrite() {
 	_ = c.SetWriteDeadline(time.Now().Add(rawWriteTimeout.Duration()))
 	_, _ = c.Conn.Write(rawRefusal(newStoppingRefusal()))
 	_ = c.closeWrite()
--- a/internal/wire/caller/shutdown_test.go
+++ b/internal/wire/caller/shutdown_test.go
@@ -39,3 +39,21 @@
 	g.Eventually(stopped, 5*time.Second).Should(Receive(BeNil()))
 	g.Eventually(served, 5*time.Second).Should(Receive(BeNil()))
 }
+
+// Guards against a Shutdown that outlasts its context by a second for each idle connection
+// whose caller does not read.
+func TestShutdownDoesNotWaitForCallersThatDoNotRead(t *testing.T) {
+	g := NewWithT(t)
+	server := &Server{IdleCloseDelay: 1}
+	server.init()
+	for range 5 {
+		accepted, peer := net.Pipe()
+		defer peer.Close()
+		server.track(accepted)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	startTime := time.Now()
+	g.Expect(server.Shutdown(ctx)).To(MatchError(context.DeadlineExceeded))
+	g.Expect(time.Since(startTime)).To(BeNumerically("<", rawWriteTimeout.Duration()))
+}
