End a stop beside an operator's command that was sent in part

Seen by reading the stop path: a VM that `baobabladder entry` runs waited without a limit for operators' connections. The operators' server limits the time of a head only, so a client that sent a part of a command's body kept the process from ever ending.

Evidence: the new test fails on the code before (not ended 15 s after the stop).

The stop now waits for operators' requests up to 7 s, which is longer than a command takes once it was read (4 s for the write and 2 s for the confirmations), and then closes their connections. The test ends in 7.2 s; the package's tests pass. `baobabladder gateway` has no operators' server.

--- a/internal/entry/process/controlplane.go
+++ b/internal/entry/process/controlplane.go
@@ -39,6 +39,10 @@
 // operatorHeaderTimeout limits the time to read the headers of an operator's request.
 const operatorHeaderTimeout = 10 * clock.Second
 
+// operatorShutdownTimeout limits the wait for operators' requests at a stop. It is longer than
+// a command takes once its body was read.
+const operatorShutdownTimeout = 7 * clock.Second
+
 // controlPlane holds a VM's copy of the configuration, its view of the other VMs, and
 // its servers for peers and operators.
 type controlPlane struct {
@@ -155,13 +159,23 @@
 		group.Go(func() { l.Run(ctx) })
 	}
 	group.Wait()
-	_ = c.operatorHTTPServer.Shutdown(context.WithoutCancel(ctx))
+	c.shutDownOperatorServer(context.WithoutCancel(ctx))
 	c.heartbeat.Leave(context.WithoutCancel(ctx))
 	c.peerServer.Close()
 	c.peerClient.Close()
 	_ = c.metrics.Close()
 }
 
+// shutDownOperatorServer waits for operators' requests up to operatorShutdownTimeout, and then
+// closes their connections.
+func (c *controlPlane) shutDownOperatorServer(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, operatorShutdownTimeout.Duration())
+	defer cancel()
+	if err := c.operatorHTTPServer.Shutdown(ctx); err != nil {
+		_ = c.operatorHTTPServer.Close()
+	}
+}
+
 func (c *controlPlane) serveAndLog(service string, serve func() error) {
 	if err := serve(); err != nil && err != http.ErrServerClosed {
 		c.log.WithError(err).Error(service + " stopped unexpectedly")
