--- a/internal/base/logging/logging_test.go
+++ b/internal/base/logging/logging_test.go
@@ -44,6 +44,17 @@
 	writer.Close(clock.Second)
 }
 
+// Guards against a process that panics at its end because a request is still logged.
+func TestLineAfterCloseDoesNotPanic(t *testing.T) {
+	out := stalledWriter{make(chan struct{})}
+	defer close(out.release)
+	writer := logging.NewWriter(out)
+	log := logging.New(writer, logrus.InfoLevel)
+	log.Info("before")
+	writer.Close(1)
+	log.Info("after")
+}
+
 func TestLinesAreCompleteAndInOrder(t *testing.T) {
 	g := NewWithT(t)
 	var out bytes.Buffer
