Send a request that ends endpoints once at a time after its block

Cause: until the first request after a block had ended its endpoint, a VM sent all that came. And blocks ended at random times, 2 s apart on average, so that those of several VMs could end within the time of one run. The news is fast (an exchange at once); the run before it is what takes time.

Change: List.Admit lets one request through at a time after a block, until it has ended or for 4 s. Blocks end in an order of the VMs by hash, 2 s apart, instead of at hashed times; the order is kept in the record, as it costs a hash for each VM.

--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -57,6 +57,8 @@
 	bodyLength   int64
 	// digest identifies the request if it comes again. It is zero before the body is read.
 	digest blocklist.Digest
+	// endTrial tells the blocklist that the request has ended; nil before it is admitted.
+	endTrial func()
 	// triedEndpoints holds the IDs of the endpoints on which an attempt failed,
 	// attempts one entry for each attempt.
 	triedEndpoints []string
--- a/internal/entry/gateway/checks.go
+++ b/internal/entry/gateway/checks.go
@@ -34,8 +34,9 @@
 // request ends them, the caller is told when to come back. Once it is, the answer is
 // final: the same request has run before, and has not been answered.
 func (c *call) checkBlocklist() error {
-	block := c.gateway.Blocklist.Find(c.digest)
+	block, endTrial := c.gateway.Blocklist.Admit(c.digest)
 	if block.Ends == 0 {
+		c.endTrial = endTrial
 		return nil
 	}
 	c.refund()
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -145,6 +145,9 @@
 // finish logs and counts a request that has ended, and refuses it if err is not nil.
 func (g *Gateway) finish(c *call, err error) {
 	w := c.w
+	if c.endTrial != nil {
+		c.endTrial()
+	}
 	c.logRequest(err)
 	c.recordLatency(err)
 	switch {
--- a/internal/entry/node/duties.go
+++ b/internal/entry/node/duties.go
@@ -75,18 +75,19 @@
 			n.canary.ClearPeerEvidence()
 			wasRelay = isRelay
 		}
-		vms := make([]balance.VM, 0, len(members))
+		vms, names := make([]balance.VM, 0, len(members)), make([]string, 0, len(members))
 		for _, member := range members {
 			vms = append(vms, balance.VM{
 				Name: member.ID.Name, Region: member.VM.Region, Unavailable: !member.IsServing(),
 			})
+			names = append(names, member.ID.Name)
 		}
 		n.alternates.Store(roster.NewAlternates(members, n.self))
 		n.quota.SetPeers(len(members) - 1)
 		n.balancer.UpdatePeers(n.roster.Running(), vms)
 		n.balancer.UpdateLimitDemands(n.limitDemands(members))
 		n.retryBudget.SetVMs(len(members))
-		n.blocklist.SetVMs(len(members))
+		n.blocklist.SetVMs(names)
 		n.canary.SetVMs(len(members))
 		candidates, hasMajority := n.roster.DutyCandidates(members)
 		n.setDutyAssignment(&dutyAssignment{candidates, hasMajority, fractionReachable(members)})
--- a/internal/policy/blocklist/blocklist.go
+++ b/internal/policy/blocklist/blocklist.go
@@ -6,11 +6,10 @@
 // in sequence count: an attempt that began after the last end that is known. One answer from
 // an endpoint clears a request, on all VMs. The first block is short, in case that two
 // endpoints ended by chance. VMs end their blocks at different times, so that one of them
-// tries the request again and the others learn how that went.
+// tries the request again, once at a time, and the others learn how that went.
 package blocklist
 
 import (
-	"math"
 	"slices"
 	"sync"
 
@@ -32,9 +31,12 @@
 	blockTime    = 2 * clock.Second
 	blockGrowth  = 30
 	maxBlockTime = 30 * clock.Minute
-	// trialSpacing is the mean time between the ends of a request's blocks on two VMs. It is
-	// about as long as VMs need to learn from each other.
+	// trialSpacing is the time between the ends of a request's blocks on two VMs. It is about
+	// as long as VMs need to learn from each other.
 	trialSpacing = 2 * clock.Second
+	// maxTrialTime is how long a VM waits for the outcome of a trial before it sends the
+	// request again.
+	maxTrialTime = 4 * clock.Second
 	// memory is how long after the last end a request is remembered, beyond its block.
 	memory = 10 * clock.Minute
 	// maxEntries bounds the requests on a List. Those with the fewest ends, and then with
@@ -71,8 +73,8 @@
 	VM string
 
 	mu sync.Mutex
-	// vms is the number of VMs that may send a request. Guarded by mu.
-	vms int
+	// vms holds the names of the VMs that may send a request, sorted. Guarded by mu.
+	vms []string
 	// ends holds the requests under which endpoints ended. Guarded by mu.
 	ends map[Digest]record
 	// answered holds requests that endpoints answered, each in the slot that its digest
@@ -83,17 +85,49 @@
 	cleared map[Digest]clock.Millis
 }
 
-// SetVMs sets the number of VMs that may send a request.
-func (l *List) SetVMs(vms int) {
+// SetVMs sets the names of the VMs that may send a request.
+func (l *List) SetVMs(vms []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.vms = vms
+	sorted := slices.Sorted(slices.Values(vms))
+	if slices.Equal(sorted, l.vms) {
+		return
+	}
+	l.vms = sorted
+	for digest, known := range l.ends {
+		known.rank = l.rank(digest)
+		l.ends[digest] = known
+	}
+}
+
+// rank returns this VM's place in the order in which the VMs may send a request again. The
+// caller must hold mu.
+func (l *List) rank(digest Digest) (before int) {
+	own := hashing.Strings(l.VM, string(digest[:]))
+	for _, vm := range l.vms {
+		if hashing.Strings(vm, string(digest[:])) < own {
+			before++
+		}
+	}
+	return before
 }
 
 // record is what is known of a request: how many endpoints ended, and when the last one did.
 type record struct {
 	ends   int
 	lastAt clock.Millis
+	// rank is List.rank.
+	rank int
+	// triedAt is when this VM sent the request again after its block, 0 if no such trial runs.
+	triedAt clock.Millis
+}
+
+// freeAt returns when a trial that runs no longer keeps the request from being sent.
+func (r record) freeAt() clock.Millis {
+	if r.triedAt == 0 {
+		return 0
+	}
+	return r.triedAt + maxTrialTime
 }
 
 // answer is an answered request and when its answer came.
@@ -102,18 +136,16 @@
 	at     clock.Millis
 }
 
-// blockedUntil returns when this VM may send a request again. The caller must hold mu.
-func (l *List) blockedUntil(digest Digest, known record) clock.Millis {
-	if known.ends < minEnds {
-		return known.lastAt
+// blockedUntil returns when this VM may send the request again.
+func (r record) blockedUntil() clock.Millis {
+	if r.ends < minEnds {
+		return r.lastAt
 	}
 	length := blockTime
-	for ends := minEnds; ends < known.ends && length < maxBlockTime; ends++ {
+	for ends := minEnds; ends < r.ends && length < maxBlockTime; ends++ {
 		length = min(length*blockGrowth, maxBlockTime)
 	}
-	position := float64(hashing.Strings(l.VM, string(digest[:]))) / math.MaxUint64
-	spread := clock.Millis(position * float64(clock.Millis(l.vms)*trialSpacing))
-	return known.lastAt + length + min(spread, maxBlockTime)
+	return r.lastAt + length + min(clock.Millis(r.rank)*trialSpacing, maxBlockTime)
 }
 
 // Block is a block of a request. Its zero value stands for none.
@@ -127,6 +159,36 @@
 // IsCertain reports whether so many endpoints ended that the request will end the next.
 func (b Block) IsCertain() bool { return b.Ends >= certainEnds }
 
+// Admit returns the block of a request that is to be sent, if it may not be. After a block
+// one request at a time is admitted: how many more come until the first has ended its
+// endpoint depends on the callers alone. endTrial must be called when an admitted request
+// has ended.
+func (l *List) Admit(digest Digest) (block Block, endTrial func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known, found := l.ends[digest]
+	if !found || known.ends < minEnds {
+		return Block{}, func() {}
+	}
+	now := l.Clock.Now()
+	if remaining := max(known.blockedUntil(), known.freeAt()) - now; remaining > 0 {
+		return Block{known.ends, remaining}, func() {}
+	}
+	known.triedAt = now
+	l.ends[digest] = known
+	return Block{}, func() { l.endTrial(digest, now) }
+}
+
+// endTrial ends the trial that began at the given time, if it still runs.
+func (l *List) endTrial(digest Digest, triedAt clock.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if known, found := l.ends[digest]; found && known.triedAt == triedAt {
+		known.triedAt = 0
+		l.ends[digest] = known
+	}
+}
+
 // Find returns the block of a request.
 func (l *List) Find(digest Digest) Block {
 	l.mu.Lock()
@@ -135,7 +197,7 @@
 	if !found {
 		return Block{}
 	}
-	remaining := l.blockedUntil(digest, known) - l.Clock.Now()
+	remaining := known.blockedUntil() - l.Clock.Now()
 	if remaining <= 0 {
 		return Block{}
 	}
@@ -156,7 +218,10 @@
 		*slot = answer{}
 	}
 	delete(l.cleared, digest)
-	l.set(digest, record{known.ends + 1, l.Clock.Now()})
+	if !found {
+		known.rank = l.rank(digest)
+	}
+	l.set(digest, record{ends: known.ends + 1, lastAt: l.Clock.Now(), rank: known.rank})
 	return known.ends+1 >= minEnds
 }
 
@@ -197,7 +262,7 @@
 	now := l.Clock.Now()
 	for digest, known := range l.ends {
 		switch age := now - known.lastAt; {
-		case now > l.blockedUntil(digest, known)+memory:
+		case now > known.blockedUntil()+memory:
 			delete(l.ends, digest)
 		case known.ends >= minEnds || age < suspicionTime:
 			entries = append(entries, Entry{digest, known.ends, age})
@@ -232,20 +297,25 @@
 	defer l.mu.Unlock()
 	now := l.Clock.Now()
 	for _, entry := range entries {
-		told := record{min(entry.Ends, maxEnds), now - entry.Age - messageDelay}
 		known, found := l.ends[entry.Digest]
+		toldAt := now - entry.Age - messageDelay
 		switch {
-		case entry.Ends < 0 || entry.Age < 0 || now > l.blockedUntil(entry.Digest, told)+memory:
+		case entry.Ends < 0 || entry.Age < 0:
 			continue
 		case entry.Ends == 0:
-			if found && told.lastAt >= known.lastAt {
-				l.clear(entry.Digest, told.lastAt)
+			if found && toldAt >= known.lastAt {
+				l.clear(entry.Digest, toldAt)
 			}
 			continue
-		case l.isAnswered(entry, told.lastAt):
+		case l.isAnswered(entry, toldAt):
 			continue
+		case !found:
+			known.rank = l.rank(entry.Digest)
+		}
+		told := record{ends: min(entry.Ends, maxEnds), lastAt: toldAt, rank: known.rank}
+		if now <= told.blockedUntil()+memory {
+			l.set(entry.Digest, record{max(known.ends, told.ends), max(known.lastAt, told.lastAt), known.rank, known.triedAt})
 		}
-		l.set(entry.Digest, record{max(known.ends, told.ends), max(known.lastAt, told.lastAt)})
 	}
 }
 
@@ -284,8 +354,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Clock.Now()
-	for digest, known := range l.ends {
-		if l.blockedUntil(digest, known) > now {
+	for _, known := range l.ends {
+		if known.blockedUntil() > now {
 			blocked++
 		}
 	}
--- a/internal/policy/blocklist/blocklist_test.go
+++ b/internal/policy/blocklist/blocklist_test.go
@@ -112,10 +112,13 @@
 // when tell is called.
 func newFleet(vms int) (lists []*List, manual *clock.Manual, tell func()) {
 	_, manual = newList()
+	var names []string
 	for i := range vms {
-		l := &List{Clock: manual.Clock(), VM: fmt.Sprint("vm-", i)}
-		l.SetVMs(vms)
-		lists = append(lists, l)
+		names = append(names, fmt.Sprint("vm-", i))
+		lists = append(lists, &List{Clock: manual.Clock(), VM: names[i]})
+	}
+	for _, l := range lists {
+		l.SetVMs(names)
 	}
 	return lists, manual, func() {
 		for _, from := range lists {
@@ -160,6 +163,62 @@
 	}
 }
 
+// Guards against a VM that sends all that comes after a block, until the first one has ended.
+func TestOneRequestAtATimeIsTriedAfterABlock(t *testing.T) {
+	g := NewWithT(t)
+	l, manual := newList()
+	end(l, manual, digest(7))
+	end(l, manual, digest(7))
+	manual.Advance(blockTime)
+	sentAt := l.Clock.Now()
+	_, endTrial := l.Admit(digest(7))
+	for range 30 {
+		manual.Advance(50)
+		l.Merge([]Entry{{digest(7), minEnds, l.Clock.Now()}})
+		block, _ := l.Admit(digest(7))
+		g.Expect(block.Ends).To(Equal(minEnds))
+	}
+	endTrial()
+	g.Expect(l.Find(digest(7))).To(Equal(Block{}), "it shows nothing that the endpoint went on")
+	block, endNext := l.Admit(digest(7))
+	g.Expect(block).To(Equal(Block{}))
+	endTrial()
+	manual.Advance(maxTrialTime - 1)
+	block, _ = l.Admit(digest(7))
+	g.Expect(block.Remaining).To(Equal(clock.Millis(1)), "an earlier trial that ends late changes nothing")
+	g.Expect(l.RecordEnd(digest(7), sentAt+2*clock.Second)).To(BeTrue())
+	endNext()
+	block, _ = l.Admit(digest(7))
+	g.Expect(block.IsCertain()).To(BeTrue())
+}
+
+// Guards against VMs that send a request again at nearly the same time, or one VM many times,
+// before the first of them has ended its endpoint.
+func TestFewTrialsRunAtATime(t *testing.T) {
+	const runTime, knownAfter, arrivalInterval = 1200, 100, 20
+	for _, vms := range []int{3, 9, 95} {
+		t.Run(fmt.Sprint(vms), func(t *testing.T) {
+			g := NewWithT(t)
+			for number := range 100 {
+				lists, manual, tell := newFleet(vms)
+				end(lists[0], manual, digest(number))
+				end(lists[0], manual, digest(number))
+				tell()
+				sends, left := 0, clock.Millis(runTime+knownAfter)
+				for i := 0; left > 0; i++ {
+					if block, _ := lists[i%vms].Admit(digest(number)); block.Ends == 0 {
+						sends++
+					}
+					if manual.Advance(arrivalInterval); sends > 0 {
+						left -= arrivalInterval
+					}
+				}
+				g.Expect(sends).To(BeNumerically("<=", 3), "request %d", number)
+			}
+		})
+	}
+}
+
 func TestAnswerOnOneVMClearsARequestOnAll(t *testing.T) {
 	g := NewWithT(t)
 	lists, manual, tell := newFleet(5)
