End a stop beside a caller that does not read its responses

A write to a caller had no end: refusals have no deadline, and requests in a pipeline share a connection whose deadline isn't set. A VM that `baobabladder entry` runs stops without a limit, after its last request, so one caller that doesn't read kept it from ending; `baobabladder gateway` ends with its grace.

While it shuts down, the server now closes a connection if a part of a response, of up to 32 KiB, was not taken for 10 s. Requests whose callers read are never cut.

--- a/internal/wire/caller/conn.go
+++ b/internal/wire/caller/conn.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
@@ -30,6 +31,8 @@
 	server *Server
 	// first is the stream of the first request.
 	first *stream
+	// writingSince is when the write in progress began, a clock.Millis, or 0.
+	writingSince atomic.Int64
 
 	mu sync.Mutex
 	// framing is the position of what was handed to streams. Guarded by mu.
@@ -47,6 +50,10 @@
 	isLast bool
 }
 
+// maxWriteBytes is the size of the parts in which a response is written, so that the time of
+// a write tells whether the caller reads.
+const maxWriteBytes = 32 << 10
+
 // maxSegments bounds the segments of a connection, since many small ones would take much
 // more memory than their bytes.
 const maxSegments = 64
@@ -251,6 +258,26 @@
 	}
 }
 
+// write writes a part of a response, up to maxWriteBytes at a time.
+func (c *conn) write(content []byte) (n int, err error) {
+	defer c.writingSince.Store(0)
+	for n < len(content) && err == nil {
+		c.writingSince.Store(int64(clock.Clock{}.Now()))
+		var count int
+		count, err = c.Conn.Write(content[n:min(n+maxWriteBytes, len(content))])
+		n += count
+	}
+	return n, err
+}
+
+// closeIfUnread closes the connection if a write has waited for the caller for timeout.
+func (c *conn) closeIfUnread(timeout clock.Millis) {
+	since := clock.Millis(c.writingSince.Load())
+	if since != 0 && (clock.Clock{}).Now()-since >= timeout {
+		_ = c.Close()
+	}
+}
+
 // refuseAndCloseWrite writes a Stopping refusal and closes the write side of the connection.
 func (c *conn) refuseAndCloseWrite() {
 	_ = c.SetWriteDeadline(time.Now().Add(rawWriteTimeout.Duration()))
--- a/internal/wire/caller/pipeline.go
+++ b/internal/wire/caller/pipeline.go
@@ -300,7 +300,7 @@
 	s.held = nil
 	p.heldBytes -= len(content)
 	p.conn.mu.Unlock()
-	_, err := p.conn.Conn.Write(content)
+	_, err := p.conn.write(content)
 	p.conn.mu.Lock()
 	if err != nil {
 		// readConn then sees the end of the connection too.
--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -5,8 +5,10 @@
 	"errors"
 	"io"
 	stdlog "log"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +25,7 @@
 	// connections open, so that a response to a further request can announce the
 	// close.
 	defaultIdleCloseDelay = 2 * clock.Second
+	defaultUnreadTimeout  = 10 * clock.Second
 	// acceptDrainTime is how long a server that shuts down accepts connections that
 	// the kernel has already established.
 	acceptDrainTime = 50 * clock.Millis(1)
@@ -67,6 +70,9 @@
 	// IdleCloseDelay is how long idle connections stay open after a shutdown began; 0
 	// selects 2 s.
 	IdleCloseDelay clock.Millis
+	// UnreadTimeout is how long a shutdown waits for a caller to read a part of a response
+	// that was written to it; 0 selects 10 s.
+	UnreadTimeout clock.Millis
 
 	once sync.Once
 	http *http.Server
@@ -153,8 +159,8 @@
 // Shutdown shuts the server down gracefully. Every response from now on has the header
 // "Connection: close". Shutdown serves the requests that still arrive, closes idle
 // connections with a Stopping refusal, and returns when the last request has ended. It
-// aborts no request: if ctx ends first, it returns the error of ctx and the requests
-// continue.
+// aborts only requests whose callers do not read for UnreadTimeout: if ctx ends first, it
+// returns the error of ctx and the requests continue.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.init()
 	if !s.beginShutdown() {
@@ -165,7 +171,7 @@
 	defer cancel()
 	s.waitForConns(idleCtx, func() {})
 	s.closeListener()
-	if err := s.waitForConns(ctx, s.closeIdleConns); err != nil {
+	if err := s.waitForConns(ctx, s.closeIdleAndUnread); err != nil {
 		return err
 	}
 	return s.http.Shutdown(ctx)
@@ -215,15 +221,16 @@
 	_ = listener.Close()
 }
 
-func (s *Server) closeIdleConns() {
+// closeIdleAndUnread closes the connections that are idle, and those whose caller has not
+// read for UnreadTimeout.
+func (s *Server) closeIdleAndUnread() {
 	s.mu.Lock()
-	idle := make([]*conn, 0, len(s.conns))
-	for c := range s.conns {
-		idle = append(idle, c)
-	}
+	conns := slices.Collect(maps.Keys(s.conns))
 	s.mu.Unlock()
-	for _, c := range idle {
+	timeout := clock.FromDuration(orDefault(s.UnreadTimeout, defaultUnreadTimeout))
+	for _, c := range conns {
 		c.closeIfIdle()
+		c.closeIfUnread(timeout)
 	}
 }
 
--- a/internal/wire/caller/stream.go
+++ b/internal/wire/caller/stream.go
@@ -114,7 +114,7 @@
 	isServing, isPipelined := s.isServing, c.pipeline != nil
 	c.mu.Unlock()
 	if isServing && !isPipelined {
-		return c.Conn.Write(buffer)
+		return c.write(buffer)
 	}
 	if isServing {
 		return s.writeInTurn(buffer)
@@ -137,7 +137,7 @@
 	if isHeld || err != nil {
 		return len(buffer), err
 	}
-	return c.Conn.Write(buffer)
+	return c.write(buffer)
 }
 
 // refuse writes and records the refusal of a request that reached no handler. It does
