Let the model's answers and copies speak of their connection before the id

The model of copied answers did not show heads that are begun in Connection: its copies bore the added header behind the id, so a begun one always showed two ids, and no answer said that its connection closes. Now the header stands before the id, and one answer in four says so. Nothing is left out: the forms of before are whole copies, for which the place makes no difference, and begun ones without the header.

--- a/internal/wire/endpoint/copies_test.go
+++ b/internal/wire/endpoint/copies_test.go
@@ -37,7 +37,7 @@
 type answerCopy struct {
 	// Age selects the answer: 0 is the newest. Cut selects the end of the first piece.
 	Age, Cut int
-	// Interim is written before the copy, Header added to its head.
+	// Interim is written before the copy, Header added to its head before the id.
 	Interim, Header string
 	// IsBegun leaves out the second piece: the copy is only begun.
 	IsBegun bool
@@ -55,7 +55,7 @@
 
 func (a answerCopy) text(answers []string) string {
 	answer := answers[len(answers)-1-a.Age%len(answers)]
-	return a.Interim + strings.Replace(answer, "\r\n\r\n", "\r\n"+a.Header+"\r\n", 1)
+	return a.Interim + strings.Replace(answer, "Request-Id", a.Header+"Request-Id", 1)
 }
 
 // plannedSend is a request as it is sent once, and what the copier does with it.
@@ -65,9 +65,10 @@
 	// head is the answer's status line and not-run header.
 	head string
 	// before and behind are the copies before and behind the answer. isJoined writes all in
-	// one segment, isEarly before the body is read. endsConn closes the connection then.
-	before, behind              []answerCopy
-	isJoined, isEarly, endsConn bool
+	// one segment, isEarly before the body is read. endsConn closes the connection then,
+	// saysClose says so in the answer.
+	before, behind                         []answerCopy
+	isJoined, isEarly, endsConn, saysClose bool
 	// arrived is closed when the copier has read the head. The answer waits until held is
 	// closed. settled is closed when all is written and, if the connection carried a copy,
 	// the connection has ended.
@@ -81,7 +82,11 @@
 func (p *plannedSend) body() string { return fmt.Sprint(p.head[:len("200")], " for send ", p.number) }
 
 func (p *plannedSend) answer() string {
-	return fmt.Sprintf("HTTP/1.1 %s\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", p.head, p.request.ID, len(p.body()), p.body())
+	closing := ""
+	if p.saysClose {
+		closing = "Connection: close\r\n"
+	}
+	return fmt.Sprintf("HTTP/1.1 %s\r\nRequest-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", p.head, p.request.ID, closing, len(p.body()), p.body())
 }
 
 func (p *plannedSend) hasArrived() bool {
@@ -248,6 +253,7 @@
 		planned.endsConn = rapid.Bool().Draw(t, "ends")
 	}
 	planned.isJoined = rapid.Bool().Draw(t, "joined")
+	planned.saysClose = rapid.IntRange(0, 3).Draw(t, "says close") == 3
 	c.do(func() { c.sends = append(c.sends, planned) })
 	return planned
 }
