Hold a limit that another one replaced for a window after the newer one's end

What callers saw: nothing.

VMs took the answer without a limit for the end of both.

The change: the lowest limit that was replaced holds for 4 s after the endpoint has ceased to name any. A raised or lowered limit counts at once, as before. Tried and not taken: the replaced limit binding beside the newer one as well (callers are served alike, and a raise would not count).

What is left, as far as traced, are two limits of the same value, of which VMs can't tell.

TestReplacedLimitHoldsForAWindowAfterTheNewerOne and TestReplacedLimitEnds failed before.

--- a/internal/policy/balance/candidate.go
+++ b/internal/policy/balance/candidate.go
@@ -223,7 +223,7 @@
 			continue
 		}
 		load += state.load(now)
-		slots += state.usableSlots(run)
+		slots += state.usableSlots(run, now)
 	}
 	return load, slots
 }
--- a/internal/policy/balance/home.go
+++ b/internal/policy/balance/home.go
@@ -140,7 +140,7 @@
 			weights[state.endpoint.Region] = weight
 		}
 		uniform := float64(hashing.Mix(objectHash^state.hash)>>11)/(1<<53) + 1e-18
-		score := -weight * state.usableSlots(run) / math.Log(uniform)
+		score := -weight * state.usableSlots(run, now) / math.Log(uniform)
 		if _, ok := b.isWithinLimit(state, now); ok && score > highest {
 			highest, home = score, state
 		}
--- a/internal/policy/balance/limit.go
+++ b/internal/policy/balance/limit.go
@@ -121,11 +121,12 @@
 	now := b.Clock.Now()
 	uses := map[string]LimitUse{}
 	for id, state := range b.states {
-		if !state.said.limit.isNamed() {
+		rate, ok := state.said.limit.binding(now)
+		if !ok {
 			continue
 		}
 		b.refreshLimit(state, now)
-		uses[id] = LimitUse{state.said.limit.stated.Rate, state.said.limit.share.rate, state.said.limit.firstSends, state.said.limit.retries}
+		uses[id] = LimitUse{rate, state.said.limit.share.rate, state.said.limit.firstSends, state.said.limit.retries}
 	}
 	return uses
 }
--- a/internal/policy/balance/limit_test.go
+++ b/internal/policy/balance/limit_test.go
@@ -32,8 +32,12 @@
 	vms                     []*limitedVM
 	limits                  map[string]float64
 	limitsFrom, limitsUntil clock.Millis
-	arrivals                map[string][]clock.Millis
-	refused, sent           int
+	// From replacedFrom on the endpoints name replacedBy times their limit, from unnamedFrom
+	// on none, while their limit still binds.
+	replacedFrom, unnamedFrom clock.Millis
+	replacedBy                float64
+	arrivals                  map[string][]clock.Millis
+	refused, sent             int
 }
 
 // limitedVM is one VM of a limitedFleet. It is not judged before judgedFrom.
@@ -80,7 +84,7 @@
 func newLimitedFleet(seed uint64, vms, endpoints int, limit, rate float64) *limitedFleet {
 	f := &limitedFleet{
 		manual: &clock.Manual{}, random: rand.New(rand.NewPCG(seed, 1)), limits: map[string]float64{}, arrivals: map[string][]clock.Millis{},
-		limitsFrom: 2 * clock.Second, limitsUntil: clock.Hour,
+		limitsFrom: 2 * clock.Second, limitsUntil: clock.Hour, replacedFrom: clock.Hour, unnamedFrom: clock.Hour,
 	}
 	for i := range endpoints {
 		e := directory.Endpoint{
@@ -162,7 +166,7 @@
 		result := Result{Outcome: Answered, Running: -1, Limit: Limit{Statement: LimitNone}}
 		id := run.grant.Endpoint.ID
 		if rate, isLimited := f.limits[id]; isLimited && now >= f.limitsFrom && now < f.limitsUntil {
-			result.Limit = Limit{LimitNamed, rate}
+			result.Limit = f.named(rate, now)
 			if _, found := vm.told[id]; !found {
 				vm.told[id] = now
 			}
@@ -172,6 +176,17 @@
 	vm.running = kept
 }
 
+// named returns what an endpoint with the given limit names.
+func (f *limitedFleet) named(limit float64, now clock.Millis) Limit {
+	switch {
+	case now >= f.unnamedFrom:
+		return Limit{Statement: LimitNone}
+	case now >= f.replacedFrom:
+		return Limit{LimitNamed, limit * f.replacedBy}
+	}
+	return Limit{LimitNamed, limit}
+}
+
 // lostAfter is the time after which a VM counts as unavailable for one that it is cut off
 // from. maxMeshVMs is the size of the largest fleet in which VMs exchange their demand.
 const (
@@ -272,6 +287,42 @@
 	}
 }
 
+// Guards against an excess of a limit that outlasts the one which replaced it in the
+// endpoint's answers.
+func TestReplacedLimitHoldsForAWindowAfterTheNewerOne(t *testing.T) {
+	for _, factor := range []float64{0.5, 1.2} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint("factor ", factor, ", seed ", seed), func(t *testing.T) {
+				f := newLimitedFleet(seed, 9, 16, 2.2, 200)
+				f.replacedBy, f.replacedFrom, f.unnamedFrom = factor, 8*clock.Second, 14*clock.Second
+				f.run(f.unnamedFrom + limitWindow)
+				f.expectLimitsHeld(t)
+			})
+		}
+	}
+}
+
+func TestReplacedLimitEnds(t *testing.T) {
+	g := NewWithT(t)
+	f := limitedBalancer(Limit{LimitNamed, 3})
+	uses := func(limit Limit) []float64 {
+		f.manual.Advance(clock.Second)
+		f.balancer.MergeLimitReadings(map[string]LimitReading{"e00": {Limit: limit, Started: 1}})
+		rates := []float64{}
+		for _, use := range f.balancer.LimitUses() {
+			rates = append(rates, use.Rate)
+		}
+		return rates
+	}
+	g.Expect(uses(Limit{LimitNamed, 5})).To(ConsistOf(5.0), "a raise counts at once")
+	g.Expect(uses(Limit{LimitNamed, 2})).To(ConsistOf(2.0))
+	g.Expect(uses(Limit{Statement: LimitNone})).To(ConsistOf(3.0), "the lowest that was replaced")
+	f.manual.Advance(replacedLimitTime)
+	g.Expect(uses(Limit{Statement: LimitNone})).To(BeEmpty())
+	g.Expect(uses(Limit{LimitNamed, 5})).To(ConsistOf(5.0))
+	g.Expect(uses(Limit{Statement: LimitNone})).To(BeEmpty(), "no limit was replaced since")
+}
+
 // disturb changes the state of a random VM: it restarts, stands still for a while, is cut
 // off or is reached again.
 func (f *limitedFleet) disturb() {
--- a/internal/policy/balance/limitbucket.go
+++ b/internal/policy/balance/limitbucket.go
@@ -28,6 +28,8 @@
 	// readAt is when a VM received the response with the statement, changedAt when this
 	// VM learned of another statement than before.
 	readAt, changedAt clock.Millis
+	// replaced is an earlier limit that may still bind.
+	replaced replacedLimit
 	// share is this VM's part of the limit, computed at the balancer's sharesVersion of that
 	// number.
 	share        limitShare
@@ -64,7 +66,8 @@
 	if stated == l.stated {
 		return
 	}
-	if l.stated.Statement != stated.Statement {
+	l.replaced.change(l.stated, stated, readAt)
+	if l.stated.Statement != stated.Statement && !l.replaced.holds(now) {
 		l.firstSends, l.retries = 0, 0
 		l.share, l.tokens, l.refilledAt = limitShare{}, 1, now
 	}
@@ -105,7 +108,7 @@
 // isWithinLimit reports whether this VM may send a request to the endpoint now, as far as
 // its limit is concerned. If not, wait is the time until it may. The caller must hold mu.
 func (b *Balancer) isWithinLimit(state *endpointState, now clock.Millis) (wait clock.Millis, ok bool) {
-	if !state.said.limit.isNamed() {
+	if !state.said.limit.binds(now) {
 		return 0, true
 	}
 	b.refreshLimit(state, now)
@@ -123,7 +126,7 @@
 // must hold mu.
 func (b *Balancer) takeLimitToken(state *endpointState, isRetry bool, now clock.Millis) {
 	l := &state.said.limit
-	if !l.isNamed() {
+	if !l.binds(now) {
 		return
 	}
 	l.tokens--
@@ -137,12 +140,13 @@
 
 // usableSlots returns the number of the endpoint's slots that the fleet can fill within
 // its limit with runs of the given length. All VMs compute the same number.
-func (s *endpointState) usableSlots(run *runTime) float64 {
+func (s *endpointState) usableSlots(run *runTime, now clock.Millis) float64 {
 	slots := float64(s.endpoint.Slots)
-	if !s.said.limit.isNamed() {
+	rate, ok := s.said.limit.binding(now)
+	if !ok {
 		return slots
 	}
-	return min(slots, s.said.limit.stated.Rate*(run.cached+run.uncached)/2/float64(clock.Second))
+	return min(slots, rate*(run.cached+run.uncached)/2/float64(clock.Second))
 }
 
 // addDemand counts a request for which this VM would choose the endpoint.
@@ -163,7 +167,7 @@
 	now := b.Clock.Now()
 	demand := map[string]float64{}
 	for id, state := range b.states {
-		if state.said.limit.isNamed() {
+		if state.said.limit.binds(now) {
 			demand[id] = state.said.limit.currentDemand(now)
 		}
 	}
--- a/internal/policy/balance/limitshare.go
+++ b/internal/policy/balance/limitshare.go
@@ -38,7 +38,8 @@
 // limitShare returns this VM's share of an endpoint's limit. VMs of the endpoint's region
 // come first, in the same order on all VMs. The caller must hold mu.
 func (b *Balancer) limitShare(state *endpointState, isStale bool, now clock.Millis) limitShare {
-	rate, vms := state.said.limit.stated.Rate, max(len(b.availableVMs), 1)
+	rate, _ := state.said.limit.binding(now)
+	vms := max(len(b.availableVMs), 1)
 	position := b.limitPosition(b.self(), state)
 	if isStale {
 		return limitShare{rate: max(rate, minStaleRate) / float64(vms), depth: 1, isStale: true, position: float64(position) / float64(vms)}
