Give a VM no share of a limit before it knows its peers

Callers' requests of a workspace at several times its rate were admitted by each VM as if it were alone, from the moment at which it had a configuration until it first counted its peers, 250 ms after its start.

Cause: the number of peers of quota.Limiter is 0 until it is set, so a VM that has just started had the whole rate for its share.

The number of peers is set as soon as the registered VMs are known, and a VM has no share before; a refusal then says 0.5 s. A limiter that needs no peers is as it was.

--- a/internal/entry/node/duties.go
+++ b/internal/entry/node/duties.go
@@ -83,7 +83,7 @@
 			names = append(names, member.ID.Name)
 		}
 		n.alternates.Store(roster.NewAlternates(members, n.self))
-		n.quota.SetPeers(len(members) - 1)
+		n.updateQuotaPeers(members)
 		n.balancer.UpdatePeers(n.roster.Running(), vms)
 		n.balancer.UpdateLimitDemands(n.limitDemands(members))
 		n.retryBudget.SetVMs(len(members))
@@ -97,6 +97,13 @@
 	}
 }
 
+// updateQuotaPeers passes the number of peers to the quota, once the registered VMs are known.
+func (n *Node) updateQuotaPeers(members []roster.Member) {
+	if n.objects.countVMs() > 0 {
+		n.quota.SetPeers(len(members) - 1)
+	}
+}
+
 // checkInterval returns how old this VM's copy must be before it checks the store; see
 // tracker.Checker. The first of the VMs that read the store checks it, and each next one
 // only if those before it have not for one more interval.
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -202,7 +202,7 @@
 		ColdLimit: balance.ColdLimit{Overage: config.Bounds.ColdOverage, Slack: config.Bounds.ColdSlack},
 	}
 	n.reach = &reach.Monitor{Probe: n.probeEndpoint, Addresses: n.balancer.Addresses, OnChange: n.onReachChange}
-	n.quota = &quota.Limiter{}
+	n.quota = &quota.Limiter{NeedsPeers: true}
 	n.admission = &admission.Admission{
 		Self: config.Name, Peers: n.peers, OwnerOf: n.ownerOf, Workspace: n.workspace, ReachableFraction: n.reachableFraction,
 		OwnedBuckets: &quota.Owner{IsOwnershipUnstable: n.isOwnershipUnstable}, LocalLimiter: n.quota,
--- a/internal/entry/node/objects.go
+++ b/internal/entry/node/objects.go
@@ -236,6 +236,7 @@
 	n.objects.vms = vms
 	n.objects.mu.Unlock()
 	n.roster.SetRegistered(list)
+	n.updateQuotaPeers(n.roster.Members())
 }
 
 // updateDirectory builds a directory from the cached objects and passes it to the
--- a/internal/policy/quota/quota.go
+++ b/internal/policy/quota/quota.go
@@ -31,18 +31,25 @@
 	// initialTokens is the most that a new bucket has. It is small because a restarted VM
 	// must not admit again what it had admitted before.
 	initialTokens = 2
+	// peersWait is the wait of a refusal while this VM does not know its peers.
+	peersWait = 500 * clock.Millis(1)
 )
 
 // Limiter admits requests within this VM's share of each limit. The zero value is ready
 // for use.
 type Limiter struct {
 	Clock clock.Clock
+	// NeedsPeers is set if this VM may have peers that it does not know yet. It has no share
+	// then until SetPeers is called, as otherwise each VM would have the whole limit.
+	NeedsPeers bool
 
 	mu sync.Mutex
 	// buckets holds the bucket of each requested workspace, by name. Guarded by mu.
 	buckets map[string]*bucket
-	// peers is the number of other VMs. Guarded by mu.
-	peers int
+	// peers is the number of other VMs. hasPeers is set once it is known. Both are guarded
+	// by mu.
+	peers    int
+	hasPeers bool
 }
 
 // bucket is the token bucket for this VM's share of a workspace's limit.
@@ -59,7 +66,7 @@
 func (l *Limiter) SetPeers(count int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.peers = count
+	l.peers, l.hasPeers = count, true
 }
 
 // Observe counts one request towards this VM's demand for the workspace.
@@ -91,6 +98,9 @@
 		b.tokens--
 		return 0, true
 	}
+	if rate <= 0 {
+		return peersWait, false
+	}
 	return clock.Millis((1-b.tokens)/max(rate, 1e-3)*float64(clock.Second)) + 1, false
 }
 
@@ -98,6 +108,15 @@
 func (l *Limiter) Share() float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.fraction()
+}
+
+// fraction returns the fraction of each limit that this VM may use without asking. The caller
+// must hold mu.
+func (l *Limiter) fraction() float64 {
+	if l.NeedsPeers && !l.hasPeers {
+		return 0
+	}
 	return 1 / float64(1+l.peers)
 }
 
@@ -173,7 +192,7 @@
 // share returns this VM's part of the workspace's rate, in requests per second. The caller
 // must hold mu.
 func (l *Limiter) share(workspace *routing.Workspace) float64 {
-	return workspace.Rate / float64(1+l.peers)
+	return workspace.Rate * l.fraction()
 }
 
 // refill adds the tokens for the time since the last call. rate is the VM's share, in
--- a/internal/policy/quota/quota_test.go
+++ b/internal/policy/quota/quota_test.go
@@ -213,3 +213,26 @@
 	}
 	g.Expect(granted).To(BeNumerically("<=", 0.5*(100*10+100)))
 }
+
+// Guards against VMs that have just started and admit the whole rate each, as they do not know
+// yet that there are others.
+func TestVMThatDoesNotKnowItsPeersHasNoShare(t *testing.T) {
+	g := NewWithT(t)
+	manual := &clock.Manual{}
+	limiter := &quota.Limiter{Clock: manual.Clock(), NeedsPeers: true}
+	workspace := &routing.Workspace{Name: "w", Rate: 500, Burst: 500}
+	admit := func() (admitted int) {
+		for range 100 {
+			if wait, ok := limiter.Admit(workspace); ok {
+				admitted++
+			} else {
+				g.Expect(wait).To(BeNumerically("<=", clock.Second))
+			}
+			manual.Advance(10)
+		}
+		return admitted
+	}
+	g.Expect(admit()).To(BeNumerically("<=", 2))
+	limiter.SetPeers(49)
+	g.Expect(admit()).To(BeNumerically("~", 10, 2), "its share is a fiftieth")
+}
