--- a/internal/policy/blocklist/blocklist.go
+++ b/internal/policy/blocklist/blocklist.go
@@ -6,7 +6,7 @@
 // in sequence count: an attempt that began after the last end that is known. One answer from
 // an endpoint clears a request, on all VMs. The first block is short, in case that two
 // endpoints ended by chance. VMs end their blocks at different times, so that one of them
-// tries the request again, once at a time, and the others learn how that went.
+// tries the request again, one at a time, and the others learn how that went.
 package blocklist
 
 import (
