Let callers send several times the rate in the test of a workspace's rate

The test of rate and burst through a freeze, a restart of all VMs and an outage of the store demands at its end that callers sent more than twice what arrived, so that the limit was really tried. It failed once with 961 sent for 484 arrivals, beside two soaks.

Cause: each of the 80 senders waits for its answer, up to 3 s at a VM that is out of tokens, so that together they send about twice the rate: 980 for 467, 1,062 for 458 and 1,088 for 457 in three runs, and 937 for 469 in a fourth, which failed, all beside a load of about 10 on 8 cores. Ruled out: a change of the VMs; the bound on rate and burst held in every run.

110 senders send 1,593 for 527 and 1,485 for 489 (two runs at the same load; 100 senders 1,744 for 353 and 1,235 for 474). The check itself and the bound stay as they were, under more load than before. Tried and not taken: 160 senders, 8,394 to 8,905 for 367 to 399, nearly all of them refused at once, which is another test.

--- a/cmd/baobabladder/limits_test.go
+++ b/cmd/baobabladder/limits_test.go
@@ -67,7 +67,7 @@
 		endpoints := startEndpoints(func(e *testEndpoint) { e.ServiceTime = 5 }, "e1", "e2", "e3", "e4")
 		f := startFleet(4, "lothian")
 		keyText, _ := f.applyAndIssueKey(&serviceDocument{head: fmt.Sprintf(serviceHead, rate, burst), endpoints: endpoints})
-		l := (&loadGenerator{fleet: f, key: keyText, prefix: "/catalogue/", senders: 80, pause: 60 * time.Millisecond}).start()
+		l := (&loadGenerator{fleet: f, key: keyText, prefix: "/catalogue/", senders: 110, pause: 60 * time.Millisecond}).start()
 		recentArrivals := func() int {
 			n, since := 0, time.Now().Add(-2*time.Second)
 			for _, a := range arrivalsAt(endpoints...) {
