Know a status line in each form that the parser reads

Cause: http.ReadResponse reads such a status line, the check for a second one knew the usual form only.

Evidence: two more forms of TestBeginningOfACopyIsNoRefusalOfTheNextRequest, which failed. No endpoint is known to write them. Ruled out: other forms that ReadResponse accepts (its version is HTTP/ and two digits, its code three bytes behind spaces).

Change: the pattern takes any version and any number of spaces.

--- a/internal/wire/endpoint/cutcopy_test.go
+++ b/internal/wire/endpoint/cutcopy_test.go
@@ -21,6 +21,8 @@
 	for name, text := range map[string]string{
 		"in the reason of a 421":             "HTTP/1.1 421 Mis" + okResponse,
 		"in a header before the id":          "HTTP/1.1 503 No\r\nRequest-Not-Run: fu" + okResponse,
+		"before another version":             "HTTP/1.1 421 Mis" + strings.Replace(okResponse, "1.1", "2.0", 1),
+		"before more spaces":                 "HTTP/1.1 421 Mis" + strings.Replace(okResponse, " ", "  ", 1),
 		"in Connection, the answer closes":   "HTTP/1.1 503 No\r\nRequest-Not-Run: full\r\nConnection: kee" + closing,
 		"behind a close in Connection":       "HTTP/1.1 503 No\r\nRequest-Not-Run: full\r\nConnection: close, T" + okResponse,
 		"in Transfer-Encoding, old protocol": "HTTP/1.0 503 No\r\nRequest-Not-Run: full\r\nTransfer-Encoding: ch" + okResponse,
--- a/internal/wire/endpoint/head.go
+++ b/internal/wire/endpoint/head.go
@@ -143,8 +143,8 @@
 
 var errTwoHeads error = reason.MayHaveRun(reason.AnswerCrossed, "the endpoint's answer begins inside of another one")
 
-// statusLine matches the beginning of a status line.
-var statusLine = regexp.MustCompile(`HTTP/1\.\d \d{3}`)
+// statusLine matches the beginning of a status line in the forms that net/http reads.
+var statusLine = regexp.MustCompile(`HTTP/\d\.\d +\d{3}`)
 
 // holdsStatusLine reports whether a response head, as it was received, holds a status line
 // besides its own: the beginning of one head and another head were read as one. The status of
