Bound callers' connections by the descriptors that the process may open

Cause: a VM took 4,096 connections of callers, but its process may open 4,100 descriptors, 200 of them reserved for files. The bound was never reached. accept4 failed with "too many open files" and was tried again after up to 640 ms, while connections waited in the kernel's queue.

Ruled out: connections to endpoints, peers and the store as the main holders (2,194 descriptors at most with callers held to 1,950).

The change: the default bound is half of the descriptors beyond 200 that the process may open, as the request of each connection may need one to an endpoint, and 4,096 at most. Further connections are refused at once with 503, as before. No new setting, so builds may run side by side.

The server for forwarded requests has the same bound for itself, so the two together may still take all descriptors.

--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -17,10 +17,9 @@
 
 const (
 	// maxHeadBytes bounds the head of a request. net/http allows 4 KiB more.
-	maxHeadBytes          = 16 << 10
-	defaultMaxConnections = 4096
-	defaultHeadTimeout    = 10 * clock.Second
-	defaultIdleTimeout    = 2 * clock.Minute
+	maxHeadBytes       = 16 << 10
+	defaultHeadTimeout = 10 * clock.Second
+	defaultIdleTimeout = 2 * clock.Minute
 	// defaultIdleCloseDelay is how long a server that shuts down keeps idle
 	// connections open, so that a response to a further request can announce the
 	// close.
@@ -56,7 +55,8 @@
 	// TrustAddressParameter lets the query parameter "address" replace the caller's
 	// address when entry VMs are ranked. It is meant for tests.
 	TrustAddressParameter bool
-	// MaxConnections bounds the open connections; 0 selects 4096.
+	// MaxConnections bounds the open connections; 0 selects 4096, or fewer if the process may
+	// open few descriptors.
 	MaxConnections int
 	// HeadTimeout bounds the time from the first byte of a head to its last; 0 selects
 	// 10 s.
@@ -76,6 +76,8 @@
 
 	once sync.Once
 	http *http.Server
+	// defaultConnections is what MaxConnections is if it is 0.
+	defaultConnections int
 	// streams hands further streams of connections to http.
 	streams *streamListener
 	// shutdownStarted is closed when a shutdown begins, shutdownDone when Shutdown
@@ -114,6 +116,7 @@
 		s.shutdownStarted = make(chan struct{})
 		s.shutdownDone = make(chan struct{})
 		s.conns = map[*conn]struct{}{}
+		s.defaultConnections = defaultConnections()
 		s.streams = newStreamListener()
 		s.http = &http.Server{
 			Handler:           http.HandlerFunc(s.serve),
@@ -312,7 +315,7 @@
 func (s *Server) hasRoom() bool {
 	limit := s.MaxConnections
 	if limit == 0 {
-		limit = defaultMaxConnections
+		limit = s.defaultConnections
 	}
 	return len(s.conns)+s.addedStreams < limit
 }
