--- a/internal/control/admission/admission.go
+++ b/internal/control/admission/admission.go
@@ -12,9 +12,7 @@
 
 import (
 	"context"
-	"maps"
 	"math"
-	"slices"
 	"sync"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
@@ -327,23 +325,6 @@
 // isPlausible reports whether a message may contain the count.
 func isPlausible(count float64) bool { return math.Abs(count) <= maxCount }
 
-// replyTo processes a VM's report on workspaces that this VM owns.
-func (a *Admission) replyTo(reporter string, usages map[string]quota.Usage) (reply Reply) {
-	reply = Reply{Grants: make(map[string]quota.Grant, len(usages))}
-	defer func() {
-		isOther := func(name string) bool { return !a.isOwner(name) }
-		reply.Strict = slices.DeleteFunc(a.OwnedBuckets.StrictWorkspaces(), isOther)
-	}()
-	reach := quota.Reach{Fraction: a.ReachableFraction(), Share: a.LocalLimiter.Share()}
-	for name, usage := range usages {
-		workspace := a.Workspace(name)
-		if workspace != nil && workspace.Rate > 0 && isPlausible(usage.Used) && isPlausible(usage.Want) {
-			reply.Grants[name] = a.OwnedBuckets.Report(workspace, reporter, usage, reach)
-		}
-	}
-	return reply
-}
-
 // Refund gives back the token that Admit took for a request that did not run.
 func (a *Admission) Refund(workspace *routing.Workspace) {
 	if workspace == nil || workspace.Rate <= 0 {
@@ -415,92 +396,3 @@
 	}
 	return usagesByOwner
 }
-
-// Receiver serves the reports of other VMs over net/rpc.
-type Receiver struct{ admission *Admission }
-
-// NewReceiver returns the Receiver of an Admission.
-func NewReceiver(admission *Admission) *Receiver { return &Receiver{admission} }
-
-// Report processes a VM's report and replies with the tokens that it may use. VMs that have
-// just started may take another VM for the owner than that VM does. So it sends on what it
-// does not own, once, and stands in for an owner that does not reply.
-func (r *Receiver) Report(report Report, reply *Reply) error {
-	a := r.admission
-	usages := a.withKnownOwner(report.Usages)
-	if !report.IsForwarded {
-		*reply = a.forward(report.VM, usages)
-	}
-	maps.DeleteFunc(usages, func(name string, _ quota.Usage) bool {
-		_, isAnswered := reply.Grants[name]
-		return isAnswered
-	})
-	own := a.replyTo(report.VM, usages)
-	maps.Copy(own.Grants, reply.Grants)
-	*reply = Reply{Grants: own.Grants, Strict: append(own.Strict, reply.Strict...)}
-	return nil
-}
-
-// withKnownOwner returns the usages of workspaces which this VM knows, and whose owner it
-// knows.
-func (a *Admission) withKnownOwner(usages map[string]quota.Usage) map[string]quota.Usage {
-	known := maps.Clone(usages)
-	maps.DeleteFunc(known, func(name string, _ quota.Usage) bool {
-		return a.Workspace(name) == nil || a.ownerName(name) == ""
-	})
-	return known
-}
-
-// forward sends what a VM reports on workspaces that others own to these, and returns their
-// replies.
-func (a *Admission) forward(reporter string, usages map[string]quota.Usage) (reply Reply) {
-	others := map[vm.VM]map[string]quota.Usage{}
-	for name, usage := range usages {
-		owner, known := a.OwnerOf(name)
-		if !known || owner.Name == a.Self || owner.Name == reporter || a.isOwnerPausing(name) {
-			continue
-		}
-		if others[owner] == nil {
-			others[owner] = map[string]quota.Usage{}
-		}
-		others[owner][name] = usage
-	}
-	replies := make(chan Reply, len(others))
-	for owner, owned := range others {
-		go func() {
-			replies <- a.callOwner(owner, Report{VM: reporter, Usages: owned, IsForwarded: true})
-		}()
-	}
-	reply.Grants = map[string]quota.Grant{}
-	for range others {
-		ofOwner := <-replies
-		maps.Copy(reply.Grants, ofOwner.Grants)
-		reply.Strict = append(reply.Strict, ofOwner.Strict...)
-	}
-	return reply
-}
-
-// isOwnerPausing reports whether a workspace's owner did not reply a moment ago.
-func (a *Admission) isOwnerPausing(workspace string) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.state(workspace).isPausing(a.Clock.Now())
-}
-
-// callOwner sends a report on to an owner and returns its reply, which is empty if there is
-// none.
-func (a *Admission) callOwner(owner vm.VM, report Report) (reply Reply) {
-	ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout.Duration())
-	defer cancel()
-	if err := a.Peers.Call(ctx, owner.PeerAddress, reportMethod, report, &reply); err == nil {
-		return reply
-	}
-	now := a.Clock.Now()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for name := range report.Usages {
-		s := a.state(name)
-		s.failedAt, s.hasFailed = now, true
-	}
-	return Reply{}
-}
