Guard the links that a test of ended endpoints changes while probes read them

Cause: TestEndpointHasEndedOnlyIfOthersAreReached writes the map of its links without their lock, while probes of the call before, which returns with the first endpoint that it reaches, still read it under the lock. The fault is the test's; the monitor does not touch the map.

Evidence: the trace names probe, started by reachesAny, as the reader. No check changes.

--- a/internal/policy/reach/reach_test.go
+++ b/internal/policy/reach/reach_test.go
@@ -127,6 +127,8 @@
 	monitor := &reach.Monitor{Probe: l.probe, Addresses: addresses}
 	g.Expect(monitor.HasEnded(t.Context(), "e0")).To(BeTrue())
 	g.Expect(monitor.HasEnded(t.Context(), "e3")).To(BeFalse(), "the endpoint takes connections")
+	l.mu.Lock()
 	l.up["e3"] = false
+	l.mu.Unlock()
 	g.Expect(monitor.HasEnded(t.Context(), "e0")).To(BeFalse(), "no endpoint takes connections from this VM")
 }
