Tell in logs and metrics which answers end where a reset may have been

Users saw a part of an answer without a length relayed as a whole one, and no log or metric told such answers from whole ones.

A socket reports a reset once. If the write of a request's body gets it, the reads that follow see a plain end. So the connection now keeps whether a write failed for another cause than a deadline, and an attempt whose answer ends with such a connection has `answer_defect=end_unknown` in its `try` line and counts in `endpoint_oddities{kind="end_unknown"}`. What is relayed is unchanged here.

--- a/internal/entry/gateway/outcome.go
+++ b/internal/entry/gateway/outcome.go
@@ -137,7 +137,7 @@
 // Oddity is what is unusual about an attempt, as a label of a metric.
 type Oddity string
 
-// Values of Oddity.
+// Values of Oddity. Each endpoint.Defect is one too.
 const (
 	// DiscardedAnswer is an answer to another request that came first.
 	DiscardedAnswer Oddity = "discarded_answer"
@@ -160,6 +160,9 @@
 	if trace.IsIDRepeated {
 		c.gateway.RecordOddity(RepeatedID)
 	}
+	if trace.Defect != "" {
+		c.gateway.RecordOddity(Oddity(trace.Defect))
+	}
 	if isPromise(status) {
 		c.gateway.RecordOddity(UnstatedPromise)
 	}
--- a/internal/entry/gateway/requestlog.go
+++ b/internal/entry/gateway/requestlog.go
@@ -138,6 +138,9 @@
 	if a.trace.IsIDRepeated {
 		fields["id_repeated"] = true
 	}
+	if a.trace.Defect != "" {
+		fields["answer_defect"] = a.trace.Defect
+	}
 	if a.trace.DiscardedAnswers > 0 {
 		fields["discarded_answers"] = a.trace.DiscardedAnswers
 	}
--- a/internal/wire/endpoint/conn.go
+++ b/internal/wire/endpoint/conn.go
@@ -56,6 +56,10 @@
 	reader  *bufio.Reader
 	// bytesSent counts the bytes of the current request that may have been sent.
 	bytesSent atomic.Int64
+	// hasWriteFailed reports that a write failed for another cause than a deadline. A socket
+	// reports a reset once: reads that follow take it for an end. The goroutine that writes
+	// sets it, and others read it when that one is done.
+	hasWriteFailed bool
 	// headBudget is the number of bytes that may still be read of a response head,
 	// or unlimited. Only the reading goroutine uses it.
 	headBudget int
@@ -157,6 +161,9 @@
 func (c *conn) Write(buffer []byte) (n int, err error) {
 	n, err = c.Conn.Write(buffer)
 	c.bytesSent.Add(int64(n))
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.hasWriteFailed = true
+	}
 	return n, err
 }
 
--- a/internal/wire/endpoint/exchange.go
+++ b/internal/wire/endpoint/exchange.go
@@ -142,6 +142,9 @@
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !e.client.AcceptUnframed {
 		return nil, e.fail(reason.MayHaveRun(reason.AnswerCut, "the endpoint's answer declares no length"))
 	}
+	if endsWithConnection(response) && e.connection.hasWriteFailed {
+		e.request.trace(func(trace *Trace) { trace.Defect = EndUnknown })
+	}
 	body := &responseBody{exchange: e, body: response.Body, mustClose: response.Close, isUndeclared: response.ContentLength < 0, startedAt: e.connection.bytesReceived}
 	said := e.client.Names.readStatement(response)
 	e.connection.setIdleTimeout(response.Header.Get("Keep-Alive"))
@@ -159,6 +162,12 @@
 	return &Response{Status: response.StatusCode, Header: e.client.filterResponseHeader(response.Header), Length: response.ContentLength, Body: body, Statement: said}, nil
 }
 
+// endsWithConnection reports whether nothing but the end of the connection tells where the
+// response's body ends.
+func endsWithConnection(response *http.Response) bool {
+	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // fail ends the exchange and returns its refusal. The head was sent, so the refusal
 // states that the request may have run.
 func (e *exchange) fail(err error) *reason.Refusal {
--- a/internal/wire/endpoint/trace.go
+++ b/internal/wire/endpoint/trace.go
@@ -1,5 +1,13 @@
 package endpoint
 
+// Defect is why an answer can't be relied on although a lenient reader takes it for one, as a
+// label of a metric.
+type Defect string
+
+// EndUnknown is the Defect of an answer that ends with its connection, on which a write of the
+// request failed: its end may be a reset.
+const EndUnknown Defect = "end_unknown"
+
 // Trace describes how a request was sent, for logs and metrics.
 type Trace struct {
 	// ConnRequests is the number of requests that the connection has carried, this one
@@ -8,6 +16,8 @@
 	// IsIDRepeated reports that a kept connection to the endpoint had carried the request's
 	// id before, and so was not used.
 	IsIDRepeated bool
+	// Defect is why the answer can't be relied on, if it was read so far.
+	Defect Defect
 	// DiscardedAnswers is the number of answers that were discarded because they bear the
 	// id of another request.
 	DiscardedAnswers int
