Refuse an answer without a length if writing the request failed before its end

Callers got a part of an answer as a whole one: an endpoint answered a long upload at once with 200 and no length, sent a part of its body and reset the connection while the upload was still being written.

Cause: a socket reports a reset once, to whichever call comes first. If the write of the request's body gets it, reads deliver what was received and then a plain end, which ends an answer without a length.

Ruled out: the head of the request (one write, before any read; a kept connection whose reset is seen there is replaced or reported), requests without a body (only reads are left to get the reset), and answers with a length, in chunks, to HEAD, or with 204 or 304 (the end of the connection says nothing there). ETIMEDOUT and the like are errors of reads and writes as a reset is.

Change: an answer that ends with its connection is refused as answer_cut (may have run) if a write failed on the connection for another cause than a deadline. The writer has always ended before the check: validate waits until it is done or stops it, so nothing is read while it is written.

Why it isn't "the whole request must have been written": an endpoint may answer early on purpose. The writer is stopped by a deadline of ours, which Go checks before the call, so no error of the socket is taken, and a reset that comes later is reported to the read. Why EPIPE is refused too: on Linux it shows that the end came in order before the reset, but not on other kernels, and an endpoint that closes with unread bytes of the request sends a reset anyway.

--- a/internal/wire/endpoint/endpoint.go
+++ b/internal/wire/endpoint/endpoint.go
@@ -160,7 +160,8 @@
 	// ConnectTimeout bounds the set-up of a connection; 0 selects 1 s.
 	ConnectTimeout clock.Millis
 	// AcceptUnframed accepts responses without Content-Length or chunked encoding.
-	// Such a response is complete if its connection is closed without an error.
+	// Such a response is complete if its connection is closed without an error and no write
+	// of the request failed on it.
 	AcceptUnframed bool
 	// ExpectContinueTimeout is how long a request with ExpectContinue waits for the
 	// endpoint's response before it sends its body; 0 selects 500 ms.
--- a/internal/wire/endpoint/exchange.go
+++ b/internal/wire/endpoint/exchange.go
@@ -144,6 +144,7 @@
 	}
 	if endsWithConnection(response) && e.connection.hasWriteFailed {
 		e.request.trace(func(trace *Trace) { trace.Defect = EndUnknown })
+		return nil, e.fail(reason.MayHaveRun(reason.AnswerCut, "the endpoint's answer declares no length, and writing the request's body failed before its end"))
 	}
 	body := &responseBody{exchange: e, body: response.Body, mustClose: response.Close, isUndeclared: response.ContentLength < 0, startedAt: e.connection.bytesReceived}
 	said := e.client.Names.readStatement(response)
