Keep an early answer whole when the body of its request stops being read

Callers who sent a long body slowly lost an endpoint's early answer: they got a cut one, or 502. And where an endpoint closed the connection while the VM waited for more of such a body, the caller was told body_too_slow: the endpoint's failure didn't count against it, and wasn't sent again.

Cause: when the head of the answer has come, the rest of the request's body isn't needed, and the body is closed under its reader. The read that waits there returns what package caller returns for a late body, a refusal, and the writer took this for a failure of the caller: it reset the connection, of which the answer was still being read, and left the refusal as the cause. Bodies in memory are not concerned, nor answers that lay in the read buffer already.

Change: an error of the body after it was closed by this VM says nothing about the caller, and resets nothing. The truncated request isn't taken for a complete one: its length is declared or its last chunk is missing, and the connection is closed behind the answer, as before.

--- a/internal/wire/endpoint/exchange.go
+++ b/internal/wire/endpoint/exchange.go
@@ -201,6 +201,13 @@
 	<-e.bodyDone
 }
 
+// hasStoppedBody reports whether stopBody was called.
+func (e *exchange) hasStoppedBody() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.isBodyAborted
+}
+
 // awaitBodyStart waits until the body may be sent and reports whether it should be.
 func (e *exchange) awaitBodyStart() bool {
 	if e.request.ExpectContinue {
@@ -230,6 +237,11 @@
 		return
 	}
 	e.bodyErr = e.connection.writeBody(e.request.Body, e.request.Length)
+	if e.bodyErr != nil && e.hasStoppedBody() {
+		// The body was closed under its reader, whose error says nothing about the caller.
+		e.bodyErr = errBodyAborted
+		return
+	}
 	if _, ok := fault.As[*reason.Refusal](e.bodyErr); ok {
 		// Reading the caller's body failed. The connection is closed so that the
 		// endpoint does not accept the truncated request as complete.
