Refuse an answer with a malformed line in its heads or trailer

Callers got answers in whose head a field's name held a blank, with that line passed on, or with a body that was not the endpoint's: "Content-Length : 1" and "Transfer-Encoding : chunked" were unknown fields, and the body was read to the end of the connection, chunk sizes included.

Cause: http.ReadResponse takes blanks in and behind a field's name and then doesn't know the field. It also takes folded lines, in heads and trailers; Transfer-Encoding beside Content-Length, or in HTTP/1.0, where it ignores it; any major version; control bytes in a reason phrase.

Ruled out (refused before and after): control bytes, tab, DEL, NUL and bytes above 127 in names, control bytes in values, an empty name, a line without a colon, a folded first line; "+2", "-2", "0x2", "2, 2", "2 2", an empty and two different lengths; "identity", "gzip, chunked" and two encodings; signs, prefixes and missing line ends in chunk sizes.

Change: each head, interim ones included, is checked from its bytes as they came, which conn.readHead keeps for holdsStatusLine. Trailers went through net/http too, and were dropped; now chunkedBody reads them line by line behind net/http's reader of chunks. A malformed head is endpoint_failed, like those that net/http refuses (one cause, one reason; answer_crossed and answer_cut are about bytes of another answer and missing ones); a malformed trailer is answer_cut. The connection is closed, and the request may have run. The attempt has `answer_defect=malformed_answer` and counts in `endpoint_oddities`, also for forms that net/http refuses.

A bare line feed still ends a line, and two equal lengths are one, as RFC 9112 allows recipients to take them. A strict reader gets the same body.

--- a/internal/wire/endpoint/conn.go
+++ b/internal/wire/endpoint/conn.go
@@ -147,12 +147,17 @@
 	c.head = bytes.Clone(buffered)
 	defer func() { c.head = nil }()
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	head := c.head[:len(c.head)-c.reader.Buffered()]
+	if err == nil && holdsStatusLine(head) {
+		return nil, errTwoHeads
+	}
+	if malformed := checkHead(head); malformed != nil {
+		return nil, malformed
+	}
 	if err != nil {
 		return nil, err
 	}
-	if holdsStatusLine(c.head[:len(c.head)-c.reader.Buffered()]) {
-		return nil, errTwoHeads
-	}
+	checkTrailer(response, c.reader)
 	return response, nil
 }
 
--- a/internal/wire/endpoint/endpoint.go
+++ b/internal/wire/endpoint/endpoint.go
@@ -88,7 +88,7 @@
 	// the endpoint was chosen, because their result may have changed while the
 	// connection was set up or the VM was paused.
 	BeforeSend func() error
-	// Trace, if not nil, is filled in before Send returns.
+	// Trace, if not nil, is filled in before Send returns, but for the defect of a trailer.
 	Trace *Trace
 }
 
--- a/internal/wire/endpoint/exchange.go
+++ b/internal/wire/endpoint/exchange.go
@@ -143,8 +143,7 @@
 		return nil, e.fail(reason.MayHaveRun(reason.AnswerCut, "the endpoint's answer declares no length"))
 	}
 	if endsWithConnection(response) && e.connection.hasWriteFailed {
-		e.request.trace(func(trace *Trace) { trace.Defect = EndUnknown })
-		return nil, e.fail(reason.MayHaveRun(reason.AnswerCut, "the endpoint's answer declares no length, and writing the request's body failed before its end"))
+		return nil, e.fail(newDefect(EndUnknown, reason.AnswerCut, "the endpoint's answer declares no length, and writing the request's body failed before its end"))
 	}
 	body := &responseBody{exchange: e, body: response.Body, mustClose: response.Close, isUndeclared: response.ContentLength < 0, startedAt: e.connection.bytesReceived}
 	said := e.client.Names.readStatement(response)
@@ -175,12 +174,20 @@
 	e.stopContextWatch()
 	e.connection.abort()
 	e.stopBody()
+	e.traceDefect(err)
 	if _, ok := fault.As[*reason.Refusal](e.bodyErr); ok {
 		err = e.bodyErr
 	}
 	return newRefusal(e.ctx, true, err)
 }
 
+// traceDefect records the defect of an answer, if err is about one.
+func (e *exchange) traceDefect(err error) {
+	if known, ok := fault.As[*defectError](err); ok {
+		e.request.trace(func(trace *Trace) { trace.Defect = known.defect })
+	}
+}
+
 // stopBody stops writeBody and waits until it has returned. A body that was not read
 // yet stays open and can be sent to another endpoint.
 func (e *exchange) stopBody() {
@@ -276,6 +283,7 @@
 	case err == io.EOF:
 		r.finish(io.EOF, !r.mustClose)
 	case err != nil:
+		r.exchange.traceDefect(err)
 		truncated := reason.MayHaveRun(reason.AnswerCut, "the endpoint's answer was cut")
 		r.finish(newRefusal(r.exchange.ctx, true, truncated), false)
 	}
--- a/internal/wire/endpoint/trace.go
+++ b/internal/wire/endpoint/trace.go
@@ -4,9 +4,15 @@
 // label of a metric.
 type Defect string
 
-// EndUnknown is the Defect of an answer that ends with its connection, on which a write of the
-// request failed: its end may be a reset.
-const EndUnknown Defect = "end_unknown"
+// Values of Defect.
+const (
+	// EndUnknown is an answer that ends with its connection, on which a write of the request
+	// failed: its end may be a reset.
+	EndUnknown Defect = "end_unknown"
+	// MalformedAnswer is an answer with a line in a head or in its trailer that is not in the
+	// form of HTTP/1.1.
+	MalformedAnswer Defect = "malformed_answer"
+)
 
 // Trace describes how a request was sent, for logs and metrics.
 type Trace struct {
@@ -16,7 +22,8 @@
 	// IsIDRepeated reports that a kept connection to the endpoint had carried the request's
 	// id before, and so was not used.
 	IsIDRepeated bool
-	// Defect is why the answer can't be relied on, if it was read so far.
+	// Defect is why the answer can't be relied on, or empty. That of a trailer is filled in
+	// when the body of the response is read to its end.
 	Defect Defect
 	// DiscardedAnswers is the number of answers that were discarded because they bear the
 	// id of another request.
