Refuse an answer whose status is below 100 or above 599

Users saw on systems of this kind that an answer with the status 000 was relayed. Here 000 to 099 were taken for interim answers: one before a good answer was passed over and the good one relayed, and one alone kept the caller waiting for another answer until the deadline. 600 to 999 were relayed as they came, and counted as 5xx.

Cause: http.ReadResponse takes any three digits, and whatever was below 200 was interim.

Change: a head with a status that isn't one of 100 to 599 is refused wherever it stands, as endpoint_failed, also with a statement that the request has not run. The connection is closed; the request may have run. The attempt has `answer_defect=invalid_status`.

Why 600 and more aren't relayed: RFC 9110 (section 15) calls them invalid and has a client treat them as 5xx. The caller gets that as our own 502, and the attempt counts as a failure and may be sent again as after one. A caller that got 600 itself may take it for a success, and one that got 500 would get what the endpoint didn't say. Valid codes that nobody knows (299, 599) are relayed.

The test on the code before, all 20 forms failed: 7 were taken for answers (`"ok" was taken for the body of "HTTP/1.1 000 \r\n\r\nHTTP/1.1 200 OK..."`), the nine of 000, 001 and 099 alone or last ended with the deadline (10 s), and four of 600 and 999 were refused for another cause or believed as "not run". Now all are refused at once.

--- a/internal/wire/endpoint/syntax.go
+++ b/internal/wire/endpoint/syntax.go
@@ -29,19 +29,24 @@
 }
 
 // strictStatusLine matches a whole status line of HTTP/1.
-var strictStatusLine = regexp.MustCompile(`^HTTP/1\.[0-9] [0-9]{3}(?: [\t -~\x80-\xff]*)?$`)
+var strictStatusLine = regexp.MustCompile(`^HTTP/1\.[0-9] ([0-9]{3})(?: [\t -~\x80-\xff]*)?$`)
 
 // checkHead returns an error if the lines of a response head, as they were received, are not
-// in the form of RFC 9112. net/http takes blanks in the names of fields, and then doesn't know
-// the fields, folded lines, and a length beside chunks.
+// in the form of RFC 9112, or its status has no meaning. net/http takes blanks in the names of
+// fields, and then doesn't know the fields, any three digits for a status, folded lines, and a
+// length beside chunks.
 func checkHead(head []byte) error {
 	statusLine, fields, isWhole := bytes.Cut(head, []byte("\n"))
 	if !isWhole {
 		return nil
 	}
-	if !strictStatusLine.Match(trimCR(statusLine)) {
+	matched := strictStatusLine.FindSubmatch(trimCR(statusLine))
+	if matched == nil {
 		return newDefect(MalformedAnswer, reason.EndpointFailed, "the endpoint's answer begins with a malformed status line")
 	}
+	if status := string(matched[1]); status < "100" || status > "599" {
+		return newDefect(InvalidStatus, reason.EndpointFailed, "the endpoint's answer has the status %s, which is not one of 100 to 599", status)
+	}
 	isOld := bytes.HasPrefix(statusLine, []byte("HTTP/1.0"))
 	return checkFields(fields, isOld)
 }
--- a/internal/wire/endpoint/syntax_test.go
+++ b/internal/wire/endpoint/syntax_test.go
@@ -67,6 +67,22 @@
 	g.Eventually(func() int { _, _, closedConns := server.counts(); return closedConns }, testTimeout).Should(Equal(1))
 }
 
+// Guards against an answer whose status says nothing, which is passed over as an interim one
+// or relayed.
+func TestAnswerWithAnInvalidStatusIsRefused(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "600", "999"} {
+		final := strings.Replace(okResponse, "200", status, 1)
+		for place, text := range map[string]string{
+			"alone":                      final,
+			"before the answer":          "HTTP/1.1 " + status + " \r\n\r\n" + okResponse,
+			"behind an interim response": "HTTP/1.1 102 Wait\r\n\r\n" + final,
+			"not run":                    strings.Replace(final, "Request-Id", "Request-Not-Run: full\r\nRequest-Id", 1),
+		} {
+			t.Run(status+"/"+place, func(t *testing.T) { expectDefect(t, text, endpoint.InvalidStatus) })
+		}
+	}
+}
+
 // Guards against a head whose body another reader finds to end elsewhere.
 func TestBodyIsWhatAStrictReaderGets(t *testing.T) {
 	const ok, chunks = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n", "2\r\nok\r\n0\r\n\r\n"
--- a/internal/wire/endpoint/trace.go
+++ b/internal/wire/endpoint/trace.go
@@ -9,6 +9,8 @@
 	// EndUnknown is an answer that ends with its connection, on which a write of the request
 	// failed: its end may be a reset.
 	EndUnknown Defect = "end_unknown"
+	// InvalidStatus is an answer, interim ones included, with a status below 100 or above 599.
+	InvalidStatus Defect = "invalid_status"
 	// MalformedAnswer is an answer with a line in a head or in its trailer that is not in the
 	// form of HTTP/1.1.
 	MalformedAnswer Defect = "malformed_answer"
