--- a/internal/wire/body/body.go
+++ b/internal/wire/body/body.go
@@ -1,5 +1,5 @@
-// Package body reads the bodies of replies into memory, up to a bound: a server that is out of
-// order may send bytes without end.
+// Package body checks replies that net/http has read, and reads their bodies into memory, up to
+// a bound: a server that is out of order may send bytes without end.
 package body
 
 import (
--- a/internal/wire/store/store.go
+++ b/internal/wire/store/store.go
@@ -225,6 +225,9 @@
 		return nil, nil, err
 	}
 	defer response.Body.Close()
+	if err := body.CheckReply(response); err != nil {
+		return nil, nil, err
+	}
 	content, err := body.ReadAll(response.Body, maxReplyBytes)
 	if err != nil {
 		return nil, nil, err
