Don't repeat an operator's change at another VM when its reply can't be read

Found by reading for the cause of answers that were cut and taken for whole ones. A command is sent to the next VM if the last one certainly changed nothing. But an error of decoding the reply of a VM that had made the change was returned as it was, neither "unreachable" nor "no answer", and so the change was made again: two keys issued in place of one. A reply with the status 000, or without a length, was a VM's word that it had changed nothing.

Change: a reply that can't be decoded is no answer, and so is one that body.CheckReply refuses (no declared length or chunks, a blank in a field's name, an invalid status). The operator is told that the change may stand.

The test on the code before, all seven forms failed: five were sent again ("the change was sent again", 2 calls) and two believed. Now all pass.

--- a/internal/wire/operator/client.go
+++ b/internal/wire/operator/client.go
@@ -184,12 +184,18 @@
 		return classifyError(request, err)
 	}
 	defer response.Body.Close()
+	if err := body.CheckReply(response); err != nil {
+		return classifyError(request, err)
+	}
 	content, err := body.ReadAll(response.Body, maxReplyBytes)
 	if err != nil {
 		return classifyError(request, err)
 	}
 	if response.StatusCode == http.StatusOK {
-		return json.Unmarshal(content, into)
+		if err := json.Unmarshal(content, into); err != nil {
+			return classifyError(request, err)
+		}
+		return nil
 	}
 	failure := &Failure{}
 	if err := json.Unmarshal(content, failure); err != nil || failure.Code == "" {
