Take an answer to HEAD that states no length for a whole one

Found by listing what ends with its connection. Callers of `baobabladder entry`, and of a VM that forwards to another one, got 502 answer_cut for an endpoint's answer to HEAD without Content-Length. Such an answer has no body: it ends with its head, whatever the head says.

Cause: "no length and no chunks" was taken for "ends with the connection", also where net/http knows that there is no body. Ruled out: 204 and 304, for which it sets the length 0.

Change: the check asks whether the body ends with the connection.

The test on the code before: "answer_cut (ran: unknown): the endpoint's answer declares no length". Now it passes, and the connection is kept.

--- a/internal/wire/endpoint/exchange.go
+++ b/internal/wire/endpoint/exchange.go
@@ -139,7 +139,7 @@
 	if len(echoedIDs) != 1 || echoedIDs[0] != e.request.ID {
 		return nil, e.fail(reason.MayHaveRun(reason.AnswerCrossed, "the endpoint's answer was to another request"))
 	}
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !e.client.AcceptUnframed {
+	if endsWithConnection(response) && !e.client.AcceptUnframed {
 		return nil, e.fail(reason.MayHaveRun(reason.AnswerCut, "the endpoint's answer declares no length"))
 	}
 	if endsWithConnection(response) && e.connection.hasWriteFailed {
--- a/internal/wire/endpoint/reset_test.go
+++ b/internal/wire/endpoint/reset_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -144,3 +145,21 @@
 		})
 	}
 }
+
+// Guards against an answer that has no body being refused because it declares no length.
+func TestAnswerWithoutBodyNeedsNoLength(t *testing.T) {
+	for _, status := range []string{"200 OK", "404 Not Found"} {
+		g := NewWithT(t)
+		server := newFaultyServer(t, respondWith("HTTP/1.1 "+status+"\r\nRequest-Id: ID\r\n\r\n", false))
+		client := endpoint.New()
+		for i := range 2 {
+			request := getRequest(fmt.Sprint("r", i))
+			request.Method = http.MethodHead
+			body, err := exchange(client, server.address, request)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(body).To(BeEmpty())
+		}
+		_, conns, _ := server.counts()
+		g.Expect(conns).To(Equal(1), "the connection can be used again")
+	}
+}
