Abort a baseline's answer to its caller when the endpoint's is cut

Found by reading for readers that take an end for an end. The connection is now aborted, as in the product.

The test on the code before: `status 200, "half"` for an answer of 9 bytes. Now it passes.

--- a/internal/standin/baseline/baseline.go
+++ b/internal/standin/baseline/baseline.go
@@ -119,7 +119,10 @@
 		w.Header()[name] = values
 	}
 	w.WriteHeader(response.Status)
-	_, _ = io.Copy(w, response.Body)
+	if _, err := io.Copy(w, response.Body); err != nil {
+		// Aborting the connection shows the caller that the response is truncated.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 func (v *VM) findRoute(path string) (*document.Service, *document.Route) {
