Count no answer in load tools that may be cut or has a malformed head

Found by reading for readers that take an end for an end. The callers of measure and of the demo read answers of entry VMs with net/http to the end of the connection where no length is declared, and take any status and blanks in names. A VM that wrote such an answer would have counted as good there. Entry VMs declare lengths or use chunks, so an answer without either is a fault and is no answer now (body.CheckReply).

Ruled out: the soak compares whole bodies, so a cut one fails it.

The test on the code before: three of six forms were counted (no length, status 000, a blank in a name).

--- a/internal/standin/demo/caller.go
+++ b/internal/standin/demo/caller.go
@@ -14,6 +14,7 @@
 	"baobabladder.example/baobabladder/internal/base/reason"
 	standin "baobabladder.example/baobabladder/internal/standin/firm"
 	"baobabladder.example/baobabladder/internal/standin/link"
+	"baobabladder.example/baobabladder/internal/wire/body"
 	wireCaller "baobabladder.example/baobabladder/internal/wire/caller"
 	wireEndpoint "baobabladder.example/baobabladder/internal/wire/endpoint"
 )
@@ -125,12 +126,15 @@
 		return nil, err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	if err := body.CheckReply(response); err != nil {
+		return nil, err
+	}
+	content, err := io.ReadAll(response.Body)
 	if err != nil {
 		return nil, err
 	}
 	header := response.Header
-	return &vmResponse{response.StatusCode, string(body), reason.Reason(header.Get(wireCaller.ReasonHeader)), reason.Ran(header.Get(wireCaller.RanHeader))}, nil
+	return &vmResponse{response.StatusCode, string(content), reason.Reason(header.Get(wireCaller.ReasonHeader)), reason.Ran(header.Get(wireCaller.RanHeader))}, nil
 }
 
 // failureCounts counts the attempts that did not get an endpoint's response by outcome,
--- a/internal/standin/measure/caller.go
+++ b/internal/standin/measure/caller.go
@@ -18,6 +18,7 @@
 	"baobabladder.example/baobabladder/internal/base/reason"
 	"baobabladder.example/baobabladder/internal/standin/firm"
 	"baobabladder.example/baobabladder/internal/standin/link"
+	"baobabladder.example/baobabladder/internal/wire/body"
 	wireCaller "baobabladder.example/baobabladder/internal/wire/caller"
 	wireEndpoint "baobabladder.example/baobabladder/internal/wire/endpoint"
 )
@@ -240,6 +241,9 @@
 		return nil, err
 	}
 	defer response.Body.Close()
+	if err := body.CheckReply(response); err != nil {
+		return nil, err
+	}
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
 		return nil, err
 	}
