Log which connections are open when a stop's grace period ends

On front-govan-1 and front-inverurie-1 a stop ran into its end with connections open, and no log told which, or what was in flight on them.

caller.Server.Connections describes each open connection: its address, its state (idle, receiving, handling, writing, closing) and since when, how many requests have no whole answer, and of the oldest the id and the received bytes of its body. The id is kept when the head has been validated, so that no key gets into a log. The stop logs up to 20 of them beside its warning.

The state is put together when it is asked for.

--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -227,8 +227,8 @@
 		RecordOddity: oddityRecorder(n.metrics), RecordLimitedSend: limitedSendRecorder(n.metrics),
 		ConfigAge: n.configAge, EndsAt: n.plannedEnd,
 	}
-	n.callerServer = &caller.Server{Handler: n.gateway, Refusals: refuser, IdleCloseDelay: config.Bounds.StopGrace / idleCloseDivisor}
-	n.forwardServer = &caller.Server{Handler: n.gateway.ForwardHandler(), Refusals: refuser, IdleCloseDelay: config.Bounds.StopGrace / idleCloseDivisor}
+	n.callerServer = &caller.Server{Handler: n.gateway, Refusals: refuser, IdleCloseDelay: config.Bounds.StopGrace / idleCloseDivisor, RequestIDHeader: endpoint.RequestIDHeader}
+	n.forwardServer = &caller.Server{Handler: n.gateway.ForwardHandler(), Refusals: refuser, IdleCloseDelay: config.Bounds.StopGrace / idleCloseDivisor, RequestIDHeader: endpoint.RequestIDHeader}
 	n.buildFeeds()
 	n.roster = &roster.Roster{
 		Self: n.self, Peers: n.peers, LocalState: n.localState, OnExchange: n.onExchange, Seeds: config.Peers, Log: n.Log,
--- a/internal/entry/node/stop.go
+++ b/internal/entry/node/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 
+	"github.com/sirupsen/logrus"
+
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/wire/caller"
 )
@@ -14,6 +16,8 @@
 	// shutdownMargin before its end.
 	idleCloseDivisor = 2
 	shutdownMargin   = 600 * clock.Millis(1)
+	// maxOpenConnectionLines bounds the lines on open connections, per server.
+	maxOpenConnectionLines = 20
 )
 
 // stop announces the stop to the peers and shuts the server for callers down, within
@@ -31,12 +35,24 @@
 		group.Go(func() {
 			if err := server.Shutdown(limit); err != nil {
 				n.Log.WithError(err).Warnf("the grace period ended before all connections of %s were closed; the VM stops and interrupts them", clients)
+				logOpenConnections(n.Log, clients, server.Connections(), n.clock.Now())
 			}
 		})
 	}
 	group.Wait()
 }
 
+// logOpenConnections logs the connections that a stop interrupts, up to
+// maxOpenConnectionLines, with how long each has been in its state.
+func logOpenConnections(log logrus.FieldLogger, clients string, open []caller.Connection, now clock.Millis) {
+	for _, each := range open[:min(len(open), maxOpenConnectionLines)] {
+		log.WithFields(logrus.Fields{
+			"remote": each.Remote, "state": each.State, "state_ms": now - each.Since, "requests": each.Requests,
+			"request_id": each.RequestID, "body_bytes": each.BodyBytes,
+		}).Warnf("a connection of %s is open at the end of the grace period, one of %d", clients, len(open))
+	}
+}
+
 // plannedEnd returns when the VM ends, if it is stopping.
 func (n *Node) plannedEnd() (at clock.Millis, isStopping bool) {
 	return clock.Millis(n.endsAt.Load()), n.stopping.Load()
--- /dev/null
+++ b/internal/entry/node/stop_test.go
@@ -0,0 +1,26 @@
+package node
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus/hooks/test"
+
+	"baobabladder.example/baobabladder/internal/wire/caller"
+)
+
+// Guards against a stop whose log does not tell what it interrupted, and against one that
+// logs thousands of lines at its end.
+func TestOpenConnectionsAtEndOfStopAreLoggedWithinABound(t *testing.T) {
+	g := NewWithT(t)
+	log, lines := test.NewNullLogger()
+	open := make([]caller.Connection, 3*maxOpenConnectionLines)
+	open[0] = caller.Connection{Remote: "10.0.0.9:5", State: caller.ConnHandling, Since: 100, Requests: 2, RequestID: "r1", BodyBytes: 7}
+	logOpenConnections(log, "callers", open, 150)
+	g.Expect(lines.AllEntries()).To(HaveLen(maxOpenConnectionLines))
+	text, err := lines.AllEntries()[0].String()
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, part := range []string{"10.0.0.9:5", "state=handling", "state_ms=50", "requests=2", "request_id=r1", "body_bytes=7", "one of 60"} {
+		g.Expect(text).To(ContainSubstring(part))
+	}
+}
--- a/internal/wire/caller/conn.go
+++ b/internal/wire/caller/conn.go
@@ -35,6 +35,9 @@
 	writingSince atomic.Int64
 
 	mu sync.Mutex
+	// idleSince is when the connection last became idle, closingSince when this server began
+	// to close it, or 0. Guarded by mu.
+	idleSince, closingSince clock.Millis
 	// framing is the position of what was handed to streams. Guarded by mu.
 	framing framing
 	// received holds what was read and not handed to a stream, in order. Guarded by mu.
@@ -66,7 +69,7 @@
 }
 
 func newConn(accepted net.Conn, server *Server) *conn {
-	c := &conn{Conn: accepted, server: server}
+	c := &conn{Conn: accepted, server: server, idleSince: clock.Clock{}.Now()}
 	c.first = &stream{conn: c}
 	return c
 }
@@ -250,7 +253,7 @@
 	c.mu.Lock()
 	isIdle := c.isIdle() && !c.isClosing
 	if isIdle {
-		c.isClosing = true
+		c.isClosing, c.closingSince = true, clock.Clock{}.Now()
 	}
 	c.mu.Unlock()
 	if isIdle {
--- a/internal/wire/caller/framing.go
+++ b/internal/wire/caller/framing.go
@@ -23,6 +23,8 @@
 	headBytes int
 	// bodyRemaining counts the bytes of the body that were not read yet.
 	bodyRemaining int64
+	// bodyBytes counts the bytes read of the body of the current or last request.
+	bodyBytes int64
 	// isEndUnknown is set for a chunked or refused request, whose end is not tracked.
 	isEndUnknown bool
 	// hasContentLength, hasTransferEncoding and contentLength hold what was parsed of
@@ -45,16 +47,19 @@
 // updates the position.
 func (f *framing) advance(received []byte) (n int) {
 	if f.bodyRemaining == 0 && !f.isEndUnknown {
+		f.bodyBytes = 0
 		var isComplete bool
 		if n, isComplete = f.advanceHead(received); !isComplete {
 			return n
 		}
 	}
 	if f.isEndUnknown {
+		f.bodyBytes += int64(len(received) - n)
 		return len(received)
 	}
 	ofBody := min(int64(len(received)-n), f.bodyRemaining)
 	f.bodyRemaining -= ofBody
+	f.bodyBytes += ofBody
 	return n + int(ofBody)
 }
 
--- a/internal/wire/caller/head.go
+++ b/internal/wire/caller/head.go
@@ -60,6 +60,7 @@
 	if !isCanonicalPath(request) {
 		return Head{}, reason.NotRun(reason.BadRequest, 0, "the path has empty, dot or encoded-slash segments")
 	}
+	noteRequestID(request)
 	head.OrderID = request.Header.Get(OrderIDHeader)
 	head.Deadline, err = parseDeadline(request.Header.Get(DeadlineHeader))
 	return head, err
--- a/internal/wire/caller/pipeline.go
+++ b/internal/wire/caller/pipeline.go
@@ -163,7 +163,8 @@
 	}
 	s := p.takeStream()
 	s.readDeadline = time.Time{}
-	s.hasRequest, s.waited = true, clock.Clock{}.Now()-p.conn.received[0].at
+	s.beginReceiving()
+	s.waited = clock.Clock{}.Now() - p.conn.received[0].at
 	p.inFlight = append(p.inFlight, s)
 	p.receiver = s
 	return true
@@ -315,6 +316,7 @@
 		p.conn.server.removeStreams(1)
 		return
 	}
+	p.conn.idleSince = clock.Clock{}.Now()
 	_ = p.conn.Conn.SetReadDeadline(time.Now().Add(orDefault(p.conn.server.IdleTimeout, defaultIdleTimeout)))
 }
 
@@ -322,7 +324,7 @@
 // later requests and closes the connection once the caller has, or after drainTimeout: a
 // close with unread bytes could discard the response.
 func (p *pipeline) finish() {
-	p.isFinished = true
+	p.isFinished, p.conn.closingSince = true, clock.Clock{}.Now()
 	for _, s := range p.inFlight {
 		s.isCancelled, s.held, s.pending = true, nil, nil
 	}
--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -55,6 +55,8 @@
 	// TrustAddressParameter lets the query parameter "address" replace the caller's
 	// address when entry VMs are ranked. It is meant for tests.
 	TrustAddressParameter bool
+	// RequestIDHeader is the header with a request's id, which Connections reports; optional.
+	RequestIDHeader string
 	// MaxConnections bounds the open connections; 0 selects 4096, or fewer if the process may
 	// open few descriptors.
 	MaxConnections int
--- a/internal/wire/caller/stream.go
+++ b/internal/wire/caller/stream.go
@@ -33,6 +33,12 @@
 	isServing, isHandled bool
 	// headRefusal is the refusal of the request whose head was read, or nil.
 	headRefusal *reason.Refusal
+	// state is the state of the current or last request, since when it began, requestID the
+	// request's id, and bodyBytes the number of bytes received of its body; see Connection.
+	state     ConnState
+	since     clock.Millis
+	requestID string
+	bodyBytes int64
 	// isLast is set when the connection accepts no request after this one.
 	isLast bool
 	// isRefused is set when the stream itself refused the current request.
@@ -98,7 +104,13 @@
 // held.
 func (s *stream) markReceived() {
 	c := s.conn
-	s.hasRequest = true
+	if !s.hasRequest {
+		s.beginReceiving()
+	}
+	s.bodyBytes = c.framing.bodyBytes
+	if s.state == ConnReceiving && !c.framing.isInRequest() {
+		s.setState(ConnHandling)
+	}
 	if c.framing.refusal != nil {
 		s.headRefusal, c.framing.refusal = c.framing.refusal, nil
 	}
@@ -258,6 +270,9 @@
 	s.conn.mu.Lock()
 	defer s.conn.mu.Unlock()
 	s.isServing = true
+	if s.conn.framing.isEndUnknown && s.state == ConnReceiving {
+		s.setState(ConnHandling)
+	}
 	refusal, s.headRefusal = s.headRefusal, nil
 	return refusal, s.isLast
 }
@@ -267,6 +282,7 @@
 	s.conn.mu.Lock()
 	defer s.conn.mu.Unlock()
 	s.isHandled = true
+	s.setState(ConnWriting)
 }
 
 // beginLast makes the stream's request the last one of the connection. It returns false
@@ -295,7 +311,10 @@
 	s.isServing, s.isHandled, s.allowsNext, s.waited = false, false, false, 0
 	if c.pipeline == nil {
 		// net/http may have read the beginning of the next request.
-		s.hasRequest = c.framing.isInRequest()
+		s.hasRequest, c.idleSince = false, clock.Clock{}.Now()
+		if c.framing.isInRequest() {
+			s.beginReceiving()
+		}
 		return
 	}
 	c.pipeline.complete(s)
