Count and log answers whose end could not be written

A stream that fails to write after its handler has returned, and a pipeline that fails to write an answer which waited for its turn, now report it, once for a request: metric answers_undelivered by cause, and a line with the request's id, at most 20 a second. An answer whose write succeeds costs nothing. What is lost after a successful write isn't seen by this.

The test resets the connection while the handlers run, alone and in a pipeline; there was nothing to report to before.

--- a/internal/base/logging/budget.go
+++ b/internal/base/logging/budget.go
@@ -31,13 +31,15 @@
 	// KindSlow lines are about requests whose latency exceeded the target latency
 	// of their route.
 	KindSlow Kind = "slow"
+	// KindUndelivered lines are about answers that were written and not delivered.
+	KindUndelivered Kind = "undelivered"
 	// KindSampled lines are about a sample of all other requests.
 	KindSampled Kind = "sampled"
 )
 
 // linesPerSecond is the maximum number of lines per second of each kind.
 var linesPerSecond = map[Kind]int64{
-	KindRefused: 20, KindRateLimited: 10, KindOutcomeUnknown: 40, KindFailed: 20, KindRetried: 20, KindSlow: 10, KindSampled: 5,
+	KindRefused: 20, KindRateLimited: 10, KindOutcomeUnknown: 40, KindFailed: 20, KindRetried: 20, KindSlow: 10, KindUndelivered: 20, KindSampled: 5,
 }
 
 // sampleInterval is the sampling rate of ordinary requests: one in
--- a/internal/base/metric/help.go
+++ b/internal/base/metric/help.go
@@ -4,6 +4,7 @@
 
 // help holds the help text of each metric, by its name without the prefix.
 var help = map[string]string{
+	"answers_undelivered":    "Answers that were written and, as far as the VM can tell, not delivered, by how it noticed.",
 	"configuration_version":  "Version of the configuration in force.",
 	"cut_off":                "1 if this VM reaches no endpoint, else 0.",
 	"endpoint_outcomes":      "Tries at endpoints, by how they ended.",
--- a/internal/entry/node/metrics.go
+++ b/internal/entry/node/metrics.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
@@ -8,6 +9,7 @@
 	"baobabladder.example/baobabladder/internal/base/metric"
 	"baobabladder.example/baobabladder/internal/control/roster"
 	"baobabladder.example/baobabladder/internal/entry/gateway"
+	"baobabladder.example/baobabladder/internal/wire/caller"
 )
 
 // latencyBuckets are the upper bounds of the latency histogram: 10 ms and eleven more,
@@ -49,6 +51,17 @@
 	}
 }
 
+// onUndelivered counts and logs an answer that was not delivered.
+func (n *Node) onUndelivered(undelivered caller.Undelivered) {
+	n.metrics.Scope.Tagged(map[string]string{"cause": string(undelivered.Cause)}).Counter("answers_undelivered").Inc(1)
+	if !n.gateway.LogBudget.Allow(logging.KindUndelivered) {
+		return
+	}
+	n.Log.WithError(undelivered.Err).WithFields(logrus.Fields{
+		"request_id": undelivered.RequestID, "remote": undelivered.Remote, "cause": undelivered.Cause,
+	}).Warn("an answer was not delivered")
+}
+
 // reportGauges updates the gauges on the VM's knowledge and demand.
 func (n *Node) reportGauges(members []roster.Member) {
 	scope := n.metrics.Scope
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -227,14 +227,21 @@
 		RecordOddity: oddityRecorder(n.metrics), RecordLimitedSend: limitedSendRecorder(n.metrics),
 		ConfigAge: n.configAge, EndsAt: n.plannedEnd,
 	}
-	n.callerServer = &caller.Server{Handler: n.gateway, Refusals: refuser, IdleCloseDelay: config.Bounds.StopGrace / idleCloseDivisor, RequestIDHeader: endpoint.RequestIDHeader}
-	n.forwardServer = &caller.Server{Handler: n.gateway.ForwardHandler(), Refusals: refuser, IdleCloseDelay: config.Bounds.StopGrace / idleCloseDivisor, RequestIDHeader: endpoint.RequestIDHeader}
+	n.callerServer, n.forwardServer = n.newCallerServer(n.gateway, refuser), n.newCallerServer(n.gateway.ForwardHandler(), refuser)
 	n.buildFeeds()
 	n.roster = &roster.Roster{
 		Self: n.self, Peers: n.peers, LocalState: n.localState, OnExchange: n.onExchange, Seeds: config.Peers, Log: n.Log,
 	}
 }
 
+// newCallerServer creates a server for callers or for peers that forward requests.
+func (n *Node) newCallerServer(handler http.Handler, refuser caller.RefusalWriter) *caller.Server {
+	return &caller.Server{
+		Handler: handler, Refusals: refuser, IdleCloseDelay: n.Settings.Bounds.StopGrace / idleCloseDivisor,
+		RequestIDHeader: endpoint.RequestIDHeader, OnUndelivered: n.onUndelivered,
+	}
+}
+
 // registerReceivers registers the RPC receivers that peers call.
 func (n *Node) registerReceivers() error {
 	if err := n.peerServer.Register(roster.ReceiverName, roster.NewReceiver(n.roster)); err != nil {
--- a/internal/wire/caller/pipeline.go
+++ b/internal/wire/caller/pipeline.go
@@ -302,6 +302,9 @@
 	p.heldBytes -= len(content)
 	p.conn.mu.Unlock()
 	_, err := p.conn.write(content)
+	if err != nil {
+		s.reportUndelivered(UndeliveredWriteFailed, err)
+	}
 	p.conn.mu.Lock()
 	if err != nil {
 		// readConn then sees the end of the connection too.
--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -57,6 +57,8 @@
 	TrustAddressParameter bool
 	// RequestIDHeader is the header with a request's id, which Connections reports; optional.
 	RequestIDHeader string
+	// OnUndelivered is called for each answer that was not delivered; optional.
+	OnUndelivered func(Undelivered)
 	// MaxConnections bounds the open connections; 0 selects 4096, or fewer if the process may
 	// open few descriptors.
 	MaxConnections int
--- a/internal/wire/caller/stream.go
+++ b/internal/wire/caller/stream.go
@@ -39,6 +39,8 @@
 	since     clock.Millis
 	requestID string
 	bodyBytes int64
+	// isUndelivered is set when the response was reported as not delivered.
+	isUndelivered bool
 	// isLast is set when the connection accepts no request after this one.
 	isLast bool
 	// isRefused is set when the stream itself refused the current request.
@@ -123,13 +125,14 @@
 func (s *stream) Write(buffer []byte) (int, error) {
 	c := s.conn
 	c.mu.Lock()
-	isServing, isPipelined := s.isServing, c.pipeline != nil
+	isServing, isHandled, isPipelined := s.isServing, s.isHandled, c.pipeline != nil
 	c.mu.Unlock()
-	if isServing && !isPipelined {
-		return c.write(buffer)
-	}
 	if isServing {
-		return s.writeInTurn(buffer)
+		n, err := s.writeResponse(buffer, isPipelined)
+		if err != nil && isHandled {
+			s.reportUndelivered(UndeliveredWriteFailed, err)
+		}
+		return n, err
 	}
 	refusal := reason.NotRun(reason.BadRequest, 0, "the request is malformed")
 	if bytes.HasPrefix(buffer, []byte("HTTP/1.1 431")) {
@@ -139,6 +142,13 @@
 	return len(buffer), nil
 }
 
+func (s *stream) writeResponse(buffer []byte, isPipelined bool) (int, error) {
+	if isPipelined {
+		return s.writeInTurn(buffer)
+	}
+	return s.conn.write(buffer)
+}
+
 // writeInTurn writes bytes of a response behind all earlier responses of a pipelined
 // connection. It may return before they are written.
 func (s *stream) writeInTurn(buffer []byte) (int, error) {
--- /dev/null
+++ b/internal/wire/caller/undelivered.go
@@ -0,0 +1,31 @@
+package caller
+
+// UndeliveredCause is how a Server noticed that an answer was not delivered.
+type UndeliveredCause string
+
+// UndeliveredWriteFailed means that writing the rest of the answer failed after the handler had
+// returned, so that the handler could not see it.
+const UndeliveredWriteFailed UndeliveredCause = "write_failed"
+
+// Undelivered describes an answer that the handler has written and that was not delivered, as
+// far as this VM can tell.
+type Undelivered struct {
+	Cause UndeliveredCause
+	// Remote is the caller's address.
+	Remote string
+	// RequestID is the request's id as in Connection.
+	RequestID string
+	Err       error
+}
+
+// reportUndelivered reports that the answer to the request of s was not delivered, at most once
+// for a request. conn.mu must not be held.
+func (s *stream) reportUndelivered(cause UndeliveredCause, err error) {
+	s.conn.mu.Lock()
+	isReported, id := s.isUndelivered, s.requestID
+	s.isUndelivered = true
+	s.conn.mu.Unlock()
+	if report := s.conn.server.OnUndelivered; report != nil && !isReported {
+		report(Undelivered{Cause: cause, Remote: s.RemoteAddr().String(), RequestID: id, Err: err})
+	}
+}
