Close callers' connections so that the last answer is delivered

Callers got a part of an answer and then "connection reset by peer", and a stop was over while the kernel still held a part of an answer.

Cause: net/http closes at once after a response with "Connection: close", and half a second later if the request's body was left unread. Bytes of the caller that are unread then, or come later, make the kernel send a reset and drop what it has not delivered. Our own closes waited one second (pipeline, refusals) or 16 KiB (connections above the limit). Shutdown counted a connection as closed when close had been called.

Change: closeInOrder is the one way in which a connection is closed behind an answer or a refusal. It closes the write side, discards what the caller sends until the caller has closed, and then closes. Bounds: 5 s behind an answer, 1 s behind a refusal on a connection without a request, 4 MiB. The goroutine that served the connection waits, and the connection counts as open meanwhile, for Shutdown and MaxConnections. Connections refused above the limit are tracked too, beside the limit. An idle connection is refused by the goroutine that reads it, which replaces a goroutine and the two drains. A caller that closes at once after its answer costs three system calls more and no timer.

A reset behind the last answer, and a caller that has not closed in time, are reported as answers_undelivered.

Ruled out: a close that waits for a fixed time (it holds callers that have closed, and cuts slow ones); linger options and queries of the send queue (not portable, and unknown where sockets are simulated).

Two older tests now close their connection after the last answer, as a client does; otherwise each takes 5 s more. Their checks are unchanged.

--- a/internal/wire/caller/caller_test.go
+++ b/internal/wire/caller/caller_test.go
@@ -285,6 +285,7 @@
 	content, _ := io.ReadAll(response.Body)
 	g.Expect(string(content)).To(Equal("read 6\n"))
 	g.Expect(response.Close).To(BeTrue(), "response during a shutdown lacks Connection: close")
+	g.Expect(upload.Close()).To(Succeed())
 	g.Eventually(stopped, testTimeout).Should(Receive(BeNil()))
 	_, err = net.Dial("tcp", ts.address)
 	g.Expect(err).To(HaveOccurred())
@@ -308,6 +309,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(response.StatusCode).To(Equal(http.StatusOK))
 	g.Expect(response.Close).To(BeTrue())
+	g.Expect(connection.Close()).To(Succeed())
 	// Without open connections Shutdown does not wait for the end of IdleCloseDelay.
 	g.Eventually(stopped, testTimeout).Should(Receive(BeNil()))
 }
--- a/internal/wire/caller/conn.go
+++ b/internal/wire/caller/conn.go
@@ -11,15 +11,11 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/reason"
 )
 
-// rawWriteTimeout bounds writing a refusal without net/http and closing its connection.
-const rawWriteTimeout = 1 * clock.Second
-
 // conn is one caller's connection. It parses the bytes that net/http reads, because
 // net/http does not report where a request ends, nor the requests that it refuses
 // itself, nor a head with both Content-Length and Transfer-Encoding.
@@ -33,6 +29,7 @@
 	first *stream
 	// writingSince is when the write in progress began, a clock.Millis, or 0.
 	writingSince atomic.Int64
+	closeOnce    sync.Once
 
 	mu sync.Mutex
 	// idleSince is when the connection last became idle, closingSince when this server began
@@ -45,9 +42,17 @@
 	// pipeline is nil until a request may begin before the one before it was answered.
 	// Guarded by mu.
 	pipeline *pipeline
-	// isClosing is set when the connection was idle and is being closed. Guarded by
+	// idleRefusal is the refusal with which the connection is closed though no request was
+	// read, or nil. hasRefusedRequest is set if a request came meanwhile. Guarded by mu.
+	idleRefusal       *reason.Refusal
+	hasRefusedRequest bool
+	// isAboveLimit is set for a connection above MaxConnections, which is only refused.
+	isAboveLimit bool
+	// last is the stream of the last request, once the connection is being closed. Guarded by
 	// mu.
-	isClosing bool
+	last *stream
+	// hasLeft is set when nothing more can be read from the caller. Guarded by mu.
+	hasLeft bool
 	// isLast is set when the connection accepts no request after those that have begun.
 	// Guarded by mu.
 	isLast bool
@@ -71,6 +76,7 @@
 func newConn(accepted net.Conn, server *Server) *conn {
 	c := &conn{Conn: accepted, server: server, idleSince: clock.Clock{}.Now()}
 	c.first = &stream{conn: c}
+	c.last = c.first
 	return c
 }
 
@@ -91,14 +97,15 @@
 		if count > 0 {
 			n, isClosing := c.take(s, into[:count], next == readRequest)
 			if isClosing {
-				n, err = c.drain(buffer)
+				return 0, false, io.EOF
 			}
-			if n > 0 || isClosing {
+			if n > 0 {
 				return n, false, err
 			}
 			continue
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.markLeft()
 			return 0, false, err
 		}
 		if next == readRequest {
@@ -172,7 +179,8 @@
 func (c *conn) take(s *stream, received []byte, isOfRequest bool) (n int, isClosing bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isClosing {
+	if c.idleRefusal != nil {
+		c.hasRefusedRequest = true
 		return 0, true
 	}
 	if isOfRequest {
@@ -208,27 +216,14 @@
 	return s.isInHead()
 }
 
-// drain records a Stopping refusal for a request that arrives on a connection that is
-// being closed, and discards the bytes that still arrive for up to drainTimeout.
-func (c *conn) drain(buffer []byte) (int, error) {
-	c.server.Refusals.Record(newStoppingRefusal(), nil)
-	_ = c.SetReadDeadline(time.Now().Add(drainTimeout.Duration()))
-	for {
-		if _, err := c.Conn.Read(buffer); err != nil {
-			return 0, io.EOF
-		}
-	}
-}
-
-// closeWrite closes the write side of the connection.
-func (c *conn) closeWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return nil
+// markLeft records that nothing more can be read from the caller.
+func (c *conn) markLeft() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hasLeft = true
 }
 
-// Close implements net.Conn.
+// Close closes the connection at once. It implements net.Conn.
 func (c *conn) Close() error {
 	c.server.untrack(c)
 	return c.Conn.Close()
@@ -246,19 +241,17 @@
 	return len(c.pipeline.inFlight) == 0
 }
 
-// closeIfIdle sends a Stopping refusal and closes the connection if no byte of a
-// request was read. A request that the caller sends at the same time is not run, as
-// the refusal states. It does not wait for a caller that does not read.
+// closeIfIdle makes the goroutine that reads the connection send a Stopping refusal and close
+// the connection, if no byte of a request was read.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
-	isIdle := c.isIdle() && !c.isClosing
-	if isIdle {
-		c.isClosing, c.closingSince = true, clock.Clock{}.Now()
-	}
-	c.mu.Unlock()
-	if isIdle {
-		go c.refuseAndCloseWrite()
+	defer c.mu.Unlock()
+	if !c.isIdle() || c.closingSince != 0 {
+		return
 	}
+	c.beginClose()
+	c.idleRefusal = newStoppingRefusal()
+	_ = c.Conn.SetReadDeadline(pastDeadline)
 }
 
 // write writes a part of a response, up to maxWriteBytes at a time.
@@ -281,14 +274,6 @@
 	}
 }
 
-// refuseAndCloseWrite writes a Stopping refusal and closes the write side of the connection.
-func (c *conn) refuseAndCloseWrite() {
-	_ = c.SetWriteDeadline(time.Now().Add(rawWriteTimeout.Duration()))
-	_, _ = c.Conn.Write(rawRefusal(newStoppingRefusal()))
-	_ = c.closeWrite()
-	_ = c.SetReadDeadline(time.Now().Add(drainTimeout.Duration()))
-}
-
 func newStoppingRefusal() *reason.Refusal {
 	return reason.NotRun(reason.Stopping, defaultRetryAfter, "this VM is stopping, use another one")
 }
@@ -311,17 +296,3 @@
 	raw.Write(body)
 	return raw.Bytes()
 }
-
-// writeAndClose writes text and closes the connection. It first closes the write side
-// and reads what the caller still sends, because a reset could discard text.
-func writeAndClose(connection net.Conn, text []byte) {
-	defer connection.Close()
-	_ = connection.SetDeadline(time.Now().Add(rawWriteTimeout.Duration()))
-	if _, err := connection.Write(text); err != nil {
-		return
-	}
-	if half, ok := connection.(interface{ CloseWrite() error }); ok {
-		_ = half.CloseWrite()
-		_, _ = io.Copy(io.Discard, io.LimitReader(connection, maxHeadBytes))
-	}
-}
--- a/internal/wire/caller/listener.go
+++ b/internal/wire/caller/listener.go
@@ -4,7 +4,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 
@@ -15,8 +14,6 @@
 type limitedListener struct {
 	net.Listener
 	server *Server
-	// activeRefusals counts the goroutines that write a refusal.
-	activeRefusals atomic.Int32
 }
 
 // Accept implements net.Listener.
@@ -63,15 +60,12 @@
 func (l *limitedListener) refuse(accepted net.Conn) {
 	refusal := reason.NotRun(reason.TooManyConnections, defaultRetryAfter, "this VM has too many connections")
 	l.server.Refusals.Record(refusal, logrus.Fields{"remote": accepted.RemoteAddr().String()})
-	if l.activeRefusals.Add(1) > maxConcurrentRefusals {
-		l.activeRefusals.Add(-1)
+	c := l.server.trackRefused(accepted, refusal)
+	if c == nil {
 		_ = accepted.Close()
 		return
 	}
-	go func() {
-		defer l.activeRefusals.Add(-1)
-		writeAndClose(accepted, rawRefusal(refusal))
-	}()
+	go c.closeInOrder()
 }
 
 // streamListener hands streams to net/http as if it had accepted them.
--- a/internal/wire/caller/pipeline.go
+++ b/internal/wire/caller/pipeline.go
@@ -50,8 +50,6 @@
 	heldBytes int
 	// isWriting is set while held bytes are written.
 	isWriting bool
-	// hasLeft is set when nothing more can be read from the caller.
-	hasLeft bool
 	// isFinished is set when a response has ended the connection.
 	isFinished bool
 }
@@ -93,7 +91,7 @@
 // isTurnOf reports whether all requests before that of s are answered.
 func (p *pipeline) isTurnOf(s *stream) bool { return len(p.inFlight) > 0 && p.inFlight[0] == s }
 
-// readConn reads the connection until it ends.
+// readConn reads the connection until the caller or this server ends it.
 func (p *pipeline) readConn() {
 	buffer := make([]byte, pipelineReadBytes)
 	for hasEnded := false; !hasEnded; {
@@ -101,6 +99,9 @@
 		n, err := p.conn.Conn.Read(buffer)
 		hasEnded = p.receive(buffer[:n], err)
 	}
+	if p.isClosing() {
+		p.conn.closeInOrder()
+	}
 }
 
 // awaitSpace waits until more bytes may be read from the caller.
@@ -112,17 +113,24 @@
 	}
 }
 
+// isClosing reports whether this server has ended the connection.
+func (p *pipeline) isClosing() bool {
+	p.conn.mu.Lock()
+	defer p.conn.mu.Unlock()
+	return p.conn.closingSince != 0
+}
+
 // receive takes what a read of the connection returned and reports whether the
 // connection has ended.
 func (p *pipeline) receive(received []byte, err error) (hasEnded bool) {
 	p.conn.mu.Lock()
 	defer p.conn.mu.Unlock()
-	switch {
-	case len(received) == 0 || p.isFinished:
-	case p.conn.isClosing:
-		p.conn.server.Refusals.Record(newStoppingRefusal(), nil)
-		p.isFinished = true
-	default:
+	if p.conn.closingSince != 0 {
+		p.conn.hasRefusedRequest, p.isFinished = len(received) > 0, true
+		p.changed.Broadcast()
+		return true
+	}
+	if len(received) > 0 {
 		p.conn.keep(received)
 		p.unreadBytes += len(received)
 		p.begin()
@@ -130,7 +138,7 @@
 	if err == nil {
 		return false
 	}
-	p.hasLeft = true
+	p.conn.hasLeft = true
 	p.changed.Broadcast()
 	p.closeIfEnded()
 	return true
@@ -173,7 +181,7 @@
 // mayBegin reports whether the next request may begin. One that begins beside others
 // counts as a connection of its own.
 func (p *pipeline) mayBegin() bool {
-	if p.conn.isLast || p.conn.isClosing || p.isFinished || p.hasLeft {
+	if p.conn.isLast || p.conn.idleRefusal != nil || p.isFinished || p.conn.hasLeft {
 		return false
 	}
 	if len(p.inFlight) == 0 {
@@ -214,7 +222,7 @@
 				p.retire(s)
 			}
 			return 0, os.ErrDeadlineExceeded
-		case s.isCancelled || p.hasLeft || p.isFinished:
+		case s.isCancelled || p.conn.hasLeft || p.isFinished:
 			return 0, io.EOF
 		}
 		p.changed.Wait()
@@ -283,7 +291,7 @@
 		}
 		p.removeOldest()
 		if s.isFinal {
-			p.finish()
+			p.finish(s)
 			break
 		}
 		s.hasRequest, s.isDone, s.isLast = false, false, false
@@ -323,24 +331,23 @@
 	_ = p.conn.Conn.SetReadDeadline(time.Now().Add(orDefault(p.conn.server.IdleTimeout, defaultIdleTimeout)))
 }
 
-// finish ends the connection behind a response that was written whole. It cancels all
-// later requests and closes the connection once the caller has, or after drainTimeout: a
-// close with unread bytes could discard the response.
-func (p *pipeline) finish() {
-	p.isFinished, p.conn.closingSince = true, clock.Clock{}.Now()
+// finish ends the connection behind the response of last, which was written whole. It cancels
+// all later requests and makes readConn close the connection.
+func (p *pipeline) finish(last *stream) {
+	p.isFinished, p.conn.last = true, last
+	p.conn.beginClose()
 	for _, s := range p.inFlight {
 		s.isCancelled, s.held, s.pending = true, nil, nil
 	}
 	p.conn.server.removeStreams(max(len(p.inFlight)-1, 0))
 	p.inFlight, p.receiver, p.conn.received = nil, nil, nil
 	p.heldBytes, p.unreadBytes = 0, 0
-	_ = p.conn.closeWrite()
-	_ = p.conn.Conn.SetReadDeadline(time.Now().Add(drainTimeout.Duration()))
+	_ = p.conn.Conn.SetReadDeadline(pastDeadline)
 }
 
 // closeIfEnded closes the connection once nothing more can be read or is to be written.
 func (p *pipeline) closeIfEnded() {
-	if p.hasLeft && len(p.inFlight) == 0 {
+	if p.conn.hasLeft && len(p.inFlight) == 0 {
 		_ = p.conn.Close()
 	}
 }
--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/reason"
 )
 
 const (
@@ -28,9 +29,6 @@
 	// acceptDrainTime is how long a server that shuts down accepts connections that
 	// the kernel has already established.
 	acceptDrainTime = 50 * clock.Millis(1)
-	// drainTimeout is how long a closed idle connection is still read, so that a reset
-	// does not discard the Stopping refusal.
-	drainTimeout = 1 * clock.Second
 	// pollInterval is the time between two checks whether all connections are closed.
 	pollInterval = 10 * clock.Millis(1)
 	// defaultRetryAfter is the Retry-After of refusals because of too many connections or
@@ -77,6 +75,9 @@
 	// UnreadTimeout is how long a shutdown waits for a caller to read a part of a response
 	// that was written to it; 0 selects 10 s.
 	UnreadTimeout clock.Millis
+	// CloseTimeout is how long a connection that this server has ended stays open until the
+	// caller has read the last answer and has closed it too; 0 selects 5 s.
+	CloseTimeout clock.Millis
 
 	once sync.Once
 	http *http.Server
@@ -93,6 +94,8 @@
 	listener net.Listener
 	// conns holds the open connections. Guarded by mu.
 	conns map[*conn]struct{}
+	// refusedConns counts those of conns that were opened above MaxConnections. Guarded by mu.
+	refusedConns int
 	// addedStreams counts the requests that run beside an earlier one of their connection.
 	// Guarded by mu.
 	addedStreams int
@@ -165,7 +168,8 @@
 
 // Shutdown shuts the server down gracefully. Every response from now on has the header
 // "Connection: close". Shutdown serves the requests that still arrive, closes idle
-// connections with a Stopping refusal, and returns when the last request has ended. It
+// connections with a Stopping refusal, and returns when the last request has ended and its
+// caller has closed the connection; see CloseTimeout. It
 // aborts only requests whose callers do not read for UnreadTimeout: if ctx ends first, it
 // returns the error of ctx and the requests continue.
 func (s *Server) Shutdown(ctx context.Context) error {
@@ -314,6 +318,22 @@
 	return c
 }
 
+// trackRefused is like track for a connection above MaxConnections, which is closed with
+// refusal. It returns nil if there are maxConcurrentRefusals of them.
+func (s *Server) trackRefused(accepted net.Conn, refusal *reason.Refusal) *conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refusedConns >= maxConcurrentRefusals {
+		return nil
+	}
+	c := newConn(accepted, s)
+	c.idleRefusal, c.isAboveLimit = refusal, true
+	c.beginClose()
+	s.conns[c] = struct{}{}
+	s.refusedConns++
+	return c
+}
+
 // hasRoom reports whether another connection, or a further request in flight on one, is
 // within MaxConnections. mu must be held.
 func (s *Server) hasRoom() bool {
@@ -321,7 +341,7 @@
 	if limit == 0 {
 		limit = s.defaultConnections
 	}
-	return len(s.conns)+s.addedStreams < limit
+	return len(s.conns)-s.refusedConns+s.addedStreams < limit
 }
 
 // addStream counts a request that runs beside an earlier one of its connection. It returns
@@ -346,5 +366,8 @@
 func (s *Server) untrack(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if _, isTracked := s.conns[c]; isTracked && c.isAboveLimit {
+		s.refusedConns--
+	}
 	delete(s.conns, c)
 }
--- a/internal/wire/caller/stream.go
+++ b/internal/wire/caller/stream.go
@@ -167,7 +167,7 @@
 func (s *stream) refuse(refusal *reason.Refusal) {
 	c := s.conn
 	c.mu.Lock()
-	first, isPipelined := !s.isRefused && !c.isClosing, c.pipeline != nil
+	first, isPipelined := !s.isRefused && c.idleRefusal == nil, c.pipeline != nil
 	s.isRefused = true
 	c.mu.Unlock()
 	if !first {
@@ -182,21 +182,17 @@
 	_, _ = c.Conn.Write(rawRefusal(refusal))
 }
 
-// CloseWrite closes the write side of the connection. net/http calls it before it
-// closes a connection, so that the end of a response is not lost.
-func (s *stream) CloseWrite() error {
-	if s.endInPipeline() {
-		return nil
-	}
-	return s.conn.closeWrite()
-}
+// CloseWrite closes the connection in order. net/http calls it for a request whose body was not
+// read whole, then waits for half a second, and calls Close.
+func (s *stream) CloseWrite() error { return s.Close() }
 
-// Close implements net.Conn.
+// Close implements net.Conn. It closes the connection in order; net/http calls it in the
+// goroutine that served the connection.
 func (s *stream) Close() error {
-	if s.endInPipeline() {
-		return nil
+	if !s.endInPipeline() {
+		s.conn.closeInOrder()
 	}
-	return s.conn.Close()
+	return nil
 }
 
 // endInPipeline ends the stream in the connection's pipeline, or returns false if there is
@@ -221,6 +217,9 @@
 		at = earlier(at, time.Now().Add(idleStreamTimeout.Duration()))
 	}
 	s.readDeadline = at
+	if c.pipeline == nil && c.closingSince != 0 {
+		return nil
+	}
 	if c.pipeline == nil {
 		return c.Conn.SetReadDeadline(at)
 	}
--- a/internal/wire/caller/turn.go
+++ b/internal/wire/caller/turn.go
@@ -52,7 +52,7 @@
 	defer context.AfterFunc(ctx, p.wake)()
 	for {
 		switch {
-		case s.isCancelled || p.hasLeft || ctx.Err() == context.Canceled:
+		case s.isCancelled || p.conn.hasLeft || ctx.Err() == context.Canceled:
 			return reason.NotRun(reason.CallerGone, 0, "the connection ended before the request's turn")
 		case ctx.Err() != nil:
 			return newLateRefusal()
--- a/internal/wire/caller/undelivered.go
+++ b/internal/wire/caller/undelivered.go
@@ -3,12 +3,21 @@
 // UndeliveredCause is how a Server noticed that an answer was not delivered.
 type UndeliveredCause string
 
-// UndeliveredWriteFailed means that writing the rest of the answer failed after the handler had
-// returned, so that the handler could not see it.
-const UndeliveredWriteFailed UndeliveredCause = "write_failed"
+// The causes.
+const (
+	// UndeliveredWriteFailed: writing the rest of the answer failed after the handler had
+	// returned, so that the handler could not see it.
+	UndeliveredWriteFailed UndeliveredCause = "write_failed"
+	// UndeliveredReset: the caller reset the connection after its last answer was written,
+	// instead of closing it.
+	UndeliveredReset UndeliveredCause = "reset"
+	// UndeliveredUnconfirmed: the caller has not closed the connection after its last answer
+	// in time, so that it may or may not have read the answer.
+	UndeliveredUnconfirmed UndeliveredCause = "unconfirmed"
+)
 
 // Undelivered describes an answer that the handler has written and that was not delivered, as
-// far as this VM can tell.
+// far as the Server can tell.
 type Undelivered struct {
 	Cause UndeliveredCause
 	// Remote is the caller's address.
