Report answers lost before their handler returns, and no left callers'

A caller that resets its connection after the handler has written the answer and before it returns was not reported: net/http reads the reset meanwhile, and the close then has nothing to wait for. On the other hand an answer to a caller that had left before was reported, though its handler records that itself (caller_gone).

An answer counts as written if its handler began it while the caller was there, and returned without breaking it off. The error of the last read is kept for the close.

--- a/internal/wire/caller/close.go
+++ b/internal/wire/caller/close.go
@@ -48,31 +48,35 @@
 		defer c.Close()
 		c.mu.Lock()
 		c.beginClose()
-		refusal, last := c.idleRefusal, c.last
-		hasNothingToDeliver := c.hasLeft || !last.hasRequest
+		refusal, last, hasLeft, err := c.idleRefusal, c.last, c.hasLeft, c.leftErr
+		hasRequest := last.hasRequest
 		c.mu.Unlock()
-		switch {
-		case refusal != nil:
+		if refusal != nil {
 			c.closeWithRefusal(refusal)
-		case !hasNothingToDeliver:
-			c.closeAfterAnswer(last)
+			return
 		}
+		if !hasRequest {
+			return
+		}
+		if !hasLeft {
+			_, err = c.awaitCallerClose(orDefault(c.server.CloseTimeout, defaultCloseTimeout))
+		}
+		last.reportIfUndelivered(err)
 	})
 }
 
-// closeAfterAnswer waits for the caller after the answer to the last request, and reports if
-// the caller may not have got it.
-func (c *conn) closeAfterAnswer(last *stream) {
-	_, err := c.awaitCallerClose(orDefault(c.server.CloseTimeout, defaultCloseTimeout))
-	c.mu.Lock()
-	isAnswered := last.isHandled
-	c.mu.Unlock()
+// reportIfUndelivered reports the answer to the last request of a connection if the caller may
+// not have got it: err is how the last read of the connection ended.
+func (s *stream) reportIfUndelivered(err error) {
+	s.conn.mu.Lock()
+	isAnswered := s.isAnswered
+	s.conn.mu.Unlock()
 	switch {
-	case err == nil || !isAnswered:
+	case err == nil || err == io.EOF || !isAnswered:
 	case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, errSendsOn):
-		last.reportUndelivered(UndeliveredUnconfirmed, err)
+		s.reportUndelivered(UndeliveredUnconfirmed, err)
 	default:
-		last.reportUndelivered(UndeliveredReset, err)
+		s.reportUndelivered(UndeliveredReset, err)
 	}
 }
 
--- a/internal/wire/caller/conn.go
+++ b/internal/wire/caller/conn.go
@@ -51,8 +51,10 @@
 	// last is the stream of the last request, once the connection is being closed. Guarded by
 	// mu.
 	last *stream
-	// hasLeft is set when nothing more can be read from the caller. Guarded by mu.
+	// hasLeft is set when nothing more can be read from the caller, and leftErr to the error
+	// of the last read then. Guarded by mu.
 	hasLeft bool
+	leftErr error
 	// isLast is set when the connection accepts no request after those that have begun.
 	// Guarded by mu.
 	isLast bool
@@ -105,7 +107,7 @@
 			continue
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.markLeft()
+			c.markLeft(err)
 			return 0, false, err
 		}
 		if next == readRequest {
@@ -217,10 +219,10 @@
 }
 
 // markLeft records that nothing more can be read from the caller.
-func (c *conn) markLeft() {
+func (c *conn) markLeft(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hasLeft = true
+	c.hasLeft, c.leftErr = true, err
 }
 
 // Close closes the connection at once. It implements net.Conn.
--- a/internal/wire/caller/pipeline.go
+++ b/internal/wire/caller/pipeline.go
@@ -138,7 +138,7 @@
 	if err == nil {
 		return false
 	}
-	p.conn.hasLeft = true
+	p.conn.hasLeft, p.conn.leftErr = true, err
 	p.changed.Broadcast()
 	p.closeIfEnded()
 	return true
--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -272,6 +272,7 @@
 	// A shutdown may begin while the request runs. shutdownWriter then announces the
 	// close in the response.
 	s.Handler.ServeHTTP(&shutdownWriter{ResponseWriter: w, server: s, stream: stream}, request)
+	stream.endAnswer()
 }
 
 // shutdownWriter adds "Connection: close" to a response if a shutdown began before its
@@ -290,6 +291,7 @@
 func (w *shutdownWriter) WriteHeader(status int) {
 	if status >= http.StatusOK && !w.wroteHeader {
 		w.wroteHeader = true
+		w.stream.beginAnswer()
 		if w.server.isShuttingDown() && w.stream.beginLast() {
 			w.Header().Set("Connection", "close")
 		}
--- a/internal/wire/caller/snapshot.go
+++ b/internal/wire/caller/snapshot.go
@@ -93,7 +93,8 @@
 // beginReceiving records that the first byte of a request was handed to the stream. conn.mu
 // must be held.
 func (s *stream) beginReceiving() {
-	s.hasRequest, s.requestID, s.bodyBytes, s.isUndelivered = true, "", 0, false
+	s.hasRequest, s.requestID, s.bodyBytes = true, "", 0
+	s.isAnswerBegun, s.isAnswered, s.isUndelivered = false, false, false
 	s.setState(ConnReceiving)
 }
 
--- a/internal/wire/caller/stream.go
+++ b/internal/wire/caller/stream.go
@@ -39,8 +39,10 @@
 	since     clock.Millis
 	requestID string
 	bodyBytes int64
+	// isAnswerBegun is set when the handler began a response and the caller had not left, and
+	// isAnswered when that handler has returned without breaking the response off.
 	// isUndelivered is set when the response was reported as not delivered.
-	isUndelivered bool
+	isAnswerBegun, isAnswered, isUndelivered bool
 	// isLast is set when the connection accepts no request after this one.
 	isLast bool
 	// isRefused is set when the stream itself refused the current request.
@@ -125,11 +127,11 @@
 func (s *stream) Write(buffer []byte) (int, error) {
 	c := s.conn
 	c.mu.Lock()
-	isServing, isHandled, isPipelined := s.isServing, s.isHandled, c.pipeline != nil
+	isServing, isAnswered, isPipelined := s.isServing, s.isAnswered, c.pipeline != nil
 	c.mu.Unlock()
 	if isServing {
 		n, err := s.writeResponse(buffer, isPipelined)
-		if err != nil && isHandled {
+		if err != nil && isAnswered {
 			s.reportUndelivered(UndeliveredWriteFailed, err)
 		}
 		return n, err
@@ -286,6 +288,20 @@
 	return refusal, s.isLast
 }
 
+// beginAnswer records that the handler begins its response.
+func (s *stream) beginAnswer() {
+	s.conn.mu.Lock()
+	defer s.conn.mu.Unlock()
+	s.isAnswerBegun = !s.conn.hasLeft && !s.isCancelled
+}
+
+// endAnswer records that the handler has returned without breaking its response off.
+func (s *stream) endAnswer() {
+	s.conn.mu.Lock()
+	defer s.conn.mu.Unlock()
+	s.isAnswered = s.isAnswerBegun
+}
+
 // endHandler records that the handler has returned.
 func (s *stream) endHandler() {
 	s.conn.mu.Lock()
--- a/internal/wire/caller/undelivered.go
+++ b/internal/wire/caller/undelivered.go
@@ -17,7 +17,8 @@
 )
 
 // Undelivered describes an answer that the handler has written and that was not delivered, as
-// far as the Server can tell.
+// far as the Server can tell. One that was begun when the caller had left, or that the handler
+// has broken off, is not reported: the handler knows.
 type Undelivered struct {
 	Cause UndeliveredCause
 	// Remote is the caller's address.
