Take a reason phrase with bytes above 127

RFC 9112 allows such bytes, and net/http takes them. Only control bytes but tab are refused now.

The test on the code before: "begins with a malformed status line" for both new forms. Found by reading the diff, before any landing.

--- a/internal/wire/endpoint/syntax.go
+++ b/internal/wire/endpoint/syntax.go
@@ -29,7 +29,7 @@
 }
 
 // strictStatusLine matches a whole status line of HTTP/1.
-var strictStatusLine = regexp.MustCompile(`^HTTP/1\.[0-9] ([0-9]{3})(?: [\t -~\x80-\xff]*)?$`)
+var strictStatusLine = regexp.MustCompile(`^HTTP/1\.[0-9] ([0-9]{3})(?: [^\x00-\x08\x0a-\x1f\x7f]*)?$`)
 
 // checkHead returns an error if the lines of a response head, as they were received, are not
 // in the form of RFC 9112, or its status has no meaning. net/http takes blanks in the names of
--- a/internal/wire/endpoint/syntax_test.go
+++ b/internal/wire/endpoint/syntax_test.go
@@ -97,6 +97,8 @@
 		"HTTP/1.0 200 OK\r\nRequest-Id: ID\r\n\r\nok":                                                           "ok",
 		"HTTP/1.1 200\r\nRequest-Id: ID\r\n\r\nok":                                                              "ok",
 		"HTTP/1.1 200 \r\nRequest-Id: ID\r\nX: \xe9\t\r\n\r\nok":                                                "ok",
+		"HTTP/1.1 200 caf\xe9\r\nRequest-Id: ID\r\n\r\nok":                                                      "ok",
+		"HTTP/1.1 200 \u826f\t\r\nRequest-Id: ID\r\n\r\nok":                                                     "ok",
 		"HTTP/1.1 299 Und so\r\nRequest-Id: ID\r\nX:\r\n\r\nok":                                                 "ok",
 		ok + "Content-Length: 2\r\nContent-Length: 1\r\n\r\nok":                                                 "",
 		ok + "Content-Length: 2, 2\r\n\r\nok":                                                                   "",
