Log and count the requests that the end of a VM interrupts

Callers of a stopping VM saw connections that ended without an answer; the log had one line, "the grace period ended before all connections of callers were closed", and nothing about the requests on them.

- The gateway holds the requests in flight.
When the grace is over, the node logs a line for each that is left: id, how long it had run, where it was sent, when it came relative to the beginning of the stop (since_stop_ms).
Only fields that no longer change are read, as the handlers run on.
- The metric interrupted_requests counts them by kind of work.
- Each last line of a request on a stopping VM, also that of a refusal, says when the request came (since_stop_ms) and how much time was left (until_end_ms).
A refusal by checkStop told only that time was short.

Node.endsAt becomes the planned stop with its beginning and its end.

--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 
@@ -73,6 +74,8 @@
 	// names the VM to which this one forwarded it last.
 	isForwarded bool
 	forwardedTo string
+	// sentTo is the endpoint or VM to which the current attempt was sent, or nil.
+	sentTo atomic.Pointer[string]
 	// responseStarted reports whether bytes of the response may have been sent to the
 	// caller, after which the request cannot be retried or refused.
 	responseStarted bool
@@ -200,6 +203,7 @@
 	if c.isForwarded {
 		fields["is_forwarded"] = true
 	}
+	c.addStop(fields)
 	if c.digest != (blocklist.Digest{}) {
 		fields["request_digest"] = c.digest.String()
 	}
--- a/internal/entry/gateway/checks.go
+++ b/internal/entry/gateway/checks.go
@@ -66,10 +66,7 @@
 // canFinish reports whether another attempt of the request will usually be answered before
 // the VM ends.
 func (c *call) canFinish(ctx context.Context) bool {
-	if c.gateway.EndsAt == nil {
-		return true
-	}
-	endsAt, isStopping := c.gateway.EndsAt()
+	stop, isStopping := c.gateway.plannedStop()
 	if !isStopping {
 		return true
 	}
@@ -77,5 +74,5 @@
 	if c.streamedBody == nil && c.route.TargetLatency > 0 {
 		needed = min(needed, clock.Millis(slowResponseTimes*float64(c.route.TargetLatency)))
 	}
-	return endsAt-c.gateway.Clock.Now() >= needed
+	return stop.End-c.gateway.Clock.Now() >= needed
 }
--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -84,6 +84,8 @@
 
 func (c *call) forwardTo(ctx context.Context, alternate vm.VM) error {
 	c.forwardedTo = alternate.Name
+	c.sentTo.Store(&alternate.Name)
+	defer c.sentTo.Store(nil)
 	response, err := c.gateway.PeerClient.Send(ctx, alternate.ForwardAddress, c.forwardedRequest())
 	if err != nil {
 		return err
@@ -138,6 +140,7 @@
 	}
 	ctx, cancel := c.withDeadline()
 	defer cancel()
+	defer g.inFlight.add(c)()
 	if err := c.receive(ctx); err != nil {
 		return err
 	}
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -69,7 +69,7 @@
 }
 
 // Gateway handles callers' requests. All fields but Reach, Alternates, PeerClient, OnBlock,
-// RecordLatency, RecordOutcome, RecordOddity, RecordLimitedSend, EndsAt, ConfigAge, Log and LogBudget must
+// RecordLatency, RecordOutcome, RecordOddity, RecordLimitedSend, RecordInterrupted, PlannedStop, ConfigAge, Log and LogBudget must
 // be set.
 type Gateway struct {
 	Headers  Headers
@@ -104,8 +104,11 @@
 	RecordOddity func(oddity Oddity)
 	// RecordLimitedSend counts an attempt at an endpoint that has named a limit.
 	RecordLimitedSend func(isRetry bool)
-	// EndsAt returns when the VM ends, if it is stopping; optional.
-	EndsAt func() (at clock.Millis, isStopping bool)
+	// RecordInterrupted counts a request that the end of the VM interrupts, by its kind of
+	// work.
+	RecordInterrupted func(work string)
+	// PlannedStop returns the VM's planned stop, if it is stopping; optional.
+	PlannedStop func() (stop PlannedStop, isStopping bool)
 	// ConfigAge returns how old the configuration in force may be, for the log; optional.
 	ConfigAge func() clock.Millis
 	Clock     clock.Clock
@@ -117,6 +120,7 @@
 	table atomic.Pointer[routing.Table]
 	// targetSelector distributes requests over the targets of a route.
 	targetSelector targetSelector
+	inFlight       inFlight
 }
 
 // SetTable puts a configuration in force and returns true, unless one of the same or
@@ -188,6 +192,7 @@
 	}
 	ctx, cancel := c.withDeadline()
 	defer cancel()
+	defer g.inFlight.add(c)()
 	if err := caller.AwaitTurn(ctx, c.request, c.isIdempotent()); err != nil {
 		return err
 	}
--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -87,6 +87,8 @@
 		return err
 	}
 	c.recordLimitedSend(grant)
+	c.sentTo.Store(&grant.Endpoint.ID)
+	defer c.sentTo.Store(nil)
 	sentAt := c.gateway.Clock.Now()
 	status := 0
 	var trace endpoint.Trace
--- a/internal/entry/node/metrics.go
+++ b/internal/entry/node/metrics.go
@@ -62,6 +62,14 @@
 	}).Warn("an answer was not delivered")
 }
 
+// interruptedRecorder returns a function that counts the requests that the end of the VM
+// interrupts, by kind of work.
+func interruptedRecorder(registry *metric.Registry) func(work string) {
+	return func(work string) {
+		registry.Scope.Tagged(map[string]string{"work": work}).Counter("interrupted_requests").Inc(1)
+	}
+}
+
 // reportGauges updates the gauges on the VM's knowledge and demand.
 func (n *Node) reportGauges(members []roster.Member) {
 	scope := n.metrics.Scope
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -150,9 +150,9 @@
 	nextMoveRewriteAt clock.Millis
 	startedAt         clock.Millis
 	stopping          atomic.Bool
-	// endsAt is when the VM ends; valid once stopping is set.
-	endsAt    atomic.Int64
-	buildOnce sync.Once
+	// plannedStop is set before stopping.
+	plannedStop atomic.Pointer[gateway.PlannedStop]
+	buildOnce   sync.Once
 }
 
 // Run serves until ctx is done and then shuts down gracefully: peers learn that the VM
@@ -227,7 +227,7 @@
 		RetryCounters: metric.NewReasonCounters(n.metrics.Scope, "retries"), Log: n.Log,
 		RecordLatency: latencyRecorder(n.metrics), RecordOutcome: outcomeRecorder(n.metrics),
 		RecordOddity: oddityRecorder(n.metrics), RecordLimitedSend: limitedSendRecorder(n.metrics),
-		ConfigAge: n.configAge, EndsAt: n.plannedEnd,
+		RecordInterrupted: interruptedRecorder(n.metrics), ConfigAge: n.configAge, PlannedStop: n.getPlannedStop,
 	}
 	n.callerServer, n.forwardServer = n.newCallerServer(n.gateway, refuser), n.newCallerServer(n.gateway.ForwardHandler(), refuser)
 	n.buildFeeds()
--- a/internal/entry/node/stop.go
+++ b/internal/entry/node/stop.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/entry/gateway"
 	"baobabladder.example/baobabladder/internal/wire/caller"
 )
 
@@ -27,7 +28,8 @@
 // StopGrace less shutdownMargin.
 func (n *Node) stop(ctx context.Context) {
 	timeLeft := n.Settings.Bounds.StopGrace - shutdownMargin
-	n.endsAt.Store(int64(n.clock.Now() + timeLeft))
+	now := n.clock.Now()
+	n.plannedStop.Store(&gateway.PlannedStop{Begin: now, End: now + timeLeft})
 	n.stopping.Store(true)
 	n.Log.Info("stopping")
 	n.roster.ExchangeNow(ctx)
@@ -43,6 +45,7 @@
 		})
 	}
 	group.Wait()
+	n.gateway.RecordUnfinished()
 	n.stopPlainServers(ctx)
 }
 
@@ -73,7 +76,10 @@
 	}
 }
 
-// plannedEnd returns when the VM ends, if it is stopping.
-func (n *Node) plannedEnd() (at clock.Millis, isStopping bool) {
-	return clock.Millis(n.endsAt.Load()), n.stopping.Load()
+// getPlannedStop returns the VM's planned stop, if it is stopping.
+func (n *Node) getPlannedStop() (stop gateway.PlannedStop, isStopping bool) {
+	if stored := n.plannedStop.Load(); stored != nil {
+		return *stored, true
+	}
+	return gateway.PlannedStop{}, false
 }
