Answer requests in flight before a planned stop ends

Cause: a stop that ran into its end returned, and the exit of the process closed the connections of requests that were still at an endpoint, or whose bodies were still being received.

Change: 200 ms before its end a stopping VM ends the contexts of all requests in flight, with a cause. Their callers get 503, reason stopping, if no attempt may have run them, and their token goes back to the quota; else 502, ran: unknown. A pending read of a body is ended. Streamed bodies that were passed on in part end the exchange with the endpoint and are answered 502. A response that has begun can only be cut; it is logged as before. A response that the caller doesn't read holds the handler, and is logged when the VM ends. The end of an attempt in this way counts against no endpoint (outcome cancelled).

interrupted_requests counts those that may have run.

Left: between two reads of a body, caller.Body sets its read deadline anew and so may undo Close, which would leave the read to the VM's end; not seen.

--- a/internal/entry/gateway/body.go
+++ b/internal/entry/gateway/body.go
@@ -34,8 +34,9 @@
 	deadline, _ := ctx.Deadline()
 	limited := caller.NewBody(c.w, c.request, limit, deadline)
 	if c.bodyLength > maxBufferedBody {
-		return c.streamBody(limited)
+		return c.streamBody(ctx, limited)
 	}
+	defer closeWhenInterrupted(ctx, limited)()
 	buffer := &bytes.Buffer{}
 	if c.bodyLength > 0 {
 		buffer.Grow(int(c.bodyLength) + bytes.MinRead)
@@ -53,9 +54,27 @@
 	return nil
 }
 
+// closeWhenInterrupted closes the body, which ends a pending read, when the end of the VM
+// interrupts the request. stop ends that and waits for a Close in progress.
+func closeWhenInterrupted(ctx context.Context, body io.Closer) (stop func()) {
+	isDone := make(chan struct{})
+	stopWatch := context.AfterFunc(ctx, func() {
+		defer close(isDone)
+		if isInterrupted(ctx) {
+			_ = body.Close()
+		}
+	})
+	return func() {
+		if !stopWatch() {
+			<-isDone
+		}
+	}
+}
+
 // streamBody prepares a stream for a large body. It reads the body's beginning, by which the
 // request is recognized if it comes again.
-func (c *call) streamBody(body *caller.Body) error {
+func (c *call) streamBody(ctx context.Context, body *caller.Body) error {
+	defer closeWhenInterrupted(ctx, body)()
 	prefix := make([]byte, identityPrefix)
 	if _, err := io.ReadFull(body, prefix); err != nil {
 		return err
--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -74,6 +74,9 @@
 	// names the VM to which this one forwarded it last.
 	isForwarded bool
 	forwardedTo string
+	// interrupt ends the context of the request, with a cause. It is set before the request
+	// is in flight.
+	interrupt context.CancelCauseFunc
 	// sentTo is the endpoint or VM to which the current attempt was sent, or nil.
 	sentTo atomic.Pointer[string]
 	// responseStarted reports whether bytes of the response may have been sent to the
@@ -147,7 +150,12 @@
 	if !c.isIdempotent() {
 		ctx = context.WithoutCancel(ctx)
 	}
-	return context.WithTimeout(ctx, (deadline - (c.gateway.Clock.Now() - c.arrived)).Duration())
+	ctx, c.interrupt = context.WithCancelCause(ctx)
+	ctx, cancel := context.WithTimeout(ctx, (deadline - (c.gateway.Clock.Now() - c.arrived)).Duration())
+	return ctx, func() {
+		cancel()
+		c.interrupt(nil)
+	}
 }
 
 func (c *call) isIdempotent() bool { return c.route.Work == document.WorkCatalogue }
--- a/internal/entry/gateway/checks.go
+++ b/internal/entry/gateway/checks.go
@@ -59,7 +59,6 @@
 	if c.canFinish(ctx) {
 		return nil
 	}
-	c.refund()
 	return reason.NotRun(reason.Stopping, stoppingRetryAfter, "this VM ends before the request may be answered, use another one")
 }
 
@@ -74,5 +73,5 @@
 	if c.streamedBody == nil && c.route.TargetLatency > 0 {
 		needed = min(needed, clock.Millis(slowResponseTimes*float64(c.route.TargetLatency)))
 	}
-	return stop.End-c.gateway.Clock.Now() >= needed
+	return stop.InterruptAt()-c.gateway.Clock.Now() >= needed
 }
--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -141,10 +141,7 @@
 	ctx, cancel := c.withDeadline()
 	defer cancel()
 	defer g.inFlight.add(c)()
-	if err := c.receive(ctx); err != nil {
-		return err
-	}
-	return c.sendWithRetries(ctx)
+	return c.afterInterrupt(ctx, c.receiveAndSend(ctx))
 }
 
 // adoptChoices takes the workspace and the service that the forwarding VM has determined. A
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -193,27 +193,46 @@
 	ctx, cancel := c.withDeadline()
 	defer cancel()
 	defer g.inFlight.add(c)()
+	return c.afterInterrupt(ctx, c.run(ctx))
+}
+
+// run runs a request of a caller whose head was checked.
+func (c *call) run(ctx context.Context) error {
 	if err := caller.AwaitTurn(ctx, c.request, c.isIdempotent()); err != nil {
 		return err
 	}
 	if err := c.admit(ctx); err != nil {
 		return err
 	}
+	return c.receiveAndSend(ctx)
+}
+
+// receiveAndSend reads the body and sends the request.
+func (c *call) receiveAndSend(ctx context.Context) error {
 	if err := c.receive(ctx); err != nil {
 		return err
 	}
-	c.chooseService()
+	if !c.isForwarded {
+		c.chooseService()
+	}
 	return c.sendWithRetries(ctx)
 }
 
 // receive reads the body and checks whether the request may be sent.
 func (c *call) receive(ctx context.Context) error {
 	if err := c.readBody(ctx); err != nil {
+		if isInterrupted(ctx) {
+			c.refund()
+		}
 		return err
 	}
 	c.identify()
 	if err := c.checkBlocklist(); err != nil {
 		return err
 	}
-	return c.checkStop(ctx)
+	if err := c.checkStop(ctx); err != nil {
+		c.refund()
+		return err
+	}
+	return nil
 }
--- a/internal/entry/gateway/inflight.go
+++ b/internal/entry/gateway/inflight.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
@@ -9,11 +11,23 @@
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/logging"
+	"baobabladder.example/baobabladder/internal/base/reason"
+	"baobabladder.example/baobabladder/internal/wire/caller"
 )
 
 // PlannedStop is when a VM that is stopping began to stop, and when it ends.
 type PlannedStop struct{ Begin, End clock.Millis }
 
+// InterruptAt returns when the requests that are still in flight are interrupted.
+func (p PlannedStop) InterruptAt() clock.Millis { return p.End - interruptedAnswerTime }
+
+// interruptedAnswerTime is the time before the end of the VM in which the answers to
+// interrupted requests are written.
+const interruptedAnswerTime = 200 * clock.Millis(1)
+
+// errVMEnds is the cause with which the end of the VM interrupts a request.
+var errVMEnds = errors.New("this VM ends before the request has ended")
+
 // plannedStop returns the VM's planned stop, if it is stopping.
 func (g *Gateway) plannedStop() (stop PlannedStop, isStopping bool) {
 	if g.PlannedStop == nil {
@@ -52,13 +66,50 @@
 	return slices.Collect(maps.Keys(f.calls))
 }
 
-// RecordUnfinished logs and counts the requests in flight, which the end of the VM
-// interrupts. It must be called just before the VM ends.
+// Interrupt ends the requests in flight. Their callers get refusals, unless a response has
+// begun.
+func (g *Gateway) Interrupt() {
+	for _, c := range g.inFlight.all() {
+		c.interrupt(errVMEnds)
+	}
+}
+
+// isInterrupted reports whether the end of the VM interrupted the request with context ctx.
+func isInterrupted(ctx context.Context) bool { return context.Cause(ctx) == errVMEnds }
+
+// interrupted returns the error of a request, with the reason if the end of the VM has
+// interrupted it.
+func interrupted(ctx context.Context, err error) error {
+	if err == nil || !isInterrupted(ctx) {
+		return err
+	}
+	copied := *caller.AsRefusal(err)
+	copied.Reason, copied.Detail, copied.RetryAfter = reason.Stopping, errVMEnds.Error(), stoppingRetryAfter
+	return &copied
+}
+
+// afterInterrupt returns the error of a request that has ended, and counts the request if
+// the end of the VM has interrupted it and it may have run.
+func (c *call) afterInterrupt(ctx context.Context, err error) error {
+	err = interrupted(ctx, err)
+	if err != nil && isInterrupted(ctx) && caller.AsRefusal(err).Ran != reason.RanNo {
+		c.recordInterrupted()
+	}
+	return err
+}
+
+// recordInterrupted counts a request that the end of the VM interrupts.
+func (c *call) recordInterrupted() {
+	if c.gateway.RecordInterrupted != nil {
+		c.gateway.RecordInterrupted(string(c.route.Work))
+	}
+}
+
+// RecordUnfinished logs and counts the requests that are in flight although they were
+// interrupted. It must be called just before the VM ends.
 func (g *Gateway) RecordUnfinished() {
 	for _, c := range g.inFlight.all() {
-		if g.RecordInterrupted != nil {
-			g.RecordInterrupted(string(c.route.Work))
-		}
+		c.recordInterrupted()
 		if g.Log != nil && g.LogBudget.Allow(logging.KindOutcomeUnknown) {
 			g.Log.WithFields(c.unfinishedFields()).Warn("the VM ends before the request has ended")
 		}
--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -118,7 +118,7 @@
 	response, err := c.send(ctx, grant, &trace)
 	if err != nil {
 		result = failedResult(err)
-		return linksLost(ctx, err)
+		return withCause(ctx, err)
 	}
 	status = response.Status
 	result.Limit, result.IsLeaving, result.Pause = balance.ParseLimit(response.Limit), response.IsLeaving, response.Pause
@@ -126,7 +126,7 @@
 	err = c.relayResponse(ctx, response)
 	_ = response.Body.Close()
 	result.Outcome = responseOutcome(response, err)
-	err = linksLost(ctx, err)
+	err = withCause(ctx, err)
 	if result.Outcome == balance.Answered {
 		c.gateway.Blocklist.RecordAnswer(c.digest)
 	}
@@ -151,11 +151,11 @@
 	}
 }
 
-// linksLost returns the error of an attempt, with the reason if it was cancelled because
-// this VM has lost its links.
-func linksLost(ctx context.Context, err error) error {
+// withCause returns the error of an attempt, with the reason if it was cancelled because
+// this VM has lost its links or ends.
+func withCause(ctx context.Context, err error) error {
 	if err == nil || context.Cause(ctx) != errLinksLost {
-		return err
+		return interrupted(ctx, err)
 	}
 	copied := *caller.AsRefusal(err)
 	copied.Reason, copied.Detail = reason.EndpointFailed, errLinksLost.Error()
--- a/internal/entry/node/stop.go
+++ b/internal/entry/node/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -29,7 +30,9 @@
 func (n *Node) stop(ctx context.Context) {
 	timeLeft := n.Settings.Bounds.StopGrace - shutdownMargin
 	now := n.clock.Now()
-	n.plannedStop.Store(&gateway.PlannedStop{Begin: now, End: now + timeLeft})
+	planned := gateway.PlannedStop{Begin: now, End: now + timeLeft}
+	n.plannedStop.Store(&planned)
+	defer time.AfterFunc((planned.InterruptAt() - now).Duration(), n.gateway.Interrupt).Stop()
 	n.stopping.Store(true)
 	n.Log.Info("stopping")
 	n.roster.ExchangeNow(ctx)
