Refuse what a planned stop may interrupt while another VM can serve it

Cause: canFinish asked for 2.5 times the route's target latency, or the time to the request's deadline if that is less. The first is an estimate: an upload with a target of 800 ms and 5 s to its deadline was passed on until 2.0 s before the VM's end. Routes whose time limit is shorter than the estimate were safe.

A request that is not idempotent is sent only if its deadline comes before the stop interrupts what is in flight. The estimate stays for idempotent ones, which callers may repeat, and, in the first half of the stop, for all where no other VM serves callers: a refusal would only lose them. The VM asks before the quota and the body, after the body, before each further attempt, and now also before it forwards a request that reached no endpoint.

Ruled out: the balancer holds no requests back, so none waits there. Bodies above 1 MB were already bound by the deadline.

Tests on the code before (answers in flight already in place): TestCallersOfAStoppingVMGetAnAnswer/length, /chunks, /late_body: "Expected 502 to equal 503"; on "no answer before the VM ended" TestStoppingVMMakesNoAttemptThatItMayInterrupt/order, /late,_no_other_VM: "Expected 200 to equal 503"; /unreachable: forwarded, "Expected [POST /order/x body] to have length 0" TestPlannedStopInterruptsNoRequest is unchanged: its VM is the only one.

--- a/internal/entry/gateway/checks.go
+++ b/internal/entry/gateway/checks.go
@@ -62,16 +62,37 @@
 	return reason.NotRun(reason.Stopping, stoppingRetryAfter, "this VM ends before the request may be answered, use another one")
 }
 
-// canFinish reports whether another attempt of the request will usually be answered before
-// the VM ends.
+// canFinish reports whether another attempt of the request may be made before the VM ends:
+// its deadline passes before the VM interrupts it, or it will usually be answered before that
+// and an estimate is enough.
 func (c *call) canFinish(ctx context.Context) bool {
 	stop, isStopping := c.gateway.plannedStop()
 	if !isStopping {
 		return true
 	}
-	needed := remainingTime(ctx)
-	if c.streamedBody == nil && c.route.TargetLatency > 0 {
+	needed, now := remainingTime(ctx), c.gateway.Clock.Now()
+	if c.isEstimateEnough(&stop, now) {
 		needed = min(needed, clock.Millis(slowResponseTimes*float64(c.route.TargetLatency)))
 	}
-	return stop.InterruptAt()-c.gateway.Clock.Now() >= needed
+	return stop.InterruptAt()-now >= needed
+}
+
+// isEstimateEnough reports whether the request may be sent although the end of the VM may
+// interrupt it. Its caller may repeat an idempotent one. One that is not idempotent must be
+// refused as long as another VM may serve it, and late in the stop, when what is left is hardly
+// more than the estimate. A body that is forwarded while it is received may take any time.
+func (c *call) isEstimateEnough(stop *PlannedStop, now clock.Millis) bool {
+	switch {
+	case c.streamedBody != nil || c.route.TargetLatency <= 0:
+		return false
+	case c.isIdempotent():
+		return true
+	default:
+		return now < (stop.Begin+stop.End)/2 && !c.gateway.hasOtherVM()
+	}
+}
+
+// hasOtherVM reports whether another VM serves callers.
+func (g *Gateway) hasOtherVM() bool {
+	return g.Alternates != nil && len(g.Alternates(1, func(string) bool { return true })) > 0
 }
--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -56,7 +56,7 @@
 // alternatesAfter returns the VMs to which the request may be forwarded after its last attempt
 // failed: this VM is cut off, or did not reach the endpoint and may just have been.
 func (c *call) alternatesAfter(ctx context.Context, refusal *reason.Refusal) []vm.VM {
-	if c.mayHaveRun || refusal.Ran != reason.RanNo || ctx.Err() != nil || c.isBodyConsumed() {
+	if c.mayHaveRun || refusal.Ran != reason.RanNo || ctx.Err() != nil || c.isBodyConsumed() || !c.canFinish(ctx) {
 		return nil
 	}
 	if !c.isCutOff() && c.lastOutcome() != balance.Unreachable {
@@ -75,7 +75,7 @@
 		}
 		refusal = alternateRefusal(err)
 		c.mayHaveRun = c.mayHaveRun || refusal.Ran != reason.RanNo
-		if c.mayHaveRun || ctx.Err() != nil || c.isBodyConsumed() {
+		if c.mayHaveRun || ctx.Err() != nil || c.isBodyConsumed() || !c.canFinish(ctx) {
 			break
 		}
 	}
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -198,6 +198,9 @@
 
 // run runs a request of a caller whose head was checked.
 func (c *call) run(ctx context.Context) error {
+	if err := c.checkStop(ctx); err != nil {
+		return err
+	}
 	if err := caller.AwaitTurn(ctx, c.request, c.isIdempotent()); err != nil {
 		return err
 	}
