Reset the connection of an HTTP/1.0 caller whose answer is broken off

The endpoint's answer breaks off, the handler ends with http.ErrAbortHandler, and the server closes the connection in order. Nothing but that end tells such a caller where the answer ends. HTTP/1.1 callers see chunks without an end, or fewer bytes than declared. Only answers that are passed on while they come are concerned: those without a length above the buffer, and the router's. The code before had the fault too.

Change: while the handler writes an answer that ends with its connection, the socket has SO_LINGER 0, so that each close is a reset: by the handler's panic, by a shutdown that gives a caller up that doesn't read, and by the end of the process. When the handler has returned, the default is back, and the close is in order. A reset may also destroy what was not delivered of earlier answers; requests of HTTP/1.0 behind others on a connection are the only ones that have any.

Test on the code before, TestBrokenOffAnswerToOldCallerEndsWithReset: /broken_off,_no_length: "<nil> Expected <bool>: false to be true", which is a plain end of the answer. The two other forms passed and pass. go test -race ./internal/wire/caller passes.

Left: net/http holds up to 6 KB of an answer when the handler returns. A process that ends between that and the write still ends in order.

--- a/internal/wire/caller/close.go
+++ b/internal/wire/caller/close.go
@@ -49,13 +49,13 @@
 		c.mu.Lock()
 		c.beginClose()
 		refusal, last, hasLeft, err := c.idleRefusal, c.last, c.hasLeft, c.leftErr
-		hasRequest := last.hasRequest
+		hasRequest, isEndUnmarked := last.hasRequest, last.isEndUnmarked
 		c.mu.Unlock()
 		if refusal != nil {
 			c.closeWithRefusal(refusal)
 			return
 		}
-		if !hasRequest {
+		if !hasRequest || isEndUnmarked {
 			return
 		}
 		if !hasLeft {
@@ -65,6 +65,13 @@
 	})
 }
 
+// setLinger sets SO_LINGER: 0 makes a close a reset, and -1 is the default.
+func (c *conn) setLinger(seconds int) {
+	if lingerer, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = lingerer.SetLinger(seconds)
+	}
+}
+
 // reportIfUndelivered reports the answer to the last request of a connection if the caller may
 // not have got it: err is how the last read of the connection ended.
 func (s *stream) reportIfUndelivered(err error) {
--- a/internal/wire/caller/close_test.go
+++ b/internal/wire/caller/close_test.go
@@ -263,3 +263,42 @@
 		}
 	}
 }
+
+// Guards against an answer without a length to a caller of HTTP/1.0 that its handler has broken
+// off and that looks whole: nothing but the end of the connection tells where it ends.
+func TestBrokenOffAnswerToOldCallerEndsWithReset(t *testing.T) {
+	for name, c := range map[string]struct {
+		length   string
+		isBroken bool
+		want     error
+	}{
+		"broken off, no length":   {"", true, syscall.ECONNRESET},
+		"broken off, with length": {"30000", true, io.ErrUnexpectedEOF},
+		"whole, no length":        {"", false, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			ts := newTestServer(t, func(s *caller.Server) {
+				s.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					if c.length != "" {
+						w.Header().Set("Content-Length", c.length)
+					}
+					_, _ = w.Write(make([]byte, 20_000))
+					if c.isBroken {
+						panic(http.ErrAbortHandler)
+					}
+				})
+			})
+			connection := ts.dial(g)
+			defer connection.Close()
+			_, err := io.WriteString(connection, "GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+			g.Expect(err).NotTo(HaveOccurred())
+			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			if err == nil {
+				_, err = io.Copy(io.Discard, response.Body)
+			}
+			g.Expect(errors.Is(err, c.want)).To(BeTrue(), "%v", err)
+		})
+	}
+}
--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -271,7 +271,7 @@
 	}
 	// A shutdown may begin while the request runs. shutdownWriter then announces the
 	// close in the response.
-	s.Handler.ServeHTTP(&shutdownWriter{ResponseWriter: w, server: s, stream: stream}, request)
+	s.Handler.ServeHTTP(&shutdownWriter{ResponseWriter: w, server: s, stream: stream, isOld: !request.ProtoAtLeast(1, 1)}, request)
 	stream.endAnswer()
 }
 
@@ -282,6 +282,8 @@
 	server      *Server
 	stream      *stream
 	wroteHeader bool
+	// isOld reports a caller of HTTP/1.0, which knows no chunks.
+	isOld bool
 }
 
 // Unwrap returns the wrapped writer to http.ResponseController.
@@ -291,7 +293,7 @@
 func (w *shutdownWriter) WriteHeader(status int) {
 	if status >= http.StatusOK && !w.wroteHeader {
 		w.wroteHeader = true
-		w.stream.beginAnswer()
+		w.stream.beginAnswer(w.isOld && w.Header().Get("Content-Length") == "")
 		if w.server.isShuttingDown() && w.stream.beginLast() {
 			w.Header().Set("Connection", "close")
 		}
--- a/internal/wire/caller/stream.go
+++ b/internal/wire/caller/stream.go
@@ -43,6 +43,8 @@
 	// isAnswered when that handler has returned without breaking the response off.
 	// isUndelivered is set when the response was reported as not delivered.
 	isAnswerBegun, isAnswered, isUndelivered bool
+	// isEndUnmarked is set while the handler writes a response that ends with the connection.
+	isEndUnmarked bool
 	// isLast is set when the connection accepts no request after this one.
 	isLast bool
 	// isRefused is set when the stream itself refused the current request.
@@ -288,11 +290,17 @@
 	return refusal, s.isLast
 }
 
-// beginAnswer records that the handler begins its response.
-func (s *stream) beginAnswer() {
+// beginAnswer records that the handler begins its response. If only the end of the connection
+// tells where the response ends, every close before endAnswer, also that by the end of the
+// process, is a reset.
+func (s *stream) beginAnswer(endsWithConnection bool) {
 	s.conn.mu.Lock()
 	defer s.conn.mu.Unlock()
 	s.isAnswerBegun = !s.conn.hasLeft && !s.isCancelled
+	if endsWithConnection {
+		s.isEndUnmarked = true
+		s.conn.setLinger(0)
+	}
 }
 
 // endAnswer records that the handler has returned without breaking its response off.
@@ -300,6 +308,10 @@
 	s.conn.mu.Lock()
 	defer s.conn.mu.Unlock()
 	s.isAnswered = s.isAnswerBegun
+	if s.isEndUnmarked {
+		s.isEndUnmarked = false
+		s.conn.setLinger(-1)
+	}
 }
 
 // endHandler records that the handler has returned.
