--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -69,8 +69,8 @@
 }
 
 // Gateway handles callers' requests. All fields but Reach, Alternates, PeerClient, OnBlock,
-// RecordLatency, RecordOutcome, RecordOddity, RecordLimitedSend, RecordInterrupted, PlannedStop, ConfigAge, Log and LogBudget must
-// be set.
+// RecordLatency, RecordOutcome, RecordOddity, RecordLimitedSend, RecordInterrupted, PlannedStop,
+// ConfigAge, Log and LogBudget must be set.
 type Gateway struct {
 	Headers  Headers
 	Client   Sender
