Test what an interrupted request is told, and its token

The test is deterministic: the VM's "100 Continue" shows that it reads the body when the end of the VM is simulated.

--- a/internal/entry/gateway/stop_test.go
+++ b/internal/entry/gateway/stop_test.go
@@ -1,13 +1,17 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net/http"
 	"testing"
 
 	. "github.com/onsi/gomega"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/reason"
+	"baobabladder.example/baobabladder/internal/wire/caller"
 	"baobabladder.example/baobabladder/internal/wire/endpoint"
 	"baobabladder.example/baobabladder/internal/world/directory"
 )
@@ -84,3 +88,40 @@
 		})
 	}
 }
+
+// Guards against a token that is lost with a request which the end of the VM interrupts before
+// it was sent, and against a promise that one at an endpoint has not run.
+func TestInterruptedRequestIsRefusedByWhetherItMayHaveRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		body            string
+		status, refunds int
+		interrupted     []string
+	}{
+		"body being received": {"", http.StatusServiceUnavailable, 1, nil},
+		"at an endpoint":      {"paper", http.StatusBadGateway, 0, []string{"order"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			v, e, connection := serveCallers(t, func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() })
+			var interrupted []string
+			v.gateway.RecordInterrupted = func(work string) { interrupted = append(interrupted, work) }
+			reader := bufio.NewReader(connection)
+			_, _ = io.WriteString(connection, "POST /order/x HTTP/1.1\r\nHost: shop.example\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n")
+			// The VM asks for the body when it begins to read it.
+			continued, err := reader.ReadString('\n')
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(continued).To(ContainSubstring("100 Continue"))
+			_, _ = reader.ReadString('\n')
+			_, _ = io.WriteString(connection, c.body)
+			if c.body != "" {
+				g.Eventually(e.allRuns, waitTimeout).Should(HaveLen(1))
+			}
+			v.gateway.Interrupt()
+			response, _ := readAnswer(g, reader)
+			g.Expect(response.StatusCode).To(Equal(c.status))
+			g.Expect(response.Header.Get(caller.ReasonHeader)).To(BeEquivalentTo(reason.Stopping))
+			g.Expect(v.tokens.refunds).To(Equal(c.refunds))
+			g.Expect(interrupted).To(Equal(c.interrupted))
+		})
+	}
+}
