Report undelivered answers of `baobabladder entry` too

Only nodes of the users' platform counted and logged answers that were not delivered. The metric's page and its help text name no such limit.

The metric and the log line now stand once, in caller.Undelivered, and both kinds of VM use them. The lines of `baobabladder entry` have no rate limit, like its lines on refusals.

TestAnswerThatIsLostIsReported also checks the counter and the line. There was nothing of the kind before.

--- a/internal/entry/node/metrics.go
+++ b/internal/entry/node/metrics.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
@@ -53,13 +52,10 @@
 
 // onUndelivered counts and logs an answer that was not delivered.
 func (n *Node) onUndelivered(undelivered caller.Undelivered) {
-	n.metrics.Scope.Tagged(map[string]string{"cause": string(undelivered.Cause)}).Counter("answers_undelivered").Inc(1)
-	if !n.gateway.LogBudget.Allow(logging.KindUndelivered) {
-		return
+	undelivered.Count(n.metrics.Scope)
+	if n.gateway.LogBudget.Allow(logging.KindUndelivered) {
+		undelivered.LogTo(n.Log)
 	}
-	n.Log.WithError(undelivered.Err).WithFields(logrus.Fields{
-		"request_id": undelivered.RequestID, "remote": undelivered.Remote, "cause": undelivered.Cause,
-	}).Warn("an answer was not delivered")
 }
 
 // interruptedRecorder returns a function that counts the requests that the end of the VM
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -83,7 +83,11 @@
 	handler := policies.router(refuser, &endpoint.Client{Dial: p.Dial}, p.Settings.Region)
 	return &caller.Server{
 		Handler: readinessHandler{control: control, next: handler, refuser: refuser}, Refusals: refuser,
-		VMs: &policies.ranker, Ready: control.isReady,
+		VMs: &policies.ranker, Ready: control.isReady, RequestIDHeader: endpoint.RequestIDHeader,
+		OnUndelivered: func(undelivered caller.Undelivered) {
+			undelivered.Count(control.metrics.Scope)
+			undelivered.LogTo(p.Log)
+		},
 	}
 }
 
--- a/internal/wire/caller/caller_test.go
+++ b/internal/wire/caller/caller_test.go
@@ -34,6 +34,7 @@
 	*caller.Server
 	address string
 	scope   tally.TestScope
+	logger  logrus.FieldLogger
 	log     *test.Hook
 }
 
@@ -77,7 +78,7 @@
 		_ = listener.Close()
 		<-served
 	})
-	return &testServer{server, listener.Addr().String(), scope, hook}
+	return &testServer{server, listener.Addr().String(), scope, log, hook}
 }
 
 // refusalCount returns the counter of refusals with a reason.
--- a/internal/wire/caller/undelivered.go
+++ b/internal/wire/caller/undelivered.go
@@ -1,5 +1,10 @@
 package caller
 
+import (
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+)
+
 // UndeliveredCause is how a Server noticed that an answer was not delivered.
 type UndeliveredCause string
 
@@ -28,6 +33,17 @@
 	Err       error
 }
 
+// Count counts u in the metric "answers_undelivered".
+func (u Undelivered) Count(scope tally.Scope) {
+	scope.Tagged(map[string]string{"cause": string(u.Cause)}).Counter("answers_undelivered").Inc(1)
+}
+
+// LogTo logs u.
+func (u Undelivered) LogTo(log logrus.FieldLogger) {
+	fields := logrus.Fields{"request_id": u.RequestID, "remote": u.Remote, "cause": u.Cause}
+	log.WithError(u.Err).WithFields(fields).Warn("an answer was not delivered")
+}
+
 // reportUndelivered reports that the answer to the request of s was not delivered, at most once
 // for a request. conn.mu must not be held.
 func (s *stream) reportUndelivered(cause UndeliveredCause, err error) {
--- a/internal/wire/caller/undelivered_test.go
+++ b/internal/wire/caller/undelivered_test.go
@@ -73,6 +73,10 @@
 			g.Expect(report.RequestID).To(Equal("r1"))
 			g.Expect(report.Remote).To(Equal(connection.LocalAddr().String()))
 			g.Expect(report.Err).To(HaveOccurred())
+			report.Count(ts.scope)
+			report.LogTo(ts.logger)
+			g.Expect(ts.scope.Snapshot().Counters()["answers_undelivered+cause="+string(c.want)].Value()).To(BeEquivalentTo(1))
+			g.Expect(ts.log.LastEntry().Data).To(HaveKeyWithValue("request_id", "r1"))
 		})
 	}
 }
