Keep a closed request body closed at its next read

Cause: Body.Close interrupts a pending read with a read deadline in the past, and Read sets the deadline anew before each read. A Close between two reads was undone: a request whose body was being received when a planned stop interrupted it would then wait for its caller until the VM ends, and an endpoint that answers early would wait for the caller's next bytes.

Change: Close is remembered, and reads behind it leave the deadline alone.

Test on the code before, TestReadOfAClosedBodyDoesNotWait: "Timed out after 1.000s. When passed a matcher, ReceiveMatcher's channel *must* receive something". It passes; so do ./internal/wire/... and ./internal/entry/...

--- a/internal/wire/caller/body.go
+++ b/internal/wire/caller/body.go
@@ -42,8 +42,8 @@
 	err          error
 
 	mu sync.Mutex
-	// isComplete is set when the body was read to its end. Guarded by mu.
-	isComplete bool
+	// isComplete is set when the body was read to its end, isClosed by Close. Guarded by mu.
+	isComplete, isClosed bool
 }
 
 // NewBody returns a reader for the body of request, whose response is written to w.
@@ -70,7 +70,7 @@
 	if isCallerDeadline {
 		readDeadline = b.deadline
 	}
-	_ = b.control.SetReadDeadline(readDeadline)
+	b.setReadDeadline(readDeadline)
 	n, err = b.body.Read(buffer)
 	b.waitedMicros += clock.Clock{}.Micros() - start
 	b.received += int64(n)
@@ -91,6 +91,15 @@
 	return n, b.err
 }
 
+// setReadDeadline sets the deadline of the next read, unless the body is closed.
+func (b *Body) setReadDeadline(at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.isClosed {
+		_ = b.control.SetReadDeadline(at)
+	}
+}
+
 // remainingWait returns how much longer reads of the body may block in total.
 func (b *Body) remainingWait() time.Duration {
 	earnedMicros := b.received * int64(time.Second/time.Microsecond) / minBodyRate
@@ -108,7 +117,7 @@
 	_ = b.control.SetReadDeadline(time.Time{})
 }
 
-// Close interrupts a pending Read. Unless the body was read to its end, the
+// Close interrupts a pending Read, and later ones don't wait. Unless the body was read to its end, the
 // connection is closed after the response. Close must be called before the head of
 // the response is written.
 func (b *Body) Close() error {
@@ -117,6 +126,7 @@
 	if b.isComplete {
 		return nil
 	}
+	b.isClosed = true
 	b.w.Header().Set("Connection", "close")
 	return b.control.SetReadDeadline(pastDeadline)
 }
--- a/internal/wire/caller/close_test.go
+++ b/internal/wire/caller/close_test.go
@@ -302,3 +302,23 @@
 		})
 	}
 }
+
+// Guards against a body whose Close is undone by the deadline of its next read, which then waits
+// for a caller that sends nothing.
+func TestReadOfAClosedBodyDoesNotWait(t *testing.T) {
+	g := NewWithT(t)
+	read := make(chan error, 1)
+	ts := newTestServer(t, func(s *caller.Server) {
+		s.Handler = http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+			body := caller.NewBody(w, request, 100, time.Now().Add(testTimeout))
+			_ = body.Close()
+			_, err := body.Read(make([]byte, 10))
+			read <- err
+		})
+	})
+	connection := ts.dial(g)
+	defer connection.Close()
+	_, err := io.WriteString(connection, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(read, time.Second).Should(Receive(HaveOccurred()))
+}
