Test that refused connections take no room of others

That they don't count against MaxConnections, and that their number goes down again, could both be taken out and ./internal/wire/caller still passed.

TestRefusedConnectionsTakeNoRoom fails without the first ("Expected 503 to equal 200") and without the second ("Expected 200 to equal 503").

--- a/internal/wire/caller/close_test.go
+++ b/internal/wire/caller/close_test.go
@@ -322,3 +322,33 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Eventually(read, time.Second).Should(Receive(HaveOccurred()))
 }
+
+// Guards against connections that were refused above MaxConnections and that take the room of
+// others while their callers don't close, or the room of later refusals when they have.
+func TestRefusedConnectionsTakeNoRoom(t *testing.T) {
+	const moreThanHeld = 70
+	g := NewWithT(t)
+	ts := newTestServer(t, func(s *caller.Server) { s.MaxConnections = 1 })
+	statusOf := func(connection net.Conn) int {
+		_, err := io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		g.Expect(err).NotTo(HaveOccurred())
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		return response.StatusCode
+	}
+	first := ts.dial(g)
+	g.Expect(statusOf(first)).To(Equal(http.StatusOK))
+	for range moreThanHeld {
+		refused := ts.dial(g)
+		g.Expect(statusOf(refused)).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(refused.Close()).To(Succeed())
+	}
+	held := ts.dial(g)
+	defer held.Close()
+	g.Expect(statusOf(held)).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(first.Close()).To(Succeed())
+	g.Eventually(func() int { return len(ts.Connections()) }, testTimeout).Should(Equal(1))
+	next := ts.dial(g)
+	defer next.Close()
+	g.Expect(statusOf(next)).To(Equal(http.StatusOK))
+}
