Interrupt requests in the last sixth of a short grace period, not before

Cause: both margins were fixed, whatever the grace. Now they are a tenth of the grace and a 25th of the stop, at most what they were; so nothing changes from 6 s on. The servers for checks, lookups and metrics get a third of the margin.

TestStopInterruptsInTheLastSixthOfItsGrace fails without the change for each grace below 4.8 s.

--- a/internal/entry/gateway/inflight.go
+++ b/internal/entry/gateway/inflight.go
@@ -19,11 +19,16 @@
 type PlannedStop struct{ Begin, End clock.Millis }
 
 // InterruptAt returns when the requests that are still in flight are interrupted.
-func (p PlannedStop) InterruptAt() clock.Millis { return p.End - interruptedAnswerTime }
+func (p PlannedStop) InterruptAt() clock.Millis {
+	return p.End - min(maxInterruptedAnswerTime, (p.End-p.Begin)/interruptedAnswerDivisor)
+}
 
-// interruptedAnswerTime is the time before the end of the VM in which the answers to
-// interrupted requests are written.
-const interruptedAnswerTime = 200 * clock.Millis(1)
+// maxInterruptedAnswerTime and interruptedAnswerDivisor, which gives a part of the stop, bound
+// the time before the end of the VM in which the answers to interrupted requests are written.
+const (
+	maxInterruptedAnswerTime = 200 * clock.Millis(1)
+	interruptedAnswerDivisor = 25
+)
 
 // errVMEnds is the cause with which the end of the VM interrupts a request.
 var errVMEnds = errors.New("this VM ends before the request has ended")
--- a/internal/entry/node/stop.go
+++ b/internal/entry/node/stop.go
@@ -13,22 +13,29 @@
 )
 
 const (
-	// idleCloseDivisor and shutdownMargin divide the grace period of a shutdown:
-	// idle connections of callers stay open for its first half, and the process ends
+	// idleCloseDivisor, marginDivisor and maxShutdownMargin divide the grace period of a
+	// shutdown: idle connections of callers stay open for its first half, and the VM ends
 	// shutdownMargin before its end.
-	idleCloseDivisor = 2
-	shutdownMargin   = 600 * clock.Millis(1)
+	idleCloseDivisor  = 2
+	marginDivisor     = 10
+	maxShutdownMargin = 600 * clock.Millis(1)
 	// maxOpenConnectionLines bounds the lines on open connections, per server.
 	maxOpenConnectionLines = 20
-	// plainStopTimeout bounds the end of readiness checks, lookups and requests for metrics.
-	// It is less than shutdownMargin.
-	plainStopTimeout = 250 * clock.Millis(1)
+	// plainStopDivisor gives the part of shutdownMargin in which readiness checks, lookups and
+	// requests for metrics end.
+	plainStopDivisor = 3
 )
 
+// shutdownMargin returns how long before the end of a grace period the VM ends.
+func shutdownMargin(grace clock.Millis) clock.Millis {
+	return min(maxShutdownMargin, grace/marginDivisor)
+}
+
 // stop announces the stop to the peers and shuts the server for callers down, within
 // StopGrace less shutdownMargin.
 func (n *Node) stop(ctx context.Context) {
-	timeLeft := n.Settings.Bounds.StopGrace - shutdownMargin
+	grace := n.Settings.Bounds.StopGrace
+	timeLeft := grace - shutdownMargin(grace)
 	now := n.clock.Now()
 	planned := gateway.PlannedStop{Begin: now, End: now + timeLeft}
 	n.plannedStop.Store(&planned)
@@ -55,7 +62,8 @@
 // stopPlainServers lets the plain servers answer what they have read. They stop last, so that
 // callers can ask for other VMs until the end.
 func (n *Node) stopPlainServers(ctx context.Context) {
-	limit, cancel := context.WithTimeout(ctx, plainStopTimeout.Duration())
+	timeout := shutdownMargin(n.Settings.Bounds.StopGrace) / plainStopDivisor
+	limit, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
 	var group sync.WaitGroup
 	for _, server := range n.plainServers {
--- a/internal/entry/node/stop_test.go
+++ b/internal/entry/node/stop_test.go
@@ -6,6 +6,8 @@
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus/hooks/test"
 
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/entry/gateway"
 	"baobabladder.example/baobabladder/internal/wire/caller"
 )
 
@@ -24,3 +26,15 @@
 		g.Expect(text).To(ContainSubstring(part))
 	}
 }
+
+// Guards against a stop with a short grace period that interrupts requests before the last
+// sixth of it.
+func TestStopInterruptsInTheLastSixthOfItsGrace(t *testing.T) {
+	g := NewWithT(t)
+	for grace := 500 * clock.Millis(1); grace <= 20*clock.Second; grace += 100 {
+		stop := gateway.PlannedStop{End: grace - shutdownMargin(grace)}
+		g.Expect(stop.InterruptAt()).To(BeNumerically(">=", grace*5/6), "a grace of %d ms", grace)
+		g.Expect(stop.InterruptAt()).To(BeNumerically("<", stop.End), "a grace of %d ms", grace)
+		g.Expect(stop.End).To(BeNumerically("<", grace))
+	}
+}
