Let a new owner that is alone grant its own share only

Cause: an owner that is cut off learns it from the VMs that cease to report (their shares are withheld after 0.5 s), or from the roster after about 2 s. One that has just become the owner has had no reports, so only the roster is left: for 2 s it granted the whole rate to itself while the others admitted their shares.

The invariant: what all VMs may admit without asking, and what an owner grants, are together at most the limit. So an owner may grant the share of another VM only if it can know that this VM is in contact with it.

Change: for silentUntil (2.2 s, by when the roster knows lost VMs) after a VM has begun to own a bucket, it grants no more than its own share while no message of another VM has come for 0.75 s. Reports and the roster's exchanges (each 0.5 s with each peer, 0.9 s in large fleets) are such messages, so an owner in contact is not held back. A bucket that is filled at the first start of a system counts as owned before.

--- a/internal/control/admission/admission.go
+++ b/internal/control/admission/admission.go
@@ -36,6 +36,9 @@
 	// ownerPause is how long a VM does not ask an owner again that has not replied, so that
 	// not each request waits for callTimeout.
 	ownerPause = 500 * clock.Millis(1)
+	// aloneAfter is the time without contact with another VM after which this VM may be cut
+	// off. It is longer than the time between two exchanges with a peer.
+	aloneAfter = 750 * clock.Millis(1)
 	// prefetchFactor is the number of tokens requested for each request refused since
 	// the last report, so that the next such requests need no call.
 	prefetchFactor = 1.0
@@ -95,6 +98,10 @@
 	mu sync.Mutex
 	// states holds this VM's state of each workspace, by name. Guarded by mu.
 	states map[string]*workspaceState
+	// contactAt is when this VM was last in contact with another one, hasContact is set if it
+	// ever was. Both are guarded by mu.
+	contactAt  clock.Millis
+	hasContact bool
 }
 
 // workspaceState is a VM's state of one workspace.
--- a/internal/control/admission/receiver.go
+++ b/internal/control/admission/receiver.go
@@ -20,6 +20,7 @@
 // does not own, once, and stands in for an owner that does not reply.
 func (r *Receiver) Report(report Report, reply *Reply) error {
 	a := r.admission
+	a.RecordContact()
 	usages := a.withKnownOwner(report.Usages)
 	if !report.IsForwarded {
 		*reply = a.forward(report.VM, usages)
@@ -34,6 +35,24 @@
 	return nil
 }
 
+// RecordContact records that a message of another VM has arrived. Receiver calls it for reports.
+// Without further calls, a new owner to which no other VM reports is taken for one that is cut
+// off.
+func (a *Admission) RecordContact() {
+	now := a.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.contactAt, a.hasContact = now, true
+}
+
+// isAlone reports whether this VM has been without contact with others lately.
+func (a *Admission) isAlone() bool {
+	now := a.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.hasContact || now-a.contactAt >= aloneAfter
+}
+
 // withKnownOwner returns the usages of workspaces which this VM knows, and whose owner it
 // knows.
 func (a *Admission) withKnownOwner(usages map[string]quota.Usage) map[string]quota.Usage {
@@ -105,7 +124,7 @@
 		isOther := func(name string) bool { return !a.isOwner(name) }
 		reply.Strict = slices.DeleteFunc(a.OwnedBuckets.StrictWorkspaces(), isOther)
 	}()
-	reach := quota.Reach{Fraction: a.ReachableFraction(), Share: a.LocalLimiter.Share()}
+	reach := quota.Reach{Fraction: a.ReachableFraction(), Share: a.LocalLimiter.Share(), IsAlone: a.isAlone()}
 	for name, usage := range usages {
 		workspace := a.Workspace(name)
 		if workspace != nil && workspace.Rate > 0 && isPlausible(usage.Used) && isPlausible(usage.Want) {
--- a/internal/entry/node/duties.go
+++ b/internal/entry/node/duties.go
@@ -41,6 +41,7 @@
 
 // onExchange applies the state that a peer sent.
 func (n *Node) onExchange(state roster.State) {
+	n.admission.RecordContact()
 	n.canary.SetPeerEvidence(state.ID.Name, state.Trials)
 	_, isRelay := n.roster.Relays()
 	for region, evidence := range state.Regions {
--- a/internal/policy/quota/owner.go
+++ b/internal/policy/quota/owner.go
@@ -60,7 +60,9 @@
 // before they learn that the owner has become strict about a workspace. The owner
 // subtracts these requests from the bucket, whose tokens may become negative, and
 // grants nothing until there are tokens again. The excess over the limit is therefore
-// at most what is admitted in one reporting interval. The zero value is ready for use.
+// at most what is admitted in one reporting interval. For silentUntil an owner that is alone,
+// see Reach, grants no more than its share: it may be cut off from VMs that admit theirs
+// without it. The zero value is ready for use.
 type Owner struct {
 	Clock clock.Clock
 	// IsOwnershipUnstable, if set, reports whether workspaces change owners frequently.
@@ -84,6 +86,10 @@
 	reportedAt  clock.Millis
 	rate, burst float64
 	isStrict    bool
+	// ownedSince is when the workspace was first reported while this VM was the owner without
+	// interruption, as far as it knows. isUnowned is set while another VM owns it, or none.
+	ownedSince clock.Millis
+	isUnowned  bool
 	// reporters holds the VMs that have reported lately, by name.
 	reporters map[string]reporter
 }
@@ -101,6 +107,8 @@
 	Fraction float64
 	// Share is the fraction that one VM may use without an owner.
 	Share float64
+	// IsAlone is set if the owner has had no contact with another VM lately.
+	IsAlone bool
 }
 
 // Report records a VM's usage of a workspace and returns what the VM may admit.
@@ -111,8 +119,13 @@
 	b := o.bucket(workspace.Name, burst)
 	now := o.Clock.Now()
 	b.reportedAt = now
+	b.recordOwned(now)
 	b.recordReporter(vm, now)
 	withheld := float64(b.countSilent(now)) * reach.Share
+	if reach.IsAlone && now-b.ownedSince < silentUntil {
+		// VMs that do not reach the owner may admit their shares.
+		withheld = reach.Fraction - reach.Share
+	}
 	rate := workspace.Rate * max(reach.Fraction-withheld, reach.Share)
 	b.rate, b.burst = rate, burst
 	b.refill(now, rate, burst)
@@ -144,7 +157,7 @@
 	defer o.mu.Unlock()
 	if o.buckets[workspace.Name] == nil {
 		b := o.bucket(workspace.Name, workspace.Burst)
-		b.tokens, b.isStrict = workspace.Burst, false
+		b.tokens, b.isStrict, b.isUnowned = workspace.Burst, false, false
 		b.rate, b.burst = workspace.Rate, workspace.Burst
 	}
 }
@@ -157,6 +170,7 @@
 	for name, b := range o.buckets {
 		if !isOwned(name) {
 			b.refill(o.Clock.Now(), b.rate, unownedBurstFraction*b.burst)
+			b.isUnowned = true
 		}
 	}
 }
@@ -169,7 +183,7 @@
 	}
 	b := o.buckets[name]
 	if b == nil {
-		b = &ownedBucket{tokens: initialBurstFraction * burst, refilledAt: o.Clock.Now(), isStrict: true, reporters: map[string]reporter{}}
+		b = &ownedBucket{tokens: initialBurstFraction * burst, refilledAt: o.Clock.Now(), isStrict: true, isUnowned: true, reporters: map[string]reporter{}}
 		if o.IsOwnershipUnstable != nil && o.IsOwnershipUnstable() {
 			b.tokens = 0
 		}
@@ -178,6 +192,13 @@
 	return b
 }
 
+// recordOwned records that this VM owns the bucket.
+func (b *ownedBucket) recordOwned(now clock.Millis) {
+	if b.isUnowned {
+		b.ownedSince, b.isUnowned = now, false
+	}
+}
+
 // recordReporter records that a VM has reported.
 func (b *ownedBucket) recordReporter(vm string, now clock.Millis) {
 	r := b.reporters[vm]
