Bound a stop's wait for servers of checks, lookups and metrics

Cause: http.Server.Shutdown and Close wait for each Accept loop to return before they look at their context. If the process has no descriptors left, net/http sleeps for up to 1 s between two calls of Accept. These servers stop last, 0.6 s before the end of the grace period, so that a stop could last 0.4 s longer than the grace. The server for callers has the same wait, but closes its listener at half of the grace.

Change: the stop goes on after plainStopTimeout, whatever these servers wait for. The process ends then, which closes what is left.

TestStopOfPlainServersEndsWhileOneWaitsToAccept failed before: "Timed out after 0.601s".

--- a/internal/entry/node/stop.go
+++ b/internal/entry/node/stop.go
@@ -59,8 +59,8 @@
 	n.stopPlainServers(ctx)
 }
 
-// stopPlainServers lets the plain servers answer what they have read. They stop last, so that
-// callers can ask for other VMs until the end.
+// stopPlainServers lets the plain servers answer what they have read, for a part
+// of shutdownMargin. They stop last, so that callers can ask for other VMs until the end.
 func (n *Node) stopPlainServers(ctx context.Context) {
 	timeout := shutdownMargin(n.Settings.Bounds.StopGrace) / plainStopDivisor
 	limit, cancel := context.WithTimeout(ctx, timeout.Duration())
@@ -73,7 +73,16 @@
 			}
 		})
 	}
-	group.Wait()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		group.Wait()
+	}()
+	// http.Server.Shutdown waits without a bound for an Accept to return.
+	select {
+	case <-stopped:
+	case <-limit.Done():
+	}
 }
 
 // logOpenConnections logs the connections that a stop interrupts, up to
--- a/internal/entry/node/stop_test.go
+++ b/internal/entry/node/stop_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"net"
+	"net/http"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -38,3 +40,37 @@
 		g.Expect(stop.End).To(BeNumerically("<", grace))
 	}
 }
+
+// stalledListener is a listener whose Accept does not notice that it is closed, as while
+// net/http waits before it accepts again.
+type stalledListener struct {
+	net.Listener
+	accepting, released chan struct{}
+}
+
+func (l stalledListener) Accept() (net.Conn, error) {
+	close(l.accepting)
+	<-l.released
+	return nil, net.ErrClosed
+}
+
+// Guards against a stop that outlasts its grace period because a plain server goes on waiting
+// to accept, which net/http does for up to 1 s when the process has no descriptors left.
+func TestStopOfPlainServersEndsWhileOneWaitsToAccept(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	stalled := stalledListener{listener, make(chan struct{}), make(chan struct{})}
+	defer close(stalled.released)
+	server := &http.Server{ReadHeaderTimeout: readHeaderTimeout.Duration()}
+	go func() { _ = server.Serve(stalled) }()
+	<-stalled.accepting
+	n := &Node{plainServers: []*http.Server{server}}
+	n.Settings.Bounds.StopGrace = 6 * clock.Second
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		n.stopPlainServers(t.Context())
+	}()
+	g.Eventually(ended, shutdownMargin(n.Settings.Bounds.StopGrace).Duration()).Should(BeClosed())
+}
