Give the signal that wakes a loop early one package

No change of behaviour: a pending notification still counts once, and the senders still never block. What differs is only the mutex that guards the creation of the channel, which is the signal's own.

--- a/internal/control/divider/divider.go
+++ b/internal/control/divider/divider.go
@@ -22,6 +22,7 @@
 	"baobabladder.example/baobabladder/internal/base/account"
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/fault"
+	"baobabladder.example/baobabladder/internal/base/wakeup"
 	"baobabladder.example/baobabladder/internal/control/inflight"
 	"baobabladder.example/baobabladder/internal/policy/divide"
 	"baobabladder.example/baobabladder/internal/policy/limit"
@@ -95,9 +96,8 @@
 	mu sync.Mutex
 	// allocator is nil unless this VM is the divider. Guarded by mu.
 	allocator *divide.Allocator
-	// roundDue, of capacity 1, holds a value if the next round should start early. It
-	// is created at first use and never replaced. Guarded by mu.
-	roundDue chan struct{}
+	// roundDue starts the next round early.
+	roundDue wakeup.Signal
 
 	// offering holds the VMs with an Offer call in flight, settling the lenders with a
 	// Settle call, waking the divider with a Wake call.
@@ -148,21 +148,11 @@
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
-	case <-d.roundSignal():
+	case <-d.roundDue.C():
 		_ = clock.Sleep(ctx, minPause)
 	}
 }
 
-// roundSignal returns roundDue, creating it if need be.
-func (d *Divider) roundSignal() chan struct{} {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.roundDue == nil {
-		d.roundDue = make(chan struct{}, 1)
-	}
-	return d.roundDue
-}
-
 func (d *Divider) roundInterval() clock.Millis {
 	intervals := (len(d.View().Members) + vmsPerInterval - 1) / vmsPerInterval
 	return minRoundInterval * clock.Millis(max(1, intervals))
@@ -242,15 +232,7 @@
 	}
 	d.mu.Unlock()
 	if isDivider {
-		d.startRound()
-	}
-}
-
-// startRound makes the next round start now.
-func (d *Divider) startRound() {
-	select {
-	case d.roundSignal() <- struct{}{}:
-	default:
+		d.roundDue.Notify()
 	}
 }
 
@@ -322,7 +304,7 @@
 	if len(vmOffer.Offer.Grants) == 0 {
 		return
 	}
-	d.startRound()
+	d.roundDue.Notify()
 }
 
 func (d *Divider) apply(report *contract.Report) {
--- a/internal/control/mover/mover.go
+++ b/internal/control/mover/mover.go
@@ -21,6 +21,7 @@
 	"baobabladder.example/baobabladder/internal/base/account"
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/fault"
+	"baobabladder.example/baobabladder/internal/base/wakeup"
 	"baobabladder.example/baobabladder/internal/policy/move"
 	"baobabladder.example/baobabladder/internal/policy/retry"
 	"baobabladder.example/baobabladder/internal/wire/store"
@@ -83,13 +84,13 @@
 	Decisions *account.DecisionLog
 	Log       logrus.FieldLogger
 
+	// reportsDue wakes reportLoop if there are evidence or suspensions to send.
+	reportsDue wakeup.Signal
+
 	mu sync.Mutex
 	// pendingEvidence is the newest evidence with a failed request that was not sent
 	// to the peers yet, or nil. Guarded by mu.
 	pendingEvidence []move.Evidence
-	// signalled, of capacity 1, holds a value if there are evidence or suspensions to
-	// send. It is nil before the first use. Guarded by mu.
-	signalled chan struct{}
 	// confirmedGenerations holds the generation of suspensions that each peer's
 	// incarnation confirmed last; see generationOf. Guarded by mu.
 	confirmedGenerations map[vm.ID]int64
@@ -143,23 +144,7 @@
 	defer cancel()
 	select {
 	case <-waitCtx.Done():
-	case <-m.signalChannel():
-	}
-}
-
-func (m *Mover) signalChannel() chan struct{} {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.signalled == nil {
-		m.signalled = make(chan struct{}, 1)
-	}
-	return m.signalled
-}
-
-func (m *Mover) signal() {
-	select {
-	case m.signalChannel() <- struct{}{}:
-	default:
+	case <-m.reportsDue.C():
 	}
 }
 
--- a/internal/control/mover/receiver.go
+++ b/internal/control/mover/receiver.go
@@ -121,7 +121,7 @@
 // the peers.
 func (m *Mover) Suspend(suspension move.Suspension) {
 	m.recordSuspension(suspension)
-	m.signal()
+	m.reportsDue.Notify()
 }
 
 // Report implements move.Peers: it sends evidence to the peers. Only the newest
@@ -130,7 +130,7 @@
 	m.mu.Lock()
 	m.pendingEvidence = evidence
 	m.mu.Unlock()
-	m.signal()
+	m.reportsDue.Notify()
 }
 
 // SendReports sends new evidence of failures to all peers, and the suspensions in
--- a/internal/world/contract/holder.go
+++ b/internal/world/contract/holder.go
@@ -10,6 +10,7 @@
 	"github.com/joomcode/errorx"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/base/wakeup"
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
 
@@ -253,10 +254,8 @@
 	// loansByLender holds this VM's loans from other VMs, by the lender's name.
 	// Guarded by mu.
 	loansByLender map[string]*lenderLoans
-	// loansEnded holds a value if borrowed slots were released since it was last
-	// read. It is created on first use, guarded by mu, and not replaced
-	// afterwards.
-	loansEnded chan struct{}
+	// loansEnded is notified when borrowed slots were released.
+	loansEnded wakeup.Signal
 }
 
 // Allocation returns the allocation of a resource, creating it on first use.
--- a/internal/world/contract/loan.go
+++ b/internal/world/contract/loan.go
@@ -165,29 +165,14 @@
 	granted := loans.open[loan].Resource != ""
 	delete(loans.open, loan)
 	loans.unsettled = true
-	if !granted {
-		return
-	}
-	select {
-	case h.loansEndedLocked() <- struct{}{}:
-	default:
+	if granted {
+		h.loansEnded.Notify()
 	}
 }
 
 // LoansEnded returns a channel that receives a value after borrowed slots were
 // released, so that their lenders can be notified and reuse them at once.
-func (h *Holder) LoansEnded() <-chan struct{} {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.loansEndedLocked()
-}
-
-func (h *Holder) loansEndedLocked() chan struct{} {
-	if h.loansEnded == nil {
-		h.loansEnded = make(chan struct{}, 1)
-	}
-	return h.loansEnded
-}
+func (h *Holder) LoansEnded() <-chan struct{} { return h.loansEnded.C() }
 
 // UnconfirmedSettlements returns the settlements that lenders have not
 // confirmed, by lender.
