Call members and list reachable peers in one place

Two pieces of logic stood twice. Divider.call and PeerClient.call both looked a VM up in the membership view, failed with ErrNotListed if it isn't there, and called the receiver's method; callMember does that for both, and each caller keeps its own timeout. The mover and the divider's peer client both filtered the view's peers by whether they are reachable; that is now View.ReachablePeers.

No change of behaviour: the same order of peers, the same errors, the same timeouts. Peers returns a slice of its own, so that the filter in place changes no view. Held by the unchanged tests of internal/control/divider and internal/control/mover, which pass.

Left as they are, because they look alike and aren't the same: the interfaces Lease and PeerCaller, which the house style declares where they are used; the calls to all peers (the fence counts replies of all peers at once, the mover bounds its calls in flight); what is done while the lease is held (the divider rebuilds its allocator on a new term, the mover starts each round from the store).

--- a/internal/control/divider/divider.go
+++ b/internal/control/divider/divider.go
@@ -361,11 +361,7 @@
 }
 
 func (d *Divider) call(ctx context.Context, name, method string, args, reply any) error {
-	member := d.View().Member(name)
-	if member == nil {
-		return ErrNotListed.New("VM %s is not in the membership view", name)
-	}
-	return d.Peers.Call(ctx, member.PeerAddress, ReceiverName+"."+method, args, reply)
+	return callMember(ctx, d.Peers, d.View(), name, method, args, reply)
 }
 
 func (d *Divider) count(name string, by int64) {
--- a/internal/control/divider/peer_client.go
+++ b/internal/control/divider/peer_client.go
@@ -64,8 +64,7 @@
 
 // reachablePeers returns the reachable peers, shortest round trip first.
 func (p *PeerClient) reachablePeers() []membership.Member {
-	peers := p.View().Peers()
-	peers = slices.DeleteFunc(peers, func(m membership.Member) bool { return !m.Reachable })
+	peers := p.View().ReachablePeers()
 	slices.SortStableFunc(peers, func(a, b membership.Member) int { return cmp.Compare(a.RoundTrip, b.RoundTrip) })
 	return peers
 }
@@ -83,11 +82,17 @@
 }
 
 func (p *PeerClient) call(ctx context.Context, name, method string, args, reply any) error {
-	member := p.View().Member(name)
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout.Duration())
+	defer cancel()
+	return callMember(ctx, p.Peers, p.View(), name, method, args, reply)
+}
+
+// callMember calls a method of the Receiver on the named member of view. It fails with
+// ErrNotListed if there is no such member.
+func callMember(ctx context.Context, peers PeerCaller, view *membership.View, name, method string, args, reply any) error {
+	member := view.Member(name)
 	if member == nil {
 		return ErrNotListed.New("VM %s is not in the membership view", name)
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout.Duration())
-	defer cancel()
-	return p.Peers.Call(ctx, member.PeerAddress, ReceiverName+"."+method, args, reply)
+	return peers.Call(ctx, member.PeerAddress, ReceiverName+"."+method, args, reply)
 }
--- a/internal/control/mover/receiver.go
+++ b/internal/control/mover/receiver.go
@@ -144,7 +144,7 @@
 	m.mu.Unlock()
 	generation := generationOf(suspensions)
 	var due []membership.Member
-	for _, member := range m.reachablePeers() {
+	for _, member := range m.View().ReachablePeers() {
 		isDue := len(evidence) > 0 || !m.hasConfirmed(member.ID(), generation)
 		if isDue && m.canCall(member.ID()) {
 			due = append(due, member)
@@ -228,7 +228,7 @@
 	replies = append(replies, m.ownReply())
 	var mu sync.Mutex
 	request := &CollectRequest{From: m.Self, Term: term, Suspensions: m.Guard.Suspensions()}
-	forEachPeer(m.reachablePeers(), func(member membership.Member) {
+	forEachPeer(m.View().ReachablePeers(), func(member membership.Member) {
 		reply := CollectReply{}
 		if m.call(ctx, member, "Collect", request, &reply) != nil {
 			return
@@ -242,15 +242,6 @@
 	return replies, len(replies) == 1+len(m.View().Peers())
 }
 
-func (m *Mover) reachablePeers() (members []membership.Member) {
-	for _, member := range m.View().Peers() {
-		if member.Reachable {
-			members = append(members, member)
-		}
-	}
-	return members
-}
-
 func (m *Mover) call(ctx context.Context, member membership.Member, method string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
--- a/internal/world/membership/membership.go
+++ b/internal/world/membership/membership.go
@@ -4,6 +4,8 @@
 package membership
 
 import (
+	"slices"
+
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
@@ -74,3 +76,8 @@
 	}
 	return peers
 }
+
+// ReachablePeers returns the reachable members except Self.
+func (v *View) ReachablePeers() []Member {
+	return slices.DeleteFunc(v.Peers(), func(m Member) bool { return !m.Reachable })
+}
