Split the guard of version moves by what it does

The limits of the canary and of credit stand in route.go, which applies them.

The counting of a result is routeState.count.

No change of behaviour. Held by the unchanged tests of internal/policy/move (the table tests of the guard, the fuzz tests of moves, the stall tests), which pass.

--- a/internal/policy/move/move.go
+++ b/internal/policy/move/move.go
@@ -101,6 +101,13 @@
 	return s.Stage != Done && s.To == move.From
 }
 
+// decides reports whether requests are divided by this state while a document orders
+// the given move: it is the state of a move between the same versions, or of one that
+// must end before the ordered one may start.
+func (s *State) decides(move *document.Move) bool {
+	return s.isSourceUnserved(move) || s.To == move.To && s.From == move.From
+}
+
 // isReversed reports whether a move between the given versions is the reverse of
 // the state's move.
 func (s *State) isReversed(from, to string) bool { return s.From == to && s.To == from }
--- a/internal/policy/move/route.go
+++ b/internal/policy/move/route.go
@@ -5,8 +5,19 @@
 	"baobabladder.example/baobabladder/internal/policy/window"
 )
 
-// windowSpans is the number of spans into which a window is divided.
-const windowSpans = 10
+const (
+	// maxCanaryInFlight limits a VM's concurrent requests on the new version of a route
+	// during the canary stage, because a version that hangs gives no responses in which
+	// a fault could show.
+	maxCanaryInFlight = 4
+	// maxCanaryRequests limits a VM's requests on the new version of a route during
+	// the canary stage, regardless of the traffic.
+	maxCanaryRequests = 200
+	// maxCredit limits unused credit, in thousandths of a request.
+	maxCredit = 2 * FullShare
+	// windowSpans is the number of spans into which a window is divided.
+	windowSpans = 10
+)
 
 // countsWindow sums up counts over the last windowSpans spans.
 type countsWindow = window.Sliding[VersionCounts, *VersionCounts]
@@ -75,6 +86,21 @@
 	}
 }
 
+// count adds the result of a request to the counts of the version that ran it.
+func (r *routeState) count(choice Choice, isGood bool, micros int64, now clock.Millis) {
+	isCold := choice.ColdEndpoint != ""
+	for _, counts := range []*VersionCounts{r.minute.Advance(now), r.tenMinutes.Advance(now), &r.stage, &r.whole} {
+		if choice.IsNew {
+			counts.New.record(isGood, isCold, micros)
+		} else {
+			counts.Old.record(isGood, false, micros)
+		}
+	}
+	if choice.IsNew && isGood && isCold {
+		r.coldResponses = append(r.coldResponses, ColdResponse{Endpoint: choice.ColdEndpoint, Bucket: latencyBucket(micros)})
+	}
+}
+
 // resolveOutcome decides what a request without a response shows about the version. A
 // request that the caller cancelled counts as a slow response if it had taken too long
 // already; otherwise it is ignored. A request that exceeded its deadline counts as a
