Ask a workspace itself whether it has a rate limit

The condition that a workspace is nil or has no rate stood nine times in the quotas and the admission, once in its negated form. It is now Workspace.HasRateLimit.

No change of behaviour: the two forms differ only for a rate that is not a number, which the configuration's JSON can't hold. Held by the unchanged tests of internal/policy/quota and internal/control/admission, which pass.

--- a/internal/control/admission/admission.go
+++ b/internal/control/admission/admission.go
@@ -135,7 +135,7 @@
 // Admit takes one token of the workspace's limit for a request. If there is none, ok
 // is false and wait is the time after which the caller should retry.
 func (a *Admission) Admit(ctx context.Context, workspace *routing.Workspace) (wait clock.Millis, ok bool) {
-	if workspace == nil || workspace.Rate <= 0 {
+	if !workspace.HasRateLimit() {
 		return 0, true
 	}
 	a.LocalLimiter.Observe(workspace)
@@ -270,7 +270,7 @@
 			continue
 		}
 		areAnswered = false
-		if workspace := a.Workspace(name); workspace == nil || workspace.Rate <= 0 {
+		if !a.Workspace(name).HasRateLimit() {
 			continue
 		}
 		s := a.state(name)
@@ -334,7 +334,7 @@
 
 // Refund gives back the token that Admit took for a request that did not run.
 func (a *Admission) Refund(workspace *routing.Workspace) {
-	if workspace == nil || workspace.Rate <= 0 {
+	if !workspace.HasRateLimit() {
 		return
 	}
 	a.mu.Lock()
--- a/internal/control/admission/receiver.go
+++ b/internal/control/admission/receiver.go
@@ -127,7 +127,7 @@
 	reach := quota.Reach{Fraction: a.ReachableFraction(), Share: a.LocalLimiter.Share(), IsAlone: a.isAlone()}
 	for name, usage := range usages {
 		workspace := a.Workspace(name)
-		if workspace != nil && workspace.Rate > 0 && isPlausible(usage.Used) && isPlausible(usage.Want) {
+		if workspace.HasRateLimit() && isPlausible(usage.Used) && isPlausible(usage.Want) {
 			reply.Grants[name] = a.OwnedBuckets.Report(workspace, reporter, usage, reach)
 		}
 	}
--- a/internal/policy/quota/quota.go
+++ b/internal/policy/quota/quota.go
@@ -71,7 +71,7 @@
 
 // Observe counts one request towards this VM's demand for the workspace.
 func (l *Limiter) Observe(workspace *routing.Workspace) {
-	if workspace == nil || workspace.Rate <= 0 {
+	if !workspace.HasRateLimit() {
 		return
 	}
 	l.mu.Lock()
@@ -86,7 +86,7 @@
 // wait is the time until there will be one. A nil workspace, or one without a rate, is
 // not limited.
 func (l *Limiter) Admit(workspace *routing.Workspace) (wait clock.Millis, ok bool) {
-	if workspace == nil || workspace.Rate <= 0 {
+	if !workspace.HasRateLimit() {
 		return 0, true
 	}
 	l.mu.Lock()
@@ -123,7 +123,7 @@
 // Fill fills the workspace's bucket. It must be called only if the workspace's owner allows
 // it, which is far from the limit then.
 func (l *Limiter) Fill(workspace *routing.Workspace) {
-	if workspace == nil || workspace.Rate <= 0 {
+	if !workspace.HasRateLimit() {
 		return
 	}
 	l.mu.Lock()
@@ -135,7 +135,7 @@
 // Spent returns how many tokens the workspace's bucket lacks: what this VM has admitted
 // beyond its share of the rate.
 func (l *Limiter) Spent(workspace *routing.Workspace) (tokens float64) {
-	if workspace == nil || workspace.Rate <= 0 {
+	if !workspace.HasRateLimit() {
 		return 0
 	}
 	l.mu.Lock()
@@ -148,7 +148,7 @@
 
 // Refund returns the token that Admit took for a request that did not run.
 func (l *Limiter) Refund(workspace *routing.Workspace) {
-	if workspace == nil || workspace.Rate <= 0 {
+	if !workspace.HasRateLimit() {
 		return
 	}
 	l.mu.Lock()
--- a/internal/world/routing/routing.go
+++ b/internal/world/routing/routing.go
@@ -95,6 +95,10 @@
 	HomeRegions []string
 }
 
+// HasRateLimit reports whether the workspace has a limit of its rate. A nil workspace has
+// none.
+func (w *Workspace) HasRateLimit() bool { return w != nil && w.Rate > 0 }
+
 // Limits bound the size and timing of callers' requests.
 type Limits struct {
 	MaxHeaderBytes int64
