Split the admission by what it does

admission.go had 398 lines: what a request meets, a VM's state of a workspace, and the reports to owners with what becomes of them without a reply. The reports are now report.go, the state workspace.go, each with its constants; the messages stand in receiver.go, as in the divider and the mover. admission.go keeps what a request meets (167 lines).

No change of behaviour: the sorted lines of before and after differ only in package and import lines, one constant that stands alone, and a new doc comment. Held by the unchanged tests of internal/control/admission (limits, cuts, restarts), which pass.

--- a/internal/control/admission/receiver.go
+++ b/internal/control/admission/receiver.go
@@ -5,10 +5,38 @@
 	"maps"
 	"slices"
 
+	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/policy/quota"
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
 
+// ReceiverName is the name under which Receiver is registered for net/rpc.
+const ReceiverName = "Admission"
+
+const reportMethod = ReceiverName + ".Report"
+
+// forwardTimeout bounds the call by which a VM sends a report on to the owner. It is part
+// of callTimeout.
+const forwardTimeout = 250 * clock.Millis(1)
+
+// Report is a VM's report to an owner, by workspace.
+type Report struct {
+	VM     string
+	Usages map[string]quota.Usage
+	// IsForwarded is set if another VM than VM sends the report, to the owner that it knows.
+	IsForwarded bool
+}
+
+// Reply is the owner's reply to a Report, by workspace.
+type Reply struct {
+	// Grants lacks the workspaces of the report whose owner the asked VM does not know.
+	Grants map[string]quota.Grant
+	// Strict lists all strict workspaces of the owner, including those that were not
+	// in the report. Without it, a VM that rarely gets a request of such a workspace
+	// would admit the request without tokens.
+	Strict []string
+}
+
 // Receiver serves the reports of other VMs over net/rpc.
 type Receiver struct{ admission *Admission }
 
@@ -35,6 +63,10 @@
 	return nil
 }
 
+// aloneAfter is the time without contact with another VM after which this VM may be cut off. It
+// is longer than the time between two exchanges with a peer.
+const aloneAfter = 750 * clock.Millis(1)
+
 // RecordContact records that a message of another VM has arrived. Receiver calls it for reports.
 // Without further calls, a new owner to which no other VM reports is taken for one that is cut
 // off.
