Refuse late in a stop what the VM may interrupt, idempotent requests too

Found by review of the rule for planned stops: a stopping VM sent idempotent requests on the estimate (2.5 times the route's target latency) up to its end. One that takes longer is answered 502, and that its caller may repeat it is no help where the caller has used its repeats, though another VM could have served it at once.

Change: in the second half of a stop, when callers have been told to go elsewhere and what is left is hardly more than the estimate, the estimate counts only for idempotent requests that no other VM may serve. Everything else needs its deadline to come before the interruption. The first half is unchanged.

TestStoppingVMMakesNoAttemptThatItMayInterrupt/late,_idempotent failed before: "Expected 200 to equal 503". Late and alone, such a request is still sent.

--- a/internal/entry/gateway/checks.go
+++ b/internal/entry/gateway/checks.go
@@ -78,18 +78,17 @@
 }
 
 // isEstimateEnough reports whether the request may be sent although the end of the VM may
-// interrupt it. Its caller may repeat an idempotent one. One that is not idempotent must be
-// refused as long as another VM may serve it, and late in the stop, when what is left is hardly
-// more than the estimate. A body that is forwarded while it is received may take any time.
+// interrupt it. Callers may repeat an idempotent request, and a request that no other VM may serve
+// would only be lost by a refusal. In the first half of a stop one of the two is enough; later,
+// when what is left is hardly more than the estimate, both are needed. A body that is forwarded while it is received may take any time.
 func (c *call) isEstimateEnough(stop *PlannedStop, now clock.Millis) bool {
-	switch {
-	case c.streamedBody != nil || c.route.TargetLatency <= 0:
+	if c.streamedBody != nil || c.route.TargetLatency <= 0 {
 		return false
-	case c.isIdempotent():
-		return true
-	default:
-		return now < (stop.Begin+stop.End)/2 && !c.gateway.hasOtherVM()
 	}
+	if isLate := now >= (stop.Begin+stop.End)/2; isLate {
+		return c.isIdempotent() && !c.gateway.hasOtherVM()
+	}
+	return c.isIdempotent() || !c.gateway.hasOtherVM()
 }
 
 // hasOtherVM reports whether another VM serves callers.
--- a/internal/entry/gateway/stop_test.go
+++ b/internal/entry/gateway/stop_test.go
@@ -47,6 +47,8 @@
 		"idempotent":         {"/read/x", false, true, 0, clock.Second, http.StatusOK, 2, 0},
 		"no other VM":        {"/order/x", false, false, 0, clock.Second, http.StatusOK, 2, 0},
 		"late, no other VM":  {"/order/x", false, false, 2 * clock.Second, clock.Second, http.StatusServiceUnavailable, 1, 1},
+		"late, idempotent":   {"/read/x", false, true, 2 * clock.Second, clock.Second, http.StatusServiceUnavailable, 1, 1},
+		"late, alone":        {"/read/x", false, false, 2 * clock.Second, clock.Second, http.StatusOK, 2, 0},
 		"idempotent at last": {"/read/x", false, false, 2 * clock.Second, 2 * targetLatency, http.StatusServiceUnavailable, 1, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
