--- a/internal/entry/gateway/inflight.go
+++ b/internal/entry/gateway/inflight.go
@@ -23,11 +23,12 @@
 	return p.End - min(maxInterruptedAnswerTime, (p.End-p.Begin)/interruptedAnswerDivisor)
 }
 
-// maxInterruptedAnswerTime and interruptedAnswerDivisor, which gives a part of the stop, bound
-// the time before the end of the VM in which the answers to interrupted requests are written.
+// The answers to interrupted requests are written just before the end of the VM, for a part of
+// the whole stop.
 const (
-	maxInterruptedAnswerTime = 200 * clock.Millis(1)
+	// interruptedAnswerDivisor gives that part, maxInterruptedAnswerTime bounds it.
 	interruptedAnswerDivisor = 25
+	maxInterruptedAnswerTime = 200 * clock.Millis(1)
 )
 
 // errVMEnds is the cause with which the end of the VM interrupts a request.
--- a/internal/entry/node/stop.go
+++ b/internal/entry/node/stop.go
@@ -13,10 +13,11 @@
 )
 
 const (
-	// idleCloseDivisor, marginDivisor and maxShutdownMargin divide the grace period of a
-	// shutdown: idle connections of callers stay open for its first half, and the VM ends
-	// shutdownMargin before its end.
-	idleCloseDivisor  = 2
+	// idleCloseDivisor gives the part of the grace period for which idle connections of callers
+	// stay open.
+	idleCloseDivisor = 2
+	// marginDivisor gives the part of the grace period that is left when the VM ends,
+	// maxShutdownMargin bounds it; see shutdownMargin.
 	marginDivisor     = 10
 	maxShutdownMargin = 600 * clock.Millis(1)
 	// maxOpenConnectionLines bounds the lines on open connections, per server.
