Add a lease with a fencing token for duties of one VM at a time

Usage reports need one VM at a time, and a token by which a receiver can refuse a former holder. internal/control/lease has neither a state stored together with the lease nor safety across a return of the store from a copy.

Package duty keeps holder, term and the duty's state in one store object that is changed only by conditional writes.

A term is above the revision that it replaces, which contains the era as in tracker.RevisionInEra. So it rises also if the object was removed, or overwritten by a write that was meant for the same number in an earlier era.

Nothing starts a duty yet.

--- a/internal/base/clock/clock.go
+++ b/internal/base/clock/clock.go
@@ -7,6 +7,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Millis is a point in time or a duration, in milliseconds. A point in time
@@ -30,6 +32,19 @@
 // origin is the zero point of the monotonic time.
 var origin = time.Now()
 
+// bootOrigin is the zero point of Boottime.
+var bootOrigin = boottime()
+
+// boottime returns the time since the machine's start, including suspensions.
+func boottime() time.Duration {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		// Every Linux kernel that Go supports has this clock.
+		panic(err)
+	}
+	return time.Duration(now.Nano())
+}
+
 // Clock returns the current time. Its zero value reads the machine's monotonic
 // clock. A Clock is a small value and may be copied freely.
 type Clock struct {
@@ -54,6 +69,17 @@
 	return time.Since(origin).Microseconds()
 }
 
+// Boottime returns the time since the process's origin, including the time for which the
+// machine was suspended, in which Now stands still on Linux. It is for leases, which go on
+// elsewhere during a suspension. It never decreases, and values of different processes are
+// not comparable.
+func (c Clock) Boottime() Millis {
+	if c.manual != nil {
+		return c.manual.boottime()
+	}
+	return FromDuration(boottime() - bootOrigin)
+}
+
 // Wall returns the wall time in milliseconds since the Unix epoch. It is meant
 // only for times that are defined as time of day or exchanged with other
 // machines, such as the end of a version move.
@@ -77,12 +103,12 @@
 	}
 }
 
-// Manual is a clock for tests that advances only by calls of Advance. Its zero
-// value starts at 0.
+// Manual is a clock for tests that advances only by calls of Advance and Suspend. Its
+// zero value starts at 0.
 type Manual struct {
 	mu sync.Mutex
-	// current never decreases. Guarded by mu.
-	current Millis
+	// current and suspended, the total of the suspensions, never decrease. Guarded by mu.
+	current, suspended Millis
 }
 
 // Clock returns a Clock that reads m.
@@ -102,3 +128,18 @@
 	defer m.mu.Unlock()
 	return m.current
 }
+
+// Suspend moves only Boottime forward, by d. It ignores a negative d.
+func (m *Manual) Suspend(d Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if d > 0 {
+		m.suspended += d
+	}
+}
+
+func (m *Manual) boottime() Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.current + m.suspended
+}
--- /dev/null
+++ b/internal/control/duty/record.go
@@ -0,0 +1,72 @@
+package duty
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
+
+	"baobabladder.example/baobabladder/internal/world/vm"
+)
+
+// maxPrevious bounds Record.Previous. Within one lease time each VM can acquire a duty
+// only once, so it is above the number of VMs that contend at a time.
+const maxPrevious = 32
+
+// Record is the spec of a duty's object.
+type Record struct {
+	// Holder is the zero ID after a release.
+	Holder vm.ID `json:"holder"`
+	// Term is the fencing token. Its era is that of the store when the duty was acquired;
+	// see tracker.EraOf.
+	Term int64 `json:"term"`
+	// Renewed counts the writes within the term after the first one.
+	Renewed int64 `json:"renewed"`
+	// WriteID is unique to the write that stored the record.
+	WriteID string `json:"write_id"`
+	// Previous holds the holders before Holder that may have acted within the last lease
+	// time, oldest first and at most one for each VM name. The zero Tenant stands for
+	// holders that are not known.
+	Previous []Tenant `json:"previous,omitempty"`
+	// State is the duty's own JSON.
+	State json.RawMessage `json:"state,omitempty"`
+}
+
+// Tenant is a former holder of a duty.
+type Tenant struct {
+	Holder vm.ID `json:"holder"`
+	Term   int64 `json:"term"`
+}
+
+// mayHaveActed reports whether a VM is among the previous holders, in any incarnation, or
+// may be one that is not known.
+func (r *Record) mayHaveActed(name string) bool {
+	return slices.ContainsFunc(r.Previous, func(t Tenant) bool { return t.Holder.Name == name || t == Tenant{} })
+}
+
+// isHistoryKnown reports whether the record names a holder or its former ones. A record
+// that was just created, or that can't be decoded, does not.
+func (r *Record) isHistoryKnown() bool { return r.Holder != (vm.ID{}) || len(r.Previous) > 0 }
+
+// previousWith returns Previous with a tenant at its end.
+func (r *Record) previousWith(last Tenant) (previous []Tenant) {
+	previous = slices.DeleteFunc(slices.Clone(r.Previous), func(t Tenant) bool { return t.Holder.Name == last.Holder.Name })
+	previous = append(previous, last)
+	if dropped := len(previous) - maxPrevious; dropped > 0 {
+		previous = previous[dropped:]
+		previous[0] = Tenant{}
+	}
+	return previous
+}
+
+// isNewerThan reports whether r was written after other, which holds within and across
+// terms.
+func (r *Record) isNewerThan(other *Record) bool {
+	return r.Term > other.Term || r.Term == other.Term && r.Renewed > other.Renewed
+}
+
+func newWriteID() string {
+	id := make([]byte, 16)
+	_, _ = rand.Read(id)
+	return hex.EncodeToString(id)
+}
