--- a/internal/policy/balance/candidate.go
+++ b/internal/policy/balance/candidate.go
@@ -47,6 +47,7 @@
 	expected float64
 	typical  float64
 	wait     float64
+	timing   Timing
 	isWarm   bool
 	isHome   bool
 }
@@ -274,6 +275,7 @@
 	}
 	c.expected = roundTrip + c.wait + runMillis
 	c.typical = roundTrip + c.wait + run.uncached
+	c.timing = Timing{RoundTrip: clock.Millis(roundTrip), Wait: clock.Millis(c.wait), Run: clock.Millis(runMillis), LongRun: clock.Millis(run.uncached)}
 	c.cost = c.expected + occupancyCost*runMillis + perKilobyte*(request.Kilobytes+expectedResponseKilobytes) + state.currentFailureRate(now)*failureCost*float64(request.Route.TargetLatency)
 	if !request.isRegionBound() {
 		c.cost += (1 - b.unreservedFraction(request.Service.Name, state.endpoint.Region, now)) * reservationCost * float64(request.Route.TargetLatency)
--- a/internal/policy/balance/grant.go
+++ b/internal/policy/balance/grant.go
@@ -30,6 +30,17 @@
 	isDone              bool
 	// Basis is the information on which the choice was made.
 	Basis Basis
+	// Timing is the parts of the expected response time.
+	Timing Timing
+}
+
+// Timing is the parts of an expected response time.
+type Timing struct {
+	// RoundTrip is the network's round trip, Wait the time in the endpoint's queue.
+	RoundTrip, Wait clock.Millis
+	// Run is the time for which the endpoint runs the request, LongRun that of an endpoint
+	// that is not warm for the object.
+	Run, LongRun clock.Millis
 }
 
 // Basis is the information on which a choice was made, for the log.
@@ -93,7 +104,7 @@
 		Endpoint: state.endpoint, IsCold: state.endpoint.ColdUntil > now, balancer: b, state: state, request: request,
 		object: request.affinityKey(), sentAt: now, expected: c.expected, typical: c.typical, hadFreeSlot: c.wait == 0, isWarm: c.isWarm,
 	}
-	g.Basis = newBasis(c, g.IsCold, now)
+	g.Basis, g.Timing = newBasis(c, g.IsCold, now), c.timing
 	if g.IsCold {
 		state.nextColdRequestAt = now + coldRequestInterval
 	}
--- a/internal/wire/endpoint/exchange.go
+++ b/internal/wire/endpoint/exchange.go
@@ -8,6 +8,7 @@
 	"sync"
 	"syscall"
 
+	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/fault"
 	"baobabladder.example/baobabladder/internal/base/reason"
 )
@@ -29,6 +30,9 @@
 	// bodyDone is closed when writeBody has returned; bodyErr is set before.
 	bodyDone chan struct{}
 	bodyErr  error
+	// sentAt is when the last byte of the request was written. It is set before bodyDone is
+	// closed.
+	sentAt clock.Millis
 
 	mu sync.Mutex
 	// isBodyStarted is set when the body is read, isBodyAborted when the rest of the
@@ -43,6 +47,7 @@
 	e.abortBody = make(chan struct{})
 	e.bodyDone = make(chan struct{})
 	if e.request.Body == nil {
+		e.sentAt = e.client.Clock.Now()
 		close(e.bodyDone)
 	} else {
 		go e.writeBody()
@@ -129,6 +134,7 @@
 func (e *exchange) validate(response *http.Response) (*Response, error) {
 	select {
 	case <-e.bodyDone:
+		e.request.trace(func(trace *Trace) { trace.SentAt = e.sentAt })
 	default:
 		// The endpoint responded before the end of the body, so the rest of the body
 		// is not sent.
@@ -244,6 +250,7 @@
 		return
 	}
 	e.bodyErr = e.connection.writeBody(e.request.Body, e.request.Length)
+	e.sentAt = e.client.Clock.Now()
 	if e.bodyErr != nil && e.hasStoppedBody() {
 		// The body was closed under its reader, whose error says nothing about the caller.
 		e.bodyErr = errBodyAborted
--- a/internal/wire/endpoint/trace.go
+++ b/internal/wire/endpoint/trace.go
@@ -1,5 +1,7 @@
 package endpoint
 
+import "baobabladder.example/baobabladder/internal/base/clock"
+
 // Defect is why an answer can't be relied on although a lenient reader takes it for one, as a
 // label of a metric.
 type Defect string
@@ -30,4 +32,7 @@
 	// DiscardedAnswers is the number of answers that were discarded because they bear the
 	// id of another request.
 	DiscardedAnswers int
+	// SentAt is when the last byte of the request was written, by the client's clock; 0 if
+	// the endpoint answered before that, or did not answer.
+	SentAt clock.Millis
 }
