Count by window and workspace the requests that endpoints began to run

Package usage holds the decisions of usage reports without input or output: a VM's own ledger, the statements that VMs exchange and their sum, and which windows are frozen and not reported. Statements are cumulative and carry a version by change, so that only what a peer has not acknowledged is sent and a lost or repeated message changes no sum.

--- /dev/null
+++ b/internal/policy/usage/collector.go
@@ -0,0 +1,340 @@
+package usage
+
+import (
+	"maps"
+	"sync"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/world/vm"
+)
+
+const (
+	// statedWindows is the number of windows, the open one included, that a VM states. A
+	// window is frozen at the latest when the third one after it is open.
+	statedWindows = 4
+	// regionSumMaxAge is the maximum age of a relay's cached sum over its region.
+	regionSumMaxAge = 200 * clock.Millis(1)
+)
+
+// Link says what a VM states to a peer.
+type Link int
+
+const (
+	// LinkFollower is a VM of the region of this VM, which is a relay. It gets the sums of all
+	// regions if it wants them: a VM may hold the duty on when it is no longer a relay.
+	LinkFollower Link = iota
+	// LinkDirect is a peer that gets this VM's own statement, and those of VMs that are no
+	// longer reachable: any VM of a full mesh, or a relay of this VM's region.
+	LinkDirect
+	// LinkRegion is a relay of another region. It gets the sum over this VM's region if it
+	// wants it.
+	LinkRegion
+)
+
+// Member is a VM of the fleet as this VM sees it.
+type Member struct {
+	ID          vm.ID
+	Region      string
+	IsReachable bool
+}
+
+// Collector collects what VMs state. Self, Region and Ledger must be set.
+type Collector struct {
+	Self   vm.ID
+	Region string
+	Ledger *Ledger
+	Clock  clock.Clock
+
+	mu sync.Mutex
+	// sheets holds the statements by author, this VM's own included. Guarded by mu.
+	sheets map[Author]*statedSheet
+	// peers holds what is known of the exchange with each peer, by name. Guarded by mu.
+	peers map[string]*peer
+	// members holds the VMs of the fleet by name. Guarded by mu.
+	members map[string]Member
+	// next is the first window that is not frozen, as far as any VM is known to know.
+	// wants reports that this VM needs the sums of other regions. Guarded by mu.
+	next  Window
+	wants bool
+	// regionSummedAt is when the sum over this VM's region was last built. Guarded by mu.
+	regionSummedAt clock.Millis
+	hasSummed      bool
+}
+
+// statedSheet is what an author has stated.
+type statedSheet struct {
+	sheet
+	region string
+}
+
+// peer is the state of the exchange with a peer.
+type peer struct {
+	incarnation vm.Incarnation
+	wants       bool
+	// link is the link by which the last message to the peer was made.
+	link Link
+	// acked holds the version up to which the peer has each author's statements.
+	acked map[Author]int64
+	// received holds the versions of the peer's last message, to be acknowledged.
+	received []Ack
+}
+
+// SetMembers replaces the VMs of the fleet, this one included.
+func (c *Collector) SetMembers(members []Member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.members = make(map[string]Member, len(members))
+	for _, member := range members {
+		c.members[member.ID.Name] = member
+	}
+}
+
+// SetWants sets whether this VM needs the sums of other regions: it holds the duty or
+// contends for it.
+func (c *Collector) SetWants(wants bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wants = wants
+}
+
+// SetNext records that the windows before next are frozen.
+func (c *Collector) SetNext(next Window) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next = max(c.next, next)
+}
+
+// Next returns the first window that is not frozen, as far as this VM knows, or 0.
+func (c *Collector) Next() Window {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.next
+}
+
+// MessageFor returns the encoded Message for a peer.
+func (c *Collector) MessageFor(name string, link Link) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	open := c.refreshOwn()
+	p := c.peer(name)
+	p.link = link
+	message := Message{Next: c.next, Wants: c.needsRegions(), Acks: p.received}
+	first := max(c.next, open-statedWindows+1)
+	switch {
+	case link == LinkDirect:
+		for author, stated := range c.sheets {
+			if !author.IsRegion && author.Name != name && (author.ID == c.Self || c.isGone(author.ID)) {
+				message.add(author, stated, p, first)
+			}
+		}
+	case link == LinkRegion && p.wants:
+		c.refreshRegion()
+		own := Author{c.Self, true}
+		message.add(own, c.sheets[own], p, first)
+	case link == LinkFollower && p.wants:
+		c.refreshRegion()
+		for author, stated := range c.sheets {
+			if author.IsRegion {
+				message.add(author, stated, p, first)
+			}
+		}
+	}
+	return message.Encode()
+}
+
+// needsRegions reports whether this VM or one that follows it needs the sums of other
+// regions. The caller must hold mu.
+func (c *Collector) needsRegions() bool {
+	for name, p := range c.peers {
+		if p.wants && p.link == LinkFollower && c.members[name].IsReachable {
+			return true
+		}
+	}
+	return c.wants
+}
+
+// add adds what the peer does not have of an author's statements.
+func (m *Message) add(author Author, stated *statedSheet, to *peer, first Window) {
+	if changes := stated.since(to.acked[author], first); len(changes) > 0 {
+		m.Statements = append(m.Statements, Statement{author, stated.region, stated.version, changes})
+	}
+}
+
+// Receive applies a peer's message.
+func (c *Collector) Receive(from vm.ID, text []byte) error {
+	message, err := Decode(text)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.peer(from.Name)
+	if p.incarnation != from.Incarnation {
+		// A later incarnation has nothing of what an earlier one received.
+		*p = peer{incarnation: from.Incarnation, link: p.link, acked: map[Author]int64{}}
+	}
+	p.wants, p.received = message.Wants, nil
+	c.next = max(c.next, message.Next)
+	for _, ack := range message.Acks {
+		p.acked[ack.Author] = max(p.acked[ack.Author], ack.Version)
+	}
+	for i := range message.Statements {
+		statement := &message.Statements[i]
+		if statement.Author.ID == c.Self {
+			continue
+		}
+		c.sheet(statement.Author, statement.Region).merge(statement.Version, statement.Windows)
+		p.received = append(p.received, Ack{statement.Author, statement.Version})
+	}
+	return nil
+}
+
+// peer returns the state of the exchange with a peer. The caller must hold mu.
+func (c *Collector) peer(name string) *peer {
+	if c.peers == nil {
+		c.peers = map[string]*peer{}
+	}
+	if c.peers[name] == nil {
+		c.peers[name] = &peer{acked: map[Author]int64{}}
+	}
+	return c.peers[name]
+}
+
+// sheet returns the sheet of an author, which it creates if there is none. The caller must
+// hold mu.
+func (c *Collector) sheet(author Author, region string) *statedSheet {
+	if c.sheets == nil {
+		c.sheets = map[Author]*statedSheet{}
+	}
+	if c.sheets[author] == nil {
+		c.sheets[author] = &statedSheet{region: region}
+	}
+	return c.sheets[author]
+}
+
+// isGone reports whether a VM's incarnation states nothing more, as far as this VM knows.
+// The caller must hold mu.
+func (c *Collector) isGone(id vm.ID) bool {
+	member, found := c.members[id.Name]
+	return id != c.Self && (!found || !member.IsReachable || member.ID.Incarnation > id.Incarnation)
+}
+
+// refreshOwn brings this VM's own sheet up to date, forgets windows that are frozen or too
+// old, and returns the open window. The caller must hold mu.
+func (c *Collector) refreshOwn() (open Window) {
+	windows, open := c.Ledger.windows()
+	first := max(c.next, open-maxWindows+1)
+	own := c.sheet(Author{c.Self, false}, c.Region)
+	for window, counted := range windows {
+		if window < first {
+			continue
+		}
+		sum := Sum{VMs: 1, Open: 1, Counts: counted.counts}
+		if counted.isFinal {
+			sum.Open = 0
+		}
+		own.set(window, &sum)
+	}
+	for _, stated := range c.sheets {
+		stated.forget(first)
+	}
+	maps.DeleteFunc(c.sheets, func(author Author, stated *statedSheet) bool {
+		return len(stated.pages) == 0 && author.ID != c.Self && c.isGone(author.ID)
+	})
+	return open
+}
+
+// refreshRegion brings this VM's sum over its region up to date. The caller must hold mu.
+func (c *Collector) refreshRegion() {
+	now := c.Clock.Now()
+	if c.hasSummed && now-c.regionSummedAt < regionSumMaxAge {
+		return
+	}
+	c.hasSummed, c.regionSummedAt = true, now
+	total := c.sheet(Author{c.Self, true}, c.Region)
+	windows := map[Window]bool{}
+	for author, stated := range c.sheets {
+		if !author.IsRegion && stated.region == c.Region {
+			for window := range stated.pages {
+				windows[window] = true
+			}
+		}
+	}
+	for window := range windows {
+		sums := c.directSums(window)
+		if sum, found := sums[c.Region]; found {
+			total.set(window, sum)
+		}
+	}
+}
+
+// directSums returns the sum of the VMs' own statements on a window, by region. A VM that is
+// gone changes its counts no more. The caller must hold mu.
+func (c *Collector) directSums(window Window) map[string]*Sum {
+	sums := map[string]*Sum{}
+	for author, stated := range c.sheets {
+		if author.IsRegion {
+			continue
+		}
+		counted, found := stated.sum(window)
+		if !found {
+			continue
+		}
+		if sums[stated.region] == nil {
+			sums[stated.region] = &Sum{Counts: Counts{}}
+		}
+		sum := sums[stated.region]
+		sum.VMs++
+		if counted.Open > 0 && !c.isGone(author.ID) {
+			sum.Open++
+		}
+		sum.Counts.add(counted.Counts)
+	}
+	return sums
+}
+
+// Total is the sum of a window over the fleet.
+type Total struct {
+	Counts Counts
+	// VMs is the number of VMs whose counts are included. Lacking is the number of reachable
+	// VMs that have not stated the window as final. Unreachable is the number of VMs that are
+	// not reachable; what they stated before is included.
+	VMs, Lacking, Unreachable int
+}
+
+// Sum returns the sum of a window over the fleet. For each region, the fullest of the sums
+// that its relays and its VMs have stated is used.
+func (c *Collector) Sum(window Window) Total {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refreshOwn()
+	regions := c.directSums(window)
+	for author, stated := range c.sheets {
+		// This VM's own sum is built from the same statements as its direct sum.
+		if sum, found := stated.sum(window); found && author.IsRegion && author.ID != c.Self {
+			if known := regions[stated.region]; known == nil || sum.isFuller(known) {
+				regions[stated.region] = &sum
+			}
+		}
+	}
+	total := Total{Counts: Counts{}}
+	reachable := map[string]int{}
+	for _, member := range c.members {
+		if member.IsReachable {
+			reachable[member.Region]++
+		} else {
+			total.Unreachable++
+		}
+	}
+	for region, sum := range regions {
+		total.VMs += sum.VMs
+		total.Counts.add(sum.Counts)
+		total.Lacking += max(sum.Open, reachable[region]-sum.VMs)
+		delete(reachable, region)
+	}
+	for _, count := range reachable {
+		total.Lacking += count
+	}
+	maps.DeleteFunc(total.Counts, func(_ string, count int64) bool { return count == 0 })
+	return total
+}
--- /dev/null
+++ b/internal/policy/usage/estimate.go
@@ -0,0 +1,54 @@
+package usage
+
+import "baobabladder.example/baobabladder/internal/base/clock"
+
+// Expectation is what is expected of an attempt when it is sent.
+type Expectation struct {
+	// RoundTrip is the network's round trip to the endpoint.
+	RoundTrip clock.Millis
+	// Wait is the time in the endpoint's queue; 0 if a slot is thought to be free.
+	Wait clock.Millis
+	// Run is the time for which the endpoint runs the attempt, LongRun that of an endpoint
+	// that is not warm for the object.
+	Run, LongRun clock.Millis
+}
+
+// Ending says how an attempt ended. Times are monotonic; 0 stands for none.
+type Ending struct {
+	// SentAt is when the last byte of the request was written.
+	SentAt clock.Millis
+	// AnsweredAt is when the head of the answer came.
+	AnsweredAt clock.Millis
+	// IsNotRun reports that the endpoint did not run the attempt.
+	IsNotRun bool
+	// Pace is how long work takes at the endpoint by its answer, in percent of the usual
+	// time; 0 if it does not say.
+	Pace int
+}
+
+// runVariation is how many times its usual time a run takes at an endpoint where a slot was
+// thought to be free, before the rest is taken for a wait in a queue.
+const runVariation = 1.8
+
+// usualPace is the pace of an endpoint whose work takes the usual time.
+const usualPace = 100
+
+// likelyWait returns the time from an attempt's send until the endpoint likely begins to
+// run it.
+func (e *Expectation) likelyWait() clock.Millis { return e.RoundTrip/2 + e.Wait }
+
+// waitShownBy returns the time from the send until the endpoint began to run an attempt that
+// was answered after took. What is left of that time after the round trip and the run is the
+// wait in the endpoint's queue.
+func (e *Expectation) waitShownBy(took clock.Millis, pace int) clock.Millis {
+	if pace <= 0 {
+		pace = usualPace
+	}
+	run, longRun := e.Run*clock.Millis(pace)/usualPace, max(e.Run, e.LongRun)*clock.Millis(pace)/usualPace
+	half := min(e.RoundTrip, took) / 2
+	isUsualRun := took-e.RoundTrip <= clock.Millis(runVariation*float64(longRun))
+	if e.Wait == 0 && isUsualRun {
+		return half
+	}
+	return half + max(took-e.RoundTrip-run, 0)
+}
