Exchange counts of requests in the roster's calls

A VM states its counts to the relays of its region, or to all VMs of a full mesh; relays state the sum over their region to the VMs that need it. The field of the message is empty unless usage is reported.

--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -23,6 +23,7 @@
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/control/inflight"
 	"baobabladder.example/baobabladder/internal/policy/canary"
+	"baobabladder.example/baobabladder/internal/policy/usage"
 	"baobabladder.example/baobabladder/internal/world/vm"
 )
 
@@ -57,6 +58,13 @@
 	Call(ctx context.Context, address, method string, args, reply any) error
 }
 
+// Usage makes and takes the messages with the counts of requests; see usage.Collector. Its
+// methods are called without mu.
+type Usage interface {
+	MessageFor(peer string, link usage.Link) []byte
+	Receive(from vm.ID, message []byte) error
+}
+
 // Roster is one VM's view of the fleet. Self, Peers and LocalState must be set.
 type Roster struct {
 	Self  vm.VM
@@ -66,6 +74,8 @@
 	LocalState func() State
 	// OnExchange is called with the peer's state after each exchange; optional.
 	OnExchange func(state State)
+	// Usage exchanges the counts of requests between VMs; nil if usage is not reported.
+	Usage Usage
 	// Seeds holds peer addresses to call while no VM is registered yet; see SetSeeds.
 	Seeds []string
 	Clock clock.Clock
@@ -246,6 +256,9 @@
 // relay's fields even if this VM does not consider itself one.
 func (r *Roster) stateFor(peer string, isCallee bool) State {
 	state := r.currentState()
+	if r.Usage != nil {
+		state.Usage = r.Usage.MessageFor(peer, r.usageLink(&state, peer, isCallee))
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.usesRelays() {
@@ -293,6 +306,7 @@
 	if len(state.Words) > 0 {
 		r.applyRelayFields(&state)
 	}
+	r.receiveUsage(&state)
 	if r.OnExchange != nil {
 		r.OnExchange(state)
 	}
@@ -315,7 +329,7 @@
 	if !found || statusOf(&known.state, now-known.receivedAt <= r.lostAfter()) != statusOf(&state, true) {
 		r.cachedView = nil
 	}
-	state.Words, state.RegionRunning, state.Regions = nil, nil, nil
+	state.Words, state.RegionRunning, state.Regions, state.Usage = nil, nil, nil, nil
 	r.peerStates[name] = peerState{state, now}
 	return true
 }
--- a/internal/control/roster/state.go
+++ b/internal/control/roster/state.go
@@ -41,6 +41,9 @@
 	// CopyAge is the time since the VM's copies of all kinds were last known to be
 	// complete; 0 if they never were, or if the VM does not say.
 	CopyAge clock.Millis
+	// Usage is what the VM states of the requests that endpoints ran for it, encoded; nil
+	// if usage is not reported. See usage.Message.
+	Usage []byte
 	// Versions lists the reports that the VM has, by author, so that a relay does not
 	// send them again. WantsRunning asks a relay for RegionRunning.
 	Versions     map[string]ReportVersion
