--- a/internal/base/settings/builds_test.go
+++ b/internal/base/settings/builds_test.go
@@ -27,6 +27,9 @@
 		StopGrace: 1 * clock.Second, LookupLifetime: 2 * clock.Second, RetryRatio: 0.3, RetrySlack: 4, RetryWindow: 5 * clock.Second,
 		TrialShare: 0.6, TrialSlack: 7, ColdOverage: 8, ColdSlack: 9,
 	}))
+	g.Expect(node.Usage).To(Equal(settings.Usage{
+		Address: "127.0.0.1:9010", CallsPerSecond: 10, Window: 11 * clock.Second, Due: 12 * clock.Second, Tolerance: 0.13, LeaseTime: 14 * clock.Second,
+	}))
 	fields := reflect.ValueOf(node)
 	for i := range fields.NumField() {
 		g.Expect(fields.Field(i).IsZero()).To(BeFalse(), "%s was not read", fields.Type().Field(i).Name)
--- a/internal/base/settings/node.go
+++ b/internal/base/settings/node.go
@@ -42,6 +42,21 @@
 	// LogLevel is the name of a logrus level.
 	LogLevel string
 	Bounds   Bounds
+	Usage    Usage
+}
+
+// Usage says how the deployment wants usage to be reported.
+type Usage struct {
+	// Address is the IP:port of the metering interface; empty if usage is not reported.
+	Address string
+	// CallsPerSecond is the most calls that the interface takes from all VMs.
+	CallsPerSecond float64
+	// Window is the length of a window. A window's report is due Due after its end.
+	Window, Due clock.Millis
+	// Tolerance is the fraction by which the count of a workspace may be wrong.
+	Tolerance float64
+	// LeaseTime is the lease time of the duty of reporting.
+	LeaseTime clock.Millis
 }
 
 // Bounds are the limits that the deployment requires the system to keep. In the
@@ -123,9 +138,9 @@
 		switch section.Name() {
 		case "data_centres":
 			continue
-		case "vm", "bounds", ini.DefaultSection:
+		case "vm", "bounds", "usage", ini.DefaultSection:
 		default:
-			return ErrInvalid.New("section [%s] is not allowed: known sections are [vm], [bounds] and [data_centres]", section.Name())
+			return ErrInvalid.New("section [%s] is not allowed: known sections are [vm], [bounds], [usage] and [data_centres]", section.Name())
 		}
 		for _, key := range section.KeyStrings() {
 			if !known[section.Name()+"/"+key] {
@@ -136,7 +151,7 @@
 	return nil
 }
 
-// fields returns the keys of [vm] and [bounds]. A key with an empty fallback is
+// fields returns the keys of [vm], [bounds] and [usage]. A key with an empty fallback is
 // required.
 func (n *Node) fields() []nodeField {
 	text := func(into *string, check func(string) string) func(string) string {
@@ -145,7 +160,7 @@
 			return check(value)
 		}
 	}
-	b := &n.Bounds
+	b, u := &n.Bounds, &n.Usage
 	return []nodeField{
 		{"vm", "name", "", text(&n.Name, checkName)},
 		{"vm", "region", "", text(&n.Region, checkName)},
@@ -169,7 +184,25 @@
 		{"bounds", "trial_slack", "0", readNumber(&b.TrialSlack)},
 		{"bounds", "cold_overage", "1", readNumber(&b.ColdOverage)},
 		{"bounds", "cold_slack", "1", readNumber(&b.ColdSlack)},
+		{"usage", "address", noReports, n.readUsageAddress},
+		{"usage", "calls_per_second", "50", readNumber(&u.CallsPerSecond)},
+		{"usage", "window", "5s", readDuration(&u.Window)},
+		{"usage", "due", "10s", readDuration(&u.Due)},
+		{"usage", "tolerance", "0.05", readNumber(&u.Tolerance)},
+		{"usage", "lease_time", "3s", readDuration(&u.LeaseTime)},
+	}
+}
+
+// noReports is the address of the metering interface where usage is not reported.
+const noReports = "none"
+
+func (n *Node) readUsageAddress(value string) (allowed string) {
+	n.Usage.Address = ""
+	if value == noReports {
+		return ""
 	}
+	n.Usage.Address = value
+	return checkAddress(value)
 }
 
 // noForwarding is the forward_address of a VM that takes no forwarded requests.
