Report usage from the gateway to the metering interface

The gateway counts each attempt, the VMs of a fleet exchange the counts, and the holder of the duty reports each window.

--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"baobabladder.example/baobabladder/internal/policy/blocklist"
 	"baobabladder.example/baobabladder/internal/policy/canary"
 	"baobabladder.example/baobabladder/internal/policy/retry"
+	"baobabladder.example/baobabladder/internal/policy/usage"
 	"baobabladder.example/baobabladder/internal/wire/caller"
 	"baobabladder.example/baobabladder/internal/wire/endpoint"
 	"baobabladder.example/baobabladder/internal/world/routing"
@@ -69,8 +70,8 @@
 }
 
 // Gateway handles callers' requests. All fields but Reach, Alternates, PeerClient, OnBlock,
-// RecordLatency, RecordOutcome, RecordOddity, RecordLimitedSend, RecordInterrupted, PlannedStop,
-// ConfigAge, Log and LogBudget must be set.
+// Usage, RecordLatency, RecordOutcome, RecordOddity, RecordLimitedSend, RecordInterrupted,
+// PlannedStop, ConfigAge, Log and LogBudget must be set.
 type Gateway struct {
 	Headers  Headers
 	Client   Sender
@@ -90,6 +91,8 @@
 	// blocked; optional.
 	Blocklist *blocklist.List
 	OnBlock   func()
+	// Usage counts the attempts that endpoints run, by workspace; optional.
+	Usage *usage.Ledger
 	// RetryBudget limits retries to a part of the requests of all VMs.
 	RetryBudget *retry.WindowBudget
 	Refuser     caller.RefusalWriter
--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -94,9 +94,11 @@
 	var trace endpoint.Trace
 	result := balance.Result{Outcome: balance.Cancelled, Running: -1}
 	endReach := c.beginReach()
+	counted := c.beginUsage(grant)
 	defer func() {
 		grant.Done(result)
 		endReach(status, result.Outcome)
+		counted.end(err, &trace)
 		took := c.gateway.Clock.Now() - sentAt
 		c.recordCanaryResult(grant, result.Outcome, status, took)
 		if c.gateway.RecordOutcome != nil {
@@ -116,6 +118,7 @@
 	ctx, cancel := c.untilLinksAreLost(ctx)
 	defer cancel()
 	response, err := c.send(ctx, grant, &trace)
+	counted.recordAnswer(response)
 	if err != nil {
 		result = failedResult(err)
 		return withCause(ctx, err)
--- a/internal/entry/node/duties.go
+++ b/internal/entry/node/duties.go
@@ -92,6 +92,7 @@
 		n.canary.SetVMs(len(members))
 		candidates, hasMajority := n.roster.DutyCandidates(members)
 		n.setDutyAssignment(&dutyAssignment{candidates, hasMajority, fractionReachable(members)})
+		n.updateUsage(members, candidates)
 		n.logLimits()
 		n.logEra()
 		n.reportGauges(members)
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -25,8 +25,10 @@
 	"baobabladder.example/baobabladder/internal/base/metric"
 	"baobabladder.example/baobabladder/internal/base/settings"
 	"baobabladder.example/baobabladder/internal/control/admission"
+	"baobabladder.example/baobabladder/internal/control/duty"
 	"baobabladder.example/baobabladder/internal/control/roster"
 	"baobabladder.example/baobabladder/internal/control/tracker"
+	"baobabladder.example/baobabladder/internal/control/usage"
 	"baobabladder.example/baobabladder/internal/entry/gateway"
 	"baobabladder.example/baobabladder/internal/policy/balance"
 	"baobabladder.example/baobabladder/internal/policy/blocklist"
@@ -99,6 +101,10 @@
 	// WriteMove writes the state of a move and the evidence on it to the store, unless the
 	// move is done, rolled back or replaced by another one there.
 	WriteMove(ctx context.Context, move directory.Move, state directory.MoveState, evidence canary.Evidence) error
+	// ReadObject and WriteObject read and write the objects of duties.
+	duty.Store
+	// Metering returns a client of the metering interface at address, an IP:port.
+	Metering(address string) usage.Client
 	ReadyHandler(isReady func() bool) http.Handler
 	LookupHandler(preferredVMs func(region, dataCentre string) []vm.VM, lifetime clock.Millis) http.Handler
 }
@@ -133,8 +139,10 @@
 	// forwardServer serves the requests that other VMs forward.
 	forwardServer *caller.Server
 	// plainServers serve readiness checks, lookups and metrics.
-	plainServers   []*http.Server
-	admission      *admission.Admission
+	plainServers []*http.Server
+	admission    *admission.Admission
+	// usage is nil if usage is not reported.
+	usage          *usageReports
 	dutyAssignment atomic.Pointer[dutyAssignment]
 	alternates     atomic.Pointer[roster.Alternates]
 	objects        objectCache
@@ -234,6 +242,7 @@
 	n.roster = &roster.Roster{
 		Self: n.self, Peers: n.peers, LocalState: n.localState, OnExchange: n.onExchange, Seeds: config.Peers, Log: n.Log,
 	}
+	n.buildUsage()
 }
 
 // newCallerServer creates a server for callers or for peers that forward requests.
@@ -319,6 +328,7 @@
 	go n.fillOwnedBursts(ctx)
 	go n.announceBlocks(ctx)
 	go n.maintainRegistration(ctx)
+	n.startUsage(ctx)
 	go logging.ReportDropped(ctx, n.Log, &n.gateway.LogBudget, n.Writer, dropRecorder(n.metrics))
 }
 
--- a/internal/entry/node/stop.go
+++ b/internal/entry/node/stop.go
@@ -55,8 +55,10 @@
 			}
 		})
 	}
+	group.Go(func() { n.releaseUsage(limit) })
 	group.Wait()
 	n.gateway.RecordUnfinished()
+	n.finishUsage(ctx)
 	n.stopPlainServers(ctx)
 }
 
