Acknowledge only changes whose base the receiver has

A restarted VM acknowledged the first changes that a peer sent it, though they were those after what its earlier incarnation had received, so that it missed the counts before. A statement now names its base. VMs that were heard within 30 s are waited for until a window must be frozen, since they may only be cut off. A relay no longer reads its own counts for each of its followers.

--- a/internal/control/usage/freeze.go
+++ b/internal/control/usage/freeze.go
@@ -100,12 +100,12 @@
 	}
 	line := s.Log.WithFields(logrus.Fields{
 		"window_id": frozen.window, "workspaces": len(frozen.Counts), "requests": requests,
-		"vms": frozen.VMs, "vms_lacking": frozen.Lacking, "vms_unreachable": frozen.Unreachable,
+		"vms": frozen.VMs, "vms_lacking": frozen.Lacking, "unstated_estimate": frozen.Unstated,
 	})
 	switch {
 	case frozen.Lacking == 0:
 		line.Info("froze a usage window")
-	case float64(frozen.Lacking) > s.Tolerance*float64(frozen.VMs+frozen.Lacking):
+	case float64(frozen.Lacking) > s.Tolerance*float64(frozen.VMs):
 		s.count("partial", 1)
 		line.Warn("froze a usage window that may lack more than is tolerated")
 	default:
--- a/internal/control/usage/usage.go
+++ b/internal/control/usage/usage.go
@@ -104,7 +104,7 @@
 func (s *Sender) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	// A store that answers late must not delay reports that are frozen.
-	for _, step := range []func(context.Context){s.freeze, s.send} {
+	for _, step := range []func(context.Context){s.freeze, s.send, s.tick} {
 		group.Go(func() {
 			for clock.Sleep(ctx, stepInterval) == nil {
 				step(ctx)
@@ -114,6 +114,8 @@
 	group.Wait()
 }
 
+func (s *Sender) tick(context.Context) { s.Ledger.Tick() }
+
 // IsHeld reports whether this VM holds the duty.
 func (s *Sender) IsHeld() bool {
 	_, _, isHeld := s.Duty.Tenure()
@@ -132,8 +134,9 @@
 	return s.progress.Clone()
 }
 
-// load replaces progress by the state of the duty, unless the store came back from a copy
-// that is older than what this VM knows. The caller must hold mu.
+// load replaces progress by the state of the duty. If the store came back from a copy, that
+// may be older than what VMs know: windows that were frozen since may have been reported, and
+// other counts for them would be a second, different report. The caller must hold mu.
 func (s *Sender) load() {
 	found, err := policy.DecodeProgress(s.Duty.State())
 	if err != nil {
@@ -141,12 +144,10 @@
 	}
 	if s.progress.Next > found.Next {
 		s.Log.WithFields(logrus.Fields{"stored_next": found.Next, "known_next": s.progress.Next}).
-			Warn("the store has an older state of usage reports than this VM; continuing with this VM's")
-		return
+			Warn("the store has an older state of usage reports than this VM, which continues with its own")
+		found = s.progress
 	}
 	if known := s.Collector.Next(); found.Next > 0 && known > found.Next {
-		// Another holder froze and may have reported these windows. Other counts for them
-		// would be a second, different report.
 		s.Log.WithFields(logrus.Fields{"stored_next": found.Next, "known_next": known}).
 			Error("the store has an older state of usage reports than the VMs; windows that another VM has frozen are skipped")
 		found.Next = known
--- a/internal/entry/gateway/usage.go
+++ b/internal/entry/gateway/usage.go
@@ -36,7 +36,7 @@
 	if a == nil || response == nil {
 		return
 	}
-	a.ending.AnsweredAt, a.ending.Pace = a.gateway.Clock.Now(), parsePace(response.Load)
+	a.ending.AnsweredAt, a.ending.Load = a.gateway.Clock.Now(), readUsageLoad(response.Load)
 }
 
 // end records that the attempt has ended with err.
@@ -55,16 +55,30 @@
 	maxPace = 10_000
 )
 
-// parsePace returns the pace of a load report, "running,waiting,slots,pace", or 0 if it has
-// none.
-func parsePace(load string) int {
-	parts := strings.Split(load, ",")
-	if len(parts) != 4 {
-		return 0
+// readUsageLoad reads a load report, "running,waiting,slots" or "running,waiting,slots,pace",
+// as far as it is valid.
+func readUsageLoad(report string) (load usage.Load) {
+	var figures [4]int
+	parts := strings.Split(report, ",")
+	if len(parts) < 3 || len(parts) > len(figures) {
+		return usage.Load{}
 	}
-	pace, err := strconv.Atoi(strings.TrimSpace(parts[3]))
-	if err != nil || pace < minPace || pace > maxPace {
-		return 0
+	for i, part := range parts {
+		figure, err := strconv.Atoi(strings.TrimSpace(part))
+		if err != nil || figure < 0 {
+			if i == 3 {
+				break
+			}
+			return usage.Load{}
+		}
+		figures[i] = figure
 	}
-	return pace
+	load.Occupancy = usage.HasNoFreeSlot
+	if running, waiting, slots := figures[0], figures[1], figures[2]; waiting == 0 && running < slots {
+		load.Occupancy = usage.HasFreeSlot
+	}
+	if pace := figures[3]; pace >= minPace && pace <= maxPace {
+		load.Pace = pace
+	}
+	return load
 }
--- a/internal/entry/node/usage.go
+++ b/internal/entry/node/usage.go
@@ -83,7 +83,7 @@
 	}
 	list := make([]policy.Member, 0, len(members))
 	for _, member := range members {
-		list = append(list, policy.Member{ID: member.ID, Region: member.VM.Region, IsReachable: member.Reachable})
+		list = append(list, policy.Member{ID: member.ID, Region: member.VM.Region, IsReachable: member.Reachable, IsAwaited: member.Reachable || member.Known && !member.Stopping})
 	}
 	u.collector.SetMembers(list)
 	u.isContender.Store(slices.Contains(contenders(usageDuty, candidates), n.id.Name))
--- a/internal/policy/usage/collector.go
+++ b/internal/policy/usage/collector.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
@@ -12,6 +13,9 @@
 	// statedWindows is the number of windows, the open one included, that a VM states. A
 	// window is frozen at the latest when the third one after it is open.
 	statedWindows = 4
+	// ownMaxAge is the maximum age of this VM's own counts in a message. A relay answers the
+	// calls of all VMs of its region.
+	ownMaxAge = 50 * clock.Millis(1)
 	// regionSumMaxAge is the maximum age of a relay's cached sum over its region.
 	regionSumMaxAge = 200 * clock.Millis(1)
 )
@@ -33,9 +37,12 @@
 
 // Member is a VM of the fleet as this VM sees it.
 type Member struct {
-	ID          vm.ID
-	Region      string
-	IsReachable bool
+	ID     vm.ID
+	Region string
+	// IsReachable reports that the VM was heard lately. IsAwaited reports that its counts are
+	// waited for until a window must be frozen: it is reachable, or was heard within the last
+	// 30 s and was not stopping, so that it may only be cut off or stand still.
+	IsReachable, IsAwaited bool
 }
 
 // Collector collects what VMs state. Self, Region and Ledger must be set.
@@ -56,6 +63,11 @@
 	// wants reports that this VM needs the sums of other regions. Guarded by mu.
 	next  Window
 	wants bool
+	// open is the open window when own counts were read last, at refreshedAt, if isFresh.
+	// Guarded by mu.
+	open        Window
+	refreshedAt clock.Millis
+	isFresh     bool
 	// regionSummedAt is when the sum over this VM's region was last built. Guarded by mu.
 	regionSummedAt clock.Millis
 	hasSummed      bool
@@ -115,15 +127,17 @@
 func (c *Collector) MessageFor(name string, link Link) []byte {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	open := c.refreshOwn()
+	if link != LinkFollower {
+		c.refreshOwn()
+	}
 	p := c.peer(name)
 	p.link = link
 	message := Message{Next: c.next, Wants: c.needsRegions(), Acks: p.received}
-	first := max(c.next, open-statedWindows+1)
+	first := max(c.next, c.open-statedWindows+1)
 	switch {
 	case link == LinkDirect:
 		for author, stated := range c.sheets {
-			if !author.IsRegion && author.Name != name && (author.ID == c.Self || c.isGone(author.ID)) {
+			if !author.IsRegion && author.ID != (vm.ID{Name: name, Incarnation: p.incarnation}) && (author.ID == c.Self || !c.isReachable(author.ID)) {
 				message.add(author, stated, p, first)
 			}
 		}
@@ -155,8 +169,9 @@
 
 // add adds what the peer does not have of an author's statements.
 func (m *Message) add(author Author, stated *statedSheet, to *peer, first Window) {
-	if changes := stated.since(to.acked[author], first); len(changes) > 0 {
-		m.Statements = append(m.Statements, Statement{author, stated.region, stated.version, changes})
+	base := to.acked[author]
+	if changes := stated.since(base, first); len(changes) > 0 {
+		m.Statements = append(m.Statements, Statement{author, stated.region, base, stated.version, changes})
 	}
 }
 
@@ -174,17 +189,26 @@
 		*p = peer{incarnation: from.Incarnation, link: p.link, acked: map[Author]int64{}}
 	}
 	p.wants, p.received = message.Wants, nil
-	c.next = max(c.next, message.Next)
+	c.refreshOwn()
+	if message.Next <= c.open+1 {
+		c.next = max(c.next, message.Next)
+	}
 	for _, ack := range message.Acks {
-		p.acked[ack.Author] = max(p.acked[ack.Author], ack.Version)
+		// It is lower than before if the peer has forgotten the author.
+		p.acked[ack.Author] = ack.Version
 	}
 	for i := range message.Statements {
 		statement := &message.Statements[i]
 		if statement.Author.ID == c.Self {
 			continue
 		}
-		c.sheet(statement.Author, statement.Region).merge(statement.Version, statement.Windows)
-		p.received = append(p.received, Ack{statement.Author, statement.Version})
+		// A VM whose wall clock is far off states windows that this VM would never forget.
+		windows := slices.DeleteFunc(statement.Windows, func(w WindowStatement) bool {
+			return w.Window < max(c.next, c.open-maxWindows+1) || w.Window > c.open+1
+		})
+		stated := c.sheet(statement.Author, statement.Region)
+		stated.merge(statement.Base, statement.Version, windows)
+		p.received = append(p.received, Ack{statement.Author, stated.complete})
 	}
 	return nil
 }
@@ -212,17 +236,30 @@
 	return c.sheets[author]
 }
 
-// isGone reports whether a VM's incarnation states nothing more, as far as this VM knows.
-// The caller must hold mu.
-func (c *Collector) isGone(id vm.ID) bool {
+// isReachable reports whether a VM's incarnation states its counts itself, as far as this VM
+// knows. The caller must hold mu.
+func (c *Collector) isReachable(id vm.ID) bool {
 	member, found := c.members[id.Name]
-	return id != c.Self && (!found || !member.IsReachable || member.ID.Incarnation > id.Incarnation)
+	return id == c.Self || found && member.IsReachable && member.ID.Incarnation <= id.Incarnation
 }
 
-// refreshOwn brings this VM's own sheet up to date, forgets windows that are frozen or too
-// old, and returns the open window. The caller must hold mu.
-func (c *Collector) refreshOwn() (open Window) {
+// isAwaited reports whether a VM's incarnation may still change its counts. The caller must
+// hold mu.
+func (c *Collector) isAwaited(id vm.ID) bool {
+	member, found := c.members[id.Name]
+	return id == c.Self || found && member.IsAwaited && member.ID.Incarnation <= id.Incarnation
+}
+
+// refreshOwn brings this VM's own sheet up to date, unless it was lately, and forgets windows
+// that are frozen or too old. The caller must hold mu.
+func (c *Collector) refreshOwn() {
+	now := c.Clock.Now()
+	if c.isFresh && now-c.refreshedAt < ownMaxAge && !c.Ledger.isFinished() {
+		return
+	}
+	c.isFresh, c.refreshedAt = true, now
 	windows, open := c.Ledger.windows()
+	c.open = open
 	first := max(c.next, open-maxWindows+1)
 	own := c.sheet(Author{c.Self, false}, c.Region)
 	for window, counted := range windows {
@@ -239,9 +276,8 @@
 		stated.forget(first)
 	}
 	maps.DeleteFunc(c.sheets, func(author Author, stated *statedSheet) bool {
-		return len(stated.pages) == 0 && author.ID != c.Self && c.isGone(author.ID)
+		return len(stated.pages) == 0 && !c.isReachable(author.ID)
 	})
-	return open
 }
 
 // refreshRegion brings this VM's sum over its region up to date. The caller must hold mu.
@@ -268,8 +304,8 @@
 	}
 }
 
-// directSums returns the sum of the VMs' own statements on a window, by region. A VM that is
-// gone changes its counts no more. The caller must hold mu.
+// directSums returns the sum of the VMs' own statements on a window, by region. What VMs stated
+// that are not awaited is included, without counting these VMs. The caller must hold mu.
 func (c *Collector) directSums(window Window) map[string]*Sum {
 	sums := map[string]*Sum{}
 	for author, stated := range c.sheets {
@@ -284,9 +320,9 @@
 			sums[stated.region] = &Sum{Counts: Counts{}}
 		}
 		sum := sums[stated.region]
-		sum.VMs++
-		if counted.Open > 0 && !c.isGone(author.ID) {
-			sum.Open++
+		if c.isAwaited(author.ID) {
+			sum.VMs++
+			sum.Open += counted.Open
 		}
 		sum.Counts.add(counted.Counts)
 	}
@@ -296,10 +332,12 @@
 // Total is the sum of a window over the fleet.
 type Total struct {
 	Counts Counts
-	// VMs is the number of VMs whose counts are included. Lacking is the number of reachable
-	// VMs that have not stated the window as final. Unreachable is the number of VMs that are
-	// not reachable; what they stated before is included.
-	VMs, Lacking, Unreachable int
+	// VMs is the number of VMs whose counts are awaited and included, Lacking that of awaited
+	// VMs that have not stated the window as final.
+	VMs, Lacking int
+	// Unstated estimates the requests that VMs which are no longer reachable ran after their
+	// last statement. It covers the VMs that state their counts to this VM directly.
+	Unstated int64
 }
 
 // Sum returns the sum of a window over the fleet. For each region, the fullest of the sums
@@ -317,24 +355,44 @@
 			}
 		}
 	}
-	total := Total{Counts: Counts{}}
-	reachable := map[string]int{}
+	awaited := map[string]int{}
 	for _, member := range c.members {
-		if member.IsReachable {
-			reachable[member.Region]++
-		} else {
-			total.Unreachable++
+		if member.IsAwaited {
+			awaited[member.Region]++
 		}
 	}
+	total := Total{Counts: Counts{}, Unstated: c.unstated(window)}
 	for region, sum := range regions {
 		total.VMs += sum.VMs
 		total.Counts.add(sum.Counts)
-		total.Lacking += max(sum.Open, reachable[region]-sum.VMs)
-		delete(reachable, region)
+		total.Lacking += max(sum.Open, awaited[region]-sum.VMs+sum.Open)
+		delete(awaited, region)
 	}
-	for _, count := range reachable {
+	for _, count := range awaited {
 		total.Lacking += count
 	}
 	maps.DeleteFunc(total.Counts, func(_ string, count int64) bool { return count == 0 })
 	return total
 }
+
+// statementInterval is the longest time between two statements of a VM; see roster.
+const statementInterval = 900 * clock.Millis(1)
+
+// unstated estimates the requests in a window of VMs that ended without stating it as final:
+// on average half of what they ran in the time between two statements. The caller must hold
+// mu.
+func (c *Collector) unstated(window Window) int64 {
+	requests := int64(0)
+	for author, stated := range c.sheets {
+		counted, found := stated.sum(window)
+		if author.IsRegion || !found || counted.Open == 0 || c.isReachable(author.ID) {
+			continue
+		}
+		if before, found := stated.sum(window - 1); found {
+			requests += before.Counts.total()
+		} else {
+			requests += counted.Counts.total()
+		}
+	}
+	return requests * int64(statementInterval) / int64(2*c.Ledger.Schedule.Length)
+}
--- a/internal/policy/usage/estimate.go
+++ b/internal/policy/usage/estimate.go
@@ -21,11 +21,29 @@
 	AnsweredAt clock.Millis
 	// IsNotRun reports that the endpoint did not run the attempt.
 	IsNotRun bool
-	// Pace is how long work takes at the endpoint by its answer, in percent of the usual
-	// time; 0 if it does not say.
+	// Load is what the endpoint reports with its answer.
+	Load Load
+}
+
+// Load is an endpoint's report on its load at the time of an answer. Its zero value is that
+// of an endpoint that does not say.
+type Load struct {
+	Occupancy Occupancy
+	// Pace is how long work takes at the endpoint, in percent of the usual time; 0 if it does
+	// not say.
 	Pace int
 }
 
+// Occupancy says whether an endpoint has a free slot.
+type Occupancy int
+
+// Values of Occupancy.
+const (
+	OccupancyUnknown Occupancy = iota
+	HasFreeSlot
+	HasNoFreeSlot
+)
+
 // runVariation is how many times its usual time a run takes at an endpoint where a slot was
 // thought to be free, before the rest is taken for a wait in a queue.
 const runVariation = 1.8
@@ -40,15 +58,29 @@
 // waitShownBy returns the time from the send until the endpoint began to run an attempt that
 // was answered after took. What is left of that time after the round trip and the run is the
 // wait in the endpoint's queue.
-func (e *Expectation) waitShownBy(took clock.Millis, pace int) clock.Millis {
+func (e *Expectation) waitShownBy(took clock.Millis, load Load) clock.Millis {
+	pace := clock.Millis(load.Pace)
 	if pace <= 0 {
 		pace = usualPace
 	}
-	run, longRun := e.Run*clock.Millis(pace)/usualPace, max(e.Run, e.LongRun)*clock.Millis(pace)/usualPace
 	half := min(e.RoundTrip, took) / 2
-	isUsualRun := took-e.RoundTrip <= clock.Millis(runVariation*float64(longRun))
-	if e.Wait == 0 && isUsualRun {
-		return half
+	atEndpoint := max(took-e.RoundTrip, 0)
+	longRun := max(e.Run, e.LongRun) * pace / usualPace
+	wait, longRunWait := max(atEndpoint-e.Run*pace/usualPace, 0), max(atEndpoint-longRun, 0)
+	expected := e.Wait
+	if load.Occupancy == HasFreeSlot {
+		expected = 0
+	}
+	switch {
+	case expected == 0 && load.Occupancy != HasNoFreeSlot:
+		// A run that takes longer than expected is likelier than a queue: the endpoint was
+		// not warm, or its machine is slow.
+		if atEndpoint <= clock.Millis(runVariation*float64(longRun)) {
+			return half
+		}
+	case absolute(longRunWait-expected) < absolute(wait-expected) && e.Wait > 0:
+		// The endpoint was not warm.
+		return half + longRunWait
 	}
-	return half + max(took-e.RoundTrip-run, 0)
+	return half + wait
 }
--- a/internal/policy/usage/ledger.go
+++ b/internal/policy/usage/ledger.go
@@ -25,6 +25,9 @@
 	counts map[Window]Counts
 	// inFlight holds the attempts that have not ended. Guarded by mu.
 	inFlight map[*Attempt]bool
+	// tickedAt is when Tick was called last. The process stood still from stalledFrom to
+	// stalledUntil. Guarded by mu.
+	tickedAt, stalledFrom, stalledUntil clock.Millis
 	// hasEnded reports that no attempt follows. Guarded by mu.
 	hasEnded bool
 }
@@ -63,10 +66,13 @@
 		return
 	}
 	delete(l.inFlight, a)
+	if l.tickedAt > 0 {
+		l.checkStall()
+	}
 	sentAt := max(ending.SentAt, a.sentAt)
 	beganAt := sentAt + a.expected.likelyWait()
-	if ending.AnsweredAt > 0 {
-		beganAt = sentAt + a.expected.waitShownBy(max(ending.AnsweredAt-sentAt, 0), ending.Pace)
+	if ending.AnsweredAt > 0 && !l.isAnswerDelayed(sentAt, ending.AnsweredAt) {
+		beganAt = sentAt + a.expected.waitShownBy(max(ending.AnsweredAt-sentAt, 0), ending.Load)
 	}
 	if ending.IsNotRun || ending.AnsweredAt == 0 && beganAt > now {
 		return
@@ -74,6 +80,34 @@
 	l.add(a.workspace, beganAt)
 }
 
+// maxTickPause is the time between two calls of Tick above which the process stood still,
+// and not only waited for the processor.
+const maxTickPause = 700 * clock.Millis(1)
+
+// Tick must be called every 100 ms or so. It tells how long the process stood still.
+func (l *Ledger) Tick() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.checkStall()
+	l.updateWall()
+}
+
+// checkStall records that the process stood still, if it did. The caller must hold mu.
+func (l *Ledger) checkStall() {
+	now := l.Clock.Now()
+	if l.tickedAt > 0 && now-l.tickedAt > maxTickPause {
+		l.stalledFrom, l.stalledUntil = l.tickedAt, now
+	}
+	l.tickedAt = now
+}
+
+// isAnswerDelayed reports whether an answer may have come while the process stood still, so
+// that the time until it was read shows nothing. The caller must hold mu.
+func (l *Ledger) isAnswerDelayed(sentAt, answeredAt clock.Millis) bool {
+	return l.stalledUntil > 0 && sentAt <= l.stalledUntil && answeredAt >= l.stalledFrom &&
+		answeredAt <= l.stalledUntil+maxTickPause
+}
+
 // add counts an attempt. The caller must hold mu.
 func (l *Ledger) add(workspace string, beganAt clock.Millis) {
 	l.updateWall()
@@ -111,6 +145,12 @@
 	l.hasEnded = true
 }
 
+func (l *Ledger) isFinished() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.hasEnded
+}
+
 // ownWindow is the counts of one window by this VM.
 type ownWindow struct {
 	counts Counts
@@ -147,9 +187,12 @@
 	}
 	windows = make(map[Window]ownWindow, maxWindows)
 	for window := open - maxWindows + 1; window <= open; window++ {
-		counts := Counts{}
-		counts.add(l.counts[window])
-		counts.add(provisional[window])
+		counts := maps.Clone(l.counts[window])
+		if counts == nil {
+			counts = provisional[window]
+		} else {
+			counts.add(provisional[window])
+		}
 		windows[window] = ownWindow{counts, window < firstUnsure}
 	}
 	return windows, open
--- a/internal/policy/usage/message.go
+++ b/internal/policy/usage/message.go
@@ -45,8 +45,10 @@
 type Statement struct {
 	Author Author
 	// Region is the author's region.
-	Region  string
-	Version int64
+	Region string
+	// Base and Version delimit the changes: those after Base, up to Version. A receiver
+	// without all changes up to Base acknowledges none of them.
+	Base, Version int64
 	Windows []WindowStatement
 }
 
@@ -130,6 +132,7 @@
 func (e *encoder) statement(s *Statement) {
 	e.author(s.Author)
 	e.text(s.Region)
+	e.number(s.Base)
 	e.number(s.Version)
 	e.number(int64(len(s.Windows)))
 	for i := range s.Windows {
@@ -196,7 +199,7 @@
 func (d *decoder) statement() (s Statement) {
 	s.Author = d.author()
 	s.Region = d.text()
-	s.Version = d.number()
+	s.Base, s.Version = d.number(), d.number()
 	for range d.length() {
 		window := WindowStatement{Window: Window(d.number()), VMs: int(d.number()), Open: int(d.number()), Counts: Counts{}}
 		for range d.length() {
--- a/internal/policy/usage/progress.go
+++ b/internal/policy/usage/progress.go
@@ -56,6 +56,9 @@
 
 // formatReport returns the body of a window's report.
 func formatReport(window Window, counts Counts) string {
+	if counts == nil {
+		counts = Counts{}
+	}
 	encoded, err := json.Marshal(counts)
 	if err != nil {
 		// A map of strings to integers can always be encoded.
--- a/internal/policy/usage/sheet.go
+++ b/internal/policy/usage/sheet.go
@@ -11,19 +11,23 @@
 }
 
 // isFuller reports whether s is to be used rather than other, which is about the same VMs: it
-// has more VMs that have ended their counts, or more requests.
+// has more VMs that have ended their counts, or more requests, or awaits fewer VMs.
 func (s *Sum) isFuller(other *Sum) bool {
 	if final, others := s.VMs-s.Open, other.VMs-other.Open; final != others {
 		return final > others
 	}
-	return s.Counts.total() > other.Counts.total()
+	if total, others := s.Counts.total(), other.Counts.total(); total != others {
+		return total > others
+	}
+	return s.Open < other.Open
 }
 
 // sheet is what one author has stated. Changes are numbered, so that only those that a peer
 // does not have are sent.
 type sheet struct {
-	// version is the number of the last change.
-	version int64
+	// version is the number of the last change. complete is the number up to which all changes
+	// were received; an author's own sheet does not use it.
+	version, complete int64
 	pages   map[Window]*page
 }
 
@@ -101,9 +105,12 @@
 	return changes
 }
 
-// merge applies a statement. An older one that comes late changes nothing that a newer one
-// has set.
-func (s *sheet) merge(version int64, changes []WindowStatement) {
+// merge applies the changes after base up to version. An older statement that comes late
+// changes nothing that a newer one has set.
+func (s *sheet) merge(base, version int64, changes []WindowStatement) {
+	if base <= s.complete {
+		s.complete = max(s.complete, version)
+	}
 	for i := range changes {
 		p := s.page(changes[i].Window)
 		for workspace, count := range changes[i].Counts {
