--- a/internal/policy/usage/fleet_test.go
+++ b/internal/policy/usage/fleet_test.go
@@ -190,7 +190,7 @@
 					f.start(name)
 				}
 			},
-			"check":   f.check,
+			"check": f.check,
 		})
 	})
 }
--- a/internal/policy/usage/message.go
+++ b/internal/policy/usage/message.go
@@ -49,7 +49,7 @@
 	// Base and Version delimit the changes: those after Base, up to Version. A receiver
 	// without all changes up to Base acknowledges none of them.
 	Base, Version int64
-	Windows []WindowStatement
+	Windows       []WindowStatement
 }
 
 // WindowStatement holds the changes in one window. Counts are cumulative: they replace those
--- a/internal/policy/usage/sheet.go
+++ b/internal/policy/usage/sheet.go
@@ -28,7 +28,7 @@
 	// version is the number of the last change. complete is the number up to which all changes
 	// were received; an author's own sheet does not use it.
 	version, complete int64
-	pages   map[Window]*page
+	pages             map[Window]*page
 }
 
 // page is one window of a sheet.
