--- a/internal/control/duty/duty.go
+++ b/internal/control/duty/duty.go
@@ -90,7 +90,7 @@
 func (d *Duty) SetState(ctx context.Context, state []byte) (err error) {
 	defer fault.Annotate(&err, "storing the state of duty %s", d.Name)
 	if !json.Valid(state) {
-		return errorNamespace.NewType("invalid_state").New("the state is not JSON")
+		return errInvalidState.New("the state is not JSON")
 	}
 	d.calling.Lock()
 	defer d.calling.Unlock()
@@ -123,7 +123,9 @@
 	canHold := d.CanHold == nil || d.CanHold()
 	now := d.Clock.Boottime()
 	d.mu.Lock()
-	d.view.self, d.view.leaseTime = d.Self, d.LeaseTime
+	if d.view.runID == "" {
+		d.view.self, d.view.leaseTime, d.view.runID = d.Self, d.LeaseTime, newRunID()
+	}
 	d.report(now)
 	due := d.view.next(now, canHold)
 	record := Record{}
--- a/internal/control/duty/record.go
+++ b/internal/control/duty/record.go
@@ -22,7 +22,8 @@
 	Term int64 `json:"term"`
 	// Renewed counts the writes within the term after the first one.
 	Renewed int64 `json:"renewed"`
-	// WriteID is unique to the write that stored the record.
+	// WriteID is unique to the write that stored the record. Its part before "-" is that of
+	// the run of the VM that wrote it.
 	WriteID string `json:"write_id"`
 	// Previous holds the holders before Holder that may have acted within the last lease
 	// time, oldest first and at most one for each VM name. The zero Tenant stands for
@@ -65,8 +66,10 @@
 	return r.Term > other.Term || r.Term == other.Term && r.Renewed > other.Renewed
 }
 
-func newWriteID() string {
-	id := make([]byte, 16)
+// newRunID returns the prefix of the write IDs of one run of a VM. It tells runs apart also
+// if their incarnations are equal because the wall clock was set back.
+func newRunID() string {
+	id := make([]byte, 12)
 	_, _ = rand.Read(id)
 	return hex.EncodeToString(id)
 }
--- a/internal/control/duty/rules.go
+++ b/internal/control/duty/rules.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"strconv"
+	"strings"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/control/tracker"
@@ -51,6 +53,9 @@
 type view struct {
 	self      vm.ID
 	leaseTime clock.Millis
+	// runID begins the IDs of this run's writes, of which there were writes.
+	runID  string
+	writes int64
 
 	// known is the record that was read or written last, revision its revision, and seenAt
 	// when this VM first knew of that revision. They are valid if hasSeen.
@@ -85,11 +90,23 @@
 
 func (v *view) margin() clock.Millis { return v.leaseTime / marginDivisor }
 
-// isHolder reports whether the record names this run of this VM. A record whose term is of
+// newWriteID returns the ID of the next write.
+func (v *view) newWriteID() string {
+	v.writes++
+	return v.runID + "-" + strconv.FormatInt(v.writes, 10)
+}
+
+// isHolder reports whether this run of this VM holds the duty by the record. A record whose term is of
 // an earlier era than its revision does not count: the store came back from a copy, and
 // another VM may have acted under a higher term since.
 func (v *view) isHolder() bool {
-	return v.hasSeen && v.known.Holder == v.self && v.isOfThisEra()
+	return v.hasSeen && v.known.Holder == v.self && v.isOwn(&v.known) && v.isOfThisEra()
+}
+
+// isOwn reports whether this run wrote a record.
+func (v *view) isOwn(record *Record) bool {
+	runID, _, _ := strings.Cut(record.WriteID, "-")
+	return runID == v.runID
 }
 
 func (v *view) isOfThisEra() bool { return tracker.EraOf(v.known.Term) == tracker.EraOf(v.revision) }
@@ -149,7 +166,7 @@
 // the same number in an earlier era.
 func (v *view) newRecord(what action, now clock.Millis) Record {
 	record := v.known
-	record.WriteID = newWriteID()
+	record.WriteID = v.newWriteID()
 	switch what {
 	case actionCreate:
 		return Record{Term: v.revision, WriteID: record.WriteID, Previous: []Tenant{{}}, State: v.newestState()}
@@ -192,7 +209,7 @@
 // releasedRecord returns the record that releases the duty.
 func (v *view) releasedRecord() Record {
 	return Record{
-		Term: v.known.Term, Renewed: v.known.Renewed + 1, WriteID: newWriteID(),
+		Term: v.known.Term, Renewed: v.known.Renewed + 1, WriteID: v.newWriteID(),
 		Previous: v.known.previousWith(Tenant{v.known.Holder, v.known.Term}), State: v.known.State,
 	}
 }
--- a/internal/control/duty/store.go
+++ b/internal/control/duty/store.go
@@ -23,6 +23,8 @@
 	// ErrNotHeld is the type of errors for a state that was not stored because this VM
 	// does not hold the duty.
 	ErrNotHeld = errorNamespace.NewType("not_held")
+
+	errInvalidState = errorNamespace.NewType("invalid_state")
 )
 
 // Store reads and writes single objects of the deployment's store. Its errors are of the
