Take no wait in a queue for a run on an endpoint that is known to be warm

The begin of an attempt was estimated with the run of a cold endpoint as an alternative, even where this VM had sent the object there lately.

--- a/internal/policy/balance/candidate.go
+++ b/internal/policy/balance/candidate.go
@@ -249,19 +249,19 @@
 func (b *Balancer) estimate(request *Request, state *endpointState, isHome bool, now clock.Millis) candidate {
 	run := b.runTime(request)
 	c := candidate{state: state, isHome: isHome}
-	runMillis := run.uncached
+	runMillis, longRun := run.uncached, run.uncached
 	object := request.affinityKey()
 	recent, known := b.affinities[object]
 	switch {
 	case object != "" && known && recent.endpoint == state.endpoint.ID && now-recent.lastUsedAt < affinityTTL:
-		runMillis, c.isWarm = run.cached, true
+		runMillis, longRun, c.isWarm = run.cached, run.cached, true
 	case isHome && !request.Versions.Pack:
 		runMillis = run.cached
 	}
 	if state.endpoint.ColdUntil > now {
-		runMillis *= 2
+		runMillis, longRun = 2*runMillis, 2*longRun
 	}
-	runMillis *= state.slowdown
+	runMillis, longRun = runMillis*state.slowdown, longRun*state.slowdown
 	slots := float64(state.endpoint.Slots)
 	if over := state.load(now) + 1 - slots; over > 0 {
 		c.wait = over / slots * (run.cached + run.uncached) / 2 * state.slowdown
@@ -275,7 +275,7 @@
 	}
 	c.expected = roundTrip + c.wait + runMillis
 	c.typical = roundTrip + c.wait + run.uncached
-	c.timing = Timing{RoundTrip: clock.Millis(roundTrip), Wait: clock.Millis(c.wait), Run: clock.Millis(runMillis), LongRun: clock.Millis(run.uncached)}
+	c.timing = Timing{RoundTrip: clock.Millis(roundTrip), Wait: clock.Millis(c.wait), Run: clock.Millis(runMillis), LongRun: clock.Millis(longRun)}
 	c.cost = c.expected + occupancyCost*runMillis + perKilobyte*(request.Kilobytes+expectedResponseKilobytes) + state.currentFailureRate(now)*failureCost*float64(request.Route.TargetLatency)
 	if !request.isRegionBound() {
 		c.cost += (1 - b.unreservedFraction(request.Service.Name, state.endpoint.Region, now)) * reservationCost * float64(request.Route.TargetLatency)
--- a/internal/policy/balance/grant.go
+++ b/internal/policy/balance/grant.go
@@ -38,8 +38,9 @@
 type Timing struct {
 	// RoundTrip is the network's round trip, Wait the time in the endpoint's queue.
 	RoundTrip, Wait clock.Millis
-	// Run is the time for which the endpoint runs the request, LongRun that of an endpoint
-	// that is not warm for the object.
+	// Run is the time for which the endpoint runs the request, LongRun the time if it turns
+	// out not to be warm for the object. They are equal unless the endpoint is only thought to
+	// be warm.
 	Run, LongRun clock.Millis
 }
 
--- a/internal/policy/usage/estimate.go
+++ b/internal/policy/usage/estimate.go
@@ -8,8 +8,9 @@
 	RoundTrip clock.Millis
 	// Wait is the time in the endpoint's queue; 0 if a slot is thought to be free.
 	Wait clock.Millis
-	// Run is the time for which the endpoint runs the attempt, LongRun that of an endpoint
-	// that is not warm for the object.
+	// Run is the time for which the endpoint runs the attempt, LongRun the time if it turns
+	// out not to be warm for the object. They are equal unless the endpoint is only thought to
+	// be warm: if the difference is always allowed for, waits in queues are taken for runs.
 	Run, LongRun clock.Millis
 }
 
