Log windows in which none of the present VMs ran as partial

After a loss of power of all VMs the windows in between are reported with what is known, which is nothing. They were logged like whole ones.

--- a/internal/control/usage/freeze.go
+++ b/internal/control/usage/freeze.go
@@ -102,7 +102,11 @@
 		"window_id": frozen.window, "workspaces": len(frozen.Counts), "requests": requests,
 		"vms": frozen.VMs, "vms_lacking": frozen.Lacking, "unstated_estimate": frozen.Unstated,
 	})
+	isFromBefore := frozen.window < s.FleetStart()
 	switch {
+	case isFromBefore:
+		s.count("partial", 1)
+		line.Warn("froze a usage window in which none of the VMs ran; what others counted is lost")
 	case frozen.Lacking == 0:
 		line.Info("froze a usage window")
 	case float64(frozen.Lacking) > s.Tolerance*float64(frozen.VMs):
--- a/internal/control/usage/usage.go
+++ b/internal/control/usage/usage.go
@@ -78,9 +78,12 @@
 	// FirstWindow returns the first window to report if none ever was; 0 if it is not known
 	// yet.
 	FirstWindow func() policy.Window
-	Clock       clock.Clock
-	Log         logrus.FieldLogger
-	Scope       tally.Scope
+	// FleetStart returns the window in which the VM that has run longest started. Counts of
+	// earlier windows were lost with the VMs that ended.
+	FleetStart func() policy.Window
+	Clock      clock.Clock
+	Log        logrus.FieldLogger
+	Scope      tally.Scope
 
 	mu sync.Mutex
 	// progress is the state that was stored last in term, by this VM or before it. It is
--- a/internal/control/usage/usage_test.go
+++ b/internal/control/usage/usage_test.go
@@ -88,7 +88,7 @@
 	v.sender = &Sender{
 		Self: name, Duty: v, Client: v, Ledger: ledger, Schedule: schedule, CallsPerSecond: 50, Tolerance: 0.05,
 		Collector:   &policy.Collector{Self: id, Region: "r", Ledger: ledger, Clock: s.manual.Clock()},
-		FirstWindow: func() policy.Window { return 720 }, Clock: s.manual.Clock(), Log: log, Scope: tally.NoopScope,
+		FirstWindow: func() policy.Window { return 720 }, FleetStart: func() policy.Window { return 720 }, Clock: s.manual.Clock(), Log: log, Scope: tally.NoopScope,
 	}
 	v.sender.Collector.SetMembers([]policy.Member{{ID: id, Region: "r", IsReachable: true, IsAwaited: true}})
 	return v
--- a/internal/entry/node/usage.go
+++ b/internal/entry/node/usage.go
@@ -54,7 +54,7 @@
 	u.sender = &usage.Sender{
 		Self: n.id.Name, Duty: u.duty, Client: n.Platform.Metering(config.Address), Collector: u.collector, Ledger: u.ledger,
 		Schedule: schedule, CallsPerSecond: config.CallsPerSecond, Tolerance: config.Tolerance,
-		FirstWindow: n.firstUsageWindow, Log: n.Log, Scope: n.metrics.Scope,
+		FirstWindow: n.firstUsageWindow, FleetStart: n.fleetStartWindow, Log: n.Log, Scope: n.metrics.Scope,
 	}
 	n.usage, n.gateway.Usage, n.roster.Usage = u, u.ledger, u.collector
 }
@@ -117,20 +117,24 @@
 	return names
 }
 
-// firstUsageWindow returns the window in which the first VM of the fleet started, or 0 if no
-// VM is known yet. If the fleet was started before, earlier windows can't be known whole.
+// firstUsageWindow returns the first window to report if none ever was. If the fleet was
+// started before, windows up to this VM's start can't be known whole.
 func (n *Node) firstUsageWindow() policy.Window {
-	schedule := n.usage.ledger.Schedule
 	if !n.Settings.FirstStart {
-		return schedule.WindowAt(clock.Millis(n.id.Incarnation)) + 1
+		return n.usage.ledger.Schedule.WindowAt(clock.Millis(n.id.Incarnation)) + 1
 	}
+	return n.fleetStartWindow()
+}
+
+// fleetStartWindow returns the window in which the first of the VMs that run started.
+func (n *Node) fleetStartWindow() policy.Window {
 	first := n.id.Incarnation
 	for _, member := range n.roster.Members() {
 		if member.Known && member.ID.Incarnation > 0 {
 			first = min(first, member.ID.Incarnation)
 		}
 	}
-	return schedule.WindowAt(clock.Millis(first))
+	return n.usage.ledger.Schedule.WindowAt(clock.Millis(first))
 }
 
 // releaseUsage ends the reports and gives the duty up, so that another VM can go on at once.
