--- a/internal/control/duty/duty.go
+++ b/internal/control/duty/duty.go
@@ -54,9 +54,9 @@
 	// calling is held during a store call and what belongs to it. It is locked before mu.
 	calling sync.Mutex
 	mu      sync.Mutex
-	// view and reported are guarded by mu.
+	// view, reported and hasReported are guarded by mu.
 	view        view
-	reported    reporter
+	reported    reported
 	hasReported bool
 }
 
@@ -86,7 +86,8 @@
 // SetState stores a state, which must be JSON, if this VM holds the duty and no other VM
 // has changed the object. It also renews the tenure. It returns nil only if the store
 // acknowledged the write, or shows that it was applied. After an error of type
-// ErrOutcomeUnknown the write may still be applied later; State shows it then.
+// ErrOutcomeUnknown the write may still be applied later; State shows it once this VM knows.
+// So a state must be derived anew from State before it is tried again.
 func (d *Duty) SetState(ctx context.Context, state []byte) (err error) {
 	defer fault.Annotate(&err, "storing the state of duty %s", d.Name)
 	if !json.Valid(state) {
@@ -145,7 +146,8 @@
 
 // Release gives the duty up for good, at a planned stop, so that the next holder need not
 // wait for the end of the tenure. The caller must have ended all that it does for the duty:
-// another VM may act as soon as Release has begun. Without a tenure it makes no call.
+// another VM may act as soon as Release has begun. Run should have ended too, as Release
+// waits for a call that is in progress. If this VM is not the holder, it makes no call.
 func (d *Duty) Release(ctx context.Context) (err error) {
 	defer fault.Annotate(&err, "releasing duty %s", d.Name)
 	d.mu.Lock()
@@ -180,8 +182,8 @@
 	return err
 }
 
-// write replaces the known revision by a record. If it is not known whether that was done,
-// it reads the object back. The caller must hold calling.
+// write replaces the known revision by a record. It reads the object back if it is not known
+// whether that was done. The caller must hold calling.
 func (d *Duty) write(ctx context.Context, record *Record) (err error) {
 	spec, err := json.Marshal(record)
 	if err != nil {
@@ -207,8 +209,10 @@
 	}
 	failure := failureOf(err)
 	d.view.onWriteFailed(record, failure, now)
+	// After a conflict the holder reads at once what the object has become, others later.
+	mustRead := failure == failureUnknown || failure == failureConflict && d.view.isHolder()
 	d.mu.Unlock()
-	if failure != failureUnknown {
+	if !mustRead {
 		return err
 	}
 	if d.read(ctx) == nil && d.isStored(record) {
@@ -232,8 +236,8 @@
 	spec, revision, found, err := d.Store.ReadObject(callCtx, Kind, d.Name)
 	now := d.Clock.Boottime()
 	var record Record
-	if err == nil && found && json.Unmarshal(spec, &record) != nil {
-		// The object is replaced like one without a known holder.
+	if err == nil && found && (json.Unmarshal(spec, &record) != nil || !record.isValid()) {
+		// The object is replaced like one whose holders are not known.
 		record = Record{}
 		if d.Log != nil {
 			d.Log.WithField("duty", d.Name).Error("the store's object of a duty cannot be decoded")
--- a/internal/control/duty/duty_test.go
+++ b/internal/control/duty/duty_test.go
@@ -78,6 +78,8 @@
 				w.stored = rapid.SampledFrom(w.copies).Draw(w.t, "copy")
 				w.number = w.stored.number
 				w.era++
+				w.actLast(w.pick())
+				w.roll()
 			}
 		},
 	}
@@ -125,14 +127,23 @@
 	}
 }
 
-// actLast lets a holder act at the end of its tenure, for as long as it may.
+// actLast cuts a holder off, lets it act at the end of its tenure for as long as it may, and
+// gives the others time to take over.
 func (w *world) actLast(v *entryVM) {
 	_, until, isHeld := v.duty.Tenure()
-	rest := (until - actTimeout - v.duty.Clock.Boottime()) * 100 / v.rate
-	if isHeld && rest > 0 {
-		w.advance(rest)
-		w.send(v, actTimeout)
+	if !isHeld {
+		return
 	}
+	v.isCutOff = true
+	for range 40 {
+		rest := (until - actTimeout - v.duty.Clock.Boottime()) * 100 / v.rate
+		w.tick(min(max(rest, 0), 100))
+	}
+	w.send(v, actTimeout)
+	for range 15 {
+		w.tick(50)
+	}
+	v.isCutOff = false
 }
 
 // heal ends all faults and expects that one VM holds the duty soon.
--- a/internal/control/duty/record.go
+++ b/internal/control/duty/record.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"math"
 	"slices"
 
 	"baobabladder.example/baobabladder/internal/world/vm"
@@ -29,7 +30,7 @@
 	// time, oldest first and at most one for each VM name. The zero Tenant stands for
 	// holders that are not known.
 	Previous []Tenant `json:"previous,omitempty"`
-	// State is the duty's own JSON.
+	// State is the JSON of the duty itself.
 	State json.RawMessage `json:"state,omitempty"`
 }
 
@@ -39,6 +40,9 @@
 	Term   int64 `json:"term"`
 }
 
+// isValid reports whether a term can follow the record's.
+func (r *Record) isValid() bool { return r.Term >= 0 && r.Term < math.MaxInt64 }
+
 // mayHaveActed reports whether a VM is among the previous holders, in any incarnation, or
 // may be one that is not known.
 func (r *Record) mayHaveActed(name string) bool {
--- a/internal/control/duty/report.go
+++ b/internal/control/duty/report.go
@@ -42,19 +42,26 @@
 	}
 }
 
-// reporter logs and counts the changes of a tenure.
-type reporter struct {
-	wasHeld bool
-	term    int64
+// reported is what was logged and counted last.
+type reported struct {
+	isHeld bool
+	term   int64
+	// holder and holderTerm are those of the object.
+	holder     vm.ID
+	holderTerm int64
 }
 
 // report logs and counts what has changed since it was called last. The caller must hold
 // mu.
 func (d *Duty) report(now clock.Millis) {
-	last := d.reported
-	isHeld := d.view.isHeld(now)
-	d.reported = reporter{isHeld, d.view.term}
-	if last.wasHeld && (!isHeld || d.view.term != last.term) {
+	known := &d.view.known
+	last, current := d.reported, reported{d.view.isHeld(now), d.view.term, known.Holder, known.Term}
+	if last == current && d.hasReported {
+		return
+	}
+	d.reported = current
+	isNewTerm := last.term != current.term
+	if last.isHeld && (!current.isHeld || isNewTerm) {
 		event, reason := eventLost, reasonNotRenewed
 		switch {
 		case d.view.isReleased:
@@ -62,30 +69,32 @@
 		case d.view.loss != "":
 			reason = d.view.loss
 		}
-		d.reportEvent(event, reason, last.term)
+		d.reportTransition(event, reason, last.term)
 		d.view.loss = ""
 	}
-	if isHeld && (!last.wasHeld || d.view.term != last.term) {
-		d.reportEvent(eventAcquired, d.view.gain, d.view.term)
+	if current.isHeld && (!last.isHeld || isNewTerm) {
+		d.reportTransition(eventAcquired, d.view.gain, current.term)
+	}
+	if d.Log != nil && known.Holder != d.Self && (known.Holder != last.holder || known.Term != last.holderTerm) {
+		d.Log.WithFields(logrus.Fields{"duty": d.Name, "holder": known.Holder.Name, "term": known.Term}).Info("another VM holds a duty, or none")
 	}
-	if d.Scope != nil && (last.wasHeld != isHeld || !d.hasReported) {
+	if d.Scope != nil && (last.isHeld != current.isHeld || !d.hasReported) {
 		level := 0.0
-		if isHeld {
+		if current.isHeld {
 			level = 1
 		}
 		d.Scope.Tagged(map[string]string{"duty": d.Name}).Gauge("duty_held").Update(level)
-		d.hasReported = true
 	}
+	d.hasReported = true
 }
 
-func (d *Duty) reportEvent(event, reason string, term int64) {
+func (d *Duty) reportTransition(event, reason string, term int64) {
 	if d.Scope != nil {
 		d.Scope.Tagged(map[string]string{"duty": d.Name, "event": event, "reason": reason}).Counter("duty_transitions").Inc(1)
 	}
 	if d.Log != nil {
 		d.Log.WithFields(logrus.Fields{
-			"duty": d.Name, "event": event, "why": reason, "term": term, "holder": d.view.known.Holder.Name,
-			"revision": d.view.revision, "era": tracker.EraOf(d.view.revision),
-		}).Info("a duty's holder changed")
+			"duty": d.Name, "event": event, "why": reason, "term": term, "revision": d.view.revision, "era": tracker.EraOf(d.view.revision),
+		}).Info("this VM's hold of a duty changed")
 	}
 }
--- a/internal/control/duty/rules.go
+++ b/internal/control/duty/rules.go
@@ -96,9 +96,9 @@
 	return v.runID + "-" + strconv.FormatInt(v.writes, 10)
 }
 
-// isHolder reports whether this run of this VM holds the duty by the record. A record whose term is of
-// an earlier era than its revision does not count: the store came back from a copy, and
-// another VM may have acted under a higher term since.
+// isHolder reports whether this run of this VM holds the duty by the record. A record whose
+// term is of an earlier era than its revision does not count: the store came back from a
+// copy, and another VM may have acted under a higher term since.
 func (v *view) isHolder() bool {
 	return v.hasSeen && v.known.Holder == v.self && v.isOwn(&v.known) && v.isOfThisEra()
 }
--- a/internal/control/duty/world_test.go
+++ b/internal/control/duty/world_test.go
@@ -68,6 +68,9 @@
 	isDown      bool
 	// isQuiet is set while no call has a fault of its own.
 	isQuiet bool
+	// answerTime is how long each answer takes. reads and writes count the calls.
+	answerTime    clock.Millis
+	reads, writes int
 	// copies are earlier states of the store; lateWrites may still be applied.
 	copies     []object
 	lateWrites []func()
@@ -78,12 +81,12 @@
 	events map[string]func()
 
 	// sent holds the acts that have not arrived yet.
-	sent       []act
-	highest    int64
-	holders    map[int64]string
-	lastActs   map[string]act
-	acts       int
-	lastActor  string
+	sent         []act
+	highest      int64
+	holders      map[int64]string
+	lastActs     map[string]act
+	acts         int
+	lastActor    string
 	acquisitions int
 }
 
@@ -91,7 +94,7 @@
 	w := &world{t: t, applied: map[string]bool{}, holders: map[int64]string{}, lastActs: map[string]act{}}
 	w.events = w.newEvents()
 	for i := range rapid.IntRange(3, 5).Draw(t, "vms") {
-		rate := clock.Millis(rapid.IntRange(100-maxRateError, 100+maxRateError).Draw(t, "rate"))
+		rate := rapid.SampledFrom([]clock.Millis{100, 100 - maxRateError, 100 + maxRateError, 99}).Draw(t, "rate")
 		v := &entryVM{name: "vm-" + strconv.Itoa(i), rate: rate}
 		w.vms = append(w.vms, v)
 		w.start(v)
@@ -254,7 +257,9 @@
 
 // ReadObject implements duty.Store.
 func (s storeOf) ReadObject(context.Context, string, string) (spec []byte, revision int64, found bool, err error) {
+	s.w.reads++
 	fault := s.fault()
+	s.w.advance(s.w.answerTime)
 	if fault == "slow to arrive" {
 		s.w.pause()
 	}
@@ -271,7 +276,9 @@
 // WriteObject implements duty.Store.
 func (s storeOf) WriteObject(_ context.Context, _, _ string, spec []byte, ifRevision int64) (revision int64, err error) {
 	number := tracker.NumberOf(ifRevision)
+	s.w.writes++
 	fault := s.fault()
+	s.w.advance(s.w.answerTime)
 	switch fault {
 	case "down":
 		return 0, duty.ErrUnavailable.New("refused")
