--- a/internal/base/metric/help.go
+++ b/internal/base/metric/help.go
@@ -7,6 +7,8 @@
 	"answers_undelivered":         "Answers that were written and, as far as the VM can tell, not delivered, by how it noticed.",
 	"configuration_version":       "Version of the configuration in force.",
 	"cut_off":                     "1 if this VM reaches no endpoint, else 0.",
+	"duty_held":                   "1 if this VM holds a duty of one VM at a time, else 0.",
+	"duty_transitions":            "How often this VM acquired, lost or released a duty, by reason.",
 	"endpoint_outcomes":           "Tries at endpoints, by how they ended.",
 	"endpoints_known":             "Endpoints in the directory.",
 	"endpoints_limited":           "Endpoints that have named a limit of requests a second.",
