Count the lines of callers' heads before they are parsed, and bound their memory

The fields of a head were counted once net/http had parsed them all, and more than 64 were refused with 431, which callers don't repeat, though the head's bytes were within the configuration's limit. The framing now counts bytes and lines as they are received. What is received ahead and bodies that are read into memory are claimed too. A request without memory gets 503 out_of_memory with Retry-After; its last bytes are not handed to net/http, so it never runs. The number of fields has no limit of its own, and 431 is sent only for heads above max_header_bytes and the 4 KiB that net/http allowed before.

Limits of heads and times may change while the server runs. Above MaxConnections the server closes the connection that has been open longest, for 1 s at least, without a whole head, so that callers that only hold connections keep no others out. Fewer refusals are written at once where MaxConnections is low, so that they leave descriptors for endpoints.

--- a/internal/base/metric/help.go
+++ b/internal/base/metric/help.go
@@ -10,6 +10,7 @@
 	"endpoint_outcomes":      "Tries at endpoints, by how they ended.",
 	"endpoints_known":        "Endpoints in the directory.",
 	"endpoints_limited":      "Endpoints that have named a limit of requests a second.",
+	"heads_refused":          "Requests refused, and connections closed, before a handler began, by cause.",
 	"interrupted_requests":   "Requests that the end of this VM interrupted and that may have run, or were being answered, by kind of work.",
 	"knowledge_age_seconds":  "How old the copy of a kind of object may be: time since this VM, or a peer that knows no newer change, sent a call that the store answered.",
 	"limit_admitted_later":   "Requests that were admitted after a wait for their workspace's rate.",
--- a/internal/base/reason/reason.go
+++ b/internal/base/reason/reason.go
@@ -46,6 +46,7 @@
 	RequestBlocked     Reason = "request_blocked"
 	VersionWithdrawn   Reason = "version_withdrawn"
 	TooManyConnections Reason = "too_many_connections"
+	OutOfMemory        Reason = "out_of_memory"
 	Stopping           Reason = "stopping"
 	NotReady           Reason = "not_ready"
 	Internal           Reason = "internal"
--- a/internal/entry/gateway/body.go
+++ b/internal/entry/gateway/body.go
@@ -37,6 +37,9 @@
 		return c.streamBody(ctx, limited)
 	}
 	defer closeWhenInterrupted(ctx, limited)()
+	if err := limited.Buffer(c.bodyLength); err != nil {
+		return err
+	}
 	buffer := &bytes.Buffer{}
 	if c.bodyLength > 0 {
 		buffer.Grow(int(c.bodyLength) + bytes.MinRead)
--- a/internal/entry/router/body.go
+++ b/internal/entry/router/body.go
@@ -75,6 +75,9 @@
 var errKeyInBody error = reason.NotRun(reason.KeyMisplaced, 0, "the key stands in the body")
 
 func (c *call) bufferBody(limited *caller.Body) error {
+	if err := limited.Buffer(c.body.length); err != nil {
+		return err
+	}
 	buffer := bytes.NewBuffer(make([]byte, 0, initialBufferBytes))
 	if c.body.length > 0 {
 		buffer = bytes.NewBuffer(make([]byte, 0, min(c.body.length+bytes.MinRead, maxBufferedBody+bytes.MinRead)))
--- a/internal/wire/caller/body.go
+++ b/internal/wire/caller/body.go
@@ -29,7 +29,9 @@
 // a deadline. Except for io.EOF, its errors are *reason.Refusal values with RanNo,
 // although a part of the body may have been forwarded: Body cannot know that.
 type Body struct {
-	body    io.ReadCloser
+	body io.ReadCloser
+	// stream is nil if the request came from no Server.
+	stream  *stream
 	w       http.ResponseWriter
 	control *http.ResponseController
 	limit   int64
@@ -40,6 +42,10 @@
 	received     int64
 	waitedMicros int64
 	err          error
+	// isBuffered is set if the body is read into memory, and claimed to the bytes that were
+	// claimed for it.
+	isBuffered bool
+	claimed    int64
 
 	mu sync.Mutex
 	// isComplete is set when the body was read to its end, isClosed by Close. Guarded by mu.
@@ -50,10 +56,32 @@
 // The body may have at most limit bytes and must be complete by deadline.
 func NewBody(w http.ResponseWriter, request *http.Request, limit int64, deadline time.Time) *Body {
 	grace := defaultBodyGrace
-	if s := streamOf(request); s != nil && s.conn.server.BodyGrace > 0 {
+	s := streamOf(request)
+	if s != nil && s.conn.server.BodyGrace > 0 {
 		grace = s.conn.server.BodyGrace
 	}
-	return &Body{body: request.Body, w: w, control: http.NewResponseController(w), limit: limit, grace: grace, deadline: deadline}
+	return &Body{body: request.Body, stream: s, w: w, control: http.NewResponseController(w), limit: limit, grace: grace, deadline: deadline}
+}
+
+// Buffer claims the memory of a body that is read into memory: of its declared length, which is
+// negative if it is not known, and of what is received beyond that. The error is a
+// *reason.Refusal of a request that has not run.
+func (b *Body) Buffer(declared int64) error {
+	if b.stream == nil {
+		return nil
+	}
+	b.isBuffered, b.claimed = true, max(declared, 0)
+	return b.stream.claimBody(b.claimed)
+}
+
+// claimReceived claims the memory of what was received beyond what was claimed. The buffer of a
+// body of unknown length doubles each time that it is full.
+func (b *Body) claimReceived() error {
+	if !b.isBuffered || b.received <= b.claimed {
+		return nil
+	}
+	b.claimed = 2 * b.received
+	return b.stream.claimBody(b.claimed)
 }
 
 // Received returns the number of bytes read so far.
@@ -78,6 +106,9 @@
 	case b.received > b.limit:
 		b.err = TooLarge(b.limit)
 		return 0, b.err
+	case b.claimReceived() != nil:
+		b.err = newNoMemoryRefusal()
+		return 0, b.err
 	case err == io.EOF:
 		b.markComplete()
 		b.err = io.EOF
@@ -114,6 +145,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.isComplete = true
+	if b.stream != nil {
+		b.stream.endBody()
+	}
 	_ = b.control.SetReadDeadline(time.Time{})
 }
 
--- a/internal/wire/caller/conn.go
+++ b/internal/wire/caller/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"container/list"
 	"errors"
 	"fmt"
 	"io"
@@ -14,6 +15,7 @@
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/reason"
+	"baobabladder.example/baobabladder/internal/policy/memory"
 )
 
 // conn is one caller's connection. It parses the bytes that net/http reads, because
@@ -30,6 +32,9 @@
 	// writingSince is when the write in progress began, a clock.Millis, or 0.
 	writingSince atomic.Int64
 	closeOnce    sync.Once
+	openedAt     clock.Millis
+	// hasEndedHead is set when a head has ended.
+	hasEndedHead atomic.Bool
 
 	mu sync.Mutex
 	// idleSince is when the connection last became idle, closingSince when this server began
@@ -46,6 +51,17 @@
 	// read, or nil. hasRefusedRequest is set if a request came meanwhile. Guarded by mu.
 	idleRefusal       *reason.Refusal
 	hasRefusedRequest bool
+	// claim is the connection's share of the process's memory. Nothing is claimed for a
+	// connection that is only refused, whose claim is nil.
+	claim *memory.Claim
+	// claimed is what the connection has claimed beyond connCost, ofRequests the part of it
+	// for requests, and phase the claim's phase. Guarded by mu.
+	claimed, ofRequests int64
+	phase               memory.Phase
+	// hasBody is set when the body of the current request was received whole. Guarded by mu.
+	hasBody bool
+	// fresh is the connection's place in server.fresh, or nil. Guarded by server.mu.
+	fresh *list.Element
 	// isAboveLimit is set for a connection above MaxConnections, which is only refused.
 	isAboveLimit bool
 	// last is the stream of the last request, once the connection is being closed. Guarded by
@@ -76,7 +92,8 @@
 }
 
 func newConn(accepted net.Conn, server *Server) *conn {
-	c := &conn{Conn: accepted, server: server, idleSince: clock.Clock{}.Now()}
+	c := &conn{Conn: accepted, server: server, openedAt: clock.Clock{}.Now()}
+	c.idleSince = c.openedAt
 	c.first = &stream{conn: c}
 	c.last = c.first
 	return c
@@ -228,6 +245,9 @@
 // Close closes the connection at once. It implements net.Conn.
 func (c *conn) Close() error {
 	c.server.untrack(c)
+	if c.claim != nil {
+		c.claim.Release()
+	}
 	return c.Conn.Close()
 }
 
--- a/internal/wire/caller/descriptors.go
+++ b/internal/wire/caller/descriptors.go
@@ -1,6 +1,6 @@
 package caller
 
-import "syscall"
+import "baobabladder.example/baobabladder/internal/base/machine"
 
 const (
 	// maxDefaultConnections is the default of MaxConnections in a process with plenty of
@@ -13,11 +13,7 @@
 
 // defaultConnections returns the default of MaxConnections in this process.
 func defaultConnections() int {
-	var limit syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
-		return maxDefaultConnections
-	}
-	return connectionsWithin(limit.Cur)
+	return connectionsWithin(machine.Descriptors(2*maxDefaultConnections + reservedDescriptors))
 }
 
 // connectionsWithin returns the default of MaxConnections in a process that may open the given
--- a/internal/wire/caller/framing.go
+++ b/internal/wire/caller/framing.go
@@ -19,8 +19,10 @@
 	// line is longer.
 	line      []byte
 	isLineCut bool
-	// headBytes counts the bytes read of the current head.
-	headBytes int
+	// size is the size of what was read of the current or last head, of which isHeadOpen tells
+	// whether it has not ended. An empty line before a request counts as a head.
+	size       headSize
+	isHeadOpen bool
 	// bodyRemaining counts the bytes of the body that were not read yet.
 	bodyRemaining int64
 	// bodyBytes counts the bytes read of the body of the current or last request.
@@ -36,11 +38,11 @@
 }
 
 // isInHead reports whether a head was read in part.
-func (f *framing) isInHead() bool { return f.headBytes > 0 }
+func (f *framing) isInHead() bool { return f.isHeadOpen }
 
 // isInRequest reports whether a request was read in part.
 func (f *framing) isInRequest() bool {
-	return f.headBytes > 0 || f.bodyRemaining > 0 || f.isEndUnknown
+	return f.isHeadOpen || f.bodyRemaining > 0 || f.isEndUnknown
 }
 
 // advance returns how many of the received bytes belong to the current request and
@@ -66,15 +68,19 @@
 // advanceHead returns how many of the received bytes belong to the current head, and
 // whether the head is complete.
 func (f *framing) advanceHead(received []byte) (n int, isComplete bool) {
+	if !f.isHeadOpen && len(received) > 0 {
+		f.size, f.isHeadOpen = headSize{}, true
+	}
 	for n < len(received) {
 		rest := received[n:]
 		length := bytes.IndexByte(rest, '\n')
 		if length < 0 {
-			f.headBytes += len(rest)
+			f.size.bytes += len(rest)
 			f.keep(rest)
 			return len(received), false
 		}
-		f.headBytes += length + 1
+		f.size.bytes += length + 1
+		f.size.lines++
 		n += length + 1
 		if f.endLine(rest[:length]) {
 			return n, true
@@ -158,6 +164,6 @@
 	}
 	f.isEndUnknown = f.hasTransferEncoding || f.refusal != nil
 	f.bodyRemaining = max(f.contentLength, 0)
-	f.headBytes, f.contentLength = 0, 0
+	f.isHeadOpen, f.contentLength = false, 0
 	f.hasContentLength, f.hasTransferEncoding, f.isAmbiguous = false, false, false
 }
--- a/internal/wire/caller/head.go
+++ b/internal/wire/caller/head.go
@@ -22,9 +22,6 @@
 	OrderIDHeader = "Order-Id"
 )
 
-// maxHeaderFields bounds the header fields of a request.
-const maxHeaderFields = 64
-
 // singleValueHeaders lists headers that must not be repeated. net/http itself refuses
 // a repeated Host header and differing Content-Length headers.
 var singleValueHeaders = []string{OrderIDHeader, DeadlineHeader, "Content-Type", "Expect"}
@@ -126,15 +123,8 @@
 	return false
 }
 
-// checkFields refuses too many header fields and repeated singleValueHeaders.
+// checkFields refuses repeated singleValueHeaders.
 func checkFields(request *http.Request) error {
-	count := 0
-	for _, values := range request.Header {
-		count += len(values)
-	}
-	if count > maxHeaderFields {
-		return reason.NotRun(reason.HeadTooLarge, 0, "the head has %d fields, at most %d are allowed", count, maxHeaderFields)
-	}
 	for _, name := range singleValueHeaders {
 		if len(request.Header[name]) > 1 {
 			return reason.NotRun(reason.BadRequest, 0, "the header %s stands twice", name)
--- a/internal/wire/caller/listener.go
+++ b/internal/wire/caller/listener.go
@@ -51,9 +51,15 @@
 	return l.Listener.Close()
 }
 
-// maxConcurrentRefusals bounds the connections above MaxConnections to which a refusal
-// is being written.
-const maxConcurrentRefusals = 64
+const (
+	// maxConcurrentRefusals bounds the connections above MaxConnections to which a refusal
+	// is being written.
+	maxConcurrentRefusals = 64
+	// refusalDivisor bounds the same to a part of MaxConnections, but not below
+	// minConcurrentRefusals, so that a process with few descriptors keeps some for endpoints.
+	refusalDivisor        = 8
+	minConcurrentRefusals = 16
+)
 
 // refuse records the refusal of a connection and writes it in a new goroutine. With
 // maxConcurrentRefusals active it closes the connection without a refusal.
--- a/internal/wire/caller/pipeline.go
+++ b/internal/wire/caller/pipeline.go
@@ -62,7 +62,7 @@
 	if len(c.received) == 0 || !s.isServing || c.framing.isInRequest() {
 		return false
 	}
-	return s.allowsNext && !s.isHandled || countBytes(c.received) >= maxUnreadBytes
+	return s.allowsNext && !s.isHandled || countBytes(c.received) >= c.maxUnread()
 }
 
 func countBytes(segments []segment) (count int) {
@@ -108,7 +108,7 @@
 func (p *pipeline) awaitSpace() {
 	p.conn.mu.Lock()
 	defer p.conn.mu.Unlock()
-	for p.unreadBytes >= maxUnreadBytes && !p.isFinished {
+	for p.unreadBytes >= p.conn.maxUnread() && !p.isFinished {
 		p.changed.Wait()
 	}
 }
@@ -328,7 +328,7 @@
 		return
 	}
 	p.conn.idleSince = clock.Clock{}.Now()
-	_ = p.conn.Conn.SetReadDeadline(time.Now().Add(orDefault(p.conn.server.IdleTimeout, defaultIdleTimeout)))
+	_ = p.conn.Conn.SetReadDeadline(time.Now().Add(p.conn.server.idleTimeout()))
 }
 
 // finish ends the connection behind the response of last, which was written whole. It cancels
--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"io"
@@ -10,17 +11,17 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
-	"baobabladder.example/baobabladder/internal/base/reason"
+	"baobabladder.example/baobabladder/internal/policy/memory"
 )
 
 const (
-	// maxHeadBytes bounds the head of a request. net/http allows 4 KiB more.
-	maxHeadBytes       = 16 << 10
-	defaultHeadTimeout = 10 * clock.Second
-	defaultIdleTimeout = 2 * clock.Minute
+	defaultMaxHeadBytes = 16 << 10
+	defaultHeadTimeout  = 10 * clock.Second
+	defaultIdleTimeout  = 2 * clock.Minute
 	// defaultIdleCloseDelay is how long a server that shuts down keeps idle
 	// connections open, so that a response to a further request can announce the
 	// close.
@@ -57,9 +58,17 @@
 	RequestIDHeader string
 	// OnUndelivered is called for each answer that was not delivered; optional.
 	OnUndelivered func(Undelivered)
+	// OnHeadRefused is called for each head that was refused, or connection that was closed,
+	// before a handler began; optional.
+	OnHeadRefused func(cause HeadCause)
+	// Memory bounds the memory of all connections; nil for no bound. Servers of one process
+	// share it.
+	Memory *memory.Budget
 	// MaxConnections bounds the open connections; 0 selects 4096, or fewer if the process may
 	// open few descriptors.
 	MaxConnections int
+	// HeadTimeout and IdleTimeout hold as far as SetLimits does not set others.
+	//
 	// HeadTimeout bounds the time from the first byte of a head to its last; 0 selects
 	// 10 s.
 	HeadTimeout clock.Millis
@@ -79,8 +88,10 @@
 	// caller has read the last answer and has closed it too; 0 selects 5 s.
 	CloseTimeout clock.Millis
 
-	once sync.Once
-	http *http.Server
+	// limits is nil before SetLimits.
+	limits atomic.Pointer[Limits]
+	once   sync.Once
+	http   *http.Server
 	// defaultConnections is what MaxConnections is if it is 0.
 	defaultConnections int
 	// streams hands further streams of connections to http.
@@ -94,6 +105,9 @@
 	listener net.Listener
 	// conns holds the open connections. Guarded by mu.
 	conns map[*conn]struct{}
+	// fresh holds the connections on which no head has ended yet, longest open first. Guarded
+	// by mu.
+	fresh list.List
 	// refusedConns counts those of conns that were opened above MaxConnections. Guarded by mu.
 	refusedConns int
 	// addedStreams counts the requests that run beside an earlier one of their connection.
@@ -126,10 +140,12 @@
 		s.defaultConnections = defaultConnections()
 		s.streams = newStreamListener()
 		s.http = &http.Server{
-			Handler:           http.HandlerFunc(s.serve),
-			ReadHeaderTimeout: orDefault(s.HeadTimeout, defaultHeadTimeout),
-			IdleTimeout:       orDefault(s.IdleTimeout, defaultIdleTimeout),
-			MaxHeaderBytes:    maxHeadBytes,
+			Handler: http.HandlerFunc(s.serve),
+			// Streams replace these deadlines by those of the limits in force, and refuse
+			// heads above the limit in force.
+			ReadHeaderTimeout: defaultHeadTimeout.Duration(),
+			IdleTimeout:       defaultIdleTimeout.Duration(),
+			MaxHeaderBytes:    2 * maxMaxHeadBytes,
 			ErrorLog:          stdlog.New(io.Discard, "", 0),
 			ConnState:         onConnState,
 			ConnContext: func(ctx context.Context, c net.Conn) context.Context {
@@ -248,6 +264,7 @@
 // serve handles one request.
 func (s *Server) serve(w http.ResponseWriter, request *http.Request) {
 	stream := streamOf(request)
+	s.endFresh(stream.conn)
 	refusal, isLast := stream.beginRequest()
 	defer stream.endHandler()
 	if isLast || s.isShuttingDown() && stream.beginLast() {
@@ -308,70 +325,3 @@
 	}
 	return w.ResponseWriter.Write(buffer)
 }
-
-// track wraps and registers an accepted connection. It returns nil if MaxConnections
-// is reached.
-func (s *Server) track(accepted net.Conn) *conn {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.hasRoom() {
-		return nil
-	}
-	c := newConn(accepted, s)
-	s.conns[c] = struct{}{}
-	return c
-}
-
-// trackRefused is like track for a connection above MaxConnections, which is closed with
-// refusal. It returns nil if there are maxConcurrentRefusals of them.
-func (s *Server) trackRefused(accepted net.Conn, refusal *reason.Refusal) *conn {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.refusedConns >= maxConcurrentRefusals {
-		return nil
-	}
-	c := newConn(accepted, s)
-	c.idleRefusal, c.isAboveLimit = refusal, true
-	c.beginClose()
-	s.conns[c] = struct{}{}
-	s.refusedConns++
-	return c
-}
-
-// hasRoom reports whether another connection, or a further request in flight on one, is
-// within MaxConnections. mu must be held.
-func (s *Server) hasRoom() bool {
-	limit := s.MaxConnections
-	if limit == 0 {
-		limit = s.defaultConnections
-	}
-	return len(s.conns)-s.refusedConns+s.addedStreams < limit
-}
-
-// addStream counts a request that runs beside an earlier one of its connection. It returns
-// false if MaxConnections is reached.
-func (s *Server) addStream() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.hasRoom() {
-		return false
-	}
-	s.addedStreams++
-	return true
-}
-
-// removeStreams undoes count calls of addStream.
-func (s *Server) removeStreams(count int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.addedStreams -= count
-}
-
-func (s *Server) untrack(c *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, isTracked := s.conns[c]; isTracked && c.isAboveLimit {
-		s.refusedConns--
-	}
-	delete(s.conns, c)
-}
--- a/internal/wire/caller/snapshot.go
+++ b/internal/wire/caller/snapshot.go
@@ -95,6 +95,7 @@
 func (s *stream) beginReceiving() {
 	s.hasRequest, s.requestID, s.bodyBytes = true, "", 0
 	s.isAnswerBegun, s.isAnswered, s.isUndelivered = false, false, false
+	s.isHeadWhole, s.conn.hasBody = false, false
 	s.setState(ConnReceiving)
 }
 
--- a/internal/wire/caller/stream.go
+++ b/internal/wire/caller/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -45,6 +46,8 @@
 	isAnswerBegun, isAnswered, isUndelivered bool
 	// isEndUnmarked is set while the handler writes a response that ends with the connection.
 	isEndUnmarked bool
+	// awaitsNext is set from the end of a request until net/http sets the deadline of the next.
+	awaitsNext bool
 	// isLast is set when the connection accepts no request after this one.
 	isLast bool
 	// isRefused is set when the stream itself refused the current request.
@@ -55,6 +58,13 @@
 	// waited is how long the request waited behind earlier ones before it began.
 	waited clock.Millis
 
+	// isHeadWhole is set when the head of the current request was received whole.
+	isHeadWhole bool
+	// rejection is the refusal of a request before its head was handed over whole, or nil.
+	rejection *reason.Refusal
+	// cost is what the connection has claimed for the request.
+	cost int64
+
 	// pending holds bytes of the request that were handed to the stream and not read yet.
 	pending []byte
 	// readDeadline is the deadline of reads, which readTimer enforces in a pipeline.
@@ -75,7 +85,11 @@
 func (s *stream) Read(buffer []byte) (n int, err error) {
 	n, isPipelined, err := s.conn.read(s, buffer)
 	if isPipelined {
-		return s.readPending(buffer)
+		n, err = s.readPending(buffer)
+	}
+	if refusal := s.getRejection(); refusal != nil {
+		s.refuse(refusal)
+		return 0, io.EOF
 	}
 	return n, err
 }
@@ -113,6 +127,7 @@
 	if !s.hasRequest {
 		s.beginReceiving()
 	}
+	s.claimHead()
 	s.bodyBytes = c.framing.bodyBytes
 	if s.state == ConnReceiving && !c.framing.isInRequest() {
 		s.setState(ConnHandling)
@@ -140,7 +155,7 @@
 	}
 	refusal := reason.NotRun(reason.BadRequest, 0, "the request is malformed")
 	if bytes.HasPrefix(buffer, []byte("HTTP/1.1 431")) {
-		refusal = reason.NotRun(reason.HeadTooLarge, 0, "the head is larger than %d bytes", maxHeadBytes)
+		refusal = reason.NotRun(reason.HeadTooLarge, 0, "the head is larger than %d bytes", c.server.maxHeadBytes())
 	}
 	s.refuse(refusal)
 	return len(buffer), nil
@@ -178,6 +193,7 @@
 		return
 	}
 	c.server.Refusals.Record(refusal, nil)
+	c.server.recordHead(headCauses[refusal.Reason])
 	if isPipelined {
 		_, _ = s.writeInTurn(rawRefusal(refusal))
 		return
@@ -217,6 +233,7 @@
 	c := s.conn
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	at = s.limitDeadline(at)
 	if s != c.first && !s.hasRequest && !at.IsZero() {
 		at = earlier(at, time.Now().Add(idleStreamTimeout.Duration()))
 	}
@@ -231,6 +248,21 @@
 	return nil
 }
 
+// limitDeadline replaces a deadline of net/http for a head or the next request by that of the
+// limits in force, which may have changed since the server began. conn.mu must be held.
+func (s *stream) limitDeadline(at time.Time) time.Time {
+	isIdle := s.awaitsNext
+	s.awaitsNext = false
+	switch now := time.Now(); {
+	case s.isServing || at.Before(now):
+		return at
+	case isIdle:
+		return now.Add(s.conn.server.idleTimeout())
+	default:
+		return now.Add(s.conn.server.headTimeout())
+	}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
@@ -345,7 +377,8 @@
 	c := s.conn
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s.isServing, s.isHandled, s.allowsNext, s.waited = false, false, false, 0
+	s.isServing, s.isHandled, s.allowsNext, s.waited, s.awaitsNext = false, false, false, 0, true
+	_ = s.claimRequest(0)
 	if c.pipeline == nil {
 		// net/http may have read the beginning of the next request.
 		s.hasRequest, c.idleSince = false, clock.Clock{}.Now()
