Bound the connections and heads of all servers, and apply the configuration's limits

The servers for readiness checks, look-ups, metrics and operators accepted any number of connections with heads of 1 MB, and those for peers any number of connections.

The configuration's max_header_bytes, header_timeout and idle_timeout were decoded and not used; the gateway now sets them when a table is in force. A forwarded head may be twice as large, since forwarding writes a line of three bytes in five.

--- a/cmd/baobabladder/heads_test.go
+++ b/cmd/baobabladder/heads_test.go
@@ -15,7 +15,6 @@
 
 	. "github.com/onsi/gomega"
 
-	"baobabladder.example/baobabladder/internal/base/settings"
 	"baobabladder.example/baobabladder/internal/standin/loopback"
 	standinstore "baobabladder.example/baobabladder/internal/standin/store"
 	"baobabladder.example/baobabladder/platform"
@@ -70,11 +69,7 @@
 	store.Put("servers", "cat-1", standin.EndpointEntry("cat", endpointAddress, "n1", "v1", "ready", "0ms", 3))
 	text := "[vm]\nname = vm-0\nregion = north\ndata_centre = n1\nstore = " + storeAddress + "\n" +
 		p.portLines("caller_address", "ready_address", "lookup_address", "peer_address", "metrics_address", "forward_address")
-	rest := "\n[data_centres]\nn1 = north\n"
-	if _, err := settings.ParseNode([]byte(text + memoryLine + rest)); err == nil {
-		text += memoryLine
-	}
-	p.start("gateway", text+rest)
+	p.start("gateway", text+memoryLine+"\n[data_centres]\nn1 = north\n")
 	p.ask = func() int { return p.get(p.addresses["caller_address"], "/read/x", "heads-key-1") }
 	p.g.Eventually(p.ask, "30s").Should(Equal(http.StatusOK))
 }
@@ -86,10 +81,7 @@
 	p.t.Cleanup(stop)
 	text := "[vm]\nname = entry-1\nregion = north\ndata_centre = n1\nstore = http://" + storeAddress + "/\n" +
 		p.portLines("caller_address", "peer_address", "operator_address")
-	if _, err := settings.Parse([]byte(text + memoryLine)); err == nil {
-		text += memoryLine
-	}
-	p.start("entry", text)
+	p.start("entry", text+memoryLine)
 	p.ask = func() int {
 		// A VM without documents answers that it knows no route.
 		return max(p.get(p.addresses["caller_address"], "/read/x", ""), p.get(p.addresses["operator_address"], "/v1/status", ""))
--- a/internal/base/settings/node.go
+++ b/internal/base/settings/node.go
@@ -41,7 +41,9 @@
 	Regions map[string]string
 	// LogLevel is the name of a logrus level.
 	LogLevel string
-	Bounds   Bounds
+	// Memory is the number of bytes that the process may use, or 0 for the machine's memory.
+	Memory int64
+	Bounds Bounds
 }
 
 // Bounds are the limits that the deployment requires the system to keep. In the
@@ -159,6 +161,7 @@
 		{"vm", "forward_address", noForwarding, n.readForwardAddress},
 		{"vm", "peers", noPeers, n.readPeers},
 		{"vm", "first_start", "false", readBool(&n.FirstStart)},
+		{"vm", "memory_mb", "0", readMegabytes(&n.Memory)},
 		{"vm", "log_level", "info", text(&n.LogLevel, checkLevel)},
 		{"bounds", "stop_grace", "6s", readDuration(&b.StopGrace)},
 		{"bounds", "lookup_lifetime", "5s", readDuration(&b.LookupLifetime)},
@@ -200,6 +203,20 @@
 	}
 }
 
+// minMemory is the least memory that a process can be limited to, in MB: what an idle VM uses.
+const minMemory = 32
+
+func readMegabytes(into *int64) func(string) string {
+	return func(value string) string {
+		parsed, err := strconv.ParseInt(value, 10, 32)
+		if err != nil || parsed != 0 && parsed < minMemory {
+			return "0, or a whole number of megabytes from 32 on"
+		}
+		*into = parsed << 20
+		return ""
+	}
+}
+
 func readBool(into *bool) func(string) string {
 	return func(value string) string {
 		parsed, err := strconv.ParseBool(value)
--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -41,6 +41,8 @@
 	Peers []string
 	// LogLevel is the name of a logrus level.
 	LogLevel string
+	// Memory is the number of bytes that the process may use, or 0 for the machine's memory.
+	Memory int64
 }
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
@@ -66,7 +68,7 @@
 		return Settings{}, ErrInvalid.Wrap(err, "the text is not INI")
 	}
 	section := file.Section("vm")
-	peers := ""
+	peers, memory := "", ""
 	fields := []field{
 		{"name", &settings.Name, "", checkName},
 		{"region", &settings.Region, "", checkName},
@@ -76,6 +78,7 @@
 		{"peer_address", &settings.PeerAddress, "", checkAddress},
 		{"operator_address", &settings.OperatorAddress, "", checkAddress},
 		{"peers", &peers, noPeers, checkPeers},
+		{"memory_mb", &memory, "0", readMegabytes(&settings.Memory)},
 		{"log_level", &settings.LogLevel, "info", checkLevel},
 	}
 	for _, s := range file.Sections() {
--- a/internal/entry/command/command.go
+++ b/internal/entry/command/command.go
@@ -16,6 +16,7 @@
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/document"
 	"baobabladder.example/baobabladder/internal/base/logging"
+	"baobabladder.example/baobabladder/internal/base/machine"
 	"baobabladder.example/baobabladder/internal/base/settings"
 	"baobabladder.example/baobabladder/internal/entry/explain"
 	"baobabladder.example/baobabladder/internal/entry/node"
@@ -188,6 +189,7 @@
 		return c.fail(err)
 	}
 	log.SetLevel(level)
+	machine.LimitHeap(machine.Memory(config.Memory))
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if err := (&process.Process{Settings: config, Log: log}).Run(ctx); err != nil {
@@ -207,6 +209,7 @@
 	if err != nil {
 		return c.fail(err)
 	}
+	machine.LimitHeap(machine.Memory(config.Memory))
 	writer := logging.NewWriter(c.stdout)
 	defer writer.Close(logDrainTimeout)
 	log := logging.New(writer, level)
--- a/internal/entry/node/limits.go
+++ b/internal/entry/node/limits.go
@@ -7,6 +7,8 @@
 	"github.com/sirupsen/logrus"
 
 	"baobabladder.example/baobabladder/internal/control/roster"
+	"baobabladder.example/baobabladder/internal/wire/caller"
+	"baobabladder.example/baobabladder/internal/world/routing"
 )
 
 // limitDemands returns the other VMs' demand for endpoints that have named a limit, by VM
@@ -42,3 +44,18 @@
 	}
 	n.loggedLimits = newest
 }
+
+// forwardedHeadBytes is how much a forwarded head may exceed twice the limit of a caller's head.
+// The VM that forwards adds headers, and writes a line of three bytes, "a:" and its end, in five.
+const forwardedHeadBytes = 4 << 10
+
+// setHeadLimits puts the configuration's limits of heads and connections in force. Connections
+// of other VMs keep their times, which do not depend on the configuration.
+func (n *Node) setHeadLimits(limits routing.Limits) {
+	n.callerServer.SetLimits(caller.Limits{MaxHeadBytes: limits.MaxHeaderBytes, HeadTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout})
+	forwarded := int64(0)
+	if limits.MaxHeaderBytes > 0 {
+		forwarded = 2*limits.MaxHeaderBytes + forwardedHeadBytes
+	}
+	n.forwardServer.SetLimits(caller.Limits{MaxHeadBytes: forwarded})
+}
--- a/internal/entry/node/metrics.go
+++ b/internal/entry/node/metrics.go
@@ -50,6 +50,13 @@
 	}
 }
 
+// headRecorder returns a function that counts refused heads by cause.
+func headRecorder(registry *metric.Registry) func(cause caller.HeadCause) {
+	return func(cause caller.HeadCause) {
+		cause.Count(registry.Scope)
+	}
+}
+
 // onUndelivered counts and logs an answer that was not delivered.
 func (n *Node) onUndelivered(undelivered caller.Undelivered) {
 	undelivered.Count(n.metrics.Scope)
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -22,6 +22,7 @@
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/fault"
 	"baobabladder.example/baobabladder/internal/base/logging"
+	"baobabladder.example/baobabladder/internal/base/machine"
 	"baobabladder.example/baobabladder/internal/base/metric"
 	"baobabladder.example/baobabladder/internal/base/settings"
 	"baobabladder.example/baobabladder/internal/control/admission"
@@ -31,12 +32,14 @@
 	"baobabladder.example/baobabladder/internal/policy/balance"
 	"baobabladder.example/baobabladder/internal/policy/blocklist"
 	"baobabladder.example/baobabladder/internal/policy/canary"
+	"baobabladder.example/baobabladder/internal/policy/memory"
 	"baobabladder.example/baobabladder/internal/policy/quota"
 	"baobabladder.example/baobabladder/internal/policy/reach"
 	"baobabladder.example/baobabladder/internal/policy/retry"
 	"baobabladder.example/baobabladder/internal/wire/caller"
 	"baobabladder.example/baobabladder/internal/wire/endpoint"
 	"baobabladder.example/baobabladder/internal/wire/peer"
+	"baobabladder.example/baobabladder/internal/wire/plain"
 	"baobabladder.example/baobabladder/internal/world/directory"
 	"baobabladder.example/baobabladder/internal/world/routing"
 	"baobabladder.example/baobabladder/internal/world/vm"
@@ -113,10 +116,12 @@
 	// DialEndpoint opens connections to endpoints; if nil, a default net.Dialer is used.
 	DialEndpoint func(ctx context.Context, network, address string) (net.Conn, error)
 
-	clock      clock.Clock
-	id         vm.ID
-	self       vm.VM
-	metrics    *metric.Registry
+	clock   clock.Clock
+	id      vm.ID
+	self    vm.VM
+	metrics *metric.Registry
+	// memory bounds the connections of all servers.
+	memory     *memory.Budget
 	peers      *peer.Client
 	peerServer *peer.Server
 	roster     *roster.Roster
@@ -196,6 +201,7 @@
 		CallerAddress: config.CallerAddress, PeerAddress: config.PeerAddress, ForwardAddress: config.ForwardAddress,
 	}
 	n.metrics = metric.New()
+	n.memory = memory.NewBudget(machine.Memory(config.Memory))
 	n.peers = &peer.Client{}
 	n.peerServer = peer.NewServer()
 	n.peerServer.Log = n.Log
@@ -241,6 +247,7 @@
 	return &caller.Server{
 		Handler: handler, Refusals: refuser, IdleCloseDelay: n.Settings.Bounds.StopGrace / idleCloseDivisor,
 		RequestIDHeader: endpoint.RequestIDHeader, OnUndelivered: n.onUndelivered,
+		Memory: n.memory, OnHeadRefused: headRecorder(n.metrics),
 	}
 }
 
@@ -294,19 +301,22 @@
 	if open.forwards != nil {
 		go n.serveAndLog("serving forwarded requests", func() error { return n.forwardServer.Serve(open.forwards) })
 	}
-	go n.serveAndLog("serving peers", func() error { return n.peerServer.Serve(open.peers) })
+	peers := &plain.Listener{Listener: open.peers, MaxConnections: plain.Peers()}
+	go n.serveAndLog("serving peers", func() error { return n.peerServer.Serve(peers) })
 	for _, served := range []struct {
-		service  string
-		listener net.Listener
-		handler  http.Handler
+		service     string
+		listener    net.Listener
+		connections int
+		handler     http.Handler
 	}{
-		{"serving readiness checks", open.ready, n.Platform.ReadyHandler(n.isReady)},
-		{"serving lookups", open.lookup, n.Platform.LookupHandler(n.preferredVMs, lifetime)},
-		{"serving metrics", open.metrics, mux},
+		{"serving readiness checks", open.ready, plain.Few, n.Platform.ReadyHandler(n.isReady)},
+		{"serving lookups", open.lookup, plain.Lookups(), n.Platform.LookupHandler(n.preferredVMs, lifetime)},
+		{"serving metrics", open.metrics, plain.Few, mux},
 	} {
-		server := &http.Server{Handler: served.handler, ReadHeaderTimeout: readHeaderTimeout.Duration()}
+		server := plain.NewServer(served.handler, readHeaderTimeout)
 		n.plainServers = append(n.plainServers, server)
-		go n.serveAndLog(served.service, func() error { return server.Serve(served.listener) })
+		bounded := &plain.Listener{Listener: served.listener, MaxConnections: served.connections, Memory: n.memory}
+		go n.serveAndLog(served.service, func() error { return server.Serve(bounded) })
 	}
 	go n.startFeeds(ctx)
 	go n.roster.Run(ctx)
--- a/internal/entry/node/objects.go
+++ b/internal/entry/node/objects.go
@@ -144,6 +144,7 @@
 			n.logUnreadable("config", object, err)
 		}
 		if found && n.gateway.SetTable(table) {
+			n.setHeadLimits(table.Limits)
 			n.Log.WithFields(logrus.Fields{"version": table.Version, "revision": object.Revision, "copy_age_ms": n.configAge()}).Info("configuration in force")
 		}
 	}
--- a/internal/entry/process/controlplane.go
+++ b/internal/entry/process/controlplane.go
@@ -12,14 +12,17 @@
 	"baobabladder.example/baobabladder/internal/base/account"
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/fault"
+	"baobabladder.example/baobabladder/internal/base/machine"
 	"baobabladder.example/baobabladder/internal/base/metric"
 	"baobabladder.example/baobabladder/internal/base/settings"
 	"baobabladder.example/baobabladder/internal/control/follower"
 	"baobabladder.example/baobabladder/internal/control/freshness"
 	"baobabladder.example/baobabladder/internal/control/heartbeat"
 	"baobabladder.example/baobabladder/internal/control/lease"
+	"baobabladder.example/baobabladder/internal/policy/memory"
 	"baobabladder.example/baobabladder/internal/wire/operator"
 	"baobabladder.example/baobabladder/internal/wire/peer"
+	"baobabladder.example/baobabladder/internal/wire/plain"
 	"baobabladder.example/baobabladder/internal/wire/store"
 	"baobabladder.example/baobabladder/internal/world/replica"
 	"baobabladder.example/baobabladder/internal/world/vm"
@@ -39,6 +42,9 @@
 // operatorHeaderTimeout limits the time to read the headers of an operator's request.
 const operatorHeaderTimeout = 10 * clock.Second
 
+// maxOperatorConnections bounds the open connections of operators.
+const maxOperatorConnections = 64
+
 // operatorShutdownTimeout limits the wait for operators' requests at a stop. It is longer than
 // a command takes once its body was read.
 const operatorShutdownTimeout = 7 * clock.Second
@@ -54,9 +60,11 @@
 	follower  *follower.Follower
 	// leases maps each lease's name to this VM's handle on it, whether or not this VM
 	// holds the lease.
-	leases     map[string]*lease.Lease
-	decisions  *account.DecisionLog
-	metrics    *metric.Registry
+	leases    map[string]*lease.Lease
+	decisions *account.DecisionLog
+	metrics   *metric.Registry
+	// memory bounds the connections of callers and operators.
+	memory     *memory.Budget
 	peerClient *peer.Client
 	peerServer *peer.Server
 	operator   *operator.Server
@@ -82,6 +90,7 @@
 		leases:     map[string]*lease.Lease{},
 		decisions:  &account.DecisionLog{VM: config.Name, Log: log},
 		metrics:    metric.New(),
+		memory:     memory.NewBudget(machine.Memory(config.Memory)),
 		peerClient: &peer.Client{Dial: dial},
 		peerServer: peer.NewServer(),
 		log:        log,
@@ -148,9 +157,11 @@
 // server for peers starts first and stops last, as peers learn from its replies that
 // this VM is stopping.
 func (c *controlPlane) run(ctx context.Context) {
-	c.operatorHTTPServer = &http.Server{Handler: c.operator.Handler(), ReadHeaderTimeout: operatorHeaderTimeout.Duration()}
-	go c.serveAndLog("serving peers", func() error { return c.peerServer.Serve(c.peerListener) })
-	go c.serveAndLog("serving operators", func() error { return c.operatorHTTPServer.Serve(c.operatorListener) })
+	c.operatorHTTPServer = plain.NewServer(c.operator.Handler(), operatorHeaderTimeout)
+	peers := &plain.Listener{Listener: c.peerListener, MaxConnections: plain.Peers()}
+	operators := &plain.Listener{Listener: c.operatorListener, MaxConnections: maxOperatorConnections, Memory: c.memory}
+	go c.serveAndLog("serving peers", func() error { return c.peerServer.Serve(peers) })
+	go c.serveAndLog("serving operators", func() error { return c.operatorHTTPServer.Serve(operators) })
 	var group sync.WaitGroup
 	group.Go(func() { c.heartbeat.Run(ctx) })
 	group.Go(func() { c.follower.Run(ctx) })
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -83,6 +83,7 @@
 	handler := policies.router(refuser, &endpoint.Client{Dial: p.Dial}, p.Settings.Region)
 	return &caller.Server{
 		Handler: readinessHandler{control: control, next: handler, refuser: refuser}, Refusals: refuser,
+		Memory: control.memory, OnHeadRefused: func(cause caller.HeadCause) { cause.Count(control.metrics.Scope) },
 		VMs: &policies.ranker, Ready: control.isReady, RequestIDHeader: endpoint.RequestIDHeader,
 		OnUndelivered: func(undelivered caller.Undelivered) {
 			undelivered.Count(control.metrics.Scope)
