--- a/internal/wire/caller/heads_test.go
+++ b/internal/wire/caller/heads_test.go
@@ -143,3 +143,27 @@
 	}
 	g.Eventually(func() int { return ts.roundTrip(g, "GET / HTTP/1.1\r\nHost: h\r\n\r\n").StatusCode }, "5s").Should(Equal(http.StatusOK))
 }
+
+// Guards against chunk extensions and trailers that fill the memory. net/http bounds both: a
+// trailer by the size of its buffer, extensions by the bytes of the chunks.
+func TestChunkExtensionsAndTrailersAreBounded(t *testing.T) {
+	for name, body := range map[string]string{
+		"one extension":   "1;a=" + strings.Repeat("x", 1<<20) + "\r\nx\r\n0\r\n\r\n",
+		"many extensions": strings.Repeat("1;"+strings.Repeat("x", 2000)+"\r\na\r\n", 500) + "0\r\n\r\n",
+		"trailer":         "1\r\nx\r\n0\r\n" + strings.Repeat("a:\r\n", 3000) + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			ts := newTestServer(t, nil)
+			connection := ts.dial(g)
+			defer connection.Close()
+			go func() {
+				_, _ = io.WriteString(connection, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"+body)
+			}()
+			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(response.StatusCode).To(Equal(http.StatusBadRequest))
+			g.Expect(response.Header.Get(caller.ReasonHeader)).To(BeEquivalentTo(reason.BodyShort))
+		})
+	}
+}
--- a/internal/wire/endpoint/conn.go
+++ b/internal/wire/endpoint/conn.go
@@ -63,6 +63,9 @@
 	// headBudget is the number of bytes that may still be read of a response head,
 	// or unlimited. Only the reading goroutine uses it.
 	headBudget int
+	// headLines counts the lines received while headBudget is limited. Only the reading
+	// goroutine uses it.
+	headLines int
 	// head holds what was received of a response head that is being read, and what was read
 	// ahead behind it. It is nil otherwise. Only the reading goroutine uses it.
 	head []byte
@@ -123,13 +126,15 @@
 // headLimitedReader reads from a conn and enforces its headBudget.
 type headLimitedReader struct{ conn *conn }
 
-// Read implements io.Reader. It returns errHeadTooLarge when the budget is spent.
+// Read implements io.Reader. It returns errHeadTooLarge when the budget is spent, or more than
+// maxHeadLines were received. The last read of a head may hold lines of its body, so they count
+// only if a further read follows.
 func (r headLimitedReader) Read(buffer []byte) (n int, err error) {
 	defer func() { r.conn.bytesReceived += int64(n) }()
 	if r.conn.headBudget == unlimited {
 		return r.conn.Conn.Read(buffer)
 	}
-	if r.conn.headBudget == 0 {
+	if r.conn.headBudget == 0 || r.conn.headLines > maxHeadLines {
 		return 0, errHeadTooLarge
 	}
 	if len(buffer) > r.conn.headBudget {
@@ -137,6 +142,7 @@
 	}
 	n, err = r.conn.Conn.Read(buffer)
 	r.conn.headBudget -= n
+	r.conn.headLines += bytes.Count(buffer[:n], []byte{'\n'})
 	r.conn.head = append(r.conn.head, buffer[:n]...)
 	return n, err
 }
--- a/internal/wire/endpoint/endless_test.go
+++ b/internal/wire/endpoint/endless_test.go
@@ -110,3 +110,34 @@
 	g.Expect(time.Since(started)).To(BeNumerically("<", endlessTimeout))
 	g.Eventually(closed, endlessTimeout).Should(Receive(), "the connection must be closed")
 }
+
+// Guards against answers whose heads take many times their bytes once parsed, and against the
+// refusal of an answer whose body was received with its head.
+func TestLinesOfAnswerHeadsAreBounded(t *testing.T) {
+	body := strings.Repeat("\n", 4000)
+	for name, c := range map[string]struct {
+		lines  int
+		isRead bool
+	}{
+		"usual":                {20, true},
+		"many":                 {900, true},
+		"more than are parsed": {12_000, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			server := newFaultyServer(t, func(server *faultyServer, connection net.Conn, reader *bufio.Reader) {
+				id := server.readHead(reader)
+				_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nRequest-Id: "+id+"\r\nContent-Length: 4000\r\n"+strings.Repeat("a:\r\n", c.lines)+"\r\n"+body)
+			})
+			size, err := exchangeAndCount(endpoint.New(), server.address, getRequest("r1"))
+			if c.isRead {
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(size).To(BeEquivalentTo(len(body)))
+				return
+			}
+			refusal, ok := fault.As[*reason.Refusal](err)
+			g.Expect(ok).To(BeTrue(), "%v", err)
+			g.Expect(refusal.Reason).To(Equal(reason.EndpointFailed))
+		})
+	}
+}
--- a/internal/wire/endpoint/endpoint.go
+++ b/internal/wire/endpoint/endpoint.go
@@ -49,6 +49,9 @@
 	defaultExpectContinueTimeout = 500 * clock.Millis(1)
 	// maxHeadBytes bounds the heads of one response, including interim responses.
 	maxHeadBytes = 64 << 10
+	// maxHeadLines bounds their lines, each of which takes up to 126 bytes once parsed. Up to
+	// readBufferBytes of short lines more are parsed, and no more of a trailer.
+	maxHeadLines = 1000
 	// maxUndeclaredBytes bounds a response body whose length is not declared, with its
 	// framing: an endpoint may send bytes that are no answer without end.
 	maxUndeclaredBytes = 16 << 20
--- a/internal/wire/endpoint/exchange.go
+++ b/internal/wire/endpoint/exchange.go
@@ -103,7 +103,7 @@
 
 // readHead returns the head of the final response and skips interim responses.
 func (e *exchange) readHead() (*http.Response, error) {
-	e.connection.headBudget = maxHeadBytes
+	e.connection.headBudget, e.connection.headLines = maxHeadBytes, 0
 	defer func() { e.connection.headBudget = unlimited }()
 	for range maxInterimResponses + 1 {
 		response, err := e.connection.readHead(e.request.Method)
