--- a/internal/base/settings/builds_test.go
+++ b/internal/base/settings/builds_test.go
@@ -19,7 +19,7 @@
 	g.Expect(entry).To(Equal(settings.Settings{
 		Name: "ness", Region: "lothian", DataCentre: "lothian-1", Store: "http://127.0.0.1:9001/",
 		CallerAddress: "127.0.0.1:9002", PeerAddress: "127.0.0.1:9003", OperatorAddress: "127.0.0.1:9004",
-		Peers: []string{"127.0.0.1:9005", "127.0.0.1:9006"}, LogLevel: "warning",
+		Peers: []string{"127.0.0.1:9005", "127.0.0.1:9006"}, LogLevel: "warning", Memory: 64 << 20,
 	}))
 	node, err := settings.LoadNode("testdata/node.ini")
 	g.Expect(err).NotTo(HaveOccurred())
--- a/internal/base/settings/node.go
+++ b/internal/base/settings/node.go
@@ -203,16 +203,20 @@
 	}
 }
 
-// minMemory is the least memory that a process can be limited to, in MB: what an idle VM uses.
-const minMemory = 32
+// minMemory is the least memory that a process can be limited to, in MB: an idle VM uses 24 MB.
+// maxMemory keeps the number of bytes in range.
+const (
+	minMemory = 32
+	maxMemory = 1 << 24
+)
 
 func readMegabytes(into *int64) func(string) string {
 	return func(value string) string {
-		parsed, err := strconv.ParseInt(value, 10, 32)
-		if err != nil || parsed != 0 && parsed < minMemory {
-			return "0, or a whole number of megabytes from 32 on"
+		parsed, err := strconv.ParseFloat(value, 64)
+		if err != nil || parsed != 0 && !(parsed >= minMemory && parsed <= maxMemory) {
+			return "0, or a number of megabytes from 32 to 16777216"
 		}
-		*into = parsed << 20
+		*into = int64(parsed * (1 << 20))
 		return ""
 	}
 }
--- a/internal/base/settings/node_test.go
+++ b/internal/base/settings/node_test.go
@@ -22,6 +22,7 @@
 metrics_address = 10.1.0.23:7460
 peers = 10.1.0.23:8383,10.2.0.40:8383
 first_start = true
+memory_mb = 136.5
 
 [data_centres]
 leith = lothian
@@ -40,6 +41,7 @@
 	g.Expect(node.Peers).To(Equal([]string{"10.1.0.23:8383", "10.2.0.40:8383"}))
 	g.Expect(node.Regions).To(Equal(map[string]string{"leith": "lothian", "dyce": "grampian"}))
 	g.Expect(node.FirstStart).To(BeTrue())
+	g.Expect(node.Memory).To(BeEquivalentTo(136<<20 + 512<<10))
 	g.Expect(node.ForwardAddress).To(BeEmpty(), "a VM takes no forwarded requests unless it is told to")
 	g.Expect(node.Bounds.StopGrace).To(Equal(6 * clock.Second))
 	g.Expect(node.Bounds.RetryRatio).To(Equal(0.2))
@@ -55,6 +57,8 @@
 		"unknown key":     {"cold_slack = 5", "cold_slck = 5", "section [bounds], key cold_slck is not allowed"},
 		"unknown section": {"[bounds]", "[bound]", "section [bound] is not allowed"},
 		"another region":  {"leith = lothian", "leith = clyde", `section [data_centres], key leith: "clyde" is not allowed: the VM's own region, lothian`},
+		"little memory":   {"memory_mb = 136.5", "memory_mb = 8", `key memory_mb: "8" is not allowed: 0, or a number of megabytes from 32`},
+		"no amount":       {"memory_mb = 136.5", "memory_mb = NaN", `key memory_mb: "NaN" is not allowed`},
 		"not a Boolean":   {"first_start = true", "first_start = maybe", `key first_start: "maybe" is not allowed: true or false`},
 		"invalid peer":    {"10.2.0.40:8383", "x", "key peers"},
 		"invalid forward": {"first_start = true", "forward_address = x", `key forward_address: "x" is not allowed: an IP number and a port`},
--- a/internal/base/settings/settings_test.go
+++ b/internal/base/settings/settings_test.go
@@ -18,8 +18,8 @@
 `
 
 func TestParse(t *testing.T) {
-	read, err := settings.Parse([]byte(validText + "peers = 10.0.0.3:8001, 10.0.0.4:8001\n"))
-	if err != nil || len(read.Peers) != 2 || read.LogLevel != "info" {
+	read, err := settings.Parse([]byte(validText + "peers = 10.0.0.3:8001, 10.0.0.4:8001\nmemory_mb = 64\n"))
+	if err != nil || len(read.Peers) != 2 || read.Memory != 64<<20 || read.LogLevel != "info" {
 		t.Fatalf("read %+v, %v", read, err)
 	}
 	for name, test := range map[string]struct{ text, want string }{
