Replace the deadlines of heads without a clock and a lock for each read

The deadlines are now shifted by the difference to net/http's, and a rejected request is seen by an atomic flag. The package's tests pass, also with the race detector.

--- a/internal/wire/caller/claim.go
+++ b/internal/wire/caller/claim.go
@@ -125,12 +125,13 @@
 func (s *stream) reject(refusal *reason.Refusal) {
 	if s.rejection == nil {
 		s.rejection = refusal
+		s.isRejected.Store(true)
 	}
 	s.isLast, s.conn.isLast = true, true
 	_ = s.claimRequest(0)
 }
 
-// getRejection returns the refusal of a rejected request, or nil.
+// getRejection returns the refusal of a rejected request.
 func (s *stream) getRejection() *reason.Refusal {
 	s.conn.mu.Lock()
 	defer s.conn.mu.Unlock()
--- a/internal/wire/caller/connections.go
+++ b/internal/wire/caller/connections.go
@@ -72,7 +72,7 @@
 
 // endFresh records that a head has ended on a connection.
 func (s *Server) endFresh(c *conn) {
-	if c.hasEndedHead.Swap(true) {
+	if c.hasEndedHead.Load() || c.hasEndedHead.Swap(true) {
 		return
 	}
 	s.mu.Lock()
--- a/internal/wire/caller/stream.go
+++ b/internal/wire/caller/stream.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
@@ -22,7 +23,7 @@
 // stream reads and writes the connection itself; after that the pipeline hands requests
 // to streams and puts their responses in order.
 //
-// conn.mu guards all fields but conn.
+// conn.mu guards all fields but conn and isRejected.
 type stream struct {
 	conn *conn
 
@@ -61,7 +62,9 @@
 	// isHeadWhole is set when the head of the current request was received whole.
 	isHeadWhole bool
 	// rejection is the refusal of a request before its head was handed over whole, or nil.
-	rejection *reason.Refusal
+	// isRejected, which needs no lock, is set with it.
+	rejection  *reason.Refusal
+	isRejected atomic.Bool
 	// cost is what the connection has claimed for the request.
 	cost int64
 
@@ -87,8 +90,8 @@
 	if isPipelined {
 		n, err = s.readPending(buffer)
 	}
-	if refusal := s.getRejection(); refusal != nil {
-		s.refuse(refusal)
+	if s.isRejected.Load() {
+		s.refuse(s.getRejection())
 		return 0, io.EOF
 	}
 	return n, err
@@ -249,17 +252,18 @@
 }
 
 // limitDeadline replaces a deadline of net/http for a head or the next request by that of the
-// limits in force, which may have changed since the server began. conn.mu must be held.
+// limits in force, which may have changed since the server began. net/http uses the default times.
+// conn.mu must be held.
 func (s *stream) limitDeadline(at time.Time) time.Time {
 	isIdle := s.awaitsNext
 	s.awaitsNext = false
-	switch now := time.Now(); {
-	case s.isServing || at.Before(now):
+	switch {
+	case s.isServing || at.IsZero() || !at.After(pastDeadline):
 		return at
 	case isIdle:
-		return now.Add(s.conn.server.idleTimeout())
+		return at.Add(s.conn.server.idleTimeout() - defaultIdleTimeout.Duration())
 	default:
-		return now.Add(s.conn.server.headTimeout())
+		return at.Add(s.conn.server.headTimeout() - defaultHeadTimeout.Duration())
 	}
 }
 
