--- a/cmd/baobabladder/heads_test.go
+++ b/cmd/baobabladder/heads_test.go
@@ -16,6 +16,9 @@
 	. "github.com/onsi/gomega"
 
 	"baobabladder.example/baobabladder/internal/standin/loopback"
+	// The program is built by a child process. Without this import a change of the product leaves
+	// a cached result of the test valid.
+	_ "baobabladder.example/baobabladder/internal/entry/command"
 	standinstore "baobabladder.example/baobabladder/internal/standin/store"
 	"baobabladder.example/baobabladder/platform"
 	"baobabladder.example/baobabladder/platform/standin"
