--- a/internal/base/settings/node.go
+++ b/internal/base/settings/node.go
@@ -41,8 +41,10 @@
 	Regions map[string]string
 	// LogLevel is the name of a logrus level.
 	LogLevel string
-	Bounds   Bounds
-	Usage    Usage
+	// Memory is the number of bytes that the process may use, or 0 for the machine's memory.
+	Memory int64
+	Bounds Bounds
+	Usage  Usage
 }
 
 // Usage says how the deployment wants usage to be reported.
@@ -174,6 +176,7 @@
 		{"vm", "forward_address", noForwarding, n.readForwardAddress},
 		{"vm", "peers", noPeers, n.readPeers},
 		{"vm", "first_start", "false", readBool(&n.FirstStart)},
+		{"vm", "memory_mb", "0", readMegabytes(&n.Memory)},
 		{"vm", "log_level", "info", text(&n.LogLevel, checkLevel)},
 		{"bounds", "stop_grace", "6s", readDuration(&b.StopGrace)},
 		{"bounds", "lookup_lifetime", "5s", readDuration(&b.LookupLifetime)},
@@ -233,6 +236,24 @@
 	}
 }
 
+// minMemory is the least memory that a process can be limited to, in MB: an idle VM uses 24 MB.
+// maxMemory keeps the number of bytes in range.
+const (
+	minMemory = 32
+	maxMemory = 1 << 24
+)
+
+func readMegabytes(into *int64) func(string) string {
+	return func(value string) string {
+		parsed, err := strconv.ParseFloat(value, 64)
+		if err != nil || parsed != 0 && !(parsed >= minMemory && parsed <= maxMemory) {
+			return "0, or a number of megabytes from 32 to 16777216"
+		}
+		*into = int64(parsed * (1 << 20))
+		return ""
+	}
+}
+
 func readBool(into *bool) func(string) string {
 	return func(value string) string {
 		parsed, err := strconv.ParseBool(value)
