State when a refused request is worth waiting for, and when room appears

A request that Place has refused is not counted as a new arrival when it comes again. Choices are unchanged.

--- a/internal/base/reason/reason.go
+++ b/internal/base/reason/reason.go
@@ -70,6 +70,9 @@
 	// RetryAfter is the time after which a retry may succeed. 0 stands for a
 	// refusal that a retry cannot change.
 	RetryAfter clock.Millis
+	// LacksCapacity reports that only other requests stand in the way of this one. It is
+	// not sent to the caller.
+	LacksCapacity bool
 	// Detail is an explanation for people. It must not contain an API key.
 	Detail string
 }
--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -52,6 +52,9 @@
 	// ExcludedEndpoints holds the IDs of endpoints that must not be chosen, because
 	// earlier attempts were sent to them.
 	ExcludedEndpoints []string
+	// IsRepeated reports that Place has refused the request before, so that it is no new
+	// arrival. Place sets it; a caller that passes a copy must keep it.
+	IsRepeated bool
 }
 
 // ColdLimit bounds the requests per second that all VMs together send to a cold
@@ -75,6 +78,10 @@
 	// VM is this VM's name; Region and DataCentre are its location.
 	VM, Region, DataCentre string
 	ColdLimit              ColdLimit
+	// OnRoom, if not nil, is called when requests for the service may find room that was
+	// not there before: one has ended, or the load or the directory was updated. It is
+	// called without the lock and may call the Balancer.
+	OnRoom func(service string)
 
 	mu sync.Mutex
 	// directory is the last argument of UpdateDirectory, or nil. Guarded by mu.
@@ -102,6 +109,8 @@
 	affinities map[string]affinity
 	// runTimes holds the average run times, by service and kind of work. Guarded by mu.
 	runTimes map[string]*runTime
+	// demands holds the demand of this VM's requests, by service. Guarded by mu.
+	demands map[string]*serviceDemand
 }
 
 // runTime holds the average time for which a request occupies an endpoint, in
@@ -114,6 +123,11 @@
 // or start time begins with a fresh state. An endpoint whose address was found to
 // belong to another is eligible again once its entry has changed.
 func (b *Balancer) UpdateDirectory(newest *directory.Directory) {
+	b.updateDirectory(newest)
+	b.notifyRoom(newest)
+}
+
+func (b *Balancer) updateDirectory(newest *directory.Directory) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.Clock.Now()
@@ -141,6 +155,11 @@
 // UpdatePeers sets the number of requests that the other VMs have in flight on each
 // endpoint, by endpoint ID, and the list of all VMs.
 func (b *Balancer) UpdatePeers(running map[string]int, vms []VM) {
+	b.notifyRoom(b.updatePeers(running, vms))
+}
+
+// updatePeers makes the changes of UpdatePeers and returns the directory.
+func (b *Balancer) updatePeers(running map[string]int, vms []VM) *directory.Directory {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.setVMs(vms)
@@ -148,6 +167,7 @@
 	for id, state := range b.states {
 		state.othersInFlight, state.othersUpdatedAt = running[id], now
 	}
+	return b.directory
 }
 
 // Running returns the number of requests that this VM has in flight on each endpoint,
@@ -179,7 +199,7 @@
 }
 
 // Place chooses an endpoint for the request. The error is a *reason.Refusal that states
-// that the request has not run.
+// that the request has not run; see also LacksCapacity.
 func (b *Balancer) Place(request *Request) (*Grant, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -190,9 +210,7 @@
 	if request.Remaining <= 0 {
 		return nil, reason.NotRun(reason.DeadlinePassed, 0, "the deadline passed before an endpoint was chosen")
 	}
-	if request.isRegionBound() {
-		b.reserve(request, now)
-	}
+	b.recordArrival(request, now)
 	selected := b.selectEndpoint(request, now, false)
 	if selected.isEmpty() && !selected.rejected.lacksCapacity() {
 		selected = b.selectEndpoint(request, now, true)
@@ -209,8 +227,11 @@
 	if selected.isEmpty() {
 		rejected := selected.rejected
 		load, slots := b.capacity(request, b.directory.Services[request.Service.Name], now)
-		return nil, reason.NotRun(rejected.reason(), rejected.retryAfter(), "no endpoint of %s can run the request in time: %.0f requests on %.0f slots; %s",
+		refusal := reason.NotRun(rejected.reason(), rejected.retryAfter(), "no endpoint of %s can run the request in time: %.0f requests on %.0f slots; %s",
 			request.Service.Name, load, slots, rejected)
+		refusal.LacksCapacity = rejected.lacksCapacity()
+		request.IsRepeated = true
+		return nil, refusal
 	}
 	return b.grant(request, selected.best, now), nil
 }
--- a/internal/policy/balance/grant.go
+++ b/internal/policy/balance/grant.go
@@ -123,11 +123,18 @@
 
 // Done records how the request ended. Only the first call has an effect.
 func (g *Grant) Done(result Result) {
+	if g.record(result) && g.balancer.OnRoom != nil {
+		g.balancer.OnRoom(g.Endpoint.Service)
+	}
+}
+
+// record records how the request ended. It reports whether that was not recorded before.
+func (g *Grant) record(result Result) bool {
 	b := g.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if g.isDone {
-		return
+		return false
 	}
 	g.isDone = true
 	now := b.Clock.Now()
@@ -143,6 +150,7 @@
 	if result.Outcome != Answered && result.Outcome != Cancelled && g.object != "" {
 		delete(b.affinities, g.object)
 	}
+	return true
 }
 
 // slowFactor is how many times the typical response time a slow response takes.
