Order the requests that wait at a VM for room

Requests for which Place finds no room are refused at once, whatever their urgency. The new package waiting holds them in a queue for each service: by rank, with one of 8 grants for the lower ranks, inside a rank by slack or by work.

A request that has waited asks the canary for its versions again without being counted for a trial again (ChooseWithoutTrial); Choose is unchanged otherwise.

--- a/internal/policy/canary/canary.go
+++ b/internal/policy/canary/canary.go
@@ -207,14 +207,8 @@
 	if t == nil {
 		return Choice{}
 	}
-	switch t.move.State {
-	case directory.MoveDone:
-		return Choice{Only: t.move.TargetVersion}
-	case directory.MoveRolledBack:
-		return Choice{Not: t.move.TargetVersion}
-	}
-	if t.isBad(g.Clock.Now()) {
-		return Choice{Not: t.move.TargetVersion}
+	if t.move.State == directory.MoveDone || t.move.State == directory.MoveRolledBack || t.isBad(g.Clock.Now()) {
+		return t.withoutTrial()
 	}
 	share := g.MaxShare * exposureMargin
 	t.shareCredit += share
@@ -229,6 +223,27 @@
 	return Choice{Only: t.move.TargetVersion, Pack: true, PackOffset: max(offset, 0)}
 }
 
+// ChooseWithoutTrial returns the versions that may run a request which has waited since the
+// call of Choose for it: the new version only if the move to it is done. The request is not
+// counted again.
+func (g *Guard) ChooseWithoutTrial(service string) Choice {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t := g.trials[service]; t != nil {
+		return t.withoutTrial()
+	}
+	return Choice{}
+}
+
+// withoutTrial returns the versions that may run a request that is not on trial. The caller
+// must hold the guard's mu.
+func (t *trial) withoutTrial() Choice {
+	if t.move.State == directory.MoveDone {
+		return Choice{Only: t.move.TargetVersion}
+	}
+	return Choice{Not: t.move.TargetVersion}
+}
+
 // extraCredit returns this VM's part of MaxExtra for the time since the last call. It is
 // spread over the trial, because a fault may begin late, and is the less the more requests
 // the share alone gives. The caller must hold mu.
--- /dev/null
+++ b/internal/policy/waiting/queue.go
@@ -0,0 +1,226 @@
+package waiting
+
+import (
+	"cmp"
+	"slices"
+
+	"baobabladder.example/baobabladder/internal/base/clock"
+	"baobabladder.example/baobabladder/internal/world/routing"
+)
+
+// lowerShare is the number of grants of a service of which one goes to the lower ranks that
+// wait, so that a constant flow of urgent requests does not stop the others.
+const lowerShare = 8
+
+// queue holds the requests that wait for one service. Guarded by the mutex of Queues.
+type queue struct {
+	// levels holds a level for each rank that was seen, the highest first.
+	levels  []*level
+	waiting int
+	// turns counts the grants since a lower rank had its share, as far as lower ranks waited.
+	turns int
+	// granted counts the grants of waiting requests.
+	granted int64
+}
+
+// level holds the waiting requests of one rank.
+type level struct {
+	rank routing.Rank
+	// onTime holds the requests that can still meet their target, ordered by latestStart. late
+	// holds the others, ordered by run.
+	onTime, late []*Request
+	// grants counts the grants of requests of the rank, waiting or not.
+	grants window
+	// lastGrant is the value of queue.granted at the last grant of a waiting request.
+	lastGrant int64
+}
+
+func (l *level) size() int { return len(l.onTime) + len(l.late) }
+
+// at returns the request at a position in order.
+func (l *level) at(i int) *Request {
+	if i < len(l.onTime) {
+		return l.onTime[i]
+	}
+	return l.late[i-len(l.onTime)]
+}
+
+// list returns the list that holds a request, or would.
+func (l *level) list(r *Request) *[]*Request {
+	if r.isLate {
+		return &l.late
+	}
+	return &l.onTime
+}
+
+// compare returns a negative number if x comes before y, and a positive one otherwise. Of two
+// requests that are alike, the one that began to wait earlier comes first; a number of 0 stands
+// for a request that does not wait yet.
+func compare(x, y *Request) int {
+	if c := x.Rank.Compare(y.Rank); c != 0 {
+		return c
+	}
+	switch {
+	case x.isLate != y.isLate && x.isLate:
+		return 1
+	case x.isLate != y.isLate:
+		return -1
+	case x.isLate:
+		return cmp.Or(cmp.Compare(x.Run, y.Run), compareNumbers(x, y))
+	default:
+		return cmp.Or(cmp.Compare(x.latestStart(), y.latestStart()), compareNumbers(x, y))
+	}
+}
+
+func compareNumbers(x, y *Request) int {
+	if x.number == 0 || y.number == 0 {
+		return cmp.Compare(y.number, x.number)
+	}
+	return cmp.Compare(x.number, y.number)
+}
+
+// level returns the level of a rank.
+func (q *queue) level(rank routing.Rank) *level {
+	i := 0
+	for ; i < len(q.levels); i++ {
+		c := q.levels[i].rank.Compare(rank)
+		if c == 0 {
+			return q.levels[i]
+		}
+		if c > 0 {
+			break
+		}
+	}
+	q.levels = slices.Insert(q.levels, i, &level{rank: rank})
+	return q.levels[i]
+}
+
+// hasRank reports whether a request of the rank or a higher one waits.
+func (q *queue) hasRank(rank routing.Rank) bool {
+	for _, l := range q.levels {
+		if l.rank.Compare(rank) > 0 {
+			return false
+		}
+		if l.size() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// isLowerDue reports whether the next grant goes to a lower rank than the highest that asks.
+func (q *queue) isLowerDue() bool { return q.turns >= lowerShare-1 }
+
+func (q *queue) insert(r *Request) {
+	l := q.level(r.Rank)
+	list := l.list(r)
+	i, _ := slices.BinarySearchFunc(*list, r, compare)
+	*list = slices.Insert(*list, i, r)
+	r.level = l
+	q.waiting++
+}
+
+func (q *queue) remove(r *Request) {
+	list := r.level.list(r)
+	if i := slices.Index(*list, r); i >= 0 {
+		*list = slices.Delete(*list, i, i+1)
+		q.waiting--
+	}
+	r.level = nil
+	if q.waiting == 0 {
+		q.turns = 0
+	}
+}
+
+// age moves the requests that can no longer meet their target.
+func (q *queue) age(now clock.Millis) {
+	if q.waiting == 0 {
+		return
+	}
+	for _, l := range q.levels {
+		count := 0
+		for count < len(l.onTime) && l.onTime[count].latestStart() < now {
+			count++
+		}
+		for _, r := range l.onTime[:count] {
+			r.isLate = true
+			i, _ := slices.BinarySearchFunc(l.late, r, compare)
+			l.late = slices.Insert(l.late, i, r)
+		}
+		l.onTime = slices.Delete(l.onTime, 0, count)
+	}
+}
+
+// next returns the first request in order that is not skipped, or nil.
+func (q *queue) next(isSkipped func(*Request) bool) *Request {
+	if q.isLowerDue() {
+		if r := q.nextLower(isSkipped); r != nil {
+			return r
+		}
+	}
+	for _, l := range q.levels {
+		if r := l.next(isSkipped); r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// nextLower returns a request below the highest rank that waits, or nil. The rank that had a
+// grant least recently has its turn.
+func (q *queue) nextLower(isSkipped func(*Request) bool) (found *Request) {
+	isLower := false
+	for _, l := range q.levels {
+		if l.size() == 0 {
+			continue
+		}
+		if isLower && (found == nil || l.lastGrant < found.level.lastGrant) {
+			found = cmp.Or(l.next(isSkipped), found)
+		}
+		isLower = true
+	}
+	return found
+}
+
+func (l *level) next(isSkipped func(*Request) bool) *Request {
+	for i := range l.size() {
+		if r := l.at(i); !isSkipped(r) {
+			return r
+		}
+	}
+	return nil
+}
+
+// last returns the last request of the lowest rank, or nil.
+func (q *queue) last() *Request {
+	for _, l := range slices.Backward(q.levels) {
+		if size := l.size(); size > 0 {
+			return l.at(size - 1)
+		}
+	}
+	return nil
+}
+
+// recordGrant counts a grant of a request that waited and has been removed.
+func (q *queue) recordGrant(granted *level, now clock.Millis) {
+	q.granted++
+	granted.grants.add(1, now)
+	granted.lastGrant = q.granted
+	isHigher, hasHigher, hasLower := true, false, false
+	for _, l := range q.levels {
+		switch {
+		case l == granted:
+			isHigher = false
+		case l.size() > 0 && isHigher:
+			hasHigher = true
+		case l.size() > 0:
+			hasLower = true
+		}
+	}
+	switch {
+	case hasHigher:
+		q.turns = 0
+	case hasLower:
+		q.turns++
+	}
+}
