Let requests wait for room at an endpoint

Gateway.place tries the balancer at once unless requests of the same or a higher rank wait for the service; else, and where the lack of capacity is the only cause of the refusal and the service allows queues, the request waits. A goroutine that runs only while requests wait tries the first 8 that differ when room may have appeared and every 50 ms. A wait ends with the call's context, when the caller leaves, with a planned stop, and when the VM is cut off; nothing was sent then, and the token is refunded. New: metrics room_wait_seconds and waiting_requests, log fields waited_for_room_ms and waiting_ahead.

--- a/internal/base/metric/help.go
+++ b/internal/base/metric/help.go
@@ -25,10 +25,12 @@
 	"refusals":               "Requests that got no endpoint's answer, by reason.",
 	"request_seconds":        "Time from a request's arrival to its answer's end, by kind of work and outcome.",
 	"retries":                "Second sends of requests, by the reason why the first failed.",
+	"room_wait_seconds":      "Time that requests waited for room at an endpoint, by rank (priority of the workspace and of the route) and how the wait ended.",
 	"store_calls":            "Calls to the store, by kind of object and outcome.",
 	"requests_blocked":       "Different requests that are not sent, because endpoints ended while they ran them.",
 	"store_era":              "How often the store came back from a copy.",
 	"store_retries":          "Repeated calls to the store, by reason.",
+	"waiting_requests":       "Requests that wait at this VM for room at an endpoint.",
 	"workspace_demand":       "Requests a second that this VM was asked for, by workspace with a rate.",
 }
 
--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -77,6 +77,12 @@
 	// interrupt ends the context of the request, with a cause. It is set before the request
 	// is in flight.
 	interrupt context.CancelCauseFunc
+	// waitedForRoom is the time that the request has waited for room at an endpoint, and
+	// waitingAhead the largest number of requests that were ahead of it when it began to wait.
+	// hasWaited reports whether it has.
+	waitedForRoom clock.Millis
+	waitingAhead  int
+	hasWaited     bool
 	// sentTo is the endpoint or VM to which the current attempt was sent, or nil.
 	sentTo atomic.Pointer[string]
 	// responseStarted reports whether bytes of the response may have been sent to the
@@ -158,7 +164,9 @@
 	}
 }
 
-func (c *call) isIdempotent() bool { return c.route.Work == document.WorkCatalogue }
+func (c *call) isIdempotent() bool { return isIdempotent(c.route) }
+
+func isIdempotent(route *routing.Route) bool { return route.Work == document.WorkCatalogue }
 
 func (c *call) admit(ctx context.Context) error {
 	wait, ok := c.gateway.Quota.Admit(ctx, c.workspace)
@@ -211,6 +219,9 @@
 	if c.isForwarded {
 		fields["is_forwarded"] = true
 	}
+	if c.hasWaited {
+		fields["waited_for_room_ms"], fields["waiting_ahead"] = c.waitedForRoom, c.waitingAhead
+	}
 	c.addStop(fields)
 	if c.digest != (blocklist.Digest{}) {
 		fields["request_digest"] = c.digest.String()
--- a/internal/entry/gateway/checks.go
+++ b/internal/entry/gateway/checks.go
@@ -59,18 +59,25 @@
 	if c.canFinish(ctx) {
 		return nil
 	}
+	return stoppingRefusal()
+}
+
+func stoppingRefusal() *reason.Refusal {
 	return reason.NotRun(reason.Stopping, stoppingRetryAfter, "this VM ends before the request may be answered, use another one")
 }
 
 // canFinish reports whether another attempt of the request may be made before the VM ends:
 // its deadline passes before the VM interrupts it, or it will usually be answered before that
 // and an estimate is enough.
-func (c *call) canFinish(ctx context.Context) bool {
+func (c *call) canFinish(ctx context.Context) bool { return c.canFinishIn(remainingTime(ctx)) }
+
+// canFinishIn reports the same for a request with the given time to its deadline.
+func (c *call) canFinishIn(remaining clock.Millis) bool {
 	stop, isStopping := c.gateway.plannedStop()
 	if !isStopping {
 		return true
 	}
-	needed, now := remainingTime(ctx), c.gateway.Clock.Now()
+	needed, now := remaining, c.gateway.Clock.Now()
 	if c.isEstimateEnough(&stop, now) {
 		needed = min(needed, clock.Millis(slowResponseTimes*float64(c.route.TargetLatency)))
 	}
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"baobabladder.example/baobabladder/internal/policy/blocklist"
 	"baobabladder.example/baobabladder/internal/policy/canary"
 	"baobabladder.example/baobabladder/internal/policy/retry"
+	"baobabladder.example/baobabladder/internal/policy/waiting"
 	"baobabladder.example/baobabladder/internal/wire/caller"
 	"baobabladder.example/baobabladder/internal/wire/endpoint"
 	"baobabladder.example/baobabladder/internal/world/routing"
@@ -68,13 +69,16 @@
 	Refund(workspace *routing.Workspace)
 }
 
-// Gateway handles callers' requests. All fields but Reach, Alternates, PeerClient, OnBlock,
-// RecordLatency, RecordOutcome, RecordOddity, RecordLimitedSend, RecordInterrupted, PlannedStop,
-// ConfigAge, Log and LogBudget must be set.
+// Gateway handles callers' requests. All fields but Waiting, Reach, Alternates, PeerClient,
+// OnBlock, RecordLatency, RecordOutcome, RecordOddity, RecordLimitedSend, RecordInterrupted,
+// RecordWait, PlannedStop, ConfigAge, Log and LogBudget must be set.
 type Gateway struct {
 	Headers  Headers
 	Client   Sender
 	Balancer *balance.Balancer
+	// Waiting holds the requests that wait for room at an endpoint; without it, requests are
+	// refused at once. The Balancer's OnRoom must call NotifyRoom then.
+	Waiting *waiting.Queues
 	// Reach is optional. Without it, an endpoint that closes a connection before it answers
 	// is taken to have ended.
 	Reach Reach
@@ -107,6 +111,8 @@
 	// RecordInterrupted counts a request that the end of the VM interrupts, by its kind of
 	// work.
 	RecordInterrupted func(work string)
+	// RecordWait records a request that waited for room, or was not allowed to, by its rank.
+	RecordWait func(rank routing.Rank, outcome WaitOutcome, waited clock.Millis)
 	// PlannedStop returns the VM's planned stop, if it is stopping; optional.
 	PlannedStop func() (stop PlannedStop, isStopping bool)
 	// ConfigAge returns how old the configuration in force may be, for the log; optional.
@@ -121,6 +127,7 @@
 	// targetSelector distributes requests over the targets of a route.
 	targetSelector targetSelector
 	inFlight       inFlight
+	dispatcher     dispatcher
 }
 
 // SetTable puts a configuration in force and returns true, unless one of the same or
--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -78,11 +78,7 @@
 	if c.request.Context().Err() != nil {
 		return reason.NotRun(reason.CallerGone, 0, "the caller went away")
 	}
-	grant, err := c.gateway.Balancer.Place(&balance.Request{
-		Route: c.route, Workspace: c.workspace, Service: c.service, Object: c.object,
-		Kilobytes: float64(c.bodyLength) / kilobyte, Remaining: remainingTime(ctx),
-		Versions: c.gateway.Canary.Choose(c.service.Name, c.object), ExcludedEndpoints: c.triedEndpoints,
-	})
+	grant, err := c.place(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/node/metrics.go
+++ b/internal/entry/node/metrics.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"fmt"
+
 	"github.com/uber-go/tally/v4"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
@@ -9,6 +11,7 @@
 	"baobabladder.example/baobabladder/internal/control/roster"
 	"baobabladder.example/baobabladder/internal/entry/gateway"
 	"baobabladder.example/baobabladder/internal/wire/caller"
+	"baobabladder.example/baobabladder/internal/world/routing"
 )
 
 // latencyBuckets are the upper bounds of the latency histogram: 10 ms and eleven more,
@@ -66,6 +69,15 @@
 	}
 }
 
+// waitRecorder returns a function that records the waits for room at endpoints, by the rank of
+// the request ("WORKSPACE.ROUTE") and how the wait ended.
+func waitRecorder(registry *metric.Registry) func(rank routing.Rank, outcome gateway.WaitOutcome, waited clock.Millis) {
+	return func(rank routing.Rank, outcome gateway.WaitOutcome, waited clock.Millis) {
+		registry.Scope.Tagged(map[string]string{"rank": fmt.Sprintf("%d.%d", rank.Workspace, rank.Route), "outcome": string(outcome)}).
+			Histogram("room_wait_seconds", latencyBuckets).RecordDuration(waited.Duration())
+	}
+}
+
 // reportGauges updates the gauges on the VM's knowledge and demand.
 func (n *Node) reportGauges(members []roster.Member) {
 	scope := n.metrics.Scope
@@ -85,6 +97,7 @@
 		cutOff = 1
 	}
 	scope.Gauge("cut_off").Update(cutOff)
+	scope.Gauge("waiting_requests").Update(float64(n.gateway.Waiting.Count()))
 	scope.Gauge("requests_blocked").Update(float64(n.blocklist.Count()))
 	scope.Gauge("store_era").Update(float64(n.Platform.Era()))
 	scope.Gauge("endpoints_limited").Update(float64(len(n.balancer.LimitUses())))
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -34,6 +34,7 @@
 	"baobabladder.example/baobabladder/internal/policy/quota"
 	"baobabladder.example/baobabladder/internal/policy/reach"
 	"baobabladder.example/baobabladder/internal/policy/retry"
+	"baobabladder.example/baobabladder/internal/policy/waiting"
 	"baobabladder.example/baobabladder/internal/wire/caller"
 	"baobabladder.example/baobabladder/internal/wire/endpoint"
 	"baobabladder.example/baobabladder/internal/wire/peer"
@@ -221,14 +222,15 @@
 		Client: &endpoint.Client{
 			Names: n.Platform.EndpointHeaders(), ConnectTimeout: endpointConnectTimeout, AcceptUnframed: true, Dial: n.DialEndpoint,
 		},
-		Balancer: n.balancer, Reach: n.reach, Alternates: n.pickAlternates, PeerClient: &endpoint.Client{ConnectTimeout: alternateConnectTimeout},
+		Balancer: n.balancer, Waiting: &waiting.Queues{Limits: waiting.DefaultLimits}, Reach: n.reach, Alternates: n.pickAlternates, PeerClient: &endpoint.Client{ConnectTimeout: alternateConnectTimeout},
 		Quota: n.admission, Canary: n.canary, RetryBudget: n.retryBudget, Refuser: refuser,
 		Blocklist: n.blocklist, OnBlock: n.announceBlock,
 		RetryCounters: metric.NewReasonCounters(n.metrics.Scope, "retries"), Log: n.Log,
 		RecordLatency: latencyRecorder(n.metrics), RecordOutcome: outcomeRecorder(n.metrics),
 		RecordOddity: oddityRecorder(n.metrics), RecordLimitedSend: limitedSendRecorder(n.metrics),
-		RecordInterrupted: interruptedRecorder(n.metrics), ConfigAge: n.configAge, PlannedStop: n.getPlannedStop,
+		RecordInterrupted: interruptedRecorder(n.metrics), RecordWait: waitRecorder(n.metrics), ConfigAge: n.configAge, PlannedStop: n.getPlannedStop,
 	}
+	n.balancer.OnRoom = n.gateway.NotifyRoom
 	n.callerServer, n.forwardServer = n.newCallerServer(n.gateway, refuser), n.newCallerServer(n.gateway.ForwardHandler(), refuser)
 	n.buildFeeds()
 	n.roster = &roster.Roster{
