--- a/internal/policy/waiting/outlook.go
+++ b/internal/policy/waiting/outlook.go
@@ -51,8 +51,11 @@
 // expectedWait returns the expected wait of a request with above requests of higher ranks and
 // own ones of its rank ahead, where all grants of the service and those to its rank and
 // lower ones are given. Grants to higher ranks that do not wait are taken from the request's.
-func expectedWait(above, own int, all, atOrBelow float64) clock.Millis {
-	return max(timeFor(above+own+1, all), timeFor(own+1, atOrBelow))
+// A request that was overtaken gets only a part of the room, so each request that overtook it
+// counts as if it were still ahead.
+func (r *Request) expectedWait(above, own int, all, atOrBelow float64) clock.Millis {
+	own += r.overtaken + 1
+	return max(timeFor(above+own, all), timeFor(own, atOrBelow))
 }
 
 // allGrants returns the number of grants of the service in the last grantWindow.
@@ -81,9 +84,9 @@
 		if r.isLate {
 			own += len(l.onTime)
 		}
-		return above + own, expectedWait(above, own, all, atOrBelow)
+		return above + own, r.expectedWait(above, own, all, atOrBelow)
 	}
-	return above, expectedWait(above, 0, all, atOrBelow)
+	return above, r.expectedWait(above, 0, all, atOrBelow)
 }
 
 // late appends the requests that are not expected to end in time. A request is not counted as
@@ -95,7 +98,7 @@
 		own := 0
 		for i := range l.size() {
 			r := l.at(i)
-			wait := expectedWait(above, own, all, atOrBelow)
+			wait := r.expectedWait(above, own, all, atOrBelow)
 			if r.canEnd(now, wait) {
 				own++
 				continue
--- a/internal/policy/waiting/queue.go
+++ b/internal/policy/waiting/queue.go
@@ -201,6 +201,23 @@
 	return nil
 }
 
+// recordOvertaking counts the grant of a request for those of its rank that began to wait
+// before it, and for those of higher ranks unless the grant is the share of its rank.
+func (q *queue) recordOvertaking(granted *Request) {
+	isShare := q.isLowerDue()
+	for _, l := range q.levels {
+		isOwn := l == granted.level
+		for i := range l.size() {
+			if r := l.at(i); isOwn && r.number < granted.number || !isOwn && !isShare {
+				r.overtaken++
+			}
+		}
+		if isOwn {
+			return
+		}
+	}
+}
+
 // recordGrant counts a grant of a request that waited and has been removed.
 func (q *queue) recordGrant(granted *level, now clock.Millis) {
 	q.granted++
--- a/internal/policy/waiting/waiting.go
+++ b/internal/policy/waiting/waiting.go
@@ -80,6 +80,9 @@
 	isLate bool
 	// number counts requests in the order in which they began to wait.
 	number int64
+	// overtaken counts the grants to other requests that came later or are of a lower rank:
+	// this one could not use that room, or others come before it again and again.
+	overtaken int
 }
 
 // latestStart is the latest time of a grant with which the request meets its target.
@@ -194,6 +197,7 @@
 		return false
 	}
 	queue, level := q.queue(r.Service), r.level
+	queue.recordOvertaking(r)
 	q.remove(queue, r)
 	queue.recordGrant(level, now)
 	return true
