Check waiting requests against the configuration in force

A request may wait for seconds. If its route or key is withdrawn meanwhile it is refused, and it is placed by the home regions that hold now.

TestWaitEnds covers both.

--- a/internal/entry/gateway/dispatch.go
+++ b/internal/entry/gateway/dispatch.go
@@ -167,17 +167,17 @@
 	g := p.gateway
 	_, isStopping := g.plannedStop()
 	isCutOff := g.Reach != nil && g.Reach.IsCutOff()
-	if !isStopping && !isCutOff {
-		return
-	}
-	now := g.Clock.Now()
+	table, now := g.Table(), g.Clock.Now()
 	p.requests = g.Waiting.All(service, p.requests[:0])
 	for _, r := range p.requests {
 		w := r.Owner.(*waiter)
+		if err := w.refresh(table); err != nil {
+			p.end(w, placement{err: err, outcome: WaitRefused})
+		}
 		switch {
 		case isCutOff:
 			p.end(w, placement{err: reason.NotRun(reason.NoEndpoint, alternateRetryAfter, "this VM lost its links while the request waited for room"), outcome: WaitCutOff})
-		case !w.call.canFinishIn(w.deadline - now):
+		case isStopping && !w.call.canFinishIn(w.deadline-now):
 			p.end(w, placement{err: stoppingRefusal(), outcome: WaitStopped})
 		}
 	}
--- a/internal/entry/gateway/waiting.go
+++ b/internal/entry/gateway/waiting.go
@@ -7,6 +7,7 @@
 	"baobabladder.example/baobabladder/internal/base/reason"
 	"baobabladder.example/baobabladder/internal/policy/balance"
 	"baobabladder.example/baobabladder/internal/policy/waiting"
+	"baobabladder.example/baobabladder/internal/world/key"
 	"baobabladder.example/baobabladder/internal/world/routing"
 )
 
@@ -37,8 +38,10 @@
 type waiter struct {
 	waiting.Request
 	call *call
-	// request belongs to the dispatcher until result has an element.
+	// request belongs to the dispatcher until result has an element. Its route and workspace
+	// are those of table.
 	request *balance.Request
+	table   *routing.Table
 	// deadline is that of the call, without a margin.
 	deadline clock.Millis
 	// result gets one element when the request is removed from its queue, unless the call
@@ -93,7 +96,7 @@
 }
 
 func (c *call) newWaiter(ctx context.Context, request *balance.Request, rank routing.Rank) *waiter {
-	w := &waiter{call: c, request: request, result: make(chan placement, 1)}
+	w := &waiter{call: c, request: request, table: c.table, result: make(chan placement, 1)}
 	w.deadline = c.gateway.Clock.Now() + remainingTime(ctx)
 	run := c.gateway.Balancer.ExpectedRun(request)
 	w.Request = waiting.Request{
@@ -106,6 +109,29 @@
 	return w
 }
 
+// refresh makes the request follow the configuration in force, in which its key may be
+// withdrawn or its home regions may have changed while it waited. The error is a refusal.
+func (w *waiter) refresh(table *routing.Table) error {
+	if w.table == table {
+		return nil
+	}
+	c := w.call
+	w.table = table
+	route := table.Match(c.request.Host, c.request.URL.Path)
+	if route == nil || route.Name != c.route.Name {
+		return reason.NotRun(reason.NotReady, notReadyRetryAfter, "the request's route was withdrawn while it waited for room")
+	}
+	w.request.Route = route
+	if c.workspace == nil {
+		return nil
+	}
+	w.request.Workspace = table.Workspaces[c.workspace.Name]
+	if w.request.Workspace == nil || !c.isForwarded && table.Keys[key.DigestOf(c.head.Key)] != w.request.Workspace {
+		return reason.NotRun(reason.KeyUnknown, 0, "the request's key was withdrawn while it waited for room")
+	}
+	return nil
+}
+
 // awaitRoom waits for the placement of a request in its queue. The wait ends with ctx, and
 // when the caller leaves.
 func (c *call) awaitRoom(ctx context.Context, w *waiter) (*balance.Grant, error) {
--- a/internal/entry/gateway/waiting_test.go
+++ b/internal/entry/gateway/waiting_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -18,6 +19,7 @@
 	"baobabladder.example/baobabladder/internal/wire/caller"
 	"baobabladder.example/baobabladder/internal/wire/endpoint"
 	"baobabladder.example/baobabladder/internal/world/directory"
+	"baobabladder.example/baobabladder/internal/world/key"
 	"baobabladder.example/baobabladder/internal/world/routing"
 )
 
@@ -44,9 +46,15 @@
 	v.gateway.Waiting = &waiting.Queues{Limits: waiting.Limits{PerService: 2, Total: 2, Bytes: 1 << 20}}
 	v.gateway.RecordWait = func(_ routing.Rank, outcome WaitOutcome, _ clock.Millis) { v.outcomes <- outcome }
 	v.gateway.Balancer.OnRoom = v.gateway.NotifyRoom
-	for _, route := range v.gateway.Table().Hosts["shop.example"] {
+	table := v.gateway.Table()
+	keyed := *table.Hosts["shop.example"][1]
+	keyed.Name, keyed.Prefix, keyed.Public = "keyed", "/keyed/", false
+	table.Hosts["shop.example"] = append(table.Hosts["shop.example"], &keyed)
+	table.Workspaces = map[string]*routing.Workspace{"w": {Name: "w"}}
+	table.Keys = map[key.Digest]*routing.Workspace{key.DigestOf("k"): table.Workspaces["w"]}
+	for _, route := range table.Hosts["shop.example"] {
 		route.TargetLatency = 100
-		if route.Name == "order" {
+		if route.Name != "read" {
 			route.Priority = 1
 		}
 		v.fill(t, route)
@@ -68,6 +76,24 @@
 	t.Fatal("the endpoint is not full")
 }
 
+// setRoute puts a configuration without keys in force, in which the endpoint's routes have the
+// home region, or are missing.
+func (v *fullVM) setRoute(region string, exists bool) {
+	table := *v.gateway.Table()
+	table.Version++
+	table.Keys, table.Workspaces = nil, nil
+	var routes []*routing.Route
+	for _, route := range table.Hosts["shop.example"] {
+		changed := *route
+		changed.HomeRegions = []string{region}
+		if exists {
+			routes = append(routes, &changed)
+		}
+	}
+	table.Hosts = map[string][]*routing.Route{"shop.example": routes}
+	v.gateway.SetTable(&table)
+}
+
 // free ends the requests that fill the endpoint.
 func (v *fullVM) free() {
 	for _, grant := range v.grants {
@@ -84,6 +110,7 @@
 	request.Host = "shop.example"
 	request.Header.Set(endpoint.RequestIDHeader, testRequestID)
 	request.Header.Set(caller.DeadlineHeader, deadline)
+	request.Header.Set("Authorization", "Bearer k")
 	go func() {
 		response := httptest.NewRecorder()
 		v.gateway.ServeHTTP(response, request)
@@ -103,15 +130,18 @@
 		status         int
 		reason         reason.Reason
 	}{
-		"room appears":      {"/order/x", "2000", func(v *fullVM, _ func()) { v.free() }, WaitGranted, http.StatusOK, ""},
-		"caller leaves":     {"/read/x", "2000", func(_ *fullVM, leave func()) { leave() }, WaitCallerLeft, http.StatusServiceUnavailable, reason.CallerGone},
-		"caller of order":   {"/order/x", "2000", func(_ *fullVM, leave func()) { leave() }, WaitCallerLeft, http.StatusServiceUnavailable, reason.CallerGone},
-		"VM ends":           {"/order/x", "2000", func(v *fullVM, _ func()) { v.gateway.Interrupt() }, WaitStopped, http.StatusServiceUnavailable, reason.Stopping},
-		"time is up":        {"/order/x", "600", func(*fullVM, func()) {}, WaitOutcome(waiting.Late), http.StatusServiceUnavailable, reason.RegionFull},
-		"never enough time": {"/order/x", "200", func(*fullVM, func()) {}, WaitOutcome(waiting.Late), http.StatusServiceUnavailable, reason.RegionFull},
-		"endpoint is gone":  {"/order/x", "2000", func(v *fullVM, _ func()) { v.gateway.Balancer.UpdateDirectory(directory.New(nil, nil, nil)) }, WaitRefused, http.StatusServiceUnavailable, reason.NoEndpoint},
-		"links are lost":    {"/order/x", "2000", func(v *fullVM, _ func()) { v.reach.isCutOff.Store(true) }, WaitCutOff, http.StatusServiceUnavailable, reason.NoEndpoint},
-		"planned stop":      {"/order/x", "2000", func(v *fullVM, _ func()) { v.isStopping.Store(true) }, WaitStopped, http.StatusServiceUnavailable, reason.Stopping},
+		"room appears":        {"/order/x", "2000", func(v *fullVM, _ func()) { v.free() }, WaitGranted, http.StatusOK, ""},
+		"caller leaves":       {"/read/x", "2000", func(_ *fullVM, leave func()) { leave() }, WaitCallerLeft, http.StatusServiceUnavailable, reason.CallerGone},
+		"caller of order":     {"/order/x", "2000", func(_ *fullVM, leave func()) { leave() }, WaitCallerLeft, http.StatusServiceUnavailable, reason.CallerGone},
+		"VM ends":             {"/order/x", "2000", func(v *fullVM, _ func()) { v.gateway.Interrupt() }, WaitStopped, http.StatusServiceUnavailable, reason.Stopping},
+		"time is up":          {"/order/x", "600", func(*fullVM, func()) {}, WaitOutcome(waiting.Late), http.StatusServiceUnavailable, reason.RegionFull},
+		"never enough time":   {"/order/x", "200", func(*fullVM, func()) {}, WaitOutcome(waiting.Late), http.StatusServiceUnavailable, reason.RegionFull},
+		"endpoint is gone":    {"/order/x", "2000", func(v *fullVM, _ func()) { v.gateway.Balancer.UpdateDirectory(directory.New(nil, nil, nil)) }, WaitRefused, http.StatusServiceUnavailable, reason.NoEndpoint},
+		"links are lost":      {"/order/x", "2000", func(v *fullVM, _ func()) { v.reach.isCutOff.Store(true) }, WaitCutOff, http.StatusServiceUnavailable, reason.NoEndpoint},
+		"planned stop":        {"/order/x", "2000", func(v *fullVM, _ func()) { v.isStopping.Store(true) }, WaitStopped, http.StatusServiceUnavailable, reason.Stopping},
+		"home region changes": {"/order/x", "2000", func(v *fullVM, _ func()) { v.setRoute("b", true) }, WaitRefused, http.StatusServiceUnavailable, reason.NoEndpoint},
+		"route is withdrawn":  {"/order/x", "2000", func(v *fullVM, _ func()) { v.setRoute("a", false) }, WaitRefused, http.StatusServiceUnavailable, reason.NotReady},
+		"key is withdrawn":    {"/keyed/x", "2000", func(v *fullVM, _ func()) { v.setRoute("a", true) }, WaitRefused, http.StatusUnauthorized, reason.KeyUnknown},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -155,3 +185,66 @@
 	g.Eventually(first, waitTimeout).Should(Receive(HaveField("Code", http.StatusOK)))
 	g.Expect(v.endpoint.allRuns()).To(Equal([]string{"POST /read/3 body", "POST /order/1 body"}))
 }
+
+// newPlaceCall returns a call that is ready to be placed.
+func (v *testVM) newPlaceCall(path string) *call {
+	request := httptest.NewRequest("POST", path, nil)
+	request.Host = "shop.example"
+	c := &call{gateway: v.gateway, request: request, table: v.gateway.Table(), bufferedBody: make([]byte, 1)}
+	c.route = c.table.Match(request.Host, path)
+	c.setService("s")
+	return c
+}
+
+// Guards against a VM of 136 MB that runs out of memory by what it keeps for each waiting
+// request, beside the request itself.
+func TestWaitingRequestsNeedLittleMemory(t *testing.T) {
+	const count, maxBytes = 10_000, 10 << 20
+	g := NewWithT(t)
+	v := newTestVM(t, "vm-1", "a", false, 1, unusedAddress)
+	v.gateway.Waiting = &waiting.Queues{Limits: waiting.Limits{PerService: count, Total: count, Bytes: count}}
+	for range 10 * count {
+		v.gateway.Waiting.Begin("s", routing.Rank{})
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+	defer cancel()
+	c := v.newPlaceCall("/order/x")
+	heap := func() int64 {
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return int64(stats.HeapAlloc)
+	}
+	before := heap()
+	for range count {
+		w := c.newWaiter(ctx, &balance.Request{Route: c.route, Service: c.service, Remaining: clock.Hour}, routing.Rank{})
+		cause, _ := v.gateway.Waiting.Add(&w.Request)
+		g.Expect(cause).To(BeEmpty())
+	}
+	used := heap() - before
+	t.Logf("%d bytes for each waiting request", used/count)
+	g.Expect(used).To(BeNumerically("<", maxBytes))
+	g.Expect(v.gateway.Waiting.Count()).To(Equal(count))
+}
+
+// Guards against a queue that costs the requests which need not wait.
+func BenchmarkPlaceWithRoom(b *testing.B) {
+	for name, queues := range map[string]*waiting.Queues{"no queues": nil, "queues": {Limits: waiting.DefaultLimits}} {
+		v := newTestVM(b, "vm-1", "a", false, 1, unusedAddress)
+		v.gateway.Waiting = queues
+		v.gateway.Balancer.OnRoom = v.gateway.NotifyRoom
+		c := v.newPlaceCall("/order/x")
+		ctx, cancel := context.WithTimeout(b.Context(), time.Hour)
+		defer cancel()
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				grant, err := c.place(ctx)
+				if err != nil {
+					b.Fatal(err)
+				}
+				cancelGrant(grant)
+			}
+		})
+	}
+}
