Keep a waiting request on trial, and test the ends of waits

A request that other requests kept from being tried at once lost the trial of a new version that the canary had counted for it, so that a long overload could leave a move without evidence. Guard.Recheck keeps the choice while the trial is on, and replaces ChooseWithoutTrial.

New tests: each of 400 requests whose callers leave at any time ends once and returns its grant; a grant is returned if its caller left at that moment; a request that must not run twice is not sent into an endpoint's queue that makes it late.

--- a/internal/entry/gateway/dispatch.go
+++ b/internal/entry/gateway/dispatch.go
@@ -205,7 +205,7 @@
 // isLike reports whether the same endpoints may run both requests.
 func (w *waiter) isLike(other *waiter) bool {
 	x, y := w.request, other.request
-	return x.Route == y.Route && x.Workspace == y.Workspace && x.Object == y.Object &&
+	return x.Route == y.Route && x.Workspace == y.Workspace && x.Object == y.Object && x.Versions == y.Versions &&
 		len(x.ExcludedEndpoints) == 0 && len(y.ExcludedEndpoints) == 0
 }
 
@@ -213,7 +213,7 @@
 func (p *dispatchPass) try(w *waiter) {
 	g := p.gateway
 	w.request.Remaining = w.deadline - g.Clock.Now()
-	w.request.Versions = g.Canary.ChooseWithoutTrial(w.Service)
+	w.request.Versions = g.Canary.Recheck(w.Service, w.request.Versions)
 	grant, err := g.placeInTime(w.request, g.dispatcher.undo)
 	switch {
 	case err == nil && g.Waiting.Grant(&w.Request):
--- a/internal/entry/gateway/waiting_test.go
+++ b/internal/entry/gateway/waiting_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -36,7 +37,7 @@
 
 func newFullVM(t testing.TB) *fullVM {
 	t.Helper()
-	v := &fullVM{endpoint: &testEndpoint{}, outcomes: make(chan WaitOutcome, 100)}
+	v := &fullVM{endpoint: &testEndpoint{}, outcomes: make(chan WaitOutcome, 1000)}
 	server := httptest.NewServer(v.endpoint)
 	t.Cleanup(server.Close)
 	v.testVM = newTestVM(t, "vm-1", "a", false, 1, strings.TrimPrefix(server.URL, "http://"))
@@ -54,7 +55,7 @@
 	table.Keys = map[key.Digest]*routing.Workspace{key.DigestOf("k"): table.Workspaces["w"]}
 	for _, route := range table.Hosts["shop.example"] {
 		route.TargetLatency = 100
-		if route.Name != "read" {
+		if route.Name == "order" || route.Name == "keyed" {
 			route.Priority = 1
 		}
 		v.fill(t, route)
@@ -186,6 +187,78 @@
 	g.Expect(v.endpoint.allRuns()).To(Equal([]string{"POST /read/3 body", "POST /order/1 body"}))
 }
 
+// Guards against a grant that is lost when its request leaves the queue at the same time, which
+// would take a slot for ever, and against a request that never ends.
+func TestEachWaitEndsOnceAndReturnsItsGrant(t *testing.T) {
+	g := NewWithT(t)
+	v := newFullVM(t)
+	v.gateway.Waiting.Limits = waiting.Limits{PerService: 30, Total: 30, Bytes: 1 << 20}
+	v.free()
+	v.endpoint.setRespond(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Millisecond) })
+	var group sync.WaitGroup
+	for i := range 400 {
+		path := []string{"/read/x", "/order/x", "/keyed/x"}[i%3]
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(1+i%50)*time.Millisecond)
+		group.Go(func() {
+			defer cancel()
+			request := httptest.NewRequest("POST", path, strings.NewReader("body")).WithContext(ctx)
+			request.Host = "shop.example"
+			request.Header.Set("Authorization", "Bearer k")
+			v.gateway.ServeHTTP(httptest.NewRecorder(), request)
+		})
+	}
+	group.Wait()
+	g.Expect(v.gateway.Waiting.Count()).To(BeZero())
+	g.Expect(v.gateway.Balancer.Running()).To(BeEmpty())
+	g.Eventually(func() bool {
+		d := &v.gateway.dispatcher
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.isRunning
+	}, waitTimeout).Should(BeFalse())
+}
+
+// Guards against a slot that is lost when a caller leaves at the moment of the grant.
+func TestGrantOfLeftRequestIsReturned(t *testing.T) {
+	g := NewWithT(t)
+	v := newFullVM(t)
+	v.free()
+	ctx, leave := context.WithTimeout(t.Context(), time.Minute)
+	c := v.newPlaceCall("/order/x")
+	c.request = c.request.WithContext(ctx)
+	w := c.newWaiter(ctx, &balance.Request{Route: c.route, Service: c.service, Remaining: testTimeout}, routing.Rank{})
+	grant, err := v.gateway.Balancer.Place(w.request)
+	g.Expect(err).NotTo(HaveOccurred())
+	w.result <- placement{grant: grant, outcome: WaitGranted}
+	leave()
+	_, err = c.awaitRoom(ctx, w)
+	g.Expect(caller.AsRefusal(err)).To(And(HaveField("Reason", reason.CallerGone), HaveField("Ran", reason.RanNo)))
+	g.Expect(v.gateway.Balancer.Running()).To(BeEmpty())
+}
+
+// Guards against an order that is sent into an endpoint's queue although its answer would come
+// about when the VM gives it up, which leaves its outcome unknown. A look-up may be sent.
+func TestOrderIsNotSentToBeLate(t *testing.T) {
+	g := NewWithT(t)
+	v := newFullVM(t)
+	for _, grant := range v.grants[4:] {
+		cancelGrant(grant)
+	}
+	for path, isSent := range map[string]bool{"/home/x": false, "/read/x": true} {
+		c := v.newPlaceCall(path)
+		request := &balance.Request{Route: c.route, Service: c.service, Remaining: 190}
+		grant, err := v.gateway.placeInTime(request, cancelGrant)
+		g.Expect(err == nil).To(Equal(isSent), "%s: %v", path, err)
+		if isSent {
+			g.Expect(grant.Basis.Expected).To(And(BeNumerically(">", 190/answerMargin), BeNumerically("<", 190)))
+			cancelGrant(grant)
+		} else {
+			g.Expect(balance.LacksCapacity(err)).To(BeTrue())
+		}
+		g.Expect(v.gateway.Balancer.Running()).To(Equal(map[string]int{"e1": 4}))
+	}
+}
+
 // newPlaceCall returns a call that is ready to be placed.
 func (v *testVM) newPlaceCall(path string) *call {
 	request := httptest.NewRequest("POST", path, nil)
--- a/internal/policy/canary/canary.go
+++ b/internal/policy/canary/canary.go
@@ -207,7 +207,7 @@
 	if t == nil {
 		return Choice{}
 	}
-	if t.move.State == directory.MoveDone || t.move.State == directory.MoveRolledBack || t.isBad(g.Clock.Now()) {
+	if !t.isOn(g.Clock.Now()) {
 		return t.withoutTrial()
 	}
 	share := g.MaxShare * exposureMargin
@@ -223,16 +223,25 @@
 	return Choice{Only: t.move.TargetVersion, Pack: true, PackOffset: max(offset, 0)}
 }
 
-// ChooseWithoutTrial returns the versions that may run a request which has waited since the
-// call of Choose for it: the new version only if the move to it is done. The request is not
-// counted again.
-func (g *Guard) ChooseWithoutTrial(service string) Choice {
+// Recheck returns the versions that may run a request which has waited since Choose returned
+// earlier for it. The request is not counted again; it may be on trial only if it was before.
+func (g *Guard) Recheck(service string, earlier Choice) Choice {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if t := g.trials[service]; t != nil {
+	t := g.trials[service]
+	switch {
+	case t == nil:
+		return Choice{}
+	case earlier.Pack && earlier.Only == t.move.TargetVersion && t.isOn(g.Clock.Now()):
+		return earlier
+	default:
 		return t.withoutTrial()
 	}
-	return Choice{}
+}
+
+// isOn reports whether requests may be on trial. The caller must hold the guard's mu.
+func (t *trial) isOn(now clock.Millis) bool {
+	return t.move.State != directory.MoveDone && t.move.State != directory.MoveRolledBack && !t.isBad(now)
 }
 
 // withoutTrial returns the versions that may run a request that is not on trial. The caller
--- a/internal/policy/canary/canary_test.go
+++ b/internal/policy/canary/canary_test.go
@@ -133,6 +133,21 @@
 	g.Expect(trial.guard.Choose("another service", "").Allows("v2")).To(BeTrue())
 }
 
+// Guards against a request that waited and runs on a version that was found bad meanwhile, and
+// against one that keeps to the old version after the move.
+func TestRecheckFollowsTheMove(t *testing.T) {
+	g := NewWithT(t)
+	trial := newTrial()
+	onTrial, others := canary.Choice{Only: "v2", Pack: true, PackOffset: 3}, canary.Choice{Not: "v2"}
+	g.Expect(trial.guard.Recheck("s", onTrial)).To(Equal(onTrial))
+	g.Expect(trial.guard.Recheck("s", canary.Choice{})).To(Equal(others))
+	trial.update(directory.MoveRolledBack)
+	g.Expect(trial.guard.Recheck("s", onTrial)).To(Equal(others))
+	trial.update(directory.MoveDone)
+	g.Expect(trial.guard.Recheck("s", others)).To(Equal(canary.Choice{Only: "v2"}))
+	g.Expect(trial.guard.Recheck("another service", onTrial)).To(Equal(canary.Choice{}))
+}
+
 // ofNew returns the counts of good requests on the new version.
 func ofNew(answers int) canary.VersionCounts {
 	return canary.VersionCounts{New: canary.Counts{Answers: answers}}
