Expect longer runs on endpoints whose machine is slow at the moment

An endpoint states the pace of its machine as the fourth figure of Server-Load, of which only the first two were read. The expected run time and the wait in the endpoint's queue are now multiplied by the pace, weighted by its age. Run times and slowdowns are learned after the pace is taken out of them. A pace that answers do not confirm loses weight. A report of fewer slots than are registered counts while it is fresh.

The run time is looked up once for each choice instead of once for each endpoint.

--- a/internal/entry/gateway/outcome.go
+++ b/internal/entry/gateway/outcome.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -71,7 +72,7 @@
 	if notRun.Status == http.StatusMisdirectedRequest {
 		result.Outcome = balance.Moved
 	}
-	result.Running, result.Waiting = parseLoad(notRun.Load)
+	parseLoad(notRun.Load, &result)
 	if notRun.Limit != "" {
 		// An endpoint that did not run a request may leave its limit out.
 		result.Limit = balance.ParseLimit(notRun.Limit)
@@ -107,22 +108,40 @@
 	return balance.Answered
 }
 
-// parseLoad parses an endpoint's load report, "running,waiting,slots". running is -1
-// if there is no valid report.
-func parseLoad(load string) (running, waiting int) {
-	parts := strings.Split(load, ",")
-	if len(parts) < 2 {
-		return -1, 0
+// minPace and maxPace bound the pace that an endpoint can state.
+const (
+	minPace = 10
+	maxPace = 10_000
+)
+
+// parseLoad parses an endpoint's load report, "running,waiting,slots" or
+// "running,waiting,slots,pace", into the result. Running is -1 if there is no valid report.
+// A number of slots or a pace that makes no sense is left out of an otherwise valid one.
+func parseLoad(load string, result *balance.Result) {
+	running, rest, _ := strings.Cut(load, ",")
+	waiting, rest, _ := strings.Cut(rest, ",")
+	slots, rest, _ := strings.Cut(rest, ",")
+	pace, _, _ := strings.Cut(rest, ",")
+	var isRunning, isWaiting bool
+	result.Running, isRunning = parseFigure(running, 0, math.MaxInt32)
+	result.Waiting, isWaiting = parseFigure(waiting, 0, math.MaxInt32)
+	if !isRunning || !isWaiting {
+		result.Running, result.Waiting = -1, 0
+		return
 	}
-	running, err := strconv.Atoi(strings.TrimSpace(parts[0]))
-	if err != nil || running < 0 {
-		return -1, 0
+	result.Slots, _ = parseFigure(slots, 1, math.MaxInt32)
+	if figure, err := strconv.ParseFloat(strings.TrimSpace(pace), 64); err == nil && figure >= minPace && figure <= maxPace {
+		result.Pace = int(math.Round(figure))
 	}
-	waiting, err = strconv.Atoi(strings.TrimSpace(parts[1]))
-	if err != nil || waiting < 0 {
-		return -1, 0
+}
+
+// parseFigure parses one figure of a load report. It is 0 if it is not within the bounds.
+func parseFigure(text string, lowest, highest int) (figure int, ok bool) {
+	figure, err := strconv.Atoi(strings.TrimSpace(text))
+	if err != nil || figure < lowest || figure > highest {
+		return 0, false
 	}
-	return running, waiting
+	return figure, true
 }
 
 // notRunStatus returns the status with which the endpoint stated that it did not run the
--- a/internal/entry/gateway/outcome_test.go
+++ b/internal/entry/gateway/outcome_test.go
@@ -80,3 +80,29 @@
 		})
 	}
 }
+
+// Guards against a load report of which a pace or a number of slots without sense spoils the
+// other figures.
+func TestParseLoad(t *testing.T) {
+	g := NewWithT(t)
+	none := balance.Result{Running: -1}
+	for load, want := range map[string]balance.Result{
+		"": none, "3": none, "x,1,3": none, "-1,0,3": none, "2,x,3,100": none, "2,-1,3,100": none,
+		"2,1":              {Running: 2, Waiting: 1},
+		"2,1,3":            {Running: 2, Waiting: 1, Slots: 3},
+		" 2, 1, 3, 250 ":   {Running: 2, Waiting: 1, Slots: 3, Pace: 250},
+		"2,1,3,99.6":       {Running: 2, Waiting: 1, Slots: 3, Pace: 100},
+		"2,1,3,10":         {Running: 2, Waiting: 1, Slots: 3, Pace: 10},
+		"2,1,3,10000,more": {Running: 2, Waiting: 1, Slots: 3, Pace: 10_000},
+		"2,1,3,9":          {Running: 2, Waiting: 1, Slots: 3},
+		"2,1,3,10001":      {Running: 2, Waiting: 1, Slots: 3},
+		"2,1,3,NaN":        {Running: 2, Waiting: 1, Slots: 3},
+		"2,1,3,slow":       {Running: 2, Waiting: 1, Slots: 3},
+		"2,1,-3,120":       {Running: 2, Waiting: 1, Pace: 120},
+		"2,1,,120":         {Running: 2, Waiting: 1, Pace: 120},
+	} {
+		result := balance.Result{Running: -1}
+		parseLoad(load, &result)
+		g.Expect(result).To(Equal(want), load)
+	}
+}
--- a/internal/entry/gateway/requestlog.go
+++ b/internal/entry/gateway/requestlog.go
@@ -113,6 +113,9 @@
 	if a.basis.Limit.Statement == balance.LimitNamed {
 		fields["limit_per_s"] = a.basis.Limit.Rate
 	}
+	if a.basis.Pace != balance.UsualPace {
+		fields["pace"] = a.basis.Pace
+	}
 	if a.status > 0 {
 		fields["status"] = a.status
 	}
--- a/internal/entry/gateway/run.go
+++ b/internal/entry/gateway/run.go
@@ -122,7 +122,7 @@
 	}
 	status = response.Status
 	result.Limit, result.IsLeaving, result.Pause = balance.ParseLimit(response.Limit), response.IsLeaving, response.Pause
-	result.Running, result.Waiting = parseLoad(response.Load)
+	parseLoad(response.Load, &result)
 	err = c.relayResponse(ctx, response)
 	_ = response.Body.Close()
 	result.Outcome = responseOutcome(response, err)
--- a/internal/policy/balance/candidate.go
+++ b/internal/policy/balance/candidate.go
@@ -49,6 +49,27 @@
 	wait     float64
 	isWarm   bool
 	isHome   bool
+	pace     pacedRun
+}
+
+// query is a request with what is the same for all endpoints that are compared for it.
+type query struct {
+	request *Request
+	now     clock.Millis
+	run     *runTime
+	// warmEndpoint is the ID of the endpoint that recently served the object, or empty.
+	warmEndpoint string
+}
+
+// newQuery returns the query for a request. The caller must hold mu.
+func (b *Balancer) newQuery(request *Request, now clock.Millis) query {
+	q := query{request: request, now: now, run: b.runTime(request)}
+	if object := request.affinityKey(); object != "" {
+		if recent, known := b.affinities[object]; known && now-recent.lastUsedAt < affinityTTL {
+			q.warmEndpoint = recent.endpoint
+		}
+	}
+	return q
 }
 
 // selection is the result of comparing the endpoints for a request.
@@ -68,6 +89,7 @@
 // includeSuspended is set. The caller must hold mu.
 func (b *Balancer) selectEndpoint(request *Request, now clock.Millis, includeSuspended bool) (s selection) {
 	endpoints := b.directory.Services[request.Service.Name]
+	q := b.newQuery(request, now)
 	var home *endpointState
 	home, s.preferred = b.home(request, endpoints, now)
 	isSaturated := home != nil && b.isSaturated(request, endpoints, now)
@@ -91,9 +113,9 @@
 			s.rejected.addLimited(wait)
 			continue
 		}
-		c := b.estimate(request, state, state == home, now)
+		c := b.estimate(&q, state, state == home)
 		switch {
-		case int(state.load(now)) >= state.endpoint.Slots+maxQueueLength:
+		case int(state.load(now)) >= state.slots(now)+maxQueueLength:
 			s.rejected.full++
 			continue
 		case isSaturated && !c.isWarm && !c.isHome:
@@ -198,7 +220,7 @@
 		}
 	}
 	position = (position + count - request.Versions.PackOffset%max(count, 1)) % max(count, 1)
-	if int(state.load(now)) >= state.endpoint.Slots {
+	if int(state.load(now)) >= state.slots(now) {
 		position += count
 	}
 	return packCostStep * float64(position)
@@ -223,7 +245,7 @@
 			continue
 		}
 		load += state.load(now)
-		slots += state.usableSlots(run, now)
+		slots += min(state.usableSlots(run, now), float64(state.slots(now)))
 	}
 	return load, slots
 }
@@ -245,14 +267,12 @@
 
 // estimate returns an endpoint as a candidate for a request, with its expected response
 // time and cost. The caller must hold mu.
-func (b *Balancer) estimate(request *Request, state *endpointState, isHome bool, now clock.Millis) candidate {
-	run := b.runTime(request)
+func (b *Balancer) estimate(q *query, state *endpointState, isHome bool) candidate {
+	request, run, now := q.request, q.run, q.now
 	c := candidate{state: state, isHome: isHome}
 	runMillis := run.uncached
-	object := request.affinityKey()
-	recent, known := b.affinities[object]
 	switch {
-	case object != "" && known && recent.endpoint == state.endpoint.ID && now-recent.lastUsedAt < affinityTTL:
+	case q.warmEndpoint == state.endpoint.ID:
 		runMillis, c.isWarm = run.cached, true
 	case isHome && !request.Versions.Pack:
 		runMillis = run.cached
@@ -261,7 +281,7 @@
 		runMillis *= 2
 	}
 	runMillis *= state.slowdown
-	slots := float64(state.endpoint.Slots)
+	slots := float64(state.slots(now))
 	if over := state.load(now) + 1 - slots; over > 0 {
 		c.wait = over / slots * (run.cached + run.uncached) / 2 * state.slowdown
 	}
@@ -272,8 +292,18 @@
 	case state.endpoint.DataCentre != b.DataCentre:
 		roundTrip, perKilobyte = interDataCentreMillis, interDataCentreKilobyteCost
 	}
+	typicalRun := run.uncached
+	weight := state.pace.weight(now)
+	c.pace = pacedRun{state.pace.statedFactor(weight), weight, roundTrip + c.wait + runMillis, roundTrip}
+	if c.pace.statedFactor != 1 {
+		// The work that waits there runs at the same pace.
+		factor := state.pace.trusted(c.pace.statedFactor)
+		runMillis *= factor
+		c.wait *= factor
+		typicalRun *= max(factor, 1)
+	}
 	c.expected = roundTrip + c.wait + runMillis
-	c.typical = roundTrip + c.wait + run.uncached
+	c.typical = roundTrip + c.wait + typicalRun
 	c.cost = c.expected + occupancyCost*runMillis + perKilobyte*(request.Kilobytes+expectedResponseKilobytes) + state.currentFailureRate(now)*failureCost*float64(request.Route.TargetLatency)
 	if !request.isRegionBound() {
 		c.cost += (1 - b.unreservedFraction(request.Service.Name, state.endpoint.Region, now)) * reservationCost * float64(request.Route.TargetLatency)
--- a/internal/policy/balance/endpoint.go
+++ b/internal/policy/balance/endpoint.go
@@ -46,8 +46,10 @@
 	othersUpdatedAt clock.Millis
 	// reportedLoad is the number of running and waiting requests that the endpoint
 	// reported at reportedAt, or -1 if it has not reported any. inFlightAtReport is the
-	// number of this VM's requests in flight at that time.
+	// number of this VM's requests in flight at that time. reportedSlots is the number of
+	// slots in that report, or 0 without one.
 	reportedLoad     int
+	reportedSlots    int
 	reportedAt       clock.Millis
 	inFlightAtReport int
 	// consecutiveFailures counts failures since the last success, and
@@ -61,6 +63,7 @@
 	// slowdown is the smoothed ratio of actual to expected response times of requests
 	// that did not queue.
 	slowdown     float64
+	pace         paceState
 	lastAnswerAt clock.Millis
 	// isAddressReused reports whether another endpoint now has the address.
 	isAddressReused bool
@@ -131,6 +134,10 @@
 func (s *endpointState) recordResult(result Result, now clock.Millis) {
 	if result.Running >= 0 {
 		s.reportedLoad, s.reportedAt, s.inFlightAtReport = result.Running+result.Waiting, now, len(s.inFlightSince)
+		s.reportedSlots = result.Slots
+	}
+	if result.Pace > 0 {
+		s.pace.set(result.Pace, now)
 	}
 	s.said.record(result, now)
 	switch result.Outcome {
@@ -144,7 +151,7 @@
 		s.isAddressReused = true
 	case Shed:
 		s.lastAnswerAt = now
-		if result.Running < 0 || result.Running+result.Waiting < s.endpoint.Slots {
+		if result.Running < 0 || result.Running+result.Waiting < s.slots(now) {
 			s.recordFailure(now)
 			return
 		}
--- a/internal/policy/balance/grant.go
+++ b/internal/policy/balance/grant.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"math"
+
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/world/directory"
 )
@@ -28,6 +30,7 @@
 	// isWarm whether the endpoint was warm for the object.
 	hadFreeSlot, isWarm bool
 	isDone              bool
+	pace                pacedRun
 	// Basis is the information on which the choice was made.
 	Basis Basis
 }
@@ -49,7 +52,9 @@
 	Slots   int
 	// Expected is the expected response time in milliseconds.
 	Expected float64
-	IsCold   bool
+	// Pace is how long work was expected to take on the endpoint's machine; see UsualPace.
+	Pace   int
+	IsCold bool
 	// Limit is the limit that the endpoint had named.
 	Limit Limit
 }
@@ -77,6 +82,10 @@
 	// Running and Waiting are the numbers of requests that the endpoint reported with
 	// its response; Running is -1 if it reported none.
 	Running, Waiting int
+	// Slots is the number of requests that the endpoint reported to run at once, and Pace
+	// how long work takes on its machine at the moment, UsualPace being usual. Each is 0 if
+	// the endpoint reported none.
+	Slots, Pace int
 	// Limit is what the response says of the endpoint's limit.
 	Limit Limit
 	// IsLeaving reports that the response says that the endpoint leaves. Pause is how long
@@ -91,7 +100,7 @@
 	state := c.state
 	g := &Grant{
 		Endpoint: state.endpoint, IsCold: state.endpoint.ColdUntil > now, balancer: b, state: state, request: request,
-		object: request.affinityKey(), sentAt: now, expected: c.expected, typical: c.typical, hadFreeSlot: c.wait == 0, isWarm: c.isWarm,
+		object: request.affinityKey(), sentAt: now, expected: c.expected, typical: c.typical, hadFreeSlot: c.wait == 0, isWarm: c.isWarm, pace: c.pace,
 	}
 	g.Basis = newBasis(c, g.IsCold, now)
 	if g.IsCold {
@@ -117,7 +126,8 @@
 	}
 	return Basis{
 		Endpoint: e.ID, DataCentre: e.DataCentre, Version: e.Version, Revision: e.Revision, Why: why,
-		Load: int(c.state.load(now)), LoadAge: now - c.state.loadAt(now), Slots: e.Slots, Expected: c.expected, IsCold: isCold, Limit: c.state.said.limit.stated,
+		Load: int(c.state.load(now)), LoadAge: now - c.state.loadAt(now), Slots: c.state.slots(now), Expected: c.expected, IsCold: isCold,
+		Pace: int(math.Round(UsualPace * c.state.pace.trusted(c.pace.statedFactor))), Limit: c.state.said.limit.stated,
 	}
 }
 
@@ -139,12 +149,11 @@
 	g.isDone = true
 	now := b.Clock.Now()
 	g.state.removeInFlight(g.sentAt)
-	took := float64(now - g.sentAt)
-	if result.Outcome == Answered && g.hadFreeSlot && !g.IsCold {
-		b.runTime(g.request).update(took, g.isWarm)
+	if result.Outcome == Answered && g.hadFreeSlot {
+		g.learn(float64(now-g.sentAt), result.Pace)
 	}
-	if g.hadFreeSlot && result.Outcome == Answered {
-		g.state.updateSlowdown(took / max(g.expected, 1))
+	if result.Pace > 0 {
+		b.demand(g.Endpoint.Service).recordPace(now)
 	}
 	g.state.recordResult(result, now)
 	if result.Outcome != Answered && result.Outcome != Cancelled && g.object != "" {
