--- a/internal/base/metric/help.go
+++ b/internal/base/metric/help.go
@@ -24,6 +24,7 @@
 	"peers_heard":            "Other VMs that were heard lately.",
 	"refusals":               "Requests that got no endpoint's answer, by reason.",
 	"request_seconds":        "Time from a request's arrival to its answer's end, by kind of work and outcome.",
+	"reserved_refusals":      "Requests that found only room which is reserved for higher priorities, by service. Some got room later.",
 	"retries":                "Second sends of requests, by the reason why the first failed.",
 	"room_wait_seconds":      "Time that requests waited for room at an endpoint, by rank (priority of the workspace and of the route) and how the wait ended.",
 	"store_calls":            "Calls to the store, by kind of object and outcome.",
--- a/internal/policy/balance/candidate.go
+++ b/internal/policy/balance/candidate.go
@@ -40,15 +40,51 @@
 )
 
 // candidate is an endpoint with its estimated cost for a request. Times and cost are in
-// milliseconds.
+// milliseconds; expected includes the round trip, the wait in the endpoint's queue and the run.
 type candidate struct {
 	state    *endpointState
 	cost     float64
 	expected float64
 	typical  float64
 	wait     float64
+	run      float64
 	isWarm   bool
 	isHome   bool
+	pace     pacedRun
+}
+
+// query is a request with what is the same for all endpoints that are compared for it.
+type query struct {
+	request *Request
+	now     clock.Millis
+	run     *runTime
+	// uncached is the expected time of a run on an endpoint that is not known to be warm,
+	// in milliseconds.
+	uncached float64
+	// isOrdered reports whether requests of the service are treated by their urgency.
+	isOrdered bool
+	// warmEndpoint is the ID of the endpoint that recently served the object, or empty.
+	warmEndpoint string
+	rule         priorityRule
+	// meanRun is the mean run time of the requests in the endpoints' queues, in
+	// milliseconds.
+	meanRun float64
+}
+
+// newQuery returns the query for a request. The caller must hold mu.
+func (b *Balancer) newQuery(request *Request, now clock.Millis) query {
+	q := query{request: request, now: now, run: b.runTime(request, now)}
+	q.uncached, q.isOrdered = q.run.uncached, b.isOrdered(request.Service.Name, now)
+	if q.isOrdered {
+		q.uncached = q.run.expectedUncached()
+	}
+	q.meanRun = (q.run.cached + q.uncached) / 2
+	if object := request.affinityKey(); object != "" {
+		if recent, known := b.affinities[object]; known && now-recent.lastUsedAt < affinityTTL {
+			q.warmEndpoint = recent.endpoint
+		}
+	}
+	return q
 }
 
 // selection is the result of comparing the endpoints for a request.
@@ -68,9 +104,16 @@
 // includeSuspended is set. The caller must hold mu.
 func (b *Balancer) selectEndpoint(request *Request, now clock.Millis, includeSuspended bool) (s selection) {
 	endpoints := b.directory.Services[request.Service.Name]
+	q := b.newQuery(request, now)
 	var home *endpointState
 	home, s.preferred = b.home(request, endpoints, now)
-	isSaturated := home != nil && b.isSaturated(request, endpoints, now)
+	load, slots := b.capacity(&q, endpoints)
+	// So many slots may be in use that a run on an endpoint which is not warm, and so takes
+	// longer, would delay other requests by more than the request gains.
+	isSaturated := home != nil && load > saturationThreshold*slots
+	if q.rule = b.priorityRule(request, slots, now); q.rule.meanRun > 0 {
+		q.meanRun = q.rule.meanRun
+	}
 	for i := range endpoints {
 		state := b.states[endpoints[i].ID]
 		switch {
@@ -91,18 +134,29 @@
 			s.rejected.addLimited(wait)
 			continue
 		}
-		c := b.estimate(request, state, state == home, now)
+		c := b.estimate(&q, state, state == home)
 		switch {
-		case int(state.load(now)) >= state.endpoint.Slots+maxQueueLength:
+		case int(state.load(now)) >= state.slots(now)+maxQueueLength:
 			s.rejected.full++
 			continue
-		case isSaturated && !c.isWarm && !c.isHome:
+		case int(state.load(now)) >= q.rule.limit(state, now):
+			s.rejected.reserved++
+			continue
+		case isSaturated && !c.isWarm && !c.isHome && (!q.rule.isHighest || c.wait > 0):
 			s.rejected.notWarm++
 			continue
 		case isSaturated && c.expected > float64(request.Remaining):
 			s.rejected.slow++
 			continue
 		}
+		switch q.lateness(&c) {
+		case lateByWait:
+			s.rejected.slow++
+			continue
+		case lateByRun:
+			s.rejected.late++
+			continue
+		}
 		if c.expected > float64(request.Remaining) {
 			c.cost += deadlineMissCost * float64(request.Route.TargetLatency)
 		}
@@ -123,6 +177,12 @@
 	// While the service is saturated, endpoints are also rejected if they are neither
 	// warm for the object nor its home, or are too slow to answer before the deadline.
 	notWarm, slow int
+	// reserved endpoints have no room but that which is reserved for requests of higher
+	// priorities.
+	reserved int
+	// late endpoints would answer too late a request that must not run twice, even if it
+	// need not queue there.
+	late int
 	// limited endpoints have named a limit, of which this VM has no token left. It has
 	// the first one again after limitWait.
 	limited   int
@@ -150,27 +210,39 @@
 
 // String returns the counts as text for a refusal.
 func (r rejections) String() string {
-	return fmt.Sprintf("endpoints closed %d, suspended %d, cold %d, full %d, without the object %d, too slow %d, at their limit %d, paused %d",
+	text := fmt.Sprintf("endpoints closed %d, suspended %d, cold %d, full %d, without the object %d, too slow %d, at their limit %d, paused %d",
 		r.ineligible, r.suspended, r.cold, r.full, r.notWarm, r.slow, r.limited, r.paused)
+	if r.reserved > 0 {
+		text += fmt.Sprintf(", reserved for higher priorities %d", r.reserved)
+	}
+	if r.late > 0 {
+		text += fmt.Sprintf(", too late for a single run %d", r.late)
+	}
+	return text
 }
 
 // reason returns the reason of the refusal: RegionFull if an endpoint could run the
-// request but lacks capacity or has asked for a pause, else NoEndpoint.
+// request but lacks capacity or has asked for a pause, DeadlinePassed if one could but for the
+// time left, else NoEndpoint.
 func (r rejections) reason() reason.Reason {
-	if r.lacksCapacity() || r.paused > 0 {
+	switch {
+	case r.lacksCapacity() || r.paused > 0:
 		return reason.RegionFull
+	case r.late > 0:
+		return reason.DeadlinePassed
+	default:
+		return reason.NoEndpoint
 	}
-	return reason.NoEndpoint
 }
 
 // lacksCapacity reports whether an endpoint could run the request but for other requests.
-func (r rejections) lacksCapacity() bool { return r.full+r.notWarm+r.slow+r.limited > 0 }
+func (r rejections) lacksCapacity() bool { return r.full+r.notWarm+r.slow+r.reserved+r.limited > 0 }
 
 // retryAfter returns the Retry-After of the refusal. It is longer than usual only if
 // nothing but limits and pauses stands in the way.
 func (r rejections) retryAfter() clock.Millis {
 	switch {
-	case r.full+r.notWarm+r.slow+r.suspended+r.cold > 0:
+	case r.full+r.notWarm+r.slow+r.reserved+r.late+r.suspended+r.cold > 0:
 		return refusalRetryAfter
 	case r.limited > 0:
 		return max(refusalRetryAfter, min(r.limitWait, maxLimitRetryAfter))
@@ -198,32 +270,23 @@
 		}
 	}
 	position = (position + count - request.Versions.PackOffset%max(count, 1)) % max(count, 1)
-	if int(state.load(now)) >= state.endpoint.Slots {
+	if int(state.load(now)) >= state.slots(now) {
 		position += count
 	}
 	return packCostStep * float64(position)
 }
 
-// isSaturated reports whether so many of a service's slots are in use that a run on an
-// endpoint which is not warm, and so takes longer, would delay other requests by more
-// than the request gains. The caller must hold mu.
-func (b *Balancer) isSaturated(request *Request, endpoints []directory.Endpoint, now clock.Millis) bool {
-	load, slots := b.capacity(request, endpoints, now)
-	return load > saturationThreshold*slots
-}
-
 // capacity returns the estimated number of requests on the endpoints that are neither
 // draining nor suspended nor evacuated, and the number of their slots that requests of
-// the given kind can use. The caller must hold mu.
-func (b *Balancer) capacity(request *Request, endpoints []directory.Endpoint, now clock.Millis) (load, slots float64) {
-	run := b.runTime(request)
+// the query's kind can use. The caller must hold mu.
+func (b *Balancer) capacity(q *query, endpoints []directory.Endpoint) (load, slots float64) {
 	for i := range endpoints {
 		state := b.states[endpoints[i].ID]
-		if state == nil || state.isLeaving() || state.isSuspended(now) || b.directory.Evacuated[state.endpoint.DataCentre] {
+		if state == nil || state.isLeaving() || state.isSuspended(q.now) || b.directory.Evacuated[state.endpoint.DataCentre] {
 			continue
 		}
-		load += state.load(now)
-		slots += state.usableSlots(run, now)
+		load += state.load(q.now)
+		slots += min(state.usableSlots(q.run, q.now), float64(state.slots(q.now)))
 	}
 	return load, slots
 }
@@ -245,14 +308,12 @@
 
 // estimate returns an endpoint as a candidate for a request, with its expected response
 // time and cost. The caller must hold mu.
-func (b *Balancer) estimate(request *Request, state *endpointState, isHome bool, now clock.Millis) candidate {
-	run := b.runTime(request)
+func (b *Balancer) estimate(q *query, state *endpointState, isHome bool) candidate {
+	request, run, now := q.request, q.run, q.now
 	c := candidate{state: state, isHome: isHome}
-	runMillis := run.uncached
-	object := request.affinityKey()
-	recent, known := b.affinities[object]
+	runMillis := q.uncached
 	switch {
-	case object != "" && known && recent.endpoint == state.endpoint.ID && now-recent.lastUsedAt < affinityTTL:
+	case q.warmEndpoint == state.endpoint.ID:
 		runMillis, c.isWarm = run.cached, true
 	case isHome && !request.Versions.Pack:
 		runMillis = run.cached
@@ -261,9 +322,9 @@
 		runMillis *= 2
 	}
 	runMillis *= state.slowdown
-	slots := float64(state.endpoint.Slots)
+	slots := float64(state.slots(now))
 	if over := state.load(now) + 1 - slots; over > 0 {
-		c.wait = over / slots * (run.cached + run.uncached) / 2 * state.slowdown
+		c.wait = over / slots * q.meanRun * state.slowdown
 	}
 	roundTrip, perKilobyte := 0.0, 0.0
 	switch {
@@ -272,27 +333,25 @@
 	case state.endpoint.DataCentre != b.DataCentre:
 		roundTrip, perKilobyte = interDataCentreMillis, interDataCentreKilobyteCost
 	}
+	typicalRun := q.uncached
+	weight := state.pace.weight(now)
+	c.pace = pacedRun{state.pace.statedFactor(weight), weight, roundTrip + c.wait + runMillis, roundTrip}
+	if c.pace.statedFactor != 1 {
+		// The work that waits there runs at the same pace.
+		factor := state.pace.trusted(c.pace.statedFactor)
+		runMillis *= factor
+		c.wait *= factor
+		typicalRun *= max(factor, 1)
+	}
+	c.run = runMillis
 	c.expected = roundTrip + c.wait + runMillis
-	c.typical = roundTrip + c.wait + run.uncached
+	c.typical = roundTrip + c.wait + typicalRun
 	c.cost = c.expected + occupancyCost*runMillis + perKilobyte*(request.Kilobytes+expectedResponseKilobytes) + state.currentFailureRate(now)*failureCost*float64(request.Route.TargetLatency)
 	if !request.isRegionBound() {
 		c.cost += (1 - b.unreservedFraction(request.Service.Name, state.endpoint.Region, now)) * reservationCost * float64(request.Route.TargetLatency)
 	}
-	return c
-}
-
-// runTime returns the average run times of the request's service and kind of work. The
-// caller must hold mu.
-func (b *Balancer) runTime(request *Request) *runTime {
-	if b.runTimes == nil {
-		b.runTimes = map[string]*runTime{}
-	}
-	id := request.Service.Name + " " + string(request.Route.Work)
-	r := b.runTimes[id]
-	if r == nil {
-		target := float64(max(request.Route.TargetLatency, 1))
-		r = &runTime{uncached: 1.4 * target, cached: 0.45 * target}
-		b.runTimes[id] = r
+	if q.rule.isHighest {
+		c.cost += queueCost * c.wait
 	}
-	return r
+	return c
 }
--- a/internal/policy/balance/room.go
+++ b/internal/policy/balance/room.go
@@ -42,14 +42,14 @@
 // expectedRun returns the expected run time of the request in milliseconds; see ExpectedRun.
 // The caller must hold mu.
 func (b *Balancer) expectedRun(request *Request, now clock.Millis) float64 {
-	run := b.runTime(request)
+	run := b.runTimeOf(routeKey(request), request)
 	recent, known := b.affinities[request.affinityKey()]
 	if known && request.Object != "" && now-recent.lastUsedAt < affinityTTL {
 		if state := b.states[recent.endpoint]; state != nil && !state.isLeaving() {
 			return run.cached
 		}
 	}
-	return run.uncached
+	return run.expectedUncached()
 }
 
 // notifyRoom calls OnRoom for each service of the directory. The caller must not hold mu.
