Expect fewer grants at a quiet VM, and give denied lower ranks their share

At least one grant is expected in 2 s now.

A lower rank whose requests were refused before they waited never had its part of the grants. It is now due also while they are denied, and the expected wait is no longer than the part gives.

--- a/internal/policy/waiting/outlook.go
+++ b/internal/policy/waiting/outlook.go
@@ -10,9 +10,9 @@
 	// grantWindow is the time over which grants are counted. A VM of the smaller deployments
 	// grants 4 to 10 requests of a service a second.
 	grantWindow = 2 * clock.Second
-	// assumedGrants is added to the grants of a window. Without requests there are no grants,
-	// which does not show that there is no room.
-	assumedGrants = 2
+	// minGrants is the least number of grants that is expected in a window. Without requests
+	// there are no grants, which does not show that there is no room.
+	minGrants = 1
 )
 
 // window counts events of the last grantWindow, from the counts of the current interval of
@@ -42,63 +42,88 @@
 	return w.current + w.previous*(1-float64(now-w.start)/float64(grantWindow))
 }
 
-// timeFor returns the time in which count requests are granted if grants were granted in the
-// last grantWindow.
-func timeFor(count int, grants float64) clock.Millis {
-	return clock.Millis(float64(count) * float64(grantWindow) / (grants + assumedGrants))
+// interval returns the expected time between grants, in milliseconds, if there were grants in
+// the last grantWindow.
+func interval(grants float64) float64 { return float64(grantWindow) / max(grants, minGrants) }
+
+// flow is what the requests of one rank can expect.
+type flow struct {
+	// above is the number of waiting requests of higher ranks, isHighest whether there is no
+	// higher rank.
+	above     int
+	isHighest bool
+	// atOrBelow is the number of grants to the rank and lower ones in the last grantWindow.
+	atOrBelow float64
+	// all and own are the expected times between grants of the service, and between those to
+	// the rank and lower ones. share is that between grants to the rank if it gets no more than
+	// its part of the share of the lower ranks. All are in milliseconds.
+	all, own, share float64
 }
 
-// expectedWait returns the expected wait of a request with above requests of higher ranks and
-// own ones of its rank ahead, where all grants of the service and those to its rank and
-// lower ones are given. Grants to higher ranks that do not wait are taken from the request's.
-// A request that was overtaken gets only a part of the room, so each request that overtook it
-// counts as if it were still ahead.
-func (r *Request) expectedWait(above, own int, all, atOrBelow float64) clock.Millis {
-	own += r.overtaken + 1
-	return max(timeFor(above+own, all), timeFor(own, atOrBelow))
+// wait returns the expected wait of a request with ahead requests of its rank ahead. It has to
+// wait for those above, and is passed by requests of higher ranks that do not wait; but it does
+// not wait longer than its rank's part of the share. A request that was overtaken gets only a
+// part of the room, so each request that overtook it counts as if it were still ahead.
+func (f *flow) wait(r *Request, ahead int) clock.Millis {
+	ahead += r.overtaken + 1
+	wait := max(float64(f.above+ahead)*f.all, float64(ahead)*f.own)
+	if !f.isHighest {
+		wait = min(wait, float64(ahead)*f.share)
+	}
+	return clock.Millis(wait)
 }
 
-// allGrants returns the number of grants of the service in the last grantWindow.
-func (q *queue) allGrants(now clock.Millis) (grants float64) {
-	for _, l := range q.levels {
+// flow returns what the requests of the highest rank can expect.
+func (q *queue) flow(now clock.Millis) flow {
+	grants, sharing := 0.0, 0
+	for i, l := range q.levels {
 		grants += l.grants.count(now)
+		if i > 0 && l.size() > 0 {
+			sharing++
+		}
 	}
-	return grants
+	all := interval(grants)
+	return flow{isHighest: true, atOrBelow: grants, all: all, own: all, share: all * lowerShare * float64(max(sharing, 1))}
+}
+
+// descend changes the flow from that of a level, of which so many requests wait, to that of the
+// next lower rank.
+func (f *flow) descend(l *level, waiting int, now clock.Millis) {
+	f.above += waiting
+	f.isHighest = false
+	f.atOrBelow -= l.grants.count(now)
+	f.own = interval(f.atOrBelow)
 }
 
 // outlook returns the number of requests that are ahead of a request which does not wait, and
 // its expected wait if it did.
 func (q *queue) outlook(r *Request, now clock.Millis) (ahead int, wait clock.Millis) {
-	all := q.allGrants(now)
-	above, atOrBelow := 0, all
+	f, own := q.flow(now), 0
 	for _, l := range q.levels {
-		if l.rank.Compare(r.Rank) < 0 {
-			above += l.size()
-			atOrBelow -= l.grants.count(now)
-			continue
+		c := l.rank.Compare(r.Rank)
+		if c == 0 {
+			own, _ = slices.BinarySearchFunc(*l.list(r), r, compare)
+			if r.isLate {
+				own += len(l.onTime)
+			}
 		}
-		if l.rank != r.Rank {
+		if c >= 0 {
 			break
 		}
-		own, _ := slices.BinarySearchFunc(*l.list(r), r, compare)
-		if r.isLate {
-			own += len(l.onTime)
-		}
-		return above + own, r.expectedWait(above, own, all, atOrBelow)
+		f.descend(l, l.size(), now)
 	}
-	return above, r.expectedWait(above, 0, all, atOrBelow)
+	return f.above + own, f.wait(r, own)
 }
 
 // late appends the requests that are not expected to end in time. A request is not counted as
 // ahead of others if it is late itself.
 func (q *queue) late(late []*Request, now clock.Millis) []*Request {
-	all := q.allGrants(now)
-	above, atOrBelow := 0, all
+	f := q.flow(now)
 	for _, l := range q.levels {
 		own := 0
 		for i := range l.size() {
 			r := l.at(i)
-			wait := r.expectedWait(above, own, all, atOrBelow)
+			wait := f.wait(r, own)
 			if r.canEnd(now, wait) {
 				own++
 				continue
@@ -106,8 +131,7 @@
 			r.RetryAfter = retryAfter(wait)
 			late = append(late, r)
 		}
-		above += own
-		atOrBelow -= l.grants.count(now)
+		f.descend(l, own, now)
 	}
 	return late
 }
--- a/internal/policy/waiting/queue.go
+++ b/internal/policy/waiting/queue.go
@@ -17,7 +17,8 @@
 	// levels holds a level for each rank that was seen, the highest first.
 	levels  []*level
 	waiting int
-	// turns counts the grants since a lower rank had its share, as far as lower ranks waited.
+	// turns counts the grants since a lower rank had its share, as far as requests of lower ranks
+	// waited or had been denied that lately.
 	turns int
 	// granted counts the grants of waiting requests.
 	granted int64
@@ -33,10 +34,16 @@
 	grants window
 	// lastGrant is the value of queue.granted at the last grant of a waiting request.
 	lastGrant int64
+	// denied is when a request of the rank was last not allowed to wait, if wasDenied is set.
+	denied    clock.Millis
+	wasDenied bool
 }
 
 func (l *level) size() int { return len(l.onTime) + len(l.late) }
 
+// deny records that a request of the rank is not allowed to wait.
+func (l *level) deny(now clock.Millis) { l.denied, l.wasDenied = now, true }
+
 // at returns the request at a position in order.
 func (l *level) at(i int) *Request {
 	if i < len(l.onTime) {
@@ -111,6 +118,60 @@
 // isLowerDue reports whether the next grant goes to a lower rank than the highest that asks.
 func (q *queue) isLowerDue() bool { return q.turns >= lowerShare-1 }
 
+// hasLower reports whether requests of a lower rank wait or were denied that lately.
+func (q *queue) hasLower(rank routing.Rank, now clock.Millis) bool {
+	for _, l := range q.levels {
+		if l.rank.Compare(rank) > 0 && (l.size() > 0 || l.wasDenied && now-l.denied < grantWindow) {
+			return true
+		}
+	}
+	return false
+}
+
+// isShareFree reports whether requests of only one rank wait, a higher one than the given.
+func (q *queue) isShareFree(rank routing.Rank) bool {
+	ranks := 0
+	for _, l := range q.levels {
+		if l.size() > 0 {
+			ranks++
+			if l.rank.Compare(rank) >= 0 {
+				return false
+			}
+		}
+	}
+	return ranks == 1
+}
+
+// begin reports whether a new request may be given room at once, and if so counts the grant.
+func (q *queue) begin(rank routing.Rank, now clock.Millis) (mayTry bool) {
+	switch {
+	case q.waiting == 0:
+	case q.hasRank(rank):
+		if !q.isLowerDue() || !q.isShareFree(rank) {
+			return false
+		}
+		q.turns = 0
+	case q.isLowerDue():
+		return false
+	default:
+		q.turns++
+	}
+	q.level(rank).grants.add(1, now)
+	return true
+}
+
+// withdraw undoes the effect of a call of begin that returned true.
+func (q *queue) withdraw(rank routing.Rank, now clock.Millis) {
+	q.level(rank).grants.add(-1, now)
+	switch {
+	case q.waiting == 0:
+	case q.hasRank(rank):
+		q.turns = lowerShare - 1
+	default:
+		q.turns = max(q.turns-1, 0)
+	}
+}
+
 func (q *queue) insert(r *Request) {
 	l := q.level(r.Rank)
 	list := l.list(r)
@@ -223,21 +284,23 @@
 	q.granted++
 	granted.grants.add(1, now)
 	granted.lastGrant = q.granted
-	isHigher, hasHigher, hasLower := true, false, false
-	for _, l := range q.levels {
-		switch {
-		case l == granted:
-			isHigher = false
-		case l.size() > 0 && isHigher:
-			hasHigher = true
-		case l.size() > 0:
-			hasLower = true
-		}
-	}
 	switch {
-	case hasHigher:
+	case q.hasHigher(granted):
 		q.turns = 0
-	case hasLower:
+	case q.hasLower(granted.rank, now):
 		q.turns++
 	}
 }
+
+// hasHigher reports whether requests of a higher rank wait.
+func (q *queue) hasHigher(than *level) bool {
+	for _, l := range q.levels {
+		if l == than {
+			return false
+		}
+		if l.size() > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/policy/waiting/waiting.go
+++ b/internal/policy/waiting/waiting.go
@@ -125,21 +125,15 @@
 }
 
 // Begin reports whether a new request may be given room at once. It may not while requests of
-// the same or a higher rank wait for the service, or if the next grant is due to a lower rank.
-// If it may, the request is counted as granted; Withdraw undoes that if there was no room.
+// the same or a higher rank wait for the service, or if the next grant is due to a lower rank
+// that waits. If that grant is due to lower ranks and none of them waits, it may be the
+// request's. If it may, the request is counted as granted; Withdraw undoes that if there was no
+// room.
 func (q *Queues) Begin(service string, rank routing.Rank) (mayTry bool) {
 	now := q.Clock.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	queue := q.queue(service)
-	if queue.waiting > 0 && (queue.hasRank(rank) || queue.isLowerDue()) {
-		return false
-	}
-	queue.level(rank).grants.add(1, now)
-	if queue.waiting > 0 {
-		queue.turns++
-	}
-	return true
+	return q.queue(service).begin(rank, now)
 }
 
 // Withdraw undoes the effect of a call of Begin that returned true.
@@ -147,9 +141,7 @@
 	now := q.Clock.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	queue := q.queue(service)
-	queue.level(rank).grants.add(-1, now)
-	queue.turns = max(queue.turns-1, 0)
+	q.queue(service).withdraw(rank, now)
 }
 
 // Add adds a request to the queue of its service. If it may not wait, cause is set, and so is
@@ -164,10 +156,12 @@
 	ahead, wait := queue.outlook(r, now)
 	r.Ahead, r.RetryAfter = ahead, retryAfter(wait)
 	if !r.canEnd(now, wait) {
+		queue.level(r.Rank).deny(now)
 		return Late, nil
 	}
 	displaced, ok := q.makePlace(queue, r, now)
 	if !ok {
+		queue.level(r.Rank).deny(now)
 		return Full, nil
 	}
 	q.lastNumber++
--- a/internal/policy/waiting/waiting_test.go
+++ b/internal/policy/waiting/waiting_test.go
@@ -192,6 +192,32 @@
 	}
 }
 
+// Guards against a lower rank that gets nothing because its requests are refused before they
+// wait: none of them expects its turn in time.
+func TestDeniedLowerRankGetsItsShare(t *testing.T) {
+	g, manual := NewWithT(t), clock.Manual{}
+	queues := Queues{Clock: manual.Clock(), Limits: DefaultLimits}
+	granted, isFull := 0, false
+	for i := range 160 {
+		manual.Advance(20)
+		urgent := &Request{Service: "s", Deadline: clock.Hour}
+		_, _ = queues.Add(urgent)
+		lower := &Request{Service: "s", Rank: routing.Rank{Route: 1}, Run: clock.Hour, Deadline: 1}
+		if queues.Begin("s", lower.Rank) {
+			if isFull = !isFull; isFull {
+				queues.Withdraw("s", lower.Rank)
+				g.Expect(queues.Begin("s", lower.Rank)).To(BeTrue(), "its turn is not over")
+			}
+			granted++
+		} else if cause, _ := queues.Add(lower); i > 0 {
+			g.Expect(cause).To(Equal(Late))
+		}
+		g.Expect(queues.Grant(queues.Next("s", func(*Request) bool { return false }))).To(BeTrue())
+		_, _ = queues.Add(&Request{Service: "s", Deadline: clock.Hour})
+	}
+	g.Expect(granted).To(BeNumerically("~", 160/lowerShare, 2))
+}
+
 // Guards against a request that is held until its deadline because the grants of its service
 // are for others, which is seen from those that overtake it.
 func TestOvertakenRequestIsGivenUp(t *testing.T) {
