--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -1,7 +1,7 @@
 // Package gateway is the HTTP handler of an entry VM in a deployment whose endpoints
 // register themselves. For each request it finds the route, checks the key and the
-// quota, chooses an endpoint, sends the request there and relays the response to the
-// caller. Gateway.serve lists these steps in order.
+// quota, chooses an endpoint or waits until one has room, sends the request there and relays
+// the response to the caller. Gateway.serve lists these steps in order.
 //
 // The handler makes no calls to the store. It retries a request on another endpoint
 // only if the request has not run or is idempotent, and only before the first byte
