--- a/internal/policy/balance/overload_test.go
+++ b/internal/policy/balance/overload_test.go
@@ -34,6 +34,8 @@
 	route  *routing.Route
 	object string
 	work   clock.Millis
+	// from is the region of the callers; empty for all.
+	from string
 	// rate is in requests per second over all VMs, as a function of the time.
 	rate                                       func(now clock.Millis) float64
 	arrived, answered, inTarget, sent, refused int
@@ -53,7 +55,6 @@
 
 type overloadVM struct {
 	balancer *Balancer
-	weight   float64
 	// waiting holds requests that found no room and are tried again.
 	waiting []*overloadRequest
 }
@@ -90,7 +91,7 @@
 		}
 	}
 	for _, self := range members {
-		vm := &overloadVM{weight: 1, balancer: &Balancer{Clock: o.manual.Clock(), VM: self.Name, Region: self.Region, DataCentre: self.Region + "1"}}
+		vm := &overloadVM{balancer: &Balancer{Clock: o.manual.Clock(), VM: self.Name, Region: self.Region, DataCentre: self.Region + "1"}}
 		vm.balancer.UpdateDirectory(directory.New(listed, nil, nil))
 		vm.balancer.UpdatePeers(nil, members)
 		o.vms = append(o.vms, vm)
@@ -147,16 +148,9 @@
 }
 
 func (o *overload) arrive(kind *overloadKind) {
-	total := 0.0
-	for _, vm := range o.vms {
-		total += vm.weight
-	}
-	at, chosen := o.random.Float64()*total, o.vms[0]
-	for _, vm := range o.vms {
-		if chosen = vm; at < vm.weight {
-			break
-		}
-		at -= vm.weight
+	chosen := o.vms[o.random.IntN(len(o.vms))]
+	for kind.from != "" && chosen.balancer.Region != kind.from {
+		chosen = o.vms[o.random.IntN(len(o.vms))]
 	}
 	kind.arrived++
 	r := &overloadRequest{kind: kind, vm: chosen, arrived: o.now(), request: requestOn(kind.route, "")}
