--- a/internal/entry/gateway/waiting.go
+++ b/internal/entry/gateway/waiting.go
@@ -168,12 +168,11 @@
 		return WaitStopped, stoppingRefusal()
 	case ctx.Err() != nil:
 		return WaitDeadline, reason.NotRun(reason.DeadlinePassed, 0, "the deadline passed while the request waited for room")
-	case c.gateway.Blocklist.Find(c.digest).Ends > 0:
-		block := c.gateway.Blocklist.Find(c.digest)
+	}
+	if block := c.gateway.Blocklist.Find(c.digest); block.Ends > 0 {
 		return WaitRefused, reason.NotRun(reason.RequestBlocked, block.Remaining, "%d endpoints ended while they ran the same request", block.Ends)
-	default:
-		return "", nil
 	}
+	return "", nil
 }
 
 func (c *call) recordWait(rank routing.Rank, outcome WaitOutcome, waited clock.Millis) {
