--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -55,9 +55,6 @@
 	// IsRepeated reports that Place has refused the request before, so that it is no new
 	// arrival. Place sets it; a caller that passes a copy must keep it.
 	IsRepeated bool
-	// draw is a number from 0 to 1 by which the balancer chooses whether the request should
-	// run in another region; 0 before it is drawn.
-	draw float64
 }
 
 // ColdLimit bounds the requests per second that all VMs together send to a cold
@@ -118,10 +115,6 @@
 	runTimes map[runTimeKey]*runTime
 	// demands holds the demand of this VM's requests, by service. Guarded by mu.
 	demands map[string]*serviceDemand
-	// spills holds how much of the requests goes to other regions, by service. draws counts
-	// the draws of requests. Guarded by mu.
-	spills map[string]*spill
-	draws  int64
 }
 
 // UpdateDirectory replaces the directory of endpoints. An endpoint with a new address
--- a/internal/policy/balance/candidate.go
+++ b/internal/policy/balance/candidate.go
@@ -66,10 +66,6 @@
 	// warmEndpoint is the ID of the endpoint that recently served the object, or empty.
 	warmEndpoint string
 	rule         priorityRule
-	// spill holds how much of the service's requests goes to other regions; nil if that is
-	// left to the costs. isSpilled reports whether this one should.
-	spill     *spill
-	isSpilled bool
 	// meanRun is the mean run time of the requests in the endpoints' queues, in
 	// milliseconds.
 	meanRun float64
@@ -110,9 +106,7 @@
 	endpoints := b.directory.Services[request.Service.Name]
 	q := b.newQuery(request, now)
 	var home *endpointState
-	q.spill = b.refreshSpill(&q, endpoints)
-	q.isSpilled = b.isSpilled(q.spill, request)
-	home, s.preferred = b.home(&q, endpoints)
+	home, s.preferred = b.home(request, endpoints, now)
 	load, slots := b.capacity(&q, endpoints)
 	// So many slots may be in use that a run on an endpoint which is not warm, and so takes
 	// longer, would delay other requests by more than the request gains.
@@ -359,8 +353,5 @@
 	if q.rule.isHighest {
 		c.cost += queueCost * c.wait
 	}
-	if q.isSpilled && state.endpoint.Region == b.Region {
-		c.cost += spillCost(request)
-	}
 	return c
 }
--- a/internal/policy/balance/demand.go
+++ b/internal/policy/balance/demand.go
@@ -42,12 +42,9 @@
 	// seenAt is when the last of these requests arrived.
 	seenAt clock.Millis
 	// arrived and granted are the numbers of requests that arrived and that got an
-	// endpoint, work is the expected run time of those that arrived, in milliseconds.
-	// smallWork and largeWork are the parts of work that other regions may run, by the size
-	// of the bodies; see spillClass. All are sums over the past, decayed to seenAt with
-	// demandDecayTime.
+	// endpoint, work is the expected run time of those that arrived, in milliseconds. All
+	// three are sums over the past, decayed to seenAt with demandDecayTime.
 	arrived, granted, work float64
-	smallWork, largeWork   float64
 }
 
 // demand returns the demand for a service. The caller must hold mu.
@@ -74,16 +71,7 @@
 	}
 	p := b.demand(request.Service.Name).of(request.Route.Priority, now)
 	decay := math.Exp(-float64(now-p.seenAt) / float64(demandDecayTime))
-	run := b.expectedRun(request, now)
-	p.arrived, p.granted, p.work, p.seenAt = p.arrived*decay+1, p.granted*decay, p.work*decay+run, now
-	p.smallWork, p.largeWork = p.smallWork*decay, p.largeWork*decay
-	switch {
-	case !request.canSpill():
-	case request.Kilobytes <= smallBodyKilobytes:
-		p.smallWork += run
-	default:
-		p.largeWork += run
-	}
+	p.arrived, p.granted, p.work, p.seenAt = p.arrived*decay+1, p.granted*decay, p.work*decay+b.expectedRun(request, now), now
 }
 
 // recordGrant counts a request that got an endpoint. The caller must hold mu.
--- a/internal/policy/balance/home.go
+++ b/internal/policy/balance/home.go
@@ -121,12 +121,12 @@
 // weighted rendezvous hash among the eligible endpoints that are neither suspended nor
 // cold nor at their limit. preferred is the one among those at their limit too, if that is
 // another. The caller must hold mu.
-func (b *Balancer) home(q *query, endpoints []directory.Endpoint) (home, preferred *endpointState) {
-	request, run, now := q.request, q.run, q.now
+func (b *Balancer) home(request *Request, endpoints []directory.Endpoint, now clock.Millis) (home, preferred *endpointState) {
 	if request.Object == "" {
 		return nil, nil
 	}
 	objectHash := hashing.Strings(request.Object)
+	run := b.runTime(request, now)
 	weights := map[string]float64{}
 	highest, highestPreferred := 0.0, 0.0
 	for i := range endpoints {
@@ -136,7 +136,7 @@
 		}
 		weight, found := weights[state.endpoint.Region]
 		if !found {
-			weight = b.regionWeight(q, state.endpoint.Region)
+			weight = b.regionWeight(request, state.endpoint.Region, now)
 			weights[state.endpoint.Region] = weight
 		}
 		uniform := float64(hashing.Mix(objectHash^state.hash)>>11)/(1<<53) + 1e-18
@@ -156,8 +156,7 @@
 
 // regionWeight returns the weight of a slot in a region when the home of the request's
 // object is chosen. The caller must hold mu.
-func (b *Balancer) regionWeight(q *query, region string) float64 {
-	request := q.request
+func (b *Balancer) regionWeight(request *Request, region string, now clock.Millis) float64 {
 	weight := 1.0
 	switch {
 	case region != b.Region:
@@ -165,10 +164,10 @@
 	case request.Route.Work == document.WorkUpload:
 		weight = uploadHomeWeight
 	default:
-		weight = q.spill.ownRegionWeight(request)
+		weight = homeWeight
 	}
 	if !request.isRegionBound() {
-		weight *= b.unreservedFraction(request.Service.Name, region, q.now)
+		weight *= b.unreservedFraction(request.Service.Name, region, now)
 	}
 	return weight
 }
