Reserve endpoints for urgent requests beside much longer ones

The highest priority now has whole endpoints of its own, the same at all VMs, while a lower one with twice its target latency competes with it. Nothing is sent beside a reserve that is not expected to end in time.

--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -133,6 +133,7 @@
 	b.countSlots()
 	states := map[string]*endpointState{}
 	for _, endpoints := range newest.Services {
+		ofService := make([]*endpointState, 0, len(endpoints))
 		for _, e := range endpoints {
 			state := b.states[e.ID]
 			if state == nil || state.endpoint.Started != e.Started || state.endpoint.Address != e.Address {
@@ -144,7 +145,9 @@
 			}
 			state.endpoint = e
 			states[e.ID] = state
+			ofService = append(ofService, state)
 		}
+		rankForReserve(ofService)
 	}
 	b.states = states
 	b.forgetStatements(now)
--- a/internal/policy/balance/candidate.go
+++ b/internal/policy/balance/candidate.go
@@ -40,14 +40,13 @@
 )
 
 // candidate is an endpoint with its estimated cost for a request. Times and cost are in
-// milliseconds; expected includes the round trip, the wait in the endpoint's queue and the run.
+// milliseconds.
 type candidate struct {
 	state    *endpointState
 	cost     float64
 	expected float64
 	typical  float64
 	wait     float64
-	run      float64
 	isWarm   bool
 	isHome   bool
 	pace     pacedRun
@@ -58,14 +57,9 @@
 	request *Request
 	now     clock.Millis
 	run     *runTime
-	// uncached is the expected time of a run on an endpoint that is not known to be warm,
-	// in milliseconds.
-	uncached float64
-	// isOrdered reports whether requests of the service are treated by their urgency.
-	isOrdered bool
 	// warmEndpoint is the ID of the endpoint that recently served the object, or empty.
 	warmEndpoint string
-	rule         priorityRule
+	rule         reserveRule
 	// meanRun is the mean run time of the requests in the endpoints' queues, in
 	// milliseconds.
 	meanRun float64
@@ -74,11 +68,7 @@
 // newQuery returns the query for a request. The caller must hold mu.
 func (b *Balancer) newQuery(request *Request, now clock.Millis) query {
 	q := query{request: request, now: now, run: b.runTime(request, now)}
-	q.uncached, q.isOrdered = q.run.uncached, b.isOrdered(request.Service.Name, now)
-	if q.isOrdered {
-		q.uncached = q.run.expectedUncached()
-	}
-	q.meanRun = (q.run.cached + q.uncached) / 2
+	q.meanRun = (q.run.cached + q.run.uncached) / 2
 	if object := request.affinityKey(); object != "" {
 		if recent, known := b.affinities[object]; known && now-recent.lastUsedAt < affinityTTL {
 			q.warmEndpoint = recent.endpoint
@@ -106,14 +96,15 @@
 	endpoints := b.directory.Services[request.Service.Name]
 	q := b.newQuery(request, now)
 	var home *endpointState
-	home, s.preferred = b.home(request, endpoints, now)
+	q.rule = b.reserveRule(request, now)
+	home, s.preferred = b.home(request, endpoints, q.rule, now)
+	if home == nil && q.rule.isUrgent {
+		home, s.preferred = b.home(request, endpoints, reserveRule{}, now)
+	}
 	load, slots := b.capacity(&q, endpoints)
 	// So many slots may be in use that a run on an endpoint which is not warm, and so takes
 	// longer, would delay other requests by more than the request gains.
 	isSaturated := home != nil && load > saturationThreshold*slots
-	if q.rule = b.priorityRule(request, slots, now); q.rule.meanRun > 0 {
-		q.meanRun = q.rule.meanRun
-	}
 	for i := range endpoints {
 		state := b.states[endpoints[i].ID]
 		switch {
@@ -139,24 +130,16 @@
 		case int(state.load(now)) >= state.slots(now)+maxQueueLength:
 			s.rejected.full++
 			continue
-		case int(state.load(now)) >= q.rule.limit(state, now):
+		case q.rule.excludes(state):
 			s.rejected.reserved++
 			continue
-		case isSaturated && !c.isWarm && !c.isHome && (!q.rule.isHighest || c.wait > 0):
+		case isSaturated && !c.isWarm && !c.isHome && (!q.rule.isUrgent || c.wait > 0):
 			s.rejected.notWarm++
 			continue
-		case isSaturated && c.expected > float64(request.Remaining):
+		case (isSaturated || q.rule.fraction > 0) && c.expected > float64(request.Remaining):
 			s.rejected.slow++
 			continue
 		}
-		switch q.lateness(&c) {
-		case lateByWait:
-			s.rejected.slow++
-			continue
-		case lateByRun:
-			s.rejected.late++
-			continue
-		}
 		if c.expected > float64(request.Remaining) {
 			c.cost += deadlineMissCost * float64(request.Route.TargetLatency)
 		}
@@ -177,12 +160,9 @@
 	// While the service is saturated, endpoints are also rejected if they are neither
 	// warm for the object nor its home, or are too slow to answer before the deadline.
 	notWarm, slow int
-	// reserved endpoints have no room but that which is reserved for requests of higher
+	// reserved endpoints are reserved for requests of higher
 	// priorities.
 	reserved int
-	// late endpoints would answer too late a request that must not run twice, even if it
-	// need not queue there.
-	late int
 	// limited endpoints have named a limit, of which this VM has no token left. It has
 	// the first one again after limitWait.
 	limited   int
@@ -215,24 +195,16 @@
 	if r.reserved > 0 {
 		text += fmt.Sprintf(", reserved for higher priorities %d", r.reserved)
 	}
-	if r.late > 0 {
-		text += fmt.Sprintf(", too late for a single run %d", r.late)
-	}
 	return text
 }
 
 // reason returns the reason of the refusal: RegionFull if an endpoint could run the
-// request but lacks capacity or has asked for a pause, DeadlinePassed if one could but for the
-// time left, else NoEndpoint.
+// request but lacks capacity or has asked for a pause, else NoEndpoint.
 func (r rejections) reason() reason.Reason {
-	switch {
-	case r.lacksCapacity() || r.paused > 0:
+	if r.lacksCapacity() || r.paused > 0 {
 		return reason.RegionFull
-	case r.late > 0:
-		return reason.DeadlinePassed
-	default:
-		return reason.NoEndpoint
 	}
+	return reason.NoEndpoint
 }
 
 // lacksCapacity reports whether an endpoint could run the request but for other requests.
@@ -242,7 +214,7 @@
 // nothing but limits and pauses stands in the way.
 func (r rejections) retryAfter() clock.Millis {
 	switch {
-	case r.full+r.notWarm+r.slow+r.reserved+r.late+r.suspended+r.cold > 0:
+	case r.full+r.notWarm+r.slow+r.reserved+r.suspended+r.cold > 0:
 		return refusalRetryAfter
 	case r.limited > 0:
 		return max(refusalRetryAfter, min(r.limitWait, maxLimitRetryAfter))
@@ -311,7 +283,7 @@
 func (b *Balancer) estimate(q *query, state *endpointState, isHome bool) candidate {
 	request, run, now := q.request, q.run, q.now
 	c := candidate{state: state, isHome: isHome}
-	runMillis := q.uncached
+	runMillis := run.uncached
 	switch {
 	case q.warmEndpoint == state.endpoint.ID:
 		runMillis, c.isWarm = run.cached, true
@@ -333,7 +305,7 @@
 	case state.endpoint.DataCentre != b.DataCentre:
 		roundTrip, perKilobyte = interDataCentreMillis, interDataCentreKilobyteCost
 	}
-	typicalRun := q.uncached
+	typicalRun := run.uncached
 	weight := state.pace.weight(now)
 	c.pace = pacedRun{state.pace.statedFactor(weight), weight, roundTrip + c.wait + runMillis, roundTrip}
 	if c.pace.statedFactor != 1 {
@@ -343,15 +315,11 @@
 		c.wait *= factor
 		typicalRun *= max(factor, 1)
 	}
-	c.run = runMillis
 	c.expected = roundTrip + c.wait + runMillis
 	c.typical = roundTrip + c.wait + typicalRun
 	c.cost = c.expected + occupancyCost*runMillis + perKilobyte*(request.Kilobytes+expectedResponseKilobytes) + state.currentFailureRate(now)*failureCost*float64(request.Route.TargetLatency)
 	if !request.isRegionBound() {
 		c.cost += (1 - b.unreservedFraction(request.Service.Name, state.endpoint.Region, now)) * reservationCost * float64(request.Route.TargetLatency)
 	}
-	if q.rule.isHighest {
-		c.cost += queueCost * c.wait
-	}
 	return c
 }
--- a/internal/policy/balance/demand.go
+++ b/internal/policy/balance/demand.go
@@ -15,8 +15,9 @@
 	// paceSeenTime is how long after the last stated pace the endpoints of a service
 	// count as ones that state it. It outlasts the times without answers in an overload.
 	paceSeenTime = 1 * clock.Minute
-	// demandDecayTime is the time constant of the smoothed demand.
-	demandDecayTime = 3 * clock.Second
+	// demandDecayTime is the time constant of the smoothed demand. A VM of a large fleet gets
+	// one or two requests of a priority per second, of which 3 s would be too few.
+	demandDecayTime = 8 * clock.Second
 	// minQuietTime is how long no request of a priority must have come for its demand to
 	// count as ended, and quietIntervals how many times the mean interval between its
 	// requests. At random arrivals a gap of four intervals occurs once in 55 requests.
@@ -30,6 +31,9 @@
 	// priorities has an entry for each route priority of recent requests, in ascending
 	// order: the highest priority first.
 	priorities []priorityDemand
+	// reserve is the fraction of the endpoints that is reserved for the highest priority
+	// with notable demand; see updateReserve.
+	reserve float64
 	// isPaceStated reports whether an endpoint has ever stated its pace, last at
 	// paceStatedAt.
 	isPaceStated bool
@@ -42,9 +46,13 @@
 	// seenAt is when the last of these requests arrived.
 	seenAt clock.Millis
 	// arrived and granted are the numbers of requests that arrived and that got an
-	// endpoint, work is the expected run time of those that arrived, in milliseconds. All
-	// three are sums over the past, decayed to seenAt with demandDecayTime.
+	// endpoint, work is the expected run time of those that arrived, without a cached
+	// object, in milliseconds. All three are sums over the past, decayed to seenAt with
+	// demandDecayTime.
 	arrived, granted, work float64
+	// target is the moving average of the target latencies of their routes, in
+	// milliseconds.
+	target float64
 }
 
 // demand returns the demand for a service. The caller must hold mu.
@@ -71,7 +79,9 @@
 	}
 	p := b.demand(request.Service.Name).of(request.Route.Priority, now)
 	decay := math.Exp(-float64(now-p.seenAt) / float64(demandDecayTime))
-	p.arrived, p.granted, p.work, p.seenAt = p.arrived*decay+1, p.granted*decay, p.work*decay+b.expectedRun(request, now), now
+	work := b.runTimeOf(routeKey(request), request).uncached
+	p.arrived, p.granted, p.work, p.seenAt = p.arrived*decay+1, p.granted*decay, p.work*decay+work, now
+	p.target += (float64(request.Route.TargetLatency) - p.target) / p.arrived
 }
 
 // recordGrant counts a request that got an endpoint. The caller must hold mu.
@@ -106,15 +116,20 @@
 	return p.work / float64(demandDecayTime) * math.Exp(-float64(quiet)/float64(demandDecayTime))
 }
 
-// isMixed reports whether requests of more than one route priority were seen recently.
-func (d *serviceDemand) isMixed(now clock.Millis) bool {
-	recent := 0
+// isStarved reports whether so few of a priority's requests got an endpoint that none may be
+// kept from them. One request is added to each count, so that a single refusal shows nothing.
+func (d *serviceDemand) isStarved(priority int, now clock.Millis) bool {
+	arrived, granted, own := 1.0, 1.0, priorityDemand{}
 	for i := range d.priorities {
-		if d.priorities[i].isRecent(now) {
-			recent++
+		p := &d.priorities[i]
+		decay := math.Exp(-float64(now-p.seenAt) / float64(demandDecayTime))
+		arrived += p.arrived * decay
+		granted += p.granted * decay
+		if p.priority == priority {
+			own = *p
 		}
 	}
-	return recent > 1
+	return (own.granted+1)*arrived < minServedShare*granted*(own.arrived+1)
 }
 
 // statesPace reports whether endpoints of the service state their pace.
--- a/internal/policy/balance/endpoint.go
+++ b/internal/policy/balance/endpoint.go
@@ -38,6 +38,9 @@
 type endpointState struct {
 	endpoint directory.Endpoint
 	hash     uint64
+	// reserveRank is the endpoint's position, above 0 up to 1, in the order in which the
+	// endpoints of its service and region are reserved; see isReserved.
+	reserveRank float64
 	// inFlightSince holds the send times of this VM's requests in flight.
 	inFlightSince []clock.Millis
 	// othersInFlight is the number of requests that other VMs have in flight, as of
--- a/internal/policy/balance/home.go
+++ b/internal/policy/balance/home.go
@@ -120,8 +120,8 @@
 // home returns the home of the request's object, or nil: the endpoint with the highest
 // weighted rendezvous hash among the eligible endpoints that are neither suspended nor
 // cold nor at their limit. preferred is the one among those at their limit too, if that is
-// another. The caller must hold mu.
-func (b *Balancer) home(request *Request, endpoints []directory.Endpoint, now clock.Millis) (home, preferred *endpointState) {
+// another. The rule restricts both. The caller must hold mu.
+func (b *Balancer) home(request *Request, endpoints []directory.Endpoint, rule reserveRule, now clock.Millis) (home, preferred *endpointState) {
 	if request.Object == "" {
 		return nil, nil
 	}
@@ -131,7 +131,7 @@
 	highest, highestPreferred := 0.0, 0.0
 	for i := range endpoints {
 		state := b.states[endpoints[i].ID]
-		if state == nil || !b.isEligible(request, state) || state.isSuspended(now) || state.endpoint.ColdUntil > now {
+		if state == nil || !b.isEligible(request, state) || state.isSuspended(now) || state.endpoint.ColdUntil > now || rule.excludesHome(state) {
 			continue
 		}
 		weight, found := weights[state.endpoint.Region]
--- a/internal/policy/balance/pace.go
+++ b/internal/policy/balance/pace.go
@@ -121,7 +121,7 @@
 		}
 	}
 	if !g.IsCold {
-		g.balancer.updateRunTimes(g.request, took, g.isWarm, now)
+		g.balancer.updateRunTimes(g.request, took, g.isWarm)
 	}
 	g.state.updateSlowdown(took / max(expected, 1))
 }
--- a/internal/policy/balance/reserve.go
+++ b/internal/policy/balance/reserve.go
@@ -1,101 +1,130 @@
 package balance
 
 import (
-	"math"
+	"cmp"
+	"slices"
 
 	"baobabladder.example/baobabladder/internal/base/clock"
 	"baobabladder.example/baobabladder/internal/base/hashing"
 )
 
 const (
-	// reserveFactor is the number of slots reserved for each request in flight that the
-	// demand amounts to. It leaves room for bursts.
-	reserveFactor = 1.5
-	// maxReserve is the largest fraction of a service's slots that is reserved.
+	// longTargetFactor is how many times the target latency of the most urgent requests
+	// that of others must be for endpoints to be reserved. What runs is never interrupted,
+	// so a request waits for long ones many times its own run time, while requests of
+	// similar length delay each other by little.
+	longTargetFactor = 2
+	// minDemand is the demand, as a fraction of a service's slots, from which a priority
+	// counts. Below it, occasional requests would take endpoints from all others.
+	minDemand = 0.01
+	// minReserve and maxReserve bound the fraction of a service's endpoints that is
+	// reserved. It is one of maxReserve, maxReserve/2 and so on, so that all VMs choose
+	// the same one although each measures the demand of its own callers.
+	minReserve = 0.125
 	maxReserve = 0.5
+	// A reserve is replaced when the demand rises above reserveRaise times the reserve or
+	// falls below reserveLower times it. The new one is the least that the demand, at most
+	// reserveFill of it, fits in. The demand is that of runs without a cached object, which
+	// leaves room for bursts once the objects are cached.
+	reserveRaise = 1.4
+	reserveLower = 0.33
+	reserveFill  = 1.1
 	// minServedShare is the share of a priority's requests that must get an endpoint,
 	// relative to that of all requests of the service. A lower priority that has less may
-	// use all slots and queue up to starvedQueue requests at an endpoint. A kind of request
-	// that is served less than a quarter as often as all counts as starved, and some
-	// of those that get an endpoint are late.
+	// use all endpoints. A kind of request that is served less than a quarter as often as
+	// all counts as starved, and some of those that get an endpoint are late.
 	minServedShare = 0.4
-	starvedQueue   = 2
-	// queueCost is the additional cost of each millisecond that a request of the highest
-	// priority waits in an endpoint's queue.
-	queueCost = 1
 )
 
-// priorityRule is what applies to requests of one route priority in a service with requests
-// of several. The zero value is the rule in other services, where no request comes before
-// another.
-type priorityRule struct {
-	// isHighest reports whether no higher priority was seen recently, isLower whether one
-	// was.
-	isHighest, isLower bool
-	// reserved is the fraction of the slots that is left to higher priorities, and
-	// maxQueue how many requests may wait at an endpoint for another one to be sent there.
-	// Both hold only for lower priorities.
-	reserved float64
-	maxQueue int
-	// meanRun is the mean run time of the requests of all priorities that got an endpoint,
-	// in milliseconds; 0 if it is not known.
-	meanRun float64
+// reserveRule is what the reserve of a service means for requests of one route priority. The
+// zero value is the rule in services without a reserve.
+type reserveRule struct {
+	// fraction is the fraction of the service's endpoints that is reserved for the most
+	// urgent requests; 0 if none are, or if the rule's requests may use all of them.
+	fraction float64
+	// isUrgent reports whether the endpoints are reserved for the rule's requests.
+	isUrgent bool
 }
 
-// priorityRule returns the rule for a request in a service with the given number of slots. It
-// assumes that every other VM has the same demand. The caller must hold mu.
-func (b *Balancer) priorityRule(request *Request, slots float64, now clock.Millis) (rule priorityRule) {
-	d := b.demands[request.Service.Name]
-	if d == nil || !d.isMixed(now) {
-		return priorityRule{}
-	}
-	higher, own := 0.0, priorityDemand{}
-	arrived, granted, grantedWork := 0.0, 0.0, 0.0
-	rule.isHighest = true
-	for i := range d.priorities {
-		p := &d.priorities[i]
-		if !p.isRecent(now) || p.arrived == 0 {
-			continue
+// excludes reports whether the rule's requests must not use the endpoint.
+func (r *reserveRule) excludes(state *endpointState) bool {
+	return r.fraction > 0 && !r.isUrgent && state.isReserved(r.fraction)
+}
+
+// excludesHome reports whether the endpoint cannot be the home of the rule's objects. Urgent
+// requests have their homes on reserved endpoints and use others only if those have no room.
+func (r *reserveRule) excludesHome(state *endpointState) bool {
+	return r.fraction > 0 && r.isUrgent != state.isReserved(r.fraction)
+}
+
+// isReserved reports whether the endpoint belongs to the given fraction of the endpoints of its
+// service and region. All VMs choose the same ones.
+func (s *endpointState) isReserved(fraction float64) bool { return s.reserveRank < fraction }
+
+// rankForReserve sets the reserveRank of the endpoints of one service. A region's only endpoint
+// is never reserved.
+func rankForReserve(states []*endpointState) {
+	position := func(s *endpointState) uint64 { return hashing.Mix(s.hash) }
+	slices.SortFunc(states, func(a, b *endpointState) int {
+		return cmp.Or(cmp.Compare(a.endpoint.Region, b.endpoint.Region), cmp.Compare(position(a), position(b)))
+	})
+	for len(states) > 0 {
+		region := states[0].endpoint.Region
+		count := 0
+		for count < len(states) && states[count].endpoint.Region == region {
+			count++
 		}
-		if p.priority < request.Route.Priority {
-			rule.isHighest = false
-			higher += p.load(now)
+		for i := range count {
+			states[i].reserveRank = float64(i) / float64(count)
 		}
-		if p.priority == request.Route.Priority {
-			own = *p
+		if count == 1 {
+			states[0].reserveRank = 1
 		}
-		decay := math.Exp(-float64(now-p.seenAt) / float64(demandDecayTime))
-		arrived += p.arrived * decay
-		granted += p.granted * decay
-		grantedWork += p.granted * decay * p.work / p.arrived
+		states = states[count:]
 	}
-	if granted > 0 {
-		rule.meanRun = grantedWork / granted
+}
+
+// reserveRule returns the rule for a request. The caller must hold mu.
+func (b *Balancer) reserveRule(request *Request, now clock.Millis) (rule reserveRule) {
+	d := b.demands[request.Service.Name]
+	if d == nil {
+		return reserveRule{}
 	}
-	if rule.isLower = !rule.isHighest; !rule.isLower {
-		return rule
+	urgent := b.updateReserve(d, request.Service.Name, now)
+	if d.reserve == 0 {
+		return reserveRule{}
 	}
-	// One request is added to each count, so that a single refusal shows nothing.
-	if (own.granted+1)*(arrived+1) < minServedShare*(granted+1)*(own.arrived+1) {
-		rule.maxQueue = starvedQueue
-		return rule
+	rule = reserveRule{fraction: d.reserve, isUrgent: request.Route.Priority <= urgent}
+	if !rule.isUrgent && d.isStarved(request.Route.Priority, now) {
+		return reserveRule{}
 	}
-	vms := float64(max(len(b.availableVMs), 1))
-	rule.reserved = min(reserveFactor*higher*vms/max(slots, 1), maxReserve)
 	return rule
 }
 
-// limit returns how many requests, running or queued, an endpoint may have for another one to
-// be sent to it. Fractions of reserved slots are spread over the endpoints by hash, so that all
-// VMs reserve them at the same endpoints.
-func (r *priorityRule) limit(state *endpointState, now clock.Millis) int {
-	slots := state.slots(now)
-	if !r.isLower {
-		return slots + maxQueueLength
+// updateReserve updates the reserve of a service by its demand and returns the priority that it
+// is for. It assumes that every other VM has the same demand. The caller must hold mu.
+func (b *Balancer) updateReserve(d *serviceDemand, service string, now clock.Millis) (urgent int) {
+	perVM := float64(max(len(b.availableVMs), 1)) / max(b.slotsByService[service], 1)
+	demand, target, longest, found := 0.0, 0.0, 0.0, false
+	for i := range d.priorities {
+		p := &d.priorities[i]
+		current := p.load(now) * perVM
+		if !p.isRecent(now) || current < minDemand {
+			continue
+		}
+		longest = max(longest, p.target)
+		if !found {
+			demand, target, urgent, found = current, p.target, p.priority, true
+		}
 	}
-	whole, fraction := math.Modf(r.reserved * float64(slots))
-	if float64(hashing.Mix(state.hash)>>11)/(1<<53) < fraction {
-		whole++
+	switch {
+	case !found || longest < longTargetFactor*target:
+		d.reserve = 0
+	case demand > reserveRaise*d.reserve || demand < reserveLower*d.reserve:
+		d.reserve = minReserve
+		for d.reserve < maxReserve && demand > reserveFill*d.reserve {
+			d.reserve *= 2
+		}
 	}
-	return slots - int(whole) + r.maxQueue
+	return urgent
 }
--- a/internal/policy/balance/room.go
+++ b/internal/policy/balance/room.go
@@ -15,8 +15,7 @@
 }
 
 // QueuesAllowed reports whether requests for the service that find no room may wait at this
-// VM: its endpoints state their pace, or requests of more than one route priority were seen
-// recently.
+// VM: its endpoints state their pace, or some are reserved for the most urgent requests.
 func (b *Balancer) QueuesAllowed(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -27,7 +26,7 @@
 // requests. For other services all requests are treated alike. The caller must hold mu.
 func (b *Balancer) isOrdered(service string, now clock.Millis) bool {
 	d := b.demands[service]
-	return d != nil && (d.statesPace(now) || d.isMixed(now))
+	return d != nil && (d.statesPace(now) || d.reserve > 0)
 }
 
 // ExpectedRun returns the expected time from sending the request to its answer, if it need
@@ -49,7 +48,7 @@
 			return run.cached
 		}
 	}
-	return run.expectedUncached()
+	return run.uncached
 }
 
 // notifyRoom calls OnRoom for each service of the directory. The caller must not hold mu.
--- a/internal/policy/balance/runtime.go
+++ b/internal/policy/balance/runtime.go
@@ -9,21 +9,6 @@
 // milliseconds: cached if the endpoint is warm for the object, uncached if not.
 type runTime struct {
 	uncached, cached float64
-	// mean is the average over all runs, of which there were runs, the last at learnedAt.
-	// uncachedRuns counts those that uncached was learned from.
-	mean         float64
-	runs         int
-	learnedAt    clock.Millis
-	uncachedRuns int
-}
-
-// expectedUncached returns the expected time of a run on an endpoint that is not known to be
-// warm. If no run has shown a difference, it is the average.
-func (r *runTime) expectedUncached() float64 {
-	if r.uncachedRuns == 0 && r.runs > 0 {
-		return r.mean
-	}
-	return r.uncached
 }
 
 // runTimeKey identifies the requests that have a common run time: those of a service and kind
@@ -69,14 +54,9 @@
 
 // updateRunTimes adds the run time of one request that did not queue, in milliseconds, to the
 // averages of its service and of its route. The caller must hold mu.
-func (b *Balancer) updateRunTimes(request *Request, took float64, isWarm bool, now clock.Millis) {
-	for _, key := range [...]runTimeKey{workKey(request), routeKey(request)} {
-		r := b.runTimeOf(key, request)
-		r.update(took, isWarm)
-		r.runs++
-		r.mean += (took - r.mean) / float64(min(r.runs, averageDivisor))
-		r.learnedAt = now
-	}
+func (b *Balancer) updateRunTimes(request *Request, took float64, isWarm bool) {
+	b.runTimeOf(workKey(request), request).update(took, isWarm)
+	b.runTimeOf(routeKey(request), request).update(took, isWarm)
 }
 
 // averageDivisor is the divisor in the moving averages of run times: a new value counts
@@ -93,6 +73,5 @@
 	// object, so it does not show how long runs take that are not warm.
 	if took > r.cached*1.5 {
 		r.uncached += (took - r.uncached) / averageDivisor
-		r.uncachedRuns++
 	}
 }
