--- a/internal/entry/gateway/usage.go
+++ b/internal/entry/gateway/usage.go
@@ -1,9 +1,6 @@
 package gateway
 
 import (
-	"strconv"
-	"strings"
-
 	"baobabladder.example/baobabladder/internal/base/reason"
 	"baobabladder.example/baobabladder/internal/policy/balance"
 	"baobabladder.example/baobabladder/internal/policy/usage"
@@ -49,36 +46,16 @@
 	a.attempt.End(a.ending)
 }
 
-// minPace and maxPace bound the pace that is taken from a load report.
-const (
-	minPace = 10
-	maxPace = 10_000
-)
-
-// readUsageLoad reads a load report, "running,waiting,slots" or "running,waiting,slots,pace",
-// as far as it is valid.
+// readUsageLoad returns what a load report says of the endpoint's occupancy and pace.
 func readUsageLoad(report string) (load usage.Load) {
-	var figures [4]int
-	parts := strings.Split(report, ",")
-	if len(parts) < 3 || len(parts) > len(figures) {
+	var stated balance.Result
+	parseLoad(report, &stated)
+	if stated.Running < 0 || stated.Slots == 0 {
 		return usage.Load{}
 	}
-	for i, part := range parts {
-		figure, err := strconv.Atoi(strings.TrimSpace(part))
-		if err != nil || figure < 0 {
-			if i == 3 {
-				break
-			}
-			return usage.Load{}
-		}
-		figures[i] = figure
-	}
-	load.Occupancy = usage.HasNoFreeSlot
-	if running, waiting, slots := figures[0], figures[1], figures[2]; waiting == 0 && running < slots {
+	load = usage.Load{Occupancy: usage.HasNoFreeSlot, Pace: stated.Pace}
+	if stated.Waiting == 0 && stated.Running < stated.Slots {
 		load.Occupancy = usage.HasFreeSlot
 	}
-	if pace := figures[3]; pace >= minPace && pace <= maxPace {
-		load.Pace = pace
-	}
 	return load
 }
