Clarify comments and names of duties and usage reports

No behaviour changes.

- internal/policy/usage: the types sheet, page and cell did not say what they hold.
- internal/control/usage: "Only send uses them" was wrong about retryAt, pause and rejections, which freeze also resets under mu.
Rejections are not counted "in a row": failures of other kinds do not reset them. keptDone is doneRetention.
- Ledger.Finish claimed that every window is final at once; windows of attempts in flight are not.
Tick detects suspensions rather than telling how long they were.
- Comments that had to be read twice are reworded in clock, duty, roster, the node and the metering client.

--- a/internal/base/clock/clock.go
+++ b/internal/base/clock/clock.go
@@ -70,8 +70,8 @@
 }
 
 // Boottime returns the time since the process's origin, including the time for which the
-// machine was suspended, in which Now stands still on Linux. It is for leases, which go on
-// elsewhere during a suspension. It never decreases, and values of different processes are
+// machine was suspended, during which Now does not advance on Linux. It is meant for leases,
+// which expire on other machines during a suspension. It never decreases, and values of different processes are
 // not comparable.
 func (c Clock) Boottime() Millis {
 	if c.manual != nil {
--- a/internal/control/duty/duty.go
+++ b/internal/control/duty/duty.go
@@ -51,7 +51,8 @@
 	Log     logrus.FieldLogger
 	Scope   tally.Scope
 
-	// calling is held during a store call and what belongs to it. It is locked before mu.
+	// calling is held during a store call and the evaluation of its result. It is locked
+	// before mu.
 	calling sync.Mutex
 	mu      sync.Mutex
 	// view, reported and hasReported are guarded by mu.
@@ -221,8 +222,8 @@
 	return err
 }
 
-// isStored reports whether the store showed a record of this VM in the era in which it was
-// meant.
+// isStored reports whether the last known record is the given one, and was stored in the era
+// for which it was written.
 func (d *Duty) isStored(record *Record) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -237,7 +238,7 @@
 	now := d.Clock.Boottime()
 	var record Record
 	if err == nil && found && (json.Unmarshal(spec, &record) != nil || !record.isValid()) {
-		// The object is replaced like one whose holders are not known.
+		// The zero record has no known holders, so the object is replaced after a full wait.
 		record = Record{}
 		if d.Log != nil {
 			d.Log.WithField("duty", d.Name).Error("the store's object of a duty cannot be decoded")
@@ -259,7 +260,8 @@
 	return context.WithTimeout(ctx, (d.LeaseTime / readDivisor).Duration())
 }
 
-// failureOf classifies the error of a write. An error of another type says nothing.
+// failureOf classifies the error of a write. After an error of an unknown type the write may
+// have been applied.
 func failureOf(err error) writeFailure {
 	switch {
 	case errorx.IsOfType(err, ErrUnavailable):
--- a/internal/control/duty/record.go
+++ b/internal/control/duty/record.go
@@ -40,7 +40,7 @@
 	Term   int64 `json:"term"`
 }
 
-// isValid reports whether a term can follow the record's.
+// isValid reports whether the record's term is in range and can be followed by a higher one.
 func (r *Record) isValid() bool { return r.Term >= 0 && r.Term < math.MaxInt64 }
 
 // mayHaveActed reports whether a VM is among the previous holders, in any incarnation, or
@@ -64,8 +64,7 @@
 	return previous
 }
 
-// isNewerThan reports whether r was written after other, which holds within and across
-// terms.
+// isNewerThan reports whether r was written after other, in the same term or in a later one.
 func (r *Record) isNewerThan(other *Record) bool {
 	return r.Term > other.Term || r.Term == other.Term && r.Renewed > other.Renewed
 }
--- a/internal/control/duty/report.go
+++ b/internal/control/duty/report.go
@@ -18,7 +18,8 @@
 	reasonFirst   = "no_known_holder"
 	reasonFree    = "was_released"
 	reasonExpired = "holder_expired"
-	// reasonResumed is of a holder that could not renew in time, and was not replaced.
+	// reasonResumed applies to a holder whose tenure ended before it renewed, if no other VM
+	// took over.
 	reasonResumed = "resumed"
 
 	// Reasons of eventLost.
@@ -35,14 +36,14 @@
 	switch {
 	case replaced.Holder != (vm.ID{}):
 		return reasonExpired
-	case replaced.mayHaveActed(""):
+	case replaced.mayHaveActed(""): // No VM has an empty name: true only for unknown holders.
 		return reasonFirst
 	default:
 		return reasonFree
 	}
 }
 
-// reported is what was logged and counted last.
+// reported is the state of the duty that was logged and counted last.
 type reported struct {
 	isHeld bool
 	term   int64
--- a/internal/control/duty/rules.go
+++ b/internal/control/duty/rules.go
@@ -116,7 +116,8 @@
 // acquireAt returns the earliest time at which this VM may acquire the duty. It may do so
 // at once only if the last holder released it and this VM is certain not to have acted
 // within the lease time. Otherwise it waits until any tenure that it can't rule out has
-// ended: a holder sent its last renewal before this VM saw the revision of it.
+// ended: a tenure counts from the sending of its last renewal, which was before this VM saw
+// that renewal's revision.
 func (v *view) acquireAt() clock.Millis {
 	isReleased := v.known.Holder == (vm.ID{}) && v.known.isHistoryKnown() && v.isOfThisEra()
 	if isReleased && !v.known.mayHaveActed(v.self.Name) {
--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -58,7 +58,7 @@
 	Call(ctx context.Context, address, method string, args, reply any) error
 }
 
-// Usage makes and takes the messages with the counts of requests; see usage.Collector. Its
+// Usage creates and applies the messages with the counts of requests; see usage.Collector. Its
 // methods are called without mu.
 type Usage interface {
 	MessageFor(peer string, link usage.Link) []byte
--- a/internal/control/roster/usage.go
+++ b/internal/control/roster/usage.go
@@ -8,7 +8,7 @@
 	"baobabladder.example/baobabladder/internal/policy/usage"
 )
 
-// usageLink returns what of usage is stated to a peer. If isCallee is set, the peer called
+// usageLink returns the link that selects which counts are stated to a peer. If isCallee is set, the peer called
 // this VM; see stateFor.
 func (r *Roster) usageLink(self *State, peer string, isCallee bool) usage.Link {
 	r.mu.Lock()
@@ -39,8 +39,8 @@
 	}
 }
 
-// ExchangeUsage exchanges states with all VMs to which this VM states its counts, and waits
-// for it until ctx ends.
+// ExchangeUsage exchanges states with all VMs to which this VM states its counts. It returns
+// when all exchanges have ended; ctx limits them.
 func (r *Roster) ExchangeUsage(ctx context.Context) {
 	r.cachedSelf.Store(nil)
 	targets := r.targets()
--- a/internal/control/usage/freeze.go
+++ b/internal/control/usage/freeze.go
@@ -10,7 +10,7 @@
 )
 
 // freeze takes the counts of the windows that are ready and stores them. One write stores all
-// of them and removes the windows that are done with.
+// of them and removes the windows that were acknowledged or given up.
 func (s *Sender) freeze(ctx context.Context) {
 	term, _, isHeld := s.Duty.Tenure()
 	if !isHeld || s.Clock.Now() < s.storeRetryAt {
@@ -36,7 +36,7 @@
 		err = s.Duty.SetState(ctx, encoded)
 	}
 	if err != nil {
-		// What was to be frozen was not sent, so the next try may take other counts.
+		// These windows were not sent, so the next attempt may freeze them with other counts.
 		s.storeRetryAt = s.Clock.Now() + storeRetryPause
 		if ctx.Err() == nil {
 			s.Log.WithError(err).WithField("windows", len(totals)).Warn("storing frozen windows failed; retrying")
@@ -46,7 +46,7 @@
 	s.mu.Lock()
 	s.progress = next
 	for window := range s.done {
-		if window < next.Next-keptDone {
+		if window < next.Next-doneRetention {
 			delete(s.done, window)
 		}
 	}
@@ -60,9 +60,9 @@
 	}
 }
 
-// keptDone is the number of windows for which it is remembered that they are done with. A
-// store that comes back from a copy may list them again.
-const keptDone = 1000
+// doneRetention is the number of windows for which Sender.done is kept. A store that comes back
+// from a copy may list windows again that were acknowledged or given up.
+const doneRetention = 1000
 
 // frozenTotal is the sum with which a window was frozen.
 type frozenTotal struct {
--- a/internal/control/usage/send.go
+++ b/internal/control/usage/send.go
@@ -11,7 +11,7 @@
 	policy "baobabladder.example/baobabladder/internal/policy/usage"
 )
 
-// send sends the oldest frozen window that is not done with, if a call may be made now.
+// send sends the oldest frozen window that needs a call, if one may be made now.
 func (s *Sender) send(ctx context.Context) {
 	term, until, isHeld := s.Duty.Tenure()
 	if !isHeld {
@@ -37,7 +37,7 @@
 	s.record(&frozen, term, status, err)
 }
 
-// oldest returns the oldest frozen window that is not done with.
+// oldest returns the oldest frozen window that is neither acknowledged nor given up.
 func (s *Sender) oldest() (frozen policy.Frozen, found bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -87,7 +87,7 @@
 }
 
 // delayRetry sets when the next call may be made after one that failed, and returns how often
-// the window was rejected in a row.
+// the window was rejected so far, or 0 if it was not rejected now.
 func (s *Sender) delayRetry(isRejected bool) (rejections int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/control/usage/usage.go
+++ b/internal/control/usage/usage.go
@@ -16,12 +16,10 @@
 )
 
 const (
-	// stepInterval is the time between two checks for work, which make no call by
-	// themselves.
+	// stepInterval is the time between two checks for work. Most checks make no call.
 	stepInterval = 100 * clock.Millis(1)
-	// CallTimeout limits a call of the metering interface. It is above 70 times the usual
-	// time of an answer, which the interface may take, and leaves time for the next call
-	// within a renewed tenure.
+	// CallTimeout limits a call of the metering interface. It allows for answers that take 70
+	// times as long as usual, and leaves time for the next call within a renewed tenure.
 	CallTimeout = 800 * clock.Millis(1)
 	// firstRetryPause is the pause after a call that was not acknowledged. It doubles up to
 	// maxRetryPause.
@@ -29,10 +27,11 @@
 	maxRetryPause   = 2 * clock.Second
 	// storeRetryPause is the pause after a write to the store that failed.
 	storeRetryPause = 1 * clock.Second
-	// maxRejections is how often a report is sent that the interface rejects with a status
-	// which says that it will not take it.
+	// maxRejections is the number of rejections after which a window is given up; see
+	// isRejection.
 	maxRejections = 5
-	// paceFactor is how many times longer than needed the pause between two calls is.
+	// paceFactor is the ratio of the interval between two calls to the shortest one that
+	// CallsPerSecond allows.
 	paceFactor = 2
 )
 
@@ -72,7 +71,7 @@
 	Collector *policy.Collector
 	Ledger    *policy.Ledger
 	Schedule  policy.Schedule
-	// CallsPerSecond is the most that the interface takes. Tolerance is the fraction by
+	// CallsPerSecond is the most calls a second that the interface takes. Tolerance is the fraction by
 	// which a count may be wrong.
 	CallsPerSecond, Tolerance float64
 	// FirstWindow returns the first window to report if none ever was; 0 if it is not known
@@ -94,8 +93,9 @@
 	// done holds the windows that were acknowledged or given up. They are removed from
 	// progress with the next window that is frozen. Guarded by mu.
 	done map[policy.Window]bool
-	// retryAt is when the next call may be made, pause the pause after the next one that
-	// fails, rejections how often the oldest window was rejected. Only send uses them.
+	// retryAt is when the next call may be made, pause the pause after the last one that
+	// failed, rejections how often the oldest window was rejected. All are reset when a window
+	// is acknowledged or given up. Guarded by mu.
 	retryAt, pause clock.Millis
 	rejections     int
 	// storeRetryAt is when the store may be written again after a failure. Only freeze uses
--- a/internal/entry/node/dutystore.go
+++ b/internal/entry/node/dutystore.go
@@ -22,8 +22,7 @@
 	return s.calls.ReadObject(ctx, kind, name)
 }
 
-// WriteObject implements duty.Store. The store has answered a write that it refuses because
-// of a conflict.
+// WriteObject implements duty.Store. A conflict is counted as a success: the store answered.
 func (s dutyStore) WriteObject(ctx context.Context, kind, name string, spec []byte, ifRevision int64) (revision int64, err error) {
 	defer func() {
 		if errorx.IsOfType(err, duty.ErrConflict) {
--- a/internal/entry/node/limits.go
+++ b/internal/entry/node/limits.go
@@ -46,7 +46,7 @@
 }
 
 // forwardedHeadBytes is how much a forwarded head may exceed twice the limit of a caller's head.
-// The VM that forwards adds headers, and writes a line of three bytes, "a:" and its end, in five.
+// The VM that forwards adds headers, and writes the three bytes "a:\n" as the five bytes "a: \r\n".
 const forwardedHeadBytes = 4 << 10
 
 // setHeadLimits puts the configuration's limits of heads and connections in force. Connections
--- a/internal/entry/node/usage.go
+++ b/internal/entry/node/usage.go
@@ -16,15 +16,16 @@
 const (
 	// usageDuty is the name of the duty of reporting usage.
 	usageDuty = "usage"
-	// maxContenders is the number of VMs that contend for the duty. Each reads the duty's
-	// object while it is held elsewhere, and relays send each the sum over their region.
+	// maxContenders is the number of VMs that contend for the duty. Each one costs reads of the
+	// duty's object while another VM holds it, and messages with the sums of all regions.
 	maxContenders = 3
-	// lastExchangeDivisor gives the part of shutdownMargin in which a stopping VM states its
-	// last counts.
+	// lastExchangeDivisor gives the time in which a stopping VM states its last counts, as a
+	// fraction of shutdownMargin.
 	lastExchangeDivisor = 3
 )
 
-// usageReports holds what counts the requests that endpoints run and reports them.
+// usageReports holds the components that count the requests which endpoints run, and report
+// them.
 type usageReports struct {
 	ledger    *policy.Ledger
 	collector *policy.Collector
@@ -37,7 +38,7 @@
 	senderStopped chan struct{}
 }
 
-// buildUsage creates what reports usage, if the settings name a metering interface. Without
+// buildUsage creates the components of usage reports, if the settings name a metering interface. Without
 // one nothing is counted, stated or stored.
 func (n *Node) buildUsage() {
 	config := n.Settings.Usage
@@ -118,7 +119,7 @@
 }
 
 // firstUsageWindow returns the first window to report if none ever was. If the fleet was
-// started before, windows up to this VM's start can't be known whole.
+// started before, the counts of windows up to this VM's start may be incomplete.
 func (n *Node) firstUsageWindow() policy.Window {
 	if !n.Settings.FirstStart {
 		return n.usage.ledger.Schedule.WindowAt(clock.Millis(n.id.Incarnation)) + 1
@@ -126,7 +127,7 @@
 	return n.fleetStartWindow()
 }
 
-// fleetStartWindow returns the window in which the first of the VMs that run started.
+// fleetStartWindow returns the window in which the VM that has run longest started.
 func (n *Node) fleetStartWindow() policy.Window {
 	first := n.id.Incarnation
 	for _, member := range n.roster.Members() {
--- a/internal/policy/usage/collector.go
+++ b/internal/policy/usage/collector.go
@@ -24,8 +24,9 @@
 type Link int
 
 const (
-	// LinkFollower is a VM of the region of this VM, which is a relay. It gets the sums of all
-	// regions if it wants them: a VM may hold the duty on when it is no longer a relay.
+	// LinkFollower is a VM of this VM's region, of which this VM is a relay. It gets the sums of
+	// all regions if it wants them: a holder of the duty keeps it when it stops
+	// being a relay.
 	LinkFollower Link = iota
 	// LinkDirect is a peer that gets this VM's own statement, and those of VMs that are no
 	// longer reachable: any VM of a full mesh, or a relay of this VM's region.
@@ -41,7 +42,7 @@
 	Region string
 	// IsReachable reports that the VM was heard lately. IsAwaited reports that its counts are
 	// waited for until a window must be frozen: it is reachable, or was heard within the last
-	// 30 s and was not stopping, so that it may only be cut off or stand still.
+	// 30 s and was not stopping, so that it may be cut off or suspended and still run.
 	IsReachable, IsAwaited bool
 }
 
@@ -53,8 +54,8 @@
 	Clock  clock.Clock
 
 	mu sync.Mutex
-	// sheets holds the statements by author, this VM's own included. Guarded by mu.
-	sheets map[Author]*statedSheet
+	// byAuthor holds the stated counts by author, this VM's own included. Guarded by mu.
+	byAuthor map[Author]*statedCounts
 	// peers holds what is known of the exchange with each peer, by name. Guarded by mu.
 	peers map[string]*peer
 	// members holds the VMs of the fleet by name. Guarded by mu.
@@ -63,19 +64,20 @@
 	// wants reports that this VM needs the sums of other regions. Guarded by mu.
 	next  Window
 	wants bool
-	// open is the open window when own counts were read last, at refreshedAt, if isFresh.
+	// open is the window that was open when this VM's own counts were read last, at
+	// refreshedAt. wasRefreshed is set once they were read.
 	// Guarded by mu.
-	open        Window
-	refreshedAt clock.Millis
-	isFresh     bool
+	open         Window
+	refreshedAt  clock.Millis
+	wasRefreshed bool
 	// regionSummedAt is when the sum over this VM's region was last built. Guarded by mu.
-	regionSummedAt clock.Millis
-	hasSummed      bool
+	regionSummedAt  clock.Millis
+	wasRegionSummed bool
 }
 
-// statedSheet is what an author has stated.
-type statedSheet struct {
-	sheet
+// statedCounts holds an author's counts and region.
+type statedCounts struct {
+	authorCounts
 	region string
 }
 
@@ -136,7 +138,7 @@
 	first := max(c.next, c.open-statedWindows+1)
 	switch {
 	case link == LinkDirect:
-		for author, stated := range c.sheets {
+		for author, stated := range c.byAuthor {
 			if !author.IsRegion && author.ID != (vm.ID{Name: name, Incarnation: p.incarnation}) && (author.ID == c.Self || !c.isReachable(author.ID)) {
 				message.add(author, stated, p, first)
 			}
@@ -144,10 +146,10 @@
 	case link == LinkRegion && p.wants:
 		c.refreshRegion()
 		own := Author{c.Self, true}
-		message.add(own, c.sheets[own], p, first)
+		message.add(own, c.byAuthor[own], p, first)
 	case link == LinkFollower && p.wants:
 		c.refreshRegion()
-		for author, stated := range c.sheets {
+		for author, stated := range c.byAuthor {
 			if author.IsRegion {
 				message.add(author, stated, p, first)
 			}
@@ -168,7 +170,7 @@
 }
 
 // add adds what the peer does not have of an author's statements.
-func (m *Message) add(author Author, stated *statedSheet, to *peer, first Window) {
+func (m *Message) add(author Author, stated *statedCounts, to *peer, first Window) {
 	base := to.acked[author]
 	if changes := stated.since(base, first); len(changes) > 0 {
 		m.Statements = append(m.Statements, Statement{author, stated.region, base, stated.version, changes})
@@ -194,7 +196,7 @@
 		c.next = max(c.next, message.Next)
 	}
 	for _, ack := range message.Acks {
-		// It is lower than before if the peer has forgotten the author.
+		// An acknowledged version may decrease: the peer has forgotten the author since.
 		p.acked[ack.Author] = ack.Version
 	}
 	for i := range message.Statements {
@@ -202,11 +204,12 @@
 		if statement.Author.ID == c.Self {
 			continue
 		}
-		// A VM whose wall clock is far off states windows that this VM would never forget.
+		// A VM whose wall clock is ahead states future windows, which would be kept until
+		// their time comes.
 		windows := slices.DeleteFunc(statement.Windows, func(w WindowStatement) bool {
 			return w.Window < max(c.next, c.open-maxWindows+1) || w.Window > c.open+1
 		})
-		stated := c.sheet(statement.Author, statement.Region)
+		stated := c.countsOf(statement.Author, statement.Region)
 		stated.merge(statement.Base, statement.Version, windows)
 		p.received = append(p.received, Ack{statement.Author, stated.complete})
 	}
@@ -224,16 +227,16 @@
 	return c.peers[name]
 }
 
-// sheet returns the sheet of an author, which it creates if there is none. The caller must
-// hold mu.
-func (c *Collector) sheet(author Author, region string) *statedSheet {
-	if c.sheets == nil {
-		c.sheets = map[Author]*statedSheet{}
+// countsOf returns the stated counts of an author, which it creates if there are none. The
+// caller must hold mu.
+func (c *Collector) countsOf(author Author, region string) *statedCounts {
+	if c.byAuthor == nil {
+		c.byAuthor = map[Author]*statedCounts{}
 	}
-	if c.sheets[author] == nil {
-		c.sheets[author] = &statedSheet{region: region}
+	if c.byAuthor[author] == nil {
+		c.byAuthor[author] = &statedCounts{region: region}
 	}
-	return c.sheets[author]
+	return c.byAuthor[author]
 }
 
 // isReachable reports whether a VM's incarnation states its counts itself, as far as this VM
@@ -250,18 +253,18 @@
 	return id == c.Self || found && member.IsAwaited && member.ID.Incarnation <= id.Incarnation
 }
 
-// refreshOwn brings this VM's own sheet up to date, unless it was lately, and forgets windows
+// refreshOwn updates this VM's own counts if they are older than ownMaxAge, and forgets windows
 // that are frozen or too old. The caller must hold mu.
 func (c *Collector) refreshOwn() {
 	now := c.Clock.Now()
-	if c.isFresh && now-c.refreshedAt < ownMaxAge && !c.Ledger.isFinished() {
+	if c.wasRefreshed && now-c.refreshedAt < ownMaxAge && !c.Ledger.isFinished() {
 		return
 	}
-	c.isFresh, c.refreshedAt = true, now
+	c.wasRefreshed, c.refreshedAt = true, now
 	windows, open := c.Ledger.windows()
 	c.open = open
 	first := max(c.next, open-maxWindows+1)
-	own := c.sheet(Author{c.Self, false}, c.Region)
+	own := c.countsOf(Author{c.Self, false}, c.Region)
 	for window, counted := range windows {
 		if window < first {
 			continue
@@ -272,26 +275,26 @@
 		}
 		own.set(window, &sum)
 	}
-	for _, stated := range c.sheets {
+	for _, stated := range c.byAuthor {
 		stated.forget(first)
 	}
-	maps.DeleteFunc(c.sheets, func(author Author, stated *statedSheet) bool {
-		return len(stated.pages) == 0 && !c.isReachable(author.ID)
+	maps.DeleteFunc(c.byAuthor, func(author Author, stated *statedCounts) bool {
+		return len(stated.windows) == 0 && !c.isReachable(author.ID)
 	})
 }
 
 // refreshRegion brings this VM's sum over its region up to date. The caller must hold mu.
 func (c *Collector) refreshRegion() {
 	now := c.Clock.Now()
-	if c.hasSummed && now-c.regionSummedAt < regionSumMaxAge {
+	if c.wasRegionSummed && now-c.regionSummedAt < regionSumMaxAge {
 		return
 	}
-	c.hasSummed, c.regionSummedAt = true, now
-	total := c.sheet(Author{c.Self, true}, c.Region)
+	c.wasRegionSummed, c.regionSummedAt = true, now
+	total := c.countsOf(Author{c.Self, true}, c.Region)
 	windows := map[Window]bool{}
-	for author, stated := range c.sheets {
+	for author, stated := range c.byAuthor {
 		if !author.IsRegion && stated.region == c.Region {
-			for window := range stated.pages {
+			for window := range stated.windows {
 				windows[window] = true
 			}
 		}
@@ -304,11 +307,12 @@
 	}
 }
 
-// directSums returns the sum of the VMs' own statements on a window, by region. What VMs stated
-// that are not awaited is included, without counting these VMs. The caller must hold mu.
+// directSums returns the sum of the VMs' own statements on a window, by region. The requests
+// of VMs that are not awaited are included, but not these VMs themselves. The caller must hold
+// mu.
 func (c *Collector) directSums(window Window) map[string]*Sum {
 	sums := map[string]*Sum{}
-	for author, stated := range c.sheets {
+	for author, stated := range c.byAuthor {
 		if author.IsRegion {
 			continue
 		}
@@ -347,7 +351,7 @@
 	defer c.mu.Unlock()
 	c.refreshOwn()
 	regions := c.directSums(window)
-	for author, stated := range c.sheets {
+	for author, stated := range c.byAuthor {
 		// This VM's own sum is built from the same statements as its direct sum.
 		if sum, found := stated.sum(window); found && author.IsRegion && author.ID != c.Self {
 			if known := regions[stated.region]; known == nil || sum.isFuller(known) {
@@ -383,7 +387,7 @@
 // mu.
 func (c *Collector) unstated(window Window) int64 {
 	requests := int64(0)
-	for author, stated := range c.sheets {
+	for author, stated := range c.byAuthor {
 		counted, found := stated.sum(window)
 		if author.IsRegion || !found || counted.Open == 0 || c.isReachable(author.ID) {
 			continue
--- a/internal/policy/usage/estimate.go
+++ b/internal/policy/usage/estimate.go
@@ -9,8 +9,8 @@
 	// Wait is the time in the endpoint's queue; 0 if a slot is thought to be free.
 	Wait clock.Millis
 	// Run is the time for which the endpoint runs the attempt, LongRun the time if it turns
-	// out not to be warm for the object. They are equal unless the endpoint is only thought to
-	// be warm: if the difference is always allowed for, waits in queues are taken for runs.
+	// out not to be warm for the object. They differ only if it is uncertain whether the endpoint
+	// is warm: a longer LongRun in other cases would hide waits in queues.
 	Run, LongRun clock.Millis
 }
 
--- a/internal/policy/usage/ledger.go
+++ b/internal/policy/usage/ledger.go
@@ -28,8 +28,8 @@
 	// tickedAt is when Tick was called last. The process stood still from stalledFrom to
 	// stalledUntil. Guarded by mu.
 	tickedAt, stalledFrom, stalledUntil clock.Millis
-	// hasEnded reports that no attempt follows. Guarded by mu.
-	hasEnded bool
+	// finished is set when no more attempts will begin. Guarded by mu.
+	finished bool
 }
 
 // Attempt is one attempt to have a request run by an endpoint.
@@ -80,11 +80,12 @@
 	l.add(a.workspace, beganAt)
 }
 
-// maxTickPause is the time between two calls of Tick above which the process stood still,
-// and not only waited for the processor.
+// maxTickPause is the longest time between two calls of Tick that is taken for a wait for the
+// processor. After a longer one the process is taken to have been suspended.
 const maxTickPause = 700 * clock.Millis(1)
 
-// Tick must be called every 100 ms or so. It tells how long the process stood still.
+// Tick detects suspensions of the process and jumps of the wall clock. It must be called about
+// every 100 ms.
 func (l *Ledger) Tick() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -121,7 +122,7 @@
 	l.counts[window][workspace]++
 }
 
-// updateWall compares the clocks. The caller must hold mu.
+// updateWall checks whether the wall clock has jumped. The caller must hold mu.
 func (l *Ledger) updateWall() {
 	read := l.ReadWall
 	if read == nil {
@@ -130,7 +131,7 @@
 	l.wall.update(l.Clock.Now(), read())
 }
 
-// Wall returns the wall time by which windows are told.
+// Wall returns the wall time that decides in which window an attempt is counted.
 func (l *Ledger) Wall() clock.Millis {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -138,17 +139,18 @@
 	return l.wall.at(l.Clock.Now())
 }
 
-// Finish records that no attempt follows, so that every window is final.
+// Finish records that no more attempts will begin, so that all windows are final once the
+// attempts in flight have ended.
 func (l *Ledger) Finish() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.hasEnded = true
+	l.finished = true
 }
 
 func (l *Ledger) isFinished() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.hasEnded
+	return l.finished
 }
 
 // ownWindow is the counts of one window by this VM.
@@ -182,7 +184,7 @@
 		}
 		provisional[window][a.workspace]++
 	}
-	if l.hasEnded && len(l.inFlight) == 0 {
+	if l.finished && len(l.inFlight) == 0 {
 		firstUnsure = open + 1
 	}
 	windows = make(map[Window]ownWindow, maxWindows)
--- a/internal/policy/usage/message.go
+++ b/internal/policy/usage/message.go
@@ -15,7 +15,7 @@
 	ErrMalformed = errorNamespace.NewType("malformed")
 )
 
-// Message is what a VM tells a peer of usage.
+// Message holds the usage that a VM states to a peer, and what it acknowledges.
 type Message struct {
 	// Next is the first window that is not frozen, as far as the VM knows; 0 if it does not
 	// know.
--- a/internal/policy/usage/progress.go
+++ b/internal/policy/usage/progress.go
@@ -15,7 +15,7 @@
 	maxFrozenBytes = 256 << 10
 )
 
-// Frozen is a window whose counts are taken.
+// Frozen is a window whose counts no longer change.
 type Frozen struct {
 	Window Window `json:"window_id"`
 	// Body is the exact body of the report. A repeated report must be identical in every
@@ -67,7 +67,7 @@
 	return `{"window_id":` + strconv.FormatInt(int64(window), 10) + `,"counts":` + string(encoded) + `}`
 }
 
-// Remove removes windows that are done with.
+// Remove removes the windows that need no more calls.
 func (p *Progress) Remove(isDone func(Window) bool) {
 	p.Frozen = slices.DeleteFunc(p.Frozen, func(f Frozen) bool { return isDone(f.Window) })
 }
@@ -86,8 +86,8 @@
 	return givenUp
 }
 
-// SkipTo moves Next so far ahead that no more windows are to be frozen up to the open one
-// than can be kept, and returns how many it skips.
+// SkipTo moves Next ahead if more than maxFrozen windows before the open one are not frozen yet,
+// so that maxFrozen are left. It returns the number of windows that it skips.
 func (p *Progress) SkipTo(open Window) (skipped Window) {
 	oldest := open - maxFrozen
 	if p.Next >= oldest {
--- a/internal/policy/usage/walltime.go
+++ b/internal/policy/usage/walltime.go
@@ -3,7 +3,7 @@
 import "baobabladder.example/baobabladder/internal/base/clock"
 
 const (
-	// jumpThreshold is the difference between the wall clock and the advanced reading above
+	// jumpThreshold is the difference between the wall clock and the wall time by wallTime above
 	// which the wall clock has jumped. The two do not drift apart: both are slewed alike.
 	jumpThreshold = 20 * clock.Millis(1)
 	// jumpSettleTime is how long the difference must stay the same before the wall clock is
@@ -22,7 +22,7 @@
 	isDiffering             bool
 }
 
-// update compares the clocks. It must be called regularly.
+// update checks whether the wall clock has jumped. It must be called regularly.
 func (w *wallTime) update(now, wall clock.Millis) {
 	seen := wall - now
 	switch {
