Give a trimmed usage window up once, without an effect on the pause of others

A reader of the change found that a window which was acknowledged while the store stored its removal was counted and logged as given up too, and that each removal while the metering interface was down set the growing pause between calls back to its start. Removed windows are marked as done by themselves now. A rate of calls below 1 a second is kept too. Former holders of a duty have a name that cannot be taken for a workspace's.

--- a/internal/control/duty/calls_test.go
+++ b/internal/control/duty/calls_test.go
@@ -48,8 +48,8 @@
 func TestWhoWaitsBeforeAcquiring(t *testing.T) {
 	const wait = 3300 * clock.Millis(1)
 	era, newer := tracker.RevisionInEra(1, 4), tracker.RevisionInEra(1, 7)
-	tenant := func(name string) duty.Tenant {
-		return duty.Tenant{Holder: vm.ID{Name: name, Incarnation: 1}, Term: era}
+	former := func(name string) duty.FormerHolder {
+		return duty.FormerHolder{Holder: vm.ID{Name: name, Incarnation: 1}, Term: era}
 	}
 	record := func(r duty.Record) string {
 		r.State = json.RawMessage("5")
@@ -62,13 +62,13 @@
 		least, most clock.Millis
 		state       string
 	}{
-		"released by another":                        {record(duty.Record{Term: era, Previous: []duty.Tenant{tenant("b")}}), 0, 200, "5"},
-		"released by an earlier run":                 {record(duty.Record{Term: era, Previous: []duty.Tenant{tenant("a")}}), wait, wait + 100, "5"},
-		"released by another after an earlier run":   {record(duty.Record{Term: era, Previous: []duty.Tenant{tenant("a"), tenant("b")}}), wait, wait + 100, "5"},
-		"released, and earlier holders unknown":      {record(duty.Record{Term: era, Previous: []duty.Tenant{{}, tenant("b")}}), wait, wait + 100, "5"},
-		"released in an earlier era":                 {record(duty.Record{Term: 4, Previous: []duty.Tenant{tenant("b")}}), wait, wait + 100, "5"},
-		"held by another":                            {record(duty.Record{Term: era, Holder: tenant("b").Holder}), wait, wait + 100, "5"},
-		"held by an earlier run":                     {record(duty.Record{Term: era, Holder: tenant("a").Holder}), wait, wait + 100, "5"},
+		"released by another":                        {record(duty.Record{Term: era, Previous: []duty.FormerHolder{former("b")}}), 0, 200, "5"},
+		"released by an earlier run":                 {record(duty.Record{Term: era, Previous: []duty.FormerHolder{former("a")}}), wait, wait + 100, "5"},
+		"released by another after an earlier run":   {record(duty.Record{Term: era, Previous: []duty.FormerHolder{former("a"), former("b")}}), wait, wait + 100, "5"},
+		"released, and earlier holders unknown":      {record(duty.Record{Term: era, Previous: []duty.FormerHolder{{}, former("b")}}), wait, wait + 100, "5"},
+		"released in an earlier era":                 {record(duty.Record{Term: 4, Previous: []duty.FormerHolder{former("b")}}), wait, wait + 100, "5"},
+		"held by another":                            {record(duty.Record{Term: era, Holder: former("b").Holder}), wait, wait + 100, "5"},
+		"held by an earlier run":                     {record(duty.Record{Term: era, Holder: former("a").Holder}), wait, wait + 100, "5"},
 		"held by a run of the same incarnation":      {record(duty.Record{Term: era, Holder: vm.ID{Name: "a", Incarnation: 2}, WriteID: "0-1"}), wait, wait + 100, "5"},
 		"absent":                                     {"", wait, wait + 200, ""},
 		"cannot be decoded":                          {`{"holder":7}`, wait, wait + 100, ""},
--- a/internal/control/duty/record.go
+++ b/internal/control/duty/record.go
@@ -27,15 +27,15 @@
 	// the run of the VM that wrote it.
 	WriteID string `json:"write_id"`
 	// Previous holds the holders before Holder that may have acted within the last lease
-	// time, oldest first and at most one for each VM name. The zero Tenant stands for
+	// time, oldest first and at most one for each VM name. The zero FormerHolder stands for
 	// holders that are not known.
-	Previous []Tenant `json:"previous,omitempty"`
+	Previous []FormerHolder `json:"previous,omitempty"`
 	// State is the JSON of the duty itself.
 	State json.RawMessage `json:"state,omitempty"`
 }
 
-// Tenant is a former holder of a duty.
-type Tenant struct {
+// FormerHolder is a former holder of a duty.
+type FormerHolder struct {
 	Holder vm.ID `json:"holder"`
 	Term   int64 `json:"term"`
 }
@@ -46,20 +46,20 @@
 // mayHaveActed reports whether a VM is among the previous holders, in any incarnation, or
 // may be one that is not known.
 func (r *Record) mayHaveActed(name string) bool {
-	return slices.ContainsFunc(r.Previous, func(t Tenant) bool { return t.Holder.Name == name || t == Tenant{} })
+	return slices.ContainsFunc(r.Previous, func(t FormerHolder) bool { return t.Holder.Name == name || t == FormerHolder{} })
 }
 
 // isHistoryKnown reports whether the record names a holder or its former ones. A record
 // that was just created, or that can't be decoded, does not.
 func (r *Record) isHistoryKnown() bool { return r.Holder != (vm.ID{}) || len(r.Previous) > 0 }
 
-// previousWith returns Previous with a tenant at its end.
-func (r *Record) previousWith(last Tenant) (previous []Tenant) {
-	previous = slices.DeleteFunc(slices.Clone(r.Previous), func(t Tenant) bool { return t.Holder.Name == last.Holder.Name })
+// previousWith returns Previous with a former holder at its end.
+func (r *Record) previousWith(last FormerHolder) (previous []FormerHolder) {
+	previous = slices.DeleteFunc(slices.Clone(r.Previous), func(t FormerHolder) bool { return t.Holder.Name == last.Holder.Name })
 	previous = append(previous, last)
 	if dropped := len(previous) - maxPrevious; dropped > 0 {
 		previous = previous[dropped:]
-		previous[0] = Tenant{}
+		previous[0] = FormerHolder{}
 	}
 	return previous
 }
--- a/internal/control/duty/rules.go
+++ b/internal/control/duty/rules.go
@@ -170,7 +170,7 @@
 	record.WriteID = v.newWriteID()
 	switch what {
 	case actionCreate:
-		return Record{Term: v.revision, WriteID: record.WriteID, Previous: []Tenant{{}}, State: v.newestState()}
+		return Record{Term: v.revision, WriteID: record.WriteID, Previous: []FormerHolder{{}}, State: v.newestState()}
 	case actionAcquire:
 		record.Previous = v.previousOnAcquiring()
 		record.Holder, record.Term, record.Renewed = v.self, max(v.known.Term, v.revision)+1, 0
@@ -187,12 +187,12 @@
 
 // previousOnAcquiring returns the previous holders for the record with which this VM
 // acquires the duty.
-func (v *view) previousOnAcquiring() []Tenant {
+func (v *view) previousOnAcquiring() []FormerHolder {
 	switch {
 	case !v.known.isHistoryKnown() || !v.isOfThisEra():
-		return v.known.previousWith(Tenant{})
+		return v.known.previousWith(FormerHolder{})
 	case v.known.Holder != (vm.ID{}):
-		return v.known.previousWith(Tenant{v.known.Holder, v.known.Term})
+		return v.known.previousWith(FormerHolder{v.known.Holder, v.known.Term})
 	default:
 		return v.known.Previous
 	}
@@ -211,7 +211,7 @@
 func (v *view) releasedRecord() Record {
 	return Record{
 		Term: v.known.Term, Renewed: v.known.Renewed + 1, WriteID: v.newWriteID(),
-		Previous: v.known.previousWith(Tenant{v.known.Holder, v.known.Term}), State: v.known.State,
+		Previous: v.known.previousWith(FormerHolder{v.known.Holder, v.known.Term}), State: v.known.State,
 	}
 }
 
--- a/internal/control/usage/freeze.go
+++ b/internal/control/usage/freeze.go
@@ -53,7 +53,10 @@
 	s.mu.Unlock()
 	s.Collector.SetNext(next.Next)
 	for _, window := range givenUp {
-		s.giveUp(window, "too many windows are frozen and not acknowledged")
+		// A call that was in flight during the write may have had the window acknowledged.
+		if s.markDone(window) {
+			s.logGivenUp(window, "too many windows are frozen and not acknowledged")
+		}
 	}
 	for _, frozen := range totals {
 		s.logFrozen(&frozen)
@@ -118,9 +121,13 @@
 	}
 }
 
-// giveUp logs a window that is not reported.
+// giveUp ends the calls for a window that is not reported.
 func (s *Sender) giveUp(window policy.Window, why string) {
 	s.setDone(window)
+	s.logGivenUp(window, why)
+}
+
+func (s *Sender) logGivenUp(window policy.Window, why string) {
 	s.count("given_up", 1)
 	s.Log.WithFields(logrus.Fields{"window_id": window, "why": why}).Error("a usage window is given up")
 }
--- a/internal/control/usage/usage.go
+++ b/internal/control/usage/usage.go
@@ -162,11 +162,26 @@
 func (s *Sender) setDone(window policy.Window) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.addDone(window)
+	s.retryAt, s.pause, s.rejections = s.Clock.Now()+s.callInterval(), 0, 0
+}
+
+// markDone records that a window needs no more calls, without an effect on the pause before the
+// calls for others. It returns false if that was known.
+func (s *Sender) markDone(window policy.Window) (isNew bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.addDone(window)
+}
+
+// addDone adds a window to done. The caller must hold mu.
+func (s *Sender) addDone(window policy.Window) (isNew bool) {
 	if s.done == nil {
 		s.done = map[policy.Window]bool{}
 	}
+	isNew = !s.done[window]
 	s.done[window] = true
-	s.retryAt, s.pause, s.rejections = s.Clock.Now()+s.callInterval(), 0, 0
+	return isNew
 }
 
 // isDone reports whether a window needs no more calls. The caller must hold mu.
@@ -174,7 +189,11 @@
 
 // callInterval returns the least time between two calls.
 func (s *Sender) callInterval() clock.Millis {
-	return clock.Millis(paceFactor * float64(clock.Second) / max(s.CallsPerSecond, 1))
+	rate := s.CallsPerSecond
+	if rate <= 0 {
+		rate = 1
+	}
+	return clock.Millis(paceFactor * float64(clock.Second) / rate)
 }
 
 // count counts a window under an outcome.
