--- a/internal/entry/gateway/dispatch.go
+++ b/internal/entry/gateway/dispatch.go
@@ -13,13 +13,14 @@
 
 const (
 	// dispatchInterval is the time after which waiting requests are tried again if nothing
-	// was heard that may give them room, as pauses and limits of endpoints end without notice.
+	// was notified, as pauses and limits of endpoints end without notice.
 	dispatchInterval = 50 * clock.Millis(1)
 	// maxTriesForRoom bounds the requests of a service that are tried in vain when room may
 	// have appeared, as each is compared with all endpoints.
 	maxTriesForRoom = 8
 	// dispatchPauseFactor gives the pause after each dispatch in multiples of its duration, so
-	// that dispatches take at most a fifth of a core. With 1,800 endpoints, one choice takes
+	// that dispatches take about a fifth of a core, or more if they take so long that the pause
+	// is cut to dispatchInterval. With 1,800 endpoints, one choice takes
 	// 0.2 to 0.5 ms.
 	dispatchPauseFactor = 4
 )
@@ -123,7 +124,7 @@
 	w.result <- placement{err: w.refusal(cause), outcome: WaitOutcome(cause)}
 }
 
-// dispatchPass gives the waiting requests of one service the room that there is.
+// dispatchPass tries the waiting requests of one service. It is reused to keep its buffers.
 type dispatchPass struct {
 	gateway *Gateway
 	// failed holds the requests for which there was no room in this pass.
@@ -179,8 +180,8 @@
 	}
 }
 
-// isSkipped reports whether a request was tried in this pass, or one that is like it and had no
-// less time left.
+// isSkipped reports whether this pass has tried the request in vain, or one like it that had at
+// least as much time left.
 func (p *dispatchPass) isSkipped(r *waiting.Request) bool {
 	w := r.Owner.(*waiter)
 	for _, failed := range p.failed {
--- a/internal/entry/gateway/usage.go
+++ b/internal/entry/gateway/usage.go
@@ -27,8 +27,8 @@
 	})}
 }
 
-// recordAnswer records that the head of a response came, which is nil if the endpoint did not
-// run the attempt or has not answered.
+// recordAnswer records that the head of a response came. response is nil if the endpoint did
+// not run the attempt or has not answered.
 func (a *countedAttempt) recordAnswer(response *endpoint.Response) {
 	if a == nil || response == nil {
 		return
--- a/internal/entry/gateway/waiting.go
+++ b/internal/entry/gateway/waiting.go
@@ -29,10 +29,9 @@
 	WaitCutOff WaitOutcome = "cut_off"
 )
 
-// onceMargin is how many times the expected run must be left, after its wait, for a request
-// that must not run twice. The balancer sends such a request with less time only if it does
-// not know how long it runs.
-const onceMargin = 1.2
+// nonIdempotentMargin is how many times its expected run must be left after its wait for a
+// request that must not run twice: if it ends at its deadline, it is unknown whether it ran.
+const nonIdempotentMargin = 1.2
 
 // waiter is a call that waits for room at an endpoint.
 type waiter struct {
@@ -42,7 +41,7 @@
 	// are those of table.
 	request *balance.Request
 	table   *routing.Table
-	// deadline is that of the call, without a margin.
+	// deadline is that of the call. Request.Deadline may be earlier by nonIdempotentMargin.
 	deadline clock.Millis
 	// result gets one element when the request is removed from its queue, unless the call
 	// removes it.
@@ -104,7 +103,7 @@
 		Target: c.arrived + c.route.TargetLatency, Deadline: w.deadline, Run: run, Owner: w,
 	}
 	if !c.isIdempotent() {
-		w.Deadline -= clock.Millis((onceMargin - 1) * float64(run))
+		w.Deadline -= clock.Millis((nonIdempotentMargin - 1) * float64(run))
 	}
 	return w
 }
--- a/internal/policy/balance/candidate.go
+++ b/internal/policy/balance/candidate.go
@@ -53,7 +53,7 @@
 	pace     pacedRun
 }
 
-// query is a request with what is the same for all endpoints that are compared for it.
+// query holds a request and the values that are shared by all endpoints compared for it.
 type query struct {
 	request *Request
 	now     clock.Millis
@@ -103,8 +103,8 @@
 		home, s.preferred = b.home(request, endpoints, reserveRule{}, now)
 	}
 	load, slots := b.capacity(&q, endpoints)
-	// So many slots may be in use that a run on an endpoint which is not warm, and so takes
-	// longer, would delay other requests by more than the request gains.
+	// In a saturated service, a run on an endpoint that is not warm, and so takes longer,
+	// would delay other requests by more than the request gains.
 	isSaturated := home != nil && load > saturationThreshold*slots
 	for i := range endpoints {
 		state := b.states[endpoints[i].ID]
@@ -158,11 +158,11 @@
 type rejections struct {
 	// ineligible endpoints must not run the request at all; see isEligible.
 	ineligible, suspended, cold, full int
-	// While the service is saturated, endpoints are also rejected if they are neither
-	// warm for the object nor its home, or are too slow to answer before the deadline.
+	// notWarm endpoints are neither warm for the object nor its home, while the service is
+	// saturated. slow endpoints are not expected to answer before the deadline; they are
+	// rejected only while the service is saturated or has a reserve for the request.
 	notWarm, slow int
-	// reserved endpoints are reserved for requests of higher
-	// priorities.
+	// reserved endpoints are reserved for requests of higher priorities.
 	reserved int
 	// limited endpoints have named a limit, of which this VM has no token left. It has
 	// the first one again after limitWait.
@@ -306,7 +306,7 @@
 	case state.endpoint.DataCentre != b.DataCentre:
 		roundTrip, perKilobyte = interDataCentreMillis, interDataCentreKilobyteCost
 	}
-	// Whoever reads the timing applies the pace that the answer states.
+	// The timing is at the usual pace: its readers apply the pace that the answer states.
 	c.timing = Timing{RoundTrip: clock.Millis(roundTrip), Wait: clock.Millis(c.wait), Run: clock.Millis(runMillis), LongRun: clock.Millis(longRun)}
 	typicalRun := run.uncached
 	weight := state.pace.weight(now)
--- a/internal/policy/balance/demand.go
+++ b/internal/policy/balance/demand.go
@@ -107,7 +107,8 @@
 func (p *priorityDemand) isRecent(now clock.Millis) bool { return now-p.seenAt < prioritySeenTime }
 
 // load returns the number of requests in flight that the demand amounts to, if all requests
-// get an endpoint. It is 0 once the demand has ended.
+// get an endpoint. It is 0 once none has arrived for minQuietTime and for
+// quietIntervals mean intervals.
 func (p *priorityDemand) load(now clock.Millis) float64 {
 	quiet := now - p.seenAt
 	if quiet >= minQuietTime && float64(quiet)*p.arrived > quietIntervals*float64(demandDecayTime) {
@@ -116,8 +117,8 @@
 	return p.work / float64(demandDecayTime) * math.Exp(-float64(quiet)/float64(demandDecayTime))
 }
 
-// isStarved reports whether so few of a priority's requests got an endpoint that none may be
-// kept from them. One request is added to each count, so that a single refusal shows nothing.
+// isStarved reports whether so few of a priority's requests got an endpoint that they may use
+// all endpoints. One request is added to each count, so that a single refusal shows nothing.
 func (d *serviceDemand) isStarved(priority int, now clock.Millis) bool {
 	arrived, granted, own := 1.0, 1.0, priorityDemand{}
 	for i := range d.priorities {
--- a/internal/policy/balance/endpoint.go
+++ b/internal/policy/balance/endpoint.go
@@ -38,8 +38,8 @@
 type endpointState struct {
 	endpoint directory.Endpoint
 	hash     uint64
-	// reserveRank is the endpoint's position, above 0 up to 1, in the order in which the
-	// endpoints of its service and region are reserved; see isReserved.
+	// reserveRank is the endpoint's position in the order in which the endpoints of its service
+	// and region are reserved: from 0 to below 1, or 1 if it is the region's only one.
 	reserveRank float64
 	// inFlightSince holds the send times of this VM's requests in flight.
 	inFlightSince []clock.Millis
--- a/internal/policy/balance/pace.go
+++ b/internal/policy/balance/pace.go
@@ -10,8 +10,8 @@
 const UsualPace = 100
 
 const (
-	// paceDecayTime is the time constant with which a stated pace loses weight: it changes
-	// many times a second.
+	// paceDecayTime is the time constant with which a stated pace loses weight.
+	// Slow periods of a machine last about 0.6 s.
 	paceDecayTime = 400 * clock.Millis(1)
 	// maxPaceAge is the age from which a stated pace has no weight; less than 1/100 of it
 	// is left by then.
--- a/internal/policy/balance/reserve.go
+++ b/internal/policy/balance/reserve.go
@@ -23,21 +23,21 @@
 	minReserve = 0.125
 	maxReserve = 0.5
 	// A reserve is replaced when the demand rises above reserveRaise times the reserve or
-	// falls below reserveLower times it. The new one is the least that the demand, at most
-	// reserveFill of it, fits in. The demand is that of runs without a cached object, which
+	// falls below reserveLower times it. The new one is the smallest of which the demand is
+	// at most reserveFill times. The demand is that of runs without a cached object, which
 	// leaves room for bursts once the objects are cached.
 	reserveRaise = 1.4
 	reserveLower = 0.33
 	reserveFill  = 1.1
 	// minServedShare is the share of a priority's requests that must get an endpoint,
 	// relative to that of all requests of the service. A lower priority that has less may
-	// use all endpoints. A kind of request that is served less than a quarter as often as
-	// all counts as starved, and some of those that get an endpoint are late.
+	// use all endpoints. It is above the required quarter, because some of the
+	// requests that get an endpoint are still late.
 	minServedShare = 0.4
 )
 
-// reserveRule is what the reserve of a service means for requests of one route priority. The
-// zero value is the rule in services without a reserve.
+// reserveRule tells which endpoints of a service requests of one route priority may use. The
+// zero value allows all of them.
 type reserveRule struct {
 	// fraction is the fraction of the service's endpoints that is reserved for the most
 	// urgent requests; 0 if none are, or if the rule's requests may use all of them.
--- a/internal/policy/memory/memory.go
+++ b/internal/policy/memory/memory.go
@@ -8,7 +8,7 @@
 	"sync"
 )
 
-// share is the part of a process's memory that connections may occupy, as a divisor. The rest
+// share is the divisor of a process's memory that gives the limit of a Budget. The rest
 // is for the program, the copy of the store's objects and what the garbage collector has not
 // freed yet.
 const share = 3
@@ -38,9 +38,9 @@
 	waiting map[Phase]*list.List
 }
 
-// NewBudget returns the budget of a process that may use the given number of bytes.
-func NewBudget(ofProcess int64) *Budget {
-	return &Budget{limit: ofProcess / share, waiting: map[Phase]*list.List{InHead: list.New(), InBody: list.New()}}
+// NewBudget returns the budget of a process that may use processMemory bytes.
+func NewBudget(processMemory int64) *Budget {
+	return &Budget{limit: processMemory / share, waiting: map[Phase]*list.List{InHead: list.New(), InBody: list.New()}}
 }
 
 // Claim is what one connection holds of a Budget.
--- a/internal/policy/waiting/outlook.go
+++ b/internal/policy/waiting/outlook.go
@@ -86,8 +86,8 @@
 	return flow{isHighest: true, atOrBelow: grants, all: all, own: all, share: all * lowerShare * float64(max(sharing, 1))}
 }
 
-// descend changes the flow from that of a level, of which so many requests wait, to that of the
-// next lower rank.
+// descend changes the flow from that of a level to that of the next lower rank. waiting is the
+// number of the level's requests that count as ahead of lower ranks.
 func (f *flow) descend(l *level, waiting int, now clock.Millis) {
 	f.above += waiting
 	f.isHighest = false
@@ -103,7 +103,7 @@
 		c := l.rank.Compare(r.Rank)
 		if c == 0 {
 			own, _ = slices.BinarySearchFunc(*l.list(r), r, compare)
-			if r.isLate {
+			if r.isPastTarget {
 				own += len(l.onTime)
 			}
 		}
@@ -115,9 +115,9 @@
 	return f.above + own, f.wait(r, own)
 }
 
-// late appends the requests that are not expected to end in time. A request is not counted as
-// ahead of others if it is late itself.
-func (q *queue) late(late []*Request, now clock.Millis) []*Request {
+// missingDeadline appends the requests that are not expected to end by their deadline. They are
+// not counted as ahead of others.
+func (q *queue) missingDeadline(missing []*Request, now clock.Millis) []*Request {
 	f := q.flow(now)
 	for _, l := range q.levels {
 		own := 0
@@ -129,9 +129,9 @@
 				continue
 			}
 			r.RetryAfter = retryAfter(wait)
-			late = append(late, r)
+			missing = append(missing, r)
 		}
 		f.descend(l, own, now)
 	}
-	return late
+	return missing
 }
--- a/internal/policy/waiting/queue.go
+++ b/internal/policy/waiting/queue.go
@@ -17,9 +17,9 @@
 	// levels holds a level for each rank that was seen, the highest first.
 	levels  []*level
 	waiting int
-	// turns counts the grants since a lower rank had its share, as far as requests of lower ranks
-	// waited or had been denied that lately.
-	turns int
+	// sinceShare counts the grants since a lower rank had its share. Only grants at which
+	// requests of lower ranks waited, or had lately been denied to wait, count.
+	sinceShare int
 	// granted counts the grants of waiting requests.
 	granted int64
 }
@@ -27,9 +27,9 @@
 // level holds the waiting requests of one rank.
 type level struct {
 	rank routing.Rank
-	// onTime holds the requests that can still meet their target, ordered by latestStart. late
-	// holds the others, ordered by run.
-	onTime, late []*Request
+	// onTime holds the requests that can still meet their target, ordered by latestStart;
+	// pastTarget holds the others, ordered by run.
+	onTime, pastTarget []*Request
 	// grants counts the grants of requests of the rank, waiting or not.
 	grants window
 	// lastGrant is the value of queue.granted at the last grant of a waiting request.
@@ -39,7 +39,7 @@
 	wasDenied bool
 }
 
-func (l *level) size() int { return len(l.onTime) + len(l.late) }
+func (l *level) size() int { return len(l.onTime) + len(l.pastTarget) }
 
 // deny records that a request of the rank is not allowed to wait.
 func (l *level) deny(now clock.Millis) { l.denied, l.wasDenied = now, true }
@@ -49,13 +49,13 @@
 	if i < len(l.onTime) {
 		return l.onTime[i]
 	}
-	return l.late[i-len(l.onTime)]
+	return l.pastTarget[i-len(l.onTime)]
 }
 
 // list returns the list that holds a request, or would.
 func (l *level) list(r *Request) *[]*Request {
-	if r.isLate {
-		return &l.late
+	if r.isPastTarget {
+		return &l.pastTarget
 	}
 	return &l.onTime
 }
@@ -68,11 +68,11 @@
 		return c
 	}
 	switch {
-	case x.isLate != y.isLate && x.isLate:
+	case x.isPastTarget != y.isPastTarget && x.isPastTarget:
 		return 1
-	case x.isLate != y.isLate:
+	case x.isPastTarget != y.isPastTarget:
 		return -1
-	case x.isLate:
+	case x.isPastTarget:
 		return cmp.Or(cmp.Compare(x.Run, y.Run), compareNumbers(x, y))
 	default:
 		return cmp.Or(cmp.Compare(x.latestStart(), y.latestStart()), compareNumbers(x, y))
@@ -116,7 +116,7 @@
 }
 
 // isLowerDue reports whether the next grant goes to a lower rank than the highest that asks.
-func (q *queue) isLowerDue() bool { return q.turns >= lowerShare-1 }
+func (q *queue) isLowerDue() bool { return q.sinceShare >= lowerShare-1 }
 
 // hasLower reports whether requests of a lower rank wait or were denied that lately.
 func (q *queue) hasLower(rank routing.Rank, now clock.Millis) bool {
@@ -150,11 +150,11 @@
 		if !q.isLowerDue() || !q.isShareFree(rank) {
 			return false
 		}
-		q.turns = 0
+		q.sinceShare = 0
 	case q.isLowerDue():
 		return false
 	default:
-		q.turns++
+		q.sinceShare++
 	}
 	q.level(rank).grants.add(1, now)
 	return true
@@ -166,9 +166,9 @@
 	switch {
 	case q.waiting == 0:
 	case q.hasRank(rank):
-		q.turns = lowerShare - 1
+		q.sinceShare = lowerShare - 1
 	default:
-		q.turns = max(q.turns-1, 0)
+		q.sinceShare = max(q.sinceShare-1, 0)
 	}
 }
 
@@ -189,12 +189,12 @@
 	}
 	r.level = nil
 	if q.waiting == 0 {
-		q.turns = 0
+		q.sinceShare = 0
 	}
 }
 
-// age moves the requests that can no longer meet their target.
-func (q *queue) age(now clock.Millis) {
+// movePastTarget moves the requests that can no longer meet their target from onTime to pastTarget.
+func (q *queue) movePastTarget(now clock.Millis) {
 	if q.waiting == 0 {
 		return
 	}
@@ -204,9 +204,9 @@
 			count++
 		}
 		for _, r := range l.onTime[:count] {
-			r.isLate = true
-			i, _ := slices.BinarySearchFunc(l.late, r, compare)
-			l.late = slices.Insert(l.late, i, r)
+			r.isPastTarget = true
+			i, _ := slices.BinarySearchFunc(l.pastTarget, r, compare)
+			l.pastTarget = slices.Insert(l.pastTarget, i, r)
 		}
 		l.onTime = slices.Delete(l.onTime, 0, count)
 	}
@@ -286,9 +286,9 @@
 	granted.lastGrant = q.granted
 	switch {
 	case q.hasHigher(granted):
-		q.turns = 0
+		q.sinceShare = 0
 	case q.hasLower(granted.rank, now):
-		q.turns++
+		q.sinceShare++
 	}
 }
 
--- a/internal/policy/waiting/waiting.go
+++ b/internal/policy/waiting/waiting.go
@@ -75,13 +75,14 @@
 	Ahead int
 	Since clock.Millis
 
-	// level is nil unless the request waits. isLate reports in which of its lists it is.
-	level  *level
-	isLate bool
+	// level is nil unless the request waits. isPastTarget reports whether the
+	// request can no longer meet its target, and so in which list of its level it is.
+	level        *level
+	isPastTarget bool
 	// number counts requests in the order in which they began to wait.
 	number int64
-	// overtaken counts the grants to other requests that came later or are of a lower rank:
-	// this one could not use that room, or others come before it again and again.
+	// overtaken counts the grants to requests that came later or are of a lower rank. They show
+	// that this request cannot use some of the room, or that others keep coming before it.
 	overtaken int
 }
 
@@ -151,8 +152,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	queue := q.queue(r.Service)
-	queue.age(now)
-	r.isLate = r.latestStart() < now
+	queue.movePastTarget(now)
+	r.isPastTarget = r.latestStart() < now
 	ahead, wait := queue.outlook(r, now)
 	r.Ahead, r.RetryAfter = ahead, retryAfter(wait)
 	if !r.canEnd(now, wait) {
@@ -177,7 +178,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	queue := q.queue(service)
-	queue.age(now)
+	queue.movePastTarget(now)
 	return queue.next(isSkipped)
 }
 
@@ -215,9 +216,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	queue := q.queue(service)
-	queue.age(now)
+	queue.movePastTarget(now)
 	first := len(removed)
-	removed = queue.late(removed, now)
+	removed = queue.missingDeadline(removed, now)
 	for _, r := range removed[first:] {
 		q.remove(queue, r)
 	}
@@ -229,7 +230,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, level := range q.queue(service).levels {
-		requests = append(append(requests, level.onTime...), level.late...)
+		requests = append(append(requests, level.onTime...), level.pastTarget...)
 	}
 	return requests
 }
@@ -265,7 +266,7 @@
 // last returns the request that costs least to turn away, or nil. The caller must hold mu.
 func (q *Queues) last(now clock.Millis) (last *Request) {
 	for _, queue := range q.queues {
-		queue.age(now)
+		queue.movePastTarget(now)
 		if r := queue.last(); r != nil && (last == nil || compare(r, last) > 0) {
 			last = r
 		}
--- a/internal/wire/caller/claim.go
+++ b/internal/wire/caller/claim.go
@@ -29,7 +29,8 @@
 	return int64(h.lines)*headLineCost + int64(h.bytes)*headByteCost
 }
 
-// beyondConn returns what a part of a connection claims beyond connCost.
+// beyondConn returns what a connection claims beyond connCost for a part of its memory that
+// takes the given bytes: nothing up to claimStep, else a multiple of it.
 func beyondConn(bytes int64) int64 {
 	if bytes <= claimStep {
 		return 0
@@ -62,26 +63,26 @@
 
 // updateClaim claims the given bytes for requests, and what was received and not read. It
 // reports whether there is memory for it. mu must be held.
-func (c *conn) updateClaim(ofRequests int64) bool {
+func (c *conn) updateClaim(requestBytes int64) bool {
 	unread := countBytes(c.received)
 	if c.pipeline != nil {
 		unread = c.pipeline.unreadBytes
 	}
-	total, phase := ofRequests+beyondConn(int64(unread)), c.claimPhase()
+	total, phase := requestBytes+beyondConn(int64(unread)), c.claimPhase()
 	if c.claim == nil || total == c.claimed && (total == 0 || phase == c.phase) {
 		return true
 	}
 	if !c.claim.Set(connCost+total, phase) {
 		return false
 	}
-	c.ofRequests, c.claimed, c.phase = ofRequests, total, phase
+	c.requestBytes, c.claimed, c.phase = requestBytes, total, phase
 	return true
 }
 
 // maxUnread returns how many bytes may be received and not read: maxUnreadBytes, or less if
 // there is no memory. mu must be held.
 func (c *conn) maxUnread() int {
-	if c.updateClaim(c.ofRequests) {
+	if c.updateClaim(c.requestBytes) {
 		return maxUnreadBytes
 	}
 	return scarceUnreadBytes
@@ -113,7 +114,7 @@
 // claimRequest claims cost bytes in all for the stream's request. conn.mu must be held.
 func (s *stream) claimRequest(cost int64) bool {
 	c := s.conn
-	if !c.updateClaim(c.ofRequests - s.cost + cost) {
+	if !c.updateClaim(c.requestBytes - s.cost + cost) {
 		return false
 	}
 	s.cost = cost
--- a/internal/wire/caller/conn.go
+++ b/internal/wire/caller/conn.go
@@ -54,10 +54,10 @@
 	// claim is the connection's share of the process's memory. Nothing is claimed for a
 	// connection that is only refused, whose claim is nil.
 	claim *memory.Claim
-	// claimed is what the connection has claimed beyond connCost, ofRequests the part of it
+	// claimed is what the connection has claimed beyond connCost, requestBytes the part of it
 	// for requests, and phase the claim's phase. Guarded by mu.
-	claimed, ofRequests int64
-	phase               memory.Phase
+	claimed, requestBytes int64
+	phase                 memory.Phase
 	// hasBody is set when the body of the current request was received whole. Guarded by mu.
 	hasBody bool
 	// fresh is the connection's place in server.fresh, or nil. Guarded by server.mu.
--- a/internal/wire/plain/plain.go
+++ b/internal/wire/plain/plain.go
@@ -28,15 +28,15 @@
 	byteCost = 2
 	// claimStep is the unit of what a connection claims beyond connCost.
 	claimStep = 8 << 10
-	// maxLookups and maxPeers bound the connections of clients that may be many, if the process
-	// may open plenty of descriptors, and lookupDivisor and peerDivisor to a part of these.
+	// maxLookups and maxPeers bound the connections of servers with many clients. lookupDivisor
+	// and peerDivisor bound them to a fraction of the descriptors that the process may open.
 	maxLookups    = 128
 	lookupDivisor = 16
 	maxPeers      = 1024
 	peerDivisor   = 8
 	// Few is how many connections servers with few clients accept.
 	Few = 16
-	// countedBytes is up to how many bytes since the last answer are counted: all of a head.
+	// countedBytes bounds the bytes that are counted since the last answer: all of a head.
 	// What follows is a body, which its handler bounds.
 	countedBytes = maxHeadBytes + 4<<10
 )
