--- a/review/second/trial/endpoint.go
+++ b/review/second/trial/endpoint.go
@@ -85,3 +85,13 @@
 	defer e.mu.Unlock()
 	return e.ran[id]
 }
+
+// RunCount returns how many runs there were.
+func (e *Endpoint) RunCount() (count int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, runs := range e.ran {
+		count += runs
+	}
+	return count
+}
--- a/review/second/trial/vm.go
+++ b/review/second/trial/vm.go
@@ -16,7 +16,7 @@
 )
 
 // DataCentres maps the data centres of a trial to their regions.
-var DataCentres = map[string]string{"mvd-a": "montevideo", "lit-a": "litoral"}
+var DataCentres = map[string]string{"mvd-a": "montevideo", "lit-a": "litoral", "est-a": "este"}
 
 // MemoryMB is the memory of each VM, as in the site files of small deployments.
 const MemoryMB = 284
@@ -44,7 +44,16 @@
 
 // StartVM starts a VM in a data centre.
 func (t *Trial) StartVM(name, dataCentre string) (vm *VM, err error) {
-	host, addresses := loopback.New(), make([]string, 6)
+	return t.startVM(name, dataCentre, nil)
+}
+
+// StartVM starts a VM whose links to the other VMs of the network can be cut.
+func (n *Network) StartVM(name, dataCentre string) (vm *VM, err error) {
+	return n.trial.startVM(name, dataCentre, n)
+}
+
+func (t *Trial) startVM(name, dataCentre string, network *Network) (vm *VM, err error) {
+	host, addresses := loopback.New(), make([]string, len(addressKeys))
 	for i := range addresses {
 		if addresses[i], err = host.UnusedAddress(); err != nil {
 			return nil, err
@@ -54,25 +63,39 @@
 		Name: name, CallerAddress: addresses[0], trial: t, readyAddress: addresses[1],
 		settingsPath: t.Path(name + ".ini"), logPath: t.Path(name + ".log"),
 	}
-	if err := os.WriteFile(vm.settingsPath, []byte(t.settings(name, dataCentre, addresses)), 0o600); err != nil {
+	store := t.StoreAddress
+	if network != nil {
+		network.mu.Lock()
+		network.addresses[name] = []string{addresses[peerAddress], addresses[forwardAddress]}
+		network.mu.Unlock()
+		if store, err = network.storeAddress(name); err != nil {
+			return nil, err
+		}
+	}
+	if err := os.WriteFile(vm.settingsPath, []byte(settings(name, dataCentre, store, addresses)), 0o600); err != nil {
 		return nil, err
 	}
 	t.vms = append(t.vms, vm)
 	return vm, vm.Start()
 }
 
+// addressKeys holds the keys of a VM's addresses in its settings, peerAddress and forwardAddress
+// the places of two of them.
+var addressKeys = []string{"caller_address", "ready_address", "lookup_address", "peer_address", "metrics_address", "forward_address"}
+
+const (
+	peerAddress    = 3
+	forwardAddress = 5
+)
+
 // settings returns the settings file of a VM, as the project's template makes it.
-func (t *Trial) settings(name, dataCentre string, addresses []string) string {
-	seed := addresses[3]
-	if len(t.vms) > 0 {
-		seed = t.vms[0].peerAddress()
-	}
+func settings(name, dataCentre, store string, addresses []string) string {
 	text := &strings.Builder{}
-	fmt.Fprintf(text, "[vm]\nname = %s\nregion = %s\ndata_centre = %s\nstore = %s\n", name, DataCentres[dataCentre], dataCentre, t.StoreAddress)
-	for i, key := range []string{"caller_address", "ready_address", "lookup_address", "peer_address", "metrics_address", "forward_address"} {
+	fmt.Fprintf(text, "[vm]\nname = %s\nregion = %s\ndata_centre = %s\nstore = %s\n", name, DataCentres[dataCentre], dataCentre, store)
+	for i, key := range addressKeys {
 		fmt.Fprintf(text, "%s = %s\n", key, addresses[i])
 	}
-	fmt.Fprintf(text, "peers = %s\nfirst_start = true\nmemory_mb = %d\n\n[data_centres]\n", seed, MemoryMB)
+	fmt.Fprintf(text, "peers = %s\nfirst_start = true\nmemory_mb = %d\n\n[data_centres]\n", addresses[peerAddress], MemoryMB)
 	for dataCentre, region := range DataCentres {
 		fmt.Fprintf(text, "%s = %s\n", dataCentre, region)
 	}
@@ -81,16 +104,6 @@
 	return text.String()
 }
 
-func (v *VM) peerAddress() string {
-	text, _ := os.ReadFile(v.settingsPath)
-	for line := range strings.Lines(string(text)) {
-		if value, found := strings.CutPrefix(line, "peer_address = "); found {
-			return strings.TrimSpace(value)
-		}
-	}
-	return ""
-}
-
 // Start starts the process with the command of the deploy file.
 func (v *VM) Start() error {
 	log, err := os.OpenFile(v.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
