--- a/review/second/leavers/main.go
+++ b/review/second/leavers/main.go
@@ -33,7 +33,7 @@
 )
 
 const config = `{"version":"00000007","routes":[
-{"name":"r-up","host":"jepu9.example","path_prefix":"/fiti832/","kind":"upload","timeout":"4000ms","target_latency":"500ms","priority":1,"service":"kafi81c","max_attempts":2,"public":false,"sticky":false,"home_regions":[]}],
+{"name":"r-up","host":"jepu9.example","path_prefix":"/fiti832/","kind":"upload","timeout":"4000ms","target_latency":"500ms","priority":1,"service":"kafi81c","max_attempts":2,"public":true,"sticky":false,"home_regions":[]}],
 "services":[{"name":"kafi81c","health_path":"/health","max_conns":330,"cold_start":"3s","cold_per_s":6.9}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"},
 "tenants":[{"name":"yefi830","api_keys":["tnfzs989anu6wsjnbanf"],"priority":0,"rate_per_s":0,"burst":0,"home_regions":[]}]}`
--- a/review/second/longcut/main.go
+++ b/review/second/longcut/main.go
@@ -29,7 +29,11 @@
 	hotTime   = 6500 * time.Millisecond
 	// cutTime is how long the region is cut off before the tenant is hot.
 	cutTime = 40 * time.Second
-	work    = 20 * time.Millisecond
+	// entryTime is after how long the store removes the entry of an endpoint that is silent.
+	entryTime = 4500 * time.Millisecond
+	work      = 20 * time.Millisecond
+	// cutDataCentre is the data centre of the region that loses the others. The store is elsewhere.
+	cutDataCentre = "est-a"
 )
 
 const config = `{"version":"00000007","routes":[
@@ -72,14 +76,18 @@
 	s := &script{trial: t}
 	t.Store.Put("config", "main", config)
 	dataCentres := []string{"mvd-a", "lit-a", "est-a"}
+	network, ofRegion := t.NewNetwork(), []string{}
 	for i := range 6 {
 		endpoint, err := t.StartEndpoint(fmt.Sprint("i-", i), "huvo11a", dataCentres[i%3], 30, work)
 		if err != nil {
 			return false, err
 		}
 		s.endpoints = append(s.endpoints, endpoint)
+		network.AddEndpoint(endpoint)
+		if dataCentres[i%3] == cutDataCentre {
+			ofRegion = append(ofRegion, endpoint.ID)
+		}
 	}
-	network := t.NewNetwork()
 	var vms []*trial.VM
 	for _, dataCentre := range dataCentres {
 		vm, err := network.StartVM("front-"+dataCentre+"-1", dataCentre)
@@ -95,10 +103,17 @@
 	}
 	time.Sleep(5 * time.Second)
 	if t.HasTrouble {
-		t.Printf("%s is cut off from the other VMs", vms[2].Name)
-		network.Cut(vms[2].Name)
+		t.Printf("the region of %s loses the others: VMs, endpoints and the store", vms[2].Name)
+		network.Cut(append(ofRegion, vms[2].Name)...)
+	}
+	s.send(vms, usualRate, entryTime)
+	if t.HasTrouble {
+		t.Printf("the store removes the entries of %v, which it has not heard for three heartbeats", ofRegion)
+		for _, id := range ofRegion {
+			t.Store.Remove("servers", id)
+		}
 	}
-	s.send(vms, usualRate, cutTime)
+	s.send(vms, usualRate, cutTime-entryTime)
 	t.Printf("the tenant sends %.1f times its usual", hotFactor)
 	s.send(vms, usualRate*hotFactor, hotTime)
 	return s.check(vms)
--- a/review/second/trial/caller.go
+++ b/review/second/trial/caller.go
@@ -101,14 +101,17 @@
 	return <-answers
 }
 
-// Post sends a request with a body of a declared length, which it writes at once. If leaveAfter is
+// Post sends a request with a body of a declared length, which it writes at once, on a public
+// route: it bears no key. If leaveAfter is
 // not 0, the caller closes the connection that long after the last byte, unless it has the answer.
 func (c *Connection) Post(path string, deadline time.Duration, bodyBytes int, leaveAfter time.Duration) (answer Answer, leftAt time.Time) {
 	id := NewID()
 	_ = c.conn.SetDeadline(time.Now().Add(deadline + callerTimeout))
 	answers := make(chan Answer, 1)
 	go func() { answers <- c.read(id, http.MethodPost) }()
-	_, err := io.WriteString(c.conn, head(http.MethodPost, path, id, deadline, fmt.Sprintf("Content-Length: %d\r\n", bodyBytes))+strings.Repeat("a", bodyBytes))
+	text := head(http.MethodPost, path, id, deadline, fmt.Sprintf("Content-Length: %d\r\n", bodyBytes))
+	text = strings.Replace(text, "Authorization: Bearer "+Key+"\r\n", "", 1)
+	_, err := io.WriteString(c.conn, text+strings.Repeat("a", bodyBytes))
 	if err != nil || leaveAfter == 0 {
 		return <-answers, time.Time{}
 	}
--- a/review/second/trial/endpoint.go
+++ b/review/second/trial/endpoint.go
@@ -15,6 +15,8 @@
 type Endpoint struct {
 	ID      string
 	Service string
+	// Address is where it listens.
+	Address string
 	Slots   int
 	// Work is how long a request runs.
 	Work time.Duration
@@ -41,6 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
+	e.Address = address
 	t.stops = append(t.stops, stop)
 	t.Store.Put("servers", id, standin.EndpointEntry(service, address, dataCentre, "v1", "ready", "0ms", slots))
 	return e, nil
--- a/review/second/trial/network.go
+++ b/review/second/trial/network.go
@@ -12,21 +12,23 @@
 	"baobabladder.example/baobabladder/platform/standin"
 )
 
-// Network puts proxies between VMs. Each VM reads the store through an address of its own, where
-// the addresses of the other VMs are replaced by those of proxies.
+// Network puts proxies between VMs, endpoints and the store. Each VM reads the store through an
+// address of its own, where the addresses of other VMs and of endpoints are replaced by those of
+// proxies.
 type Network struct {
 	trial *Trial
 
 	mu sync.Mutex
-	// addresses holds the addresses of each VM that others call, by VM. Guarded by mu.
+	// addresses holds the addresses of each VM and endpoint that VMs call, by name. Guarded by mu.
 	addresses map[string][]string
 	// proxies holds the proxy from a VM to an address. Guarded by mu.
 	proxies map[link]*proxy
-	// isCutOff holds the VMs that are partitioned from the others. Guarded by mu.
+	// isCutOff holds the VMs and endpoints that are partitioned from the others, and from the
+	// store. Guarded by mu.
 	isCutOff map[string]bool
 }
 
-// link leads from a VM to an address of another VM.
+// link leads from a VM to an address of another VM or of an endpoint.
 type link struct{ from, to, address string }
 
 // NewNetwork returns a network without VMs.
@@ -37,8 +39,16 @@
 // storeAddress returns the address at which a VM reads the store.
 func (n *Network) storeAddress(vm string) (address string, err error) {
 	address, stop, err := standin.Serve(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if n.isCut(vm) {
+			<-request.Context().Done()
+			return
+		}
 		recorder := httptest.NewRecorder()
 		n.trial.Store.ServeHTTP(recorder, request)
+		if n.isCut(vm) {
+			<-request.Context().Done()
+			return
+		}
 		body := n.translate(vm, recorder.Body.Bytes())
 		maps.Copy(w.Header(), recorder.Header())
 		w.WriteHeader(recorder.Code)
@@ -50,7 +60,20 @@
 	return address, err
 }
 
-// translate replaces the addresses of other VMs by those of proxies.
+// AddEndpoint puts proxies between VMs and an endpoint.
+func (n *Network) AddEndpoint(e *Endpoint) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.addresses[e.ID] = []string{e.Address}
+}
+
+func (n *Network) isCut(vm string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.isCutOff[vm]
+}
+
+// translate replaces the addresses of other VMs and of endpoints by those of proxies.
 func (n *Network) translate(vm string, body []byte) []byte {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -87,7 +110,8 @@
 	return p
 }
 
-// Cut partitions VMs from all others: what is sent is lost, and new connections hang.
+// Cut partitions VMs and endpoints from all others and from the store: what is sent is lost, and
+// new connections hang. Callers reach all of them.
 func (n *Network) Cut(vms ...string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
