--- a/review/second/configstorm/main.go
+++ b/review/second/configstorm/main.go
@@ -14,13 +14,14 @@
 )
 
 const (
-	// routes is how many routes the configuration has. With them it has about 0.6 MB, where the
-	// store takes 1 MiB.
-	routes = 1900
+	// routes is how many routes the configuration has grown by.
+	routes = 1400
+	// memoryMB is the memory of a VM.
+	memoryMB = 184
 	// A storm has stormChanges changes, stormGap apart. The next one begins stormPause later.
 	storms       = 22
 	stormChanges = 25
-	stormGap     = 80 * time.Millisecond
+	stormGap     = 60 * time.Millisecond
 	stormPause   = 2500 * time.Millisecond
 	// Without the disruption a change comes each calmGap.
 	calmGap = 10 * time.Second
@@ -74,6 +75,7 @@
 
 func run(t *trial.Trial) (held bool, err error) {
 	s := &script{trial: t, stop: make(chan struct{}), statuses: map[int]int{}, lost: map[string]int{}, killed: map[string]int{}}
+	t.MemoryMB = memoryMB
 	text := config(1)
 	t.Printf("the configuration has %d routes and %d bytes", routes+1, len(text))
 	t.Store.Put("config", "main", text)
@@ -116,7 +118,7 @@
 		ran += endpoint.RunCount()
 	}
 	t.Printf("requests sent: %d, run: %d", s.sent, ran)
-	t.Printf("answers by status: %v; killed over %d MB, by VM: %v; passed on and closed without an answer, by VM: %v", s.statuses, trial.MemoryMB, s.killed, s.lost)
+	t.Printf("answers by status: %v; killed over %d MB, by VM: %v; passed on and closed without an answer, by VM: %v", s.statuses, memoryMB, s.killed, s.lost)
 	lost := 0
 	for _, count := range s.lost {
 		lost += count
@@ -162,10 +164,10 @@
 			s.trial.Printf("%s: %d MB, most so far %d MB; requests so far at all VMs: sent %d, answered by status %v", vm.Name, resident, peak, s.sent, s.statuses)
 			s.mu.Unlock()
 		}
-		if resident <= trial.MemoryMB {
+		if resident <= memoryMB {
 			continue
 		}
-		s.trial.Printf("%s: %d MB is over its memory of %d MB, the platform kills it", vm.Name, resident, trial.MemoryMB)
+		s.trial.Printf("%s: %d MB is over its memory of %d MB, the platform kills it", vm.Name, resident, memoryMB)
 		vm.Kill()
 		s.mu.Lock()
 		s.killed[vm.Name]++
--- a/review/second/trial/trial.go
+++ b/review/second/trial/trial.go
@@ -28,6 +28,8 @@
 	StoreAddress string
 	// HasTrouble reports whether the run has the disruption.
 	HasTrouble bool
+	// MemoryMB is the memory of the VMs that are started from now on.
+	MemoryMB int
 
 	startedAt time.Time
 	folder    string
@@ -43,7 +45,7 @@
 // Run runs a script and ends the process with its exit code. script returns whether the rule
 // held. An error states that the case could not run.
 func Run(recordPath string, script func(t *Trial) (held bool, err error)) {
-	t := &Trial{HasTrouble: os.Getenv("TROUBLE") != "0", startedAt: time.Now()}
+	t := &Trial{HasTrouble: os.Getenv("TROUBLE") != "0", MemoryMB: MemoryMB, startedAt: time.Now()}
 	code := t.run(recordPath, script)
 	os.Exit(code)
 }
--- a/review/second/trial/vm.go
+++ b/review/second/trial/vm.go
@@ -18,7 +18,8 @@
 // DataCentres maps the data centres of a trial to their regions.
 var DataCentres = map[string]string{"mvd-a": "montevideo", "lit-a": "litoral", "est-a": "este"}
 
-// MemoryMB is the memory of each VM, as in the site files of small deployments.
+// MemoryMB is the memory of each VM, as in the site files of small deployments, unless a script
+// sets Trial.MemoryMB.
 const MemoryMB = 284
 
 // readyTimeout is how long a VM may take to become ready.
@@ -72,7 +73,7 @@
 			return nil, err
 		}
 	}
-	if err := os.WriteFile(vm.settingsPath, []byte(settings(name, dataCentre, store, addresses)), 0o600); err != nil {
+	if err := os.WriteFile(vm.settingsPath, []byte(settings(name, dataCentre, store, addresses, t.MemoryMB)), 0o600); err != nil {
 		return nil, err
 	}
 	t.vms = append(t.vms, vm)
@@ -89,13 +90,13 @@
 )
 
 // settings returns the settings file of a VM, as the project's template makes it.
-func settings(name, dataCentre, store string, addresses []string) string {
+func settings(name, dataCentre, store string, addresses []string, memoryMB int) string {
 	text := &strings.Builder{}
 	fmt.Fprintf(text, "[vm]\nname = %s\nregion = %s\ndata_centre = %s\nstore = %s\n", name, DataCentres[dataCentre], dataCentre, store)
 	for i, key := range addressKeys {
 		fmt.Fprintf(text, "%s = %s\n", key, addresses[i])
 	}
-	fmt.Fprintf(text, "peers = %s\nfirst_start = true\nmemory_mb = %d\n\n[data_centres]\n", addresses[peerAddress], MemoryMB)
+	fmt.Fprintf(text, "peers = %s\nfirst_start = true\nmemory_mb = %d\n\n[data_centres]\n", addresses[peerAddress], memoryMB)
 	for dataCentre, region := range DataCentres {
 		fmt.Fprintf(text, "%s = %s\n", dataCentre, region)
 	}
