--- a/review/second/leavers/main.go
+++ b/review/second/leavers/main.go
@@ -16,7 +16,8 @@
 const (
 	bodyBytes = 3 << 19
 	deadline  = 4 * time.Second
-	work      = 300 * time.Millisecond
+	work      = 720 * time.Millisecond
+	slots     = 4
 	// callers is more than run and wait at the endpoint.
 	callers = 26
 	// There are periods of leaveTime in which a share of the callers leaves, calmTime apart.
@@ -33,7 +34,7 @@
 )
 
 const config = `{"version":"00000007","routes":[
-{"name":"r-up","host":"jepu9.example","path_prefix":"/fiti832/","kind":"upload","timeout":"4000ms","target_latency":"500ms","priority":1,"service":"kafi81c","max_attempts":2,"public":true,"sticky":false,"home_regions":[]}],
+{"name":"r-up","host":"jepu9.example","path_prefix":"/fiti832/","kind":"non_idempotent","timeout":"4000ms","target_latency":"500ms","priority":1,"service":"kafi81c","max_attempts":2,"public":true,"sticky":false,"home_regions":[]}],
 "services":[{"name":"kafi81c","health_path":"/health","max_conns":330,"cold_start":"3s","cold_per_s":6.9}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"},
 "tenants":[{"name":"yefi830","api_keys":["tnfzs989anu6wsjnbanf"],"priority":0,"rate_per_s":0,"burst":0,"home_regions":[]}]}`
@@ -61,7 +62,7 @@
 func run(t *trial.Trial) (held bool, err error) {
 	s := &script{trial: t, statuses: map[int]int{}, leftAt: map[string]time.Time{}}
 	t.Store.Put("config", "main", config)
-	if s.endpoint, err = t.StartEndpoint("i-0", "kafi81c", "mvd-a", 4, work); err != nil {
+	if s.endpoint, err = t.StartEndpoint("i-0", "kafi81c", "mvd-a", slots, work); err != nil {
 		return false, err
 	}
 	vm, err := t.StartVM("front-mvd-a-1", "mvd-a")
--- a/review/second/trial/endpoint.go
+++ b/review/second/trial/endpoint.go
@@ -33,8 +33,9 @@
 	running, waiting int
 }
 
-// maxWaiting is how many requests wait for a slot of an endpoint.
-const maxWaiting = 12
+// waitingPerSlot is how many requests wait for a slot of an endpoint, by slot, as in the site
+// files.
+const waitingPerSlot = 3
 
 // StartEndpoint starts an endpoint and registers it in the store.
 func (t *Trial) StartEndpoint(id, service, dataCentre string, slots int, work time.Duration) (e *Endpoint, err error) {
@@ -61,7 +62,7 @@
 	e.mu.Lock()
 	e.arrived[id]++
 	e.arrivedAt[id] = time.Now()
-	isFull := e.waiting >= maxWaiting
+	isFull := e.waiting >= waitingPerSlot*e.Slots
 	if !isFull {
 		e.waiting++
 	}
